--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/Daemon.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/Daemon.java
@@ -2,17 +2,21 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
 import io.servicetalk.http.api.HttpServerContext;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.vaneworks.coordination.Node;
 import org.vaneworks.coordination.NodeOutside;
+import org.vaneworks.protocol.ClaimJson;
 import org.vaneworks.protocol.ConfigurationJson;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Counters;
@@ -23,6 +27,8 @@
 import org.vaneworks.transport.HttpEndpointClient;
 import org.vaneworks.transport.HttpPlatformStore;
 import org.vaneworks.transport.HttpSender;
+import org.vaneworks.transport.PeerClient;
+import org.vaneworks.transport.PeerServer;
 
 /** One running daemon: a node with its sockets. */
 public final class Daemon {
@@ -36,42 +42,68 @@
   private final Executor executor;
   private final HttpSender sender;
   private final HttpServerContext callers;
+  private final PeerServer peers;
+  private final EventLoopGroup peerLoop;
 
-  private Daemon(Node node, Executor executor, HttpSender sender, HttpServerContext callers) {
+  private Daemon(
+      Node node,
+      Executor executor,
+      HttpSender sender,
+      HttpServerContext callers,
+      PeerServer peers,
+      EventLoopGroup peerLoop) {
     this.node = node;
     this.executor = executor;
     this.sender = sender;
     this.callers = callers;
+    this.peers = peers;
+    this.peerLoop = peerLoop;
   }
 
   /** Starts a daemon; it listens once this returns. */
   public static Daemon start(DaemonSettings settings) throws Exception {
     Executor executor = Executors.newFixedSizeExecutor(settings.workers());
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    Counters counters = Counters.in(registry);
     HttpSender sender = HttpSender.create(executor);
+    EventLoopGroup peerLoop = new NioEventLoopGroup(1);
     SecureRandom random = new SecureRandom();
     NodeOutside outside =
         new NodeOutside(
             executor,
-            new java.util.Random(random.nextLong()),
+            new Random(random.nextLong()),
             HttpPlatformStore.at(sender, settings.platform()),
             HttpBoxList.at(sender, settings.platform()),
             HttpEndpointClient.create(
-                sender, settings.endpointLimits().stepTimeout().plus(CONNECTION_GRACE)),
+                sender, settings.limits().endpoints().stepTimeout().plus(CONNECTION_GRACE)),
+            PeerClient.create(peerLoop, executor, counters),
             ConfigurationJson.create(),
-            Counters.in(registry));
+            ClaimJson.create(),
+            counters);
+    CompletableFuture<Node> made = new CompletableFuture<>();
+    PeerServer peers =
+        PeerServer.listen(
+            settings.peers(),
+            peerLoop,
+            executor,
+            counters,
+            message -> made.thenCompose(node -> node.serve(message)));
     String incarnation = Long.toHexString(random.nextLong());
-    Node node = Node.create(settings.nodeSettings(incarnation, settings.peers()), outside);
+    String secret = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+    Node node = Node.create(settings.nodeSettings(incarnation, secret, peers.address()), outside);
+    made.complete(node);
     HttpServerContext callers =
         CallerServer.listen(
             settings.callers(), node, executor, settings.maxBodyBytes(), registry::scrape);
-    Daemon daemon = new Daemon(node, executor, sender, callers);
+    Daemon daemon = new Daemon(node, executor, sender, callers, peers, peerLoop);
     EventLog.info(
         Event.STARTED,
         "node",
         settings.name(),
         "callers",
         daemon.callersAddress(),
+        "peers",
+        peers.address(),
         "incarnation",
         incarnation);
     node.start();
@@ -110,6 +142,8 @@
     } catch (java.util.concurrent.ExecutionException e) {
       EventLog.error(Event.STOP_CUT, e);
     }
+    peers.close();
+    var unused = peerLoop.shutdownGracefully();
     sender.close();
     executor.closeAsync().subscribe();
   }
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
@@ -7,10 +7,13 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import org.vaneworks.coordination.EndpointLimits;
+import org.vaneworks.coordination.NodeLimits;
 import org.vaneworks.coordination.NodeSettings;
+import org.vaneworks.coordination.OnceLimits;
 import org.vaneworks.coordination.PipelineLimits;
 import org.vaneworks.coordination.RoutingSettings;
 import org.vaneworks.coordination.StopTimes;
+import org.vaneworks.coordination.StoreBudget;
 import org.vaneworks.protocol.FieldReader;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.HostPort;
@@ -27,10 +30,7 @@
  * @param workers threads of the worker pool
  * @param maxBodyBytes longest body taken from a caller
  * @param json whether logs are JSON lines
- * @param routing how routes are chosen
- * @param endpointLimits bounds on one endpoint
- * @param pipelineLimits bounds on one stream
- * @param stopTimes times of a planned stop
+ * @param limits bounds on what the node does
  */
 public record DaemonSettings(
     String name,
@@ -41,10 +41,7 @@
     int workers,
     int maxBodyBytes,
     boolean json,
-    RoutingSettings routing,
-    EndpointLimits endpointLimits,
-    PipelineLimits pipelineLimits,
-    StopTimes stopTimes) {
+    NodeLimits limits) {
   private static final int MAX_MS = 3_600_000;
 
   /**
@@ -75,10 +72,35 @@
         fields.integer("workers", 1, 256, 4),
         fields.integer("maxBodyBytes", 1024, 64 << 20, 1 << 20),
         fields.bool("jsonLogs", false),
-        routing(fields.objectOrEmpty("routing")),
-        endpointLimits(fields.objectOrEmpty("endpoints")),
-        pipelineLimits(fields.objectOrEmpty("streams")),
-        stopTimes(fields.objectOrEmpty("stop")));
+        new NodeLimits(
+            routing(fields.objectOrEmpty("routing")),
+            endpointLimits(fields.objectOrEmpty("endpoints")),
+            pipelineLimits(fields.objectOrEmpty("streams")),
+            onceLimits(fields.objectOrEmpty("once")),
+            storeBudget(fields.objectOrEmpty("store")),
+            stopTimes(fields.objectOrEmpty("stop"))));
+  }
+
+  private static OnceLimits onceLimits(FieldReader fields) {
+    OnceLimits usual = OnceLimits.defaults();
+    OnceLimits limits =
+        new OnceLimits(
+            positiveMillis(fields, "ticketValidityMs", usual.ticketValidity()),
+            positiveMillis(fields, "claimRetentionMs", usual.claimRetention()),
+            fields.integer("maxRecords", 1, 10_000_000, usual.maxRecords()),
+            fields.integer("maxKilobytes", 1, 1 << 20, (int) (usual.maxBytes() >> 10)) * 1024L);
+    fields.rejectUnknown();
+    return limits;
+  }
+
+  private static StoreBudget storeBudget(FieldReader fields) {
+    StoreBudget usual = StoreBudget.defaults();
+    StoreBudget budget =
+        new StoreBudget(
+            fields.number("callsPerSecond", 0.1, 10_000, usual.callsPerSecond()),
+            fields.integer("burst", 1, 100_000, usual.burst()));
+    fields.rejectUnknown();
+    return budget;
   }
 
   private static HostPort address(FieldReader fields, String name) {
@@ -143,20 +165,16 @@
     return new StopTimes(lag, deadline);
   }
 
+  private static Duration positiveMillis(FieldReader fields, String name, Duration usual) {
+    return Duration.ofMillis(fields.integer(name, 1, MAX_MS, (int) usual.toMillis()));
+  }
+
   private static Duration millis(FieldReader fields, String name, Duration usual) {
     return Duration.ofMillis(fields.integer(name, 0, MAX_MS, (int) usual.toMillis()));
   }
 
   /** Returns what the node is told of itself. */
-  public NodeSettings nodeSettings(String incarnation, HostPort peerAddress) {
-    return new NodeSettings(
-        name,
-        incarnation,
-        peerAddress,
-        dataCentre,
-        routing,
-        endpointLimits,
-        pipelineLimits,
-        stopTimes);
+  public NodeSettings nodeSettings(String incarnation, String secret, HostPort peerAddress) {
+    return new NodeSettings(name, incarnation, secret, peerAddress, dataCentre, limits);
   }
 }
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryFleet.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryFleet.java
@@ -17,13 +17,12 @@
 import org.vaneworks.coordination.CompletionBody;
 import org.vaneworks.coordination.ConfigurationChange;
 import org.vaneworks.coordination.ConfigurationEditor;
-import org.vaneworks.coordination.EndpointLimits;
 import org.vaneworks.coordination.Node;
+import org.vaneworks.coordination.NodeLimits;
 import org.vaneworks.coordination.NodeOutside;
 import org.vaneworks.coordination.NodeSettings;
-import org.vaneworks.coordination.PipelineLimits;
-import org.vaneworks.coordination.RoutingSettings;
 import org.vaneworks.coordination.StopTimes;
+import org.vaneworks.protocol.ClaimJson;
 import org.vaneworks.protocol.ConfigurationJson;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.protocol.ResourceJson;
@@ -50,6 +49,10 @@
   public static final String WORKSPACE = "ward";
 
   private static final int FIRST_PORT = 10_000;
+  private static final int MAX_TOKENS = 1000;
+  private static final Duration SETTLED_AFTER = Duration.ofSeconds(20);
+  private static final StopTimes STOP_TIMES =
+      new StopTimes(Duration.ofSeconds(1), Duration.ofSeconds(60));
 
   private final int layers;
   private final long seed;
@@ -57,17 +60,21 @@
   private final StoreCore store = StoreCore.create(executor);
   private final BoxListCore boxes = BoxListCore.create();
   private final InMemoryEndpoints endpoints;
+  private final InMemoryPeers peers;
   private final ConfigurationEditor editor;
+  private final Map<String, FreezableExecutor> processes = new LinkedHashMap<>();
   private final Map<String, Node> nodes = new LinkedHashMap<>();
   private final Map<String, Counters> counters = new LinkedHashMap<>();
   private final Map<String, HostPort> addresses = new LinkedHashMap<>();
   private int nextPort = FIRST_PORT;
   private int changes;
+  private int runs;
 
   private InMemoryFleet(int layers, long seed) {
     this.layers = layers;
     this.seed = seed;
     this.endpoints = InMemoryEndpoints.create(executor, new Random(seed));
+    this.peers = InMemoryPeers.create(executor, new Random(seed + 1));
     this.editor = ConfigurationEditor.create(executor, store, ConfigurationJson.create(), () -> 0L);
   }
 
@@ -156,33 +163,30 @@
 
   /** Adds a node and starts it. */
   public Node addNode(String name) {
-    return addNode(name, PipelineLimits.defaults());
+    return addNode(name, NodeLimits.defaults().withStop(STOP_TIMES));
   }
 
-  /** Adds a node with bounds of its own on streams, and starts it. */
-  public Node addNode(String name, PipelineLimits limits) {
-    HostPort address = nextAddress(name);
+  /** Adds a node with bounds of its own, or another run of one, and starts it. */
+  public Node addNode(String name, NodeLimits limits) {
+    HostPort address = addresses.containsKey(name) ? addresses.get(name) : nextAddress(name);
     Counters own = Counters.in(new SimpleMeterRegistry());
+    FreezableExecutor process = new FreezableExecutor(executor);
+    processes.put(name, process);
     NodeOutside outside =
         new NodeOutside(
-            executor,
-            new Random(seed + nextPort),
+            process,
+            new Random(seed + address.port() + 1000L * ++runs),
             store,
             boxes,
             endpoints,
+            peers.linkFrom(address),
             ConfigurationJson.create(),
+            ClaimJson.create(),
             own);
     NodeSettings settings =
-        new NodeSettings(
-            name,
-            "i" + nextPort,
-            address,
-            "dc1",
-            RoutingSettings.defaults(),
-            EndpointLimits.defaults(),
-            limits,
-            new StopTimes(Duration.ofSeconds(1), Duration.ofSeconds(60)));
+        new NodeSettings(name, "i" + runs, "secret" + runs, address, "dc1", limits);
     Node node = Node.create(settings, outside);
+    peers.add(address, node);
     nodes.put(name, node);
     counters.put(name, own);
     boxes.put(new Box(name, Box.Role.ENTRY, address, "dc1", false));
@@ -190,6 +194,42 @@
     return node;
   }
 
+  /** Kills a node: it neither hears nor is heard, and its callers' connections are gone. */
+  public void killNode(String name) {
+    peers.kill(addresses.get(name));
+    processes.get(name).freeze();
+    nodes.remove(name);
+  }
+
+  /** Freezes a node, as by SIGSTOP. */
+  public void freezeNode(String name) {
+    processes.get(name).freeze();
+    peers.freeze(addresses.get(name));
+  }
+
+  /** Lets a frozen node go on. */
+  public void thawNode(String name) {
+    processes.get(name).thaw();
+    peers.thaw(addresses.get(name));
+  }
+
+  /** Stops a node as planned; returns the number of requests that were cut, once it is done. */
+  public CompletableFuture<Integer> stopNode(String name) {
+    return nodes
+        .get(name)
+        .stop()
+        .thenApply(
+            cut -> {
+              killNode(name);
+              return cut;
+            });
+  }
+
+  /** Returns the links between nodes. */
+  public InMemoryPeers peers() {
+    return peers;
+  }
+
   private HostPort nextAddress(String box) {
     HostPort address = new HostPort("127.0.0.1", nextPort++);
     addresses.put(box, address);
@@ -221,18 +261,22 @@
         OptionalLong.empty());
   }
 
-  /** Puts the usual configuration in force and waits until nodes and engines know each other. */
+  /** Returns the usual configuration, as YAML. */
+  public String configuration(int maxTokens) {
+    return "{kind: template, name: t, model: {name: model, layers: "
+        + layers
+        + "}, services: [{name: records, calls: [{method: POST, pathPrefix: /confirm}]}],"
+        + " limits: {maxInFlight: 10000, maxQueue: 1000, maxTokens: "
+        + maxTokens
+        + "}, bounds: {firstTokenMs: 60000, betweenTokensMs: 10000}}\n"
+        + "---\n"
+        + "{kind: workspace, name: ward, template: t}\n";
+  }
+
+  /** Puts the usual configuration in force and waits until nodes and endpoints know each other. */
   public void settle() {
-    CompletableFuture<ConfigurationHead> applied =
-        apply(
-            "{kind: template, name: t, model: {name: model, layers: "
-                + layers
-                + "}, services: [{name: records, calls: [{method: POST, pathPrefix: /confirm}]}],"
-                + " limits: {maxInFlight: 10000, maxQueue: 1000},"
-                + " bounds: {firstTokenMs: 60000, betweenTokensMs: 10000}}\n"
-                + "---\n"
-                + "{kind: workspace, name: ward, template: t}\n");
-    executor.advance(Duration.ofSeconds(4));
+    CompletableFuture<ConfigurationHead> applied = apply(configuration(MAX_TOKENS));
+    executor.advance(SETTLED_AFTER);
     checkState(applied.isDone() && !applied.isCompletedExceptionally(), "not applied: %s", applied);
   }
 
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/StreamSchedule.java
@@ -0,0 +1,155 @@
+package org.vaneworks.tests;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.vaneworks.coordination.CallerOptions;
+import org.vaneworks.state.HostPort;
+import org.vaneworks.testlib.EngineCore;
+import org.vaneworks.testlib.InMemoryFleet;
+import org.vaneworks.testlib.Judge;
+import org.vaneworks.testlib.RecordedAnswer;
+
+/**
+ * One random schedule of requests and faults, all from one seed.
+ *
+ * <p>One full set of layers is never hurt, so no repeatable request may fail.
+ */
+final class StreamSchedule {
+  private static final int LAYERS = 12;
+  private static final int[] CUTS = {0, 3, 5, 6, 8, 12};
+  private static final int MAX_TOKENS = 40;
+  private static final int SPAN_MILLIS = 2000;
+  private static final Duration PATIENCE = Duration.ofMinutes(3);
+  private static final Duration AFTERWARDS = Duration.ofSeconds(15);
+
+  private record Asked(RecordedAnswer answer, int tokens, boolean repeatable) {}
+
+  private final Random random;
+  private final InMemoryFleet fleet;
+  private final List<String> victims = new ArrayList<>();
+  private final List<Asked> asked = new ArrayList<>();
+  private int faults;
+
+  private StreamSchedule(long seed) {
+    this.random = new Random(seed);
+    this.fleet = InMemoryFleet.create(LAYERS, seed);
+  }
+
+  /** What a schedule came to. */
+  record Outcome(ImmutableList<String> problems, int requests, int faults) {}
+
+  static Outcome run(long seed) {
+    return new StreamSchedule(seed).run();
+  }
+
+  private Outcome run() {
+    build();
+    planRequests();
+    planFaults();
+    fleet.clock().advance(Duration.ofMillis(SPAN_MILLIS));
+    boolean ended = fleet.clock().advanceUntil(this::allEnded, PATIENCE);
+    fleet.clock().advance(AFTERWARDS);
+    List<String> problems = new ArrayList<>();
+    if (!ended) {
+      problems.add("some requests never ended");
+    }
+    judge(problems);
+    return new Outcome(ImmutableList.copyOf(problems), asked.size(), faults);
+  }
+
+  private void build() {
+    fleet.addEngine("safe1", 0, 5, 1 + random.nextInt(8));
+    fleet.addEngine("safe2", 5, LAYERS, 1 + random.nextInt(8));
+    int others = 3 + random.nextInt(5);
+    for (int i = 0; i < others; i++) {
+      int from = random.nextInt(CUTS.length - 1);
+      int to = from + 1 + random.nextInt(CUTS.length - from - 1);
+      fleet.addEngine("victim" + i, CUTS[from], CUTS[to], 1 + random.nextInt(8));
+      victims.add("victim" + i);
+    }
+    fleet.addNode("n1");
+    fleet.addNode("n2");
+    fleet.settle();
+  }
+
+  private void planRequests() {
+    int count = 3 + random.nextInt(10);
+    for (int i = 0; i < count; i++) {
+      String node = random.nextBoolean() ? "n1" : "n2";
+      int tokens = 1 + random.nextInt(MAX_TOKENS);
+      boolean repeatable = random.nextInt(10) < 7;
+      String prompt = "p" + i + "x".repeat(random.nextInt(600));
+      later(() -> asked.add(new Asked(ask(node, prompt, tokens, repeatable), tokens, repeatable)));
+    }
+  }
+
+  private RecordedAnswer ask(String node, String prompt, int tokens, boolean repeatable) {
+    CallerOptions options =
+        new CallerOptions(
+            Optional.of(repeatable),
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty());
+    return fleet.ask(node, prompt, tokens, options);
+  }
+
+  private void planFaults() {
+    faults = random.nextInt(10);
+    for (int i = 0; i < faults; i++) {
+      String box = victims.get(random.nextInt(victims.size()));
+      HostPort address = fleet.addressOf(box);
+      int kind = random.nextInt(7);
+      int count = 1 + random.nextInt(6);
+      Duration pause = Duration.ofMillis(50 + random.nextInt(8000));
+      later(
+          () -> {
+            switch (kind) {
+              case 0 -> fleet.endpoints().kill(address);
+              case 1 -> freezeFor(address, pause);
+              case 2 -> fleet.endpoints().loseAnswers(address, count);
+              case 3 -> fleet.endpoints().exchangeAnswers(address, 2 * count);
+              case 4 -> fleet.endpoints().delay(address, Duration.ofMillis(30L * count));
+              case 5 -> fleet.endpoints().leave(address);
+              default -> fleet.boxes().leaving(box);
+            }
+          });
+    }
+  }
+
+  private void freezeFor(HostPort address, Duration pause) {
+    fleet.endpoints().freeze(address);
+    fleet.clock().schedule(() -> fleet.endpoints().thaw(address), pause);
+  }
+
+  private void later(Runnable task) {
+    fleet.clock().schedule(task, Duration.ofMillis(random.nextInt(SPAN_MILLIS)));
+  }
+
+  private boolean allEnded() {
+    return asked.stream().allMatch(each -> each.answer().isEnded());
+  }
+
+  private void judge(List<String> problems) {
+    Judge judge = fleet.judge();
+    for (Asked each : asked) {
+      problems.addAll(judge.problemsOf(each.answer(), each.tokens(), each.repeatable()));
+      if (each.repeatable() && !each.answer().isWhole()) {
+        problems.add("repeatable, but failed: " + each.answer().refusal());
+      }
+    }
+    for (EngineCore engine : fleet.endpoints().engines()) {
+      String box = engine.options().endpoint().id().box();
+      if (box.startsWith("safe") && engine.sessions() > 0) {
+        problems.add(box + " still holds " + engine.sessions() + " sessions");
+      }
+    }
+    fleet.nodes().stream()
+        .filter(node -> node.inFlight() != 0)
+        .forEach(node -> problems.add("in flight: " + node.inFlight()));
+  }
+}
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/NodeSteps.java
@@ -0,0 +1,185 @@
+package org.vaneworks.tests.scenarios;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.Ordering;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.ConflictException;
+import org.vaneworks.coordination.Node;
+import org.vaneworks.state.ConfigurationHead;
+
+/** Steps on nodes, the platform's store and the configuration. */
+public final class NodeSteps {
+  private final World world;
+  private final Map<String, CompletableFuture<Integer>> stops = new LinkedHashMap<>();
+  private final Map<String, CompletableFuture<ConfigurationHead>> changes = new LinkedHashMap<>();
+  private final Map<String, List<Long>> versions = new LinkedHashMap<>();
+
+  /** Takes the scenario's world. */
+  public NodeSteps(World world) {
+    this.world = world;
+  }
+
+  /** Adds eight nodes. */
+  @Given("eight nodes n1 to n8")
+  public void eightNodes() {
+    for (int i = 1; i <= 8; i++) {
+      addNode("n" + i);
+    }
+  }
+
+  /** Adds a node, or another run of one. */
+  @When("{word} starts")
+  public void addNode(String name) {
+    Node node = world.fleet().addNode(name);
+    List<Long> seen = versions.computeIfAbsent(name, each -> new ArrayList<>());
+    seen.clear();
+    node.configuration().onChange(snapshot -> seen.add(snapshot.version()));
+  }
+
+  /** Kills a node. */
+  @When("node {word} is killed")
+  public void kill(String name) {
+    world.fleet().killNode(name);
+  }
+
+  /** Freezes a node. */
+  @When("node {word} freezes")
+  public void freeze(String name) {
+    world.fleet().freezeNode(name);
+  }
+
+  /** Thaws a node. */
+  @When("node {word} thaws")
+  public void thaw(String name) {
+    world.fleet().thawNode(name);
+  }
+
+  /** Begins a planned stop. */
+  @When("{word} begins a planned stop")
+  public void stop(String name) {
+    stops.put(name, world.fleet().stopNode(name));
+  }
+
+  /** Waits for the end of a planned stop. */
+  @Then("{word} stops with {int} requests cut")
+  public void stopped(String name, int cut) {
+    world.await(name + " to stop", stops.get(name)::isDone);
+    assertEquals(cut, stops.get(name).join());
+  }
+
+  /** Cuts the way from one node to another. */
+  @When("the way from {word} to {word} is cut")
+  public void cut(String from, String to) {
+    world.fleet().peers().cut(world.fleet().addressOf(from), world.fleet().addressOf(to));
+  }
+
+  /** Loses replies of a node. */
+  @When("the next {int} replies of node {word} are lost")
+  public void loseReplies(int count, String name) {
+    world.fleet().peers().loseReplies(world.fleet().addressOf(name), count);
+  }
+
+  /** Takes the store down. */
+  @When("the store goes down")
+  public void storeDown() {
+    world.fleet().store().down(true);
+  }
+
+  /** Brings the store back. */
+  @When("the store is back")
+  public void storeUp() {
+    world.fleet().store().down(false);
+  }
+
+  /** Makes the store slow. */
+  @When("the store answers {int} ms late")
+  public void storeSlow(int millis) {
+    world.fleet().store().slow(Duration.ofMillis(millis));
+  }
+
+  /** Loses answers of the store. */
+  @When("the store writes the next {int} times without answering")
+  public void loseAnswers(int count) {
+    world.fleet().store().loseAnswers(count);
+  }
+
+  /** Makes a change. */
+  @When("operator {word} sets {int} tokens")
+  public void change(String operator, int maxTokens) {
+    changes.put(operator, world.fleet().apply(world.fleet().configuration(maxTokens)));
+  }
+
+  /** Makes a change that touches another resource. */
+  @When("operator {word} adds workspace {word}")
+  public void addWorkspace(String operator, String workspace) {
+    String yaml = "{kind: workspace, name: " + workspace + ", template: t}";
+    changes.put(operator, world.fleet().apply(yaml));
+  }
+
+  /** Checks that a change was accepted. */
+  @Then("operator {word}'s change is accepted as version {int}")
+  public void accepted(String operator, int version) {
+    CompletableFuture<ConfigurationHead> change = changes.get(operator);
+    world.await(operator + "'s change", change::isDone);
+    assertEquals(version, change.join().version());
+  }
+
+  /** Checks that of two changes to one template exactly one was accepted. */
+  @Then("of operators {word} and {word} one wins and the other gets a conflict on {word}")
+  public void conflict(String first, String second, String resource) {
+    int won = 0;
+    for (String operator : List.of(first, second)) {
+      CompletableFuture<ConfigurationHead> change = changes.get(operator);
+      world.await(operator + "'s change", change::isDone);
+      if (!change.isCompletedExceptionally()) {
+        won++;
+        continue;
+      }
+      Throwable why = change.handle((head, failure) -> Async.causeOf(failure)).join();
+      assertTrue(why instanceof ConflictException, () -> "not a conflict: " + why);
+      assertTrue(why.getMessage().contains(resource), why.getMessage());
+    }
+    assertEquals(1, won);
+  }
+
+  /** Checks that a version is in force everywhere after a time. */
+  @Then("version {int} is in force on every node within {int} ms")
+  public void inForce(int version, int millis) {
+    world.fleet().clock().advanceUntil(() -> slowest() >= version, Duration.ofMillis(millis));
+    for (Node node : world.fleet().nodes()) {
+      assertEquals(version, node.configuration().version(), node.settings().name());
+    }
+  }
+
+  private long slowest() {
+    return world.fleet().nodes().stream()
+        .mapToLong(node -> node.configuration().version())
+        .min()
+        .orElse(0);
+  }
+
+  /** Checks the order in which versions came in force. */
+  @Then("no node ever went back to an older version")
+  public void neverBack() {
+    versions.forEach(
+        (node, seen) ->
+            assertTrue(Ordering.natural().isStrictlyOrdered(seen), () -> node + " saw " + seen));
+  }
+
+  /** Checks that a node takes requests. */
+  @Then("{word} is ready")
+  public void ready(String name) {
+    assertEquals("READY", world.fleet().node(name).phase().name());
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/StreamSteps.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/StreamSteps.java
@@ -15,6 +15,7 @@
 import org.vaneworks.state.Refusal;
 import org.vaneworks.telemetry.Metric;
 import org.vaneworks.testlib.EngineCore;
+import org.vaneworks.testlib.LedgerEntry;
 import org.vaneworks.testlib.RecordedAnswer;
 
 /** Steps on engines and streams. */
@@ -166,6 +167,14 @@
     assertEquals(ImmutableList.of(), problems);
   }
 
+  /** Checks that no step of any stream was run again, not even to rebuild. */
+  @Then("nothing ran twice")
+  public void nothingRanTwice() {
+    for (EngineCore engine : world.fleet().endpoints().engines()) {
+      assertTrue(engine.ledger().stream().noneMatch(LedgerEntry::rebuilt), "something was rebuilt");
+    }
+  }
+
   /** Checks that nothing of a request ran. */
   @Then("no engine ran any part of {word}'s request")
   public void nothingRan(String caller) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/World.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/World.java
@@ -29,6 +29,12 @@
     answers.put(caller, fleet.ask(node, "prompt of " + caller, tokens, with));
   }
 
+  void repeat(String caller, String first, String node, int tokens, CallerOptions with) {
+    lengths.put(caller, tokens);
+    options.put(caller, with);
+    answers.put(caller, fleet.ask(node, answer(first).prompt(), tokens, with));
+  }
+
   RecordedAnswer answer(String caller) {
     return answers.get(caller);
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ConfigurationFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ConfigurationFollower.java
@@ -19,7 +19,7 @@
  */
 public final class ConfigurationFollower {
   private static final Duration WATCH = Duration.ofSeconds(10);
-  private static final Duration POLL = Duration.ofSeconds(10);
+  private static final Duration POLL = Duration.ofSeconds(12);
   private static final Duration UNREADY_POLL = Duration.ofMillis(500);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(250);
   private static final int MAX_DOUBLINGS = 5;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/EndpointMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/EndpointMonitor.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.Box.Role;
 import org.vaneworks.state.EndpointId;
@@ -27,6 +28,8 @@
  */
 public final class EndpointMonitor {
   private static final Duration LIST_EVERY = Duration.ofSeconds(1);
+  private static final Duration LIST_SELDOM = Duration.ofSeconds(10);
+  private static final Duration LIST_LIMIT = Duration.ofSeconds(1);
   private static final Duration STATUS_EVERY = Duration.ofSeconds(1);
   private static final Duration STATUS_LIMIT = Duration.ofMillis(800);
 
@@ -48,6 +51,7 @@
   private final EndpointClient client;
   private final EndpointTable table;
   private final Random random;
+  private final BooleanSupplier readsOften;
   private final Consumer<ImmutableList<Box>> onBoxes;
 
   @GuardedBy("this")
@@ -62,18 +66,22 @@
       EndpointClient client,
       EndpointTable table,
       Random random,
+      BooleanSupplier readsOften,
       Consumer<ImmutableList<Box>> onBoxes) {
     this.executor = checkNotNull(executor);
     this.list = checkNotNull(list);
     this.client = checkNotNull(client);
     this.table = checkNotNull(table);
     this.random = checkNotNull(random);
+    this.readsOften = checkNotNull(readsOften);
     this.onBoxes = checkNotNull(onBoxes);
   }
 
   /**
    * Returns a monitor that is yet to be started.
    *
+   * @param readsOften whether this node is among those that read the list often; the others hear of
+   *     leaving endpoints from them
    * @param onBoxes is told of each list that was read
    */
   public static EndpointMonitor create(
@@ -82,8 +90,9 @@
       EndpointClient client,
       EndpointTable table,
       Random random,
+      BooleanSupplier readsOften,
       Consumer<ImmutableList<Box>> onBoxes) {
-    return new EndpointMonitor(executor, list, client, table, random, onBoxes);
+    return new EndpointMonitor(executor, list, client, table, random, readsOften, onBoxes);
   }
 
   /** Sets what runs when an endpoint was found, for requests that wait. */
@@ -107,7 +116,7 @@
     }
     RuntimeException late = StoreException.withoutEffect("the box list did not answer in time");
     Async.onDone(
-        Async.within(executor, LIST_EVERY, list.boxes(), late),
+        Async.within(executor, LIST_LIMIT, list.boxes(), late),
         executor,
         (boxes, failure) -> {
           if (failure == null) {
@@ -115,7 +124,8 @@
           } else {
             EventLog.warn(Event.BOX_LIST_FAILED, "cause", failure.getMessage());
           }
-          executor.schedule(this::readList, jittered(LIST_EVERY));
+          boolean often = readsOften.getAsBoolean() || failure != null;
+          executor.schedule(this::readList, jittered(often ? LIST_EVERY : LIST_SELDOM));
         });
   }
 
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/MemberStatus.java
@@ -0,0 +1,9 @@
+package org.vaneworks.coordination;
+
+/** Whether a member is thought alive; at equal sequence the later constant wins. */
+public enum MemberStatus {
+  ALIVE,
+  SUSPECT,
+  DEAD,
+  LEFT
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Node.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/Node.java
@@ -1,10 +1,18 @@
 package org.vaneworks.coordination;
 
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
 import com.google.common.collect.ImmutableList;
-import java.util.Random;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.IntSupplier;
 import org.vaneworks.coordination.Lifecycle.Phase;
+import org.vaneworks.coordination.PeerMessage.AskClaims;
+import org.vaneworks.coordination.PeerMessage.AskHead;
+import org.vaneworks.coordination.PeerMessage.AskPages;
+import org.vaneworks.coordination.PeerMessage.HandOver;
+import org.vaneworks.coordination.PeerMessage.Ping;
+import org.vaneworks.coordination.PeerMessage.PingFor;
+import org.vaneworks.coordination.PeerMessage.RunOnce;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
@@ -14,30 +22,44 @@
  * <p>Several nodes can be wired together in one process. Thread-safe.
  */
 public final class Node {
-  /** Retries saved up at most; lets a quiet node get over a short disturbance. */
-  private static final int RETRY_RESERVE = 20;
+  /** Nodes of a data centre that hold a watch on the configuration's head. */
+  private static final int HEAD_WATCHERS = 2;
+
+  /** Nodes of a data centre that read the box list often. */
+  private static final int LIST_READERS = 3;
 
   private final NodeSettings settings;
   private final NodeOutside outside;
   private final Lifecycle lifecycle = Lifecycle.create();
+  private final Membership membership;
   private final ConfigurationBoard board;
   private final ConfigurationFollower follower;
+  private final ConfigurationSpread spread;
   private final EndpointTable table;
   private final EndpointMonitor monitor;
   private final RequestGate gate;
-  private volatile int entryNodes = 1;
 
   private Node(NodeSettings settings, NodeOutside outside) {
     this.settings = settings;
     this.outside = outside;
+    PlatformStore store =
+        new BudgetedStore(
+            outside.store(), outside.executor(), outside.counters(), settings.limits().store());
     this.board =
         ConfigurationBoard.create(
-            outside.executor(), outside.format(), PageSource.of(outside.store()));
+            outside.executor(), outside.configurationFormat(), PageSource.of(store));
+    this.membership = createMembership();
+    MemberTable members = membership.table();
     this.follower =
         ConfigurationFollower.create(
-            outside.executor(), outside.store(), board, () -> true, outside.random());
+            outside.executor(),
+            store,
+            board,
+            () -> members.isPickedHere("head", HEAD_WATCHERS),
+            outside.random());
+    this.spread = new ConfigurationSpread(outside.executor(), board, outside.peers());
     this.table =
-        EndpointTable.create(outside.executor(), settings.endpointLimits(), outside.counters());
+        EndpointTable.create(outside.executor(), settings.limits().endpoints(), outside.counters());
     this.monitor =
         EndpointMonitor.create(
             outside.executor(),
@@ -45,9 +67,13 @@
             outside.endpoints(),
             table,
             outside.random(),
+            () -> members.isPickedHere("boxes", LIST_READERS),
             this::noteBoxes);
-    this.gate = wireGate();
-    board.onChange(snapshot -> becomeReady());
+    RequestWiring wiring = new RequestWiring(settings, outside, table, members::size);
+    RoutePlanner planner = wiring.planner();
+    AdmissionControl admission = wiring.admission(planner);
+    this.gate = wiring.gate(lifecycle, board, planner, admission, store, members);
+    listen(admission);
   }
 
   /** Returns a node that is yet to be started. */
@@ -55,64 +81,41 @@
     return new Node(settings, outside);
   }
 
-  private RequestGate wireGate() {
-    RoutingSettings routing = settings.routing();
-    IntSupplier nodes = () -> entryNodes;
-    RoutePlanner planner = RoutePlanner.create(table, policy(routing, nodes, outside.random()));
-    AdmissionControl admission =
-        AdmissionControl.create(
-            outside.executor(), planner, admissionPolicy(routing, nodes), cost(routing), nodes);
+  private Membership createMembership() {
+    Member self =
+        new Member(
+            settings.identity(),
+            settings.peerAddress(),
+            settings.dataCentre(),
+            0,
+            MemberStatus.ALIVE,
+            Optional.empty());
+    return Membership.create(
+        outside.executor(),
+        outside.peers(),
+        MemberTable.create(outside.executor(), self),
+        outside.random(),
+        board::version);
+  }
+
+  private void listen(AdmissionControl admission) {
+    board.onChange(
+        snapshot -> {
+          becomeReady();
+          membership.tellSome();
+        });
+    membership.onNewerVersion(spread::fetch);
+    membership.onLeaving(
+        hint -> table.find(hint.endpoint()).ifPresent(state -> table.leaving(state, "a peer")));
+    table.onLeaving(state -> membership.tellLeaving(new EndpointHint(state.endpoint().id())));
     monitor.onUsable(admission::recheck);
-    RetryBudget retries = RetryBudget.of(routing.retryShare(), RETRY_RESERVE);
-    PipelineContext context =
-        new PipelineContext(
-            outside.executor(),
-            outside.endpoints(),
-            table,
-            planner,
-            admission,
-            retries,
-            settings.pipelineLimits(),
-            outside.counters());
-    PipelineDriver driver = PipelineDriver.create(context, settings.identity(), outside.random());
-    ServiceRouter services =
-        ServiceRouter.create(
-            outside.executor(),
-            table,
-            outside.endpoints(),
-            retries,
-            outside.counters(),
-            outside.random());
-    return new RequestGate(lifecycle, board, driver, services, outside.counters());
   }
 
-  private static RoutePolicy policy(RoutingSettings routing, IntSupplier nodes, Random random) {
-    return switch (routing.policy()) {
-      case PREDICTED_TIME -> RoutePolicies.predictedTime(nodes, random);
-      case RANDOM -> RoutePolicies.random(random);
-      case ROUND_ROBIN -> RoutePolicies.roundRobin();
-      case LEAST_IN_FLIGHT -> RoutePolicies.leastInFlight(random);
-    };
-  }
-
-  private AdmissionPolicy admissionPolicy(RoutingSettings routing, IntSupplier nodes) {
-    return switch (routing.admission()) {
-      case WITHIN_BOUNDS -> AdmissionPolicy.withinBounds(settings.endpointLimits(), nodes);
-      case FIXED -> AdmissionPolicy.fixedCap(routing.fixedCap());
-    };
-  }
-
-  private static AdmissionCost cost(RoutingSettings routing) {
-    return switch (routing.cost()) {
-      case TOKENS -> AdmissionCost.tokens();
-      case REQUESTS -> AdmissionCost.requests();
-    };
-  }
-
-  /** Starts to read the configuration and to look for endpoints. */
+  /** Starts to read the configuration and to look for endpoints and peers. */
   public void start() {
     follower.start();
     monitor.start();
+    membership.start();
   }
 
   private void becomeReady() {
@@ -123,8 +126,39 @@
   }
 
   private void noteBoxes(ImmutableList<Box> boxes) {
-    long entries = boxes.stream().filter(box -> box.role() == Box.Role.ENTRY).count();
-    entryNodes = (int) Math.max(1, entries);
+    membership.seeds(
+        boxes.stream()
+            .filter(box -> box.role() == Box.Role.ENTRY && !box.leaving())
+            .map(Box::address)
+            .collect(toImmutableSet()));
+  }
+
+  /** Serves a message of a peer. */
+  public CompletableFuture<PeerMessage> serve(PeerMessage message) {
+    if (message instanceof RunOnce run) {
+      return gate.serve(run);
+    }
+    if (message instanceof AskClaims ask) {
+      return gate.once().serve(ask);
+    }
+    if (message instanceof HandOver part) {
+      return CompletableFuture.completedFuture(takeRecords(part));
+    }
+    if (message instanceof Ping || message instanceof PingFor) {
+      return membership.serve(message);
+    }
+    if (message instanceof AskHead || message instanceof AskPages) {
+      return CompletableFuture.completedFuture(spread.serve(message));
+    }
+    return CompletableFuture.completedFuture(
+        new PeerMessage.Failed("not a request: " + message.getClass().getSimpleName()));
+  }
+
+  /** A node that is going itself is no successor. */
+  private PeerMessage takeRecords(HandOver part) {
+    return lifecycle.phase() == Phase.READY
+        ? gate.once().take(part)
+        : new PeerMessage.Failed("this node is " + lifecycle.phase());
   }
 
   /**
@@ -136,13 +170,15 @@
   public CompletableFuture<Integer> stop() {
     lifecycle.advance(Phase.LEAVING);
     EventLog.info(Event.STOP_REQUESTED, "inFlight", lifecycle.inFlight());
-    CompletableFuture<Void> drained =
-        Async.delay(outside.executor(), settings.stopTimes().balancerLag())
-            .thenCompose(lagOver -> refuseAndDrain());
+    StopTimes times = settings.limits().stop();
+    CompletableFuture<Void> gone =
+        Async.delay(outside.executor(), times.balancerLag())
+            .thenCompose(lagOver -> refuseAndDrain())
+            .thenCompose(drained -> gate.once().handOver())
+            .thenAccept(membership::tellLeft);
     CompletableFuture<Void> bounded = new CompletableFuture<>();
-    var timer =
-        outside.executor().schedule(() -> bounded.complete(null), settings.stopTimes().deadline());
-    Async.onDone(drained, outside.executor(), (done, failure) -> bounded.complete(null));
+    var timer = outside.executor().schedule(() -> bounded.complete(null), times.deadline());
+    Async.onDone(gone, outside.executor(), (done, failure) -> bounded.complete(null));
     return bounded.thenApply(
         done -> {
           timer.cancel();
@@ -160,6 +196,7 @@
     int cut = lifecycle.inFlight();
     follower.stop();
     monitor.stop();
+    membership.stop();
     if (cut == 0) {
       EventLog.info(Event.STOPPED, "node", settings.identity());
     } else {
@@ -193,6 +230,11 @@
     return table;
   }
 
+  /** Returns the other nodes that the node knows. */
+  public MemberTable members() {
+    return membership.table();
+  }
+
   /** Returns what the node was told of itself. */
   public NodeSettings settings() {
     return settings;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/NodeOutside.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/NodeOutside.java
@@ -14,7 +14,9 @@
  * @param store the platform's store
  * @param boxes the platform's box list
  * @param endpoints calls to endpoints
- * @param format text forms of the configuration
+ * @param peers calls to other nodes
+ * @param configurationFormat text forms of the configuration
+ * @param claimFormat text form of claims
  * @param counters the node's counters
  */
 public record NodeOutside(
@@ -23,7 +25,9 @@
     PlatformStore store,
     BoxList boxes,
     EndpointClient endpoints,
-    ConfigurationFormat format,
+    PeerLink peers,
+    ConfigurationFormat configurationFormat,
+    ClaimFormat claimFormat,
     Counters counters) {
   /** Checks that every part is given. */
   public NodeOutside {
@@ -32,7 +36,9 @@
     checkNotNull(store);
     checkNotNull(boxes);
     checkNotNull(endpoints);
-    checkNotNull(format);
+    checkNotNull(peers);
+    checkNotNull(configurationFormat);
+    checkNotNull(claimFormat);
     checkNotNull(counters);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/NodeSettings.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/NodeSettings.java
@@ -10,35 +10,35 @@
  *
  * @param name the box's name
  * @param incarnation names this run of the node
+ * @param ticketSecret signs this run's tickets
  * @param peerAddress where peers reach it
  * @param dataCentre where its box stands
- * @param routing how routes are chosen and requests admitted
- * @param endpointLimits bounds on the use of one endpoint
- * @param pipelineLimits bounds on one stream
- * @param stopTimes how long the parts of a planned stop take
+ * @param limits bounds on what the node does
  */
 public record NodeSettings(
     String name,
     String incarnation,
+    String ticketSecret,
     HostPort peerAddress,
     String dataCentre,
-    RoutingSettings routing,
-    EndpointLimits endpointLimits,
-    PipelineLimits pipelineLimits,
-    StopTimes stopTimes) {
+    NodeLimits limits) {
   /** Checks that every part is given. */
   public NodeSettings {
     checkArgument(!name.isEmpty(), "the node must be named");
     checkArgument(!incarnation.isEmpty(), "the incarnation must be given");
+    checkArgument(!ticketSecret.isEmpty(), "the ticket secret must be given");
     checkNotNull(peerAddress);
-    checkNotNull(routing);
-    checkNotNull(endpointLimits);
-    checkNotNull(pipelineLimits);
-    checkNotNull(stopTimes);
+    checkNotNull(dataCentre);
+    checkNotNull(limits);
   }
 
   /** Returns the name that is unique among all runs of all nodes. */
   public String identity() {
     return name + "~" + incarnation;
   }
+
+  @Override
+  public String toString() {
+    return "NodeSettings[" + identity() + "]";
+  }
 }
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceDelivery.java
@@ -0,0 +1,52 @@
+package org.vaneworks.coordination;
+
+import com.google.common.collect.ImmutableList;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import org.vaneworks.state.Refusal;
+
+/**
+ * Gives a caller a completion's tokens: those that come live, then those of the outcome that are
+ * still missing, then the end. Thread-safe.
+ */
+final class OnceDelivery implements AnswerSink {
+  private final AnswerSink caller;
+
+  @GuardedBy("this")
+  private int given;
+
+  OnceDelivery(AnswerSink caller) {
+    this.caller = caller;
+  }
+
+  @Override
+  public synchronized void token(String text) {
+    given++;
+    caller.token(text);
+  }
+
+  /** The end comes with the outcome. */
+  @Override
+  public void complete() {}
+
+  /** The end comes with the outcome. */
+  @Override
+  public void failed(Refusal refusal) {}
+
+  /** Takes the outcome, once. */
+  synchronized void end(OnceOutcome outcome) {
+    if (outcome instanceof OnceOutcome.Tokens whole) {
+      ImmutableList<String> tokens = whole.tokens();
+      tokens.subList(Math.min(given, tokens.size()), tokens.size()).forEach(caller::token);
+      caller.complete();
+    } else if (outcome instanceof OnceOutcome.Refused refused) {
+      caller.failed(refused.refusal());
+    } else {
+      caller.failed(wrongKind());
+    }
+  }
+
+  private static Refusal wrongKind() {
+    return Refusal.before(
+        org.vaneworks.state.Reason.KEY_REUSED, "the record is that of a service call");
+  }
+}
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceStarter.java
@@ -0,0 +1,15 @@
+package org.vaneworks.coordination;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Runs a request whose record says that it may run now. */
+@FunctionalInterface
+interface OnceStarter {
+  /**
+   * Runs the request, once.
+   *
+   * @param live takes a completion's tokens as they come
+   * @return the outcome; never fails
+   */
+  CompletableFuture<OnceOutcome> start(OnceRequest request, AnswerSink live);
+}
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/PeerLink.java
@@ -0,0 +1,16 @@
+package org.vaneworks.coordination;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.vaneworks.state.HostPort;
+
+/**
+ * Sends requests to peers.
+ *
+ * <p>A failed future carries a {@link PeerException}.
+ */
+@FunctionalInterface
+public interface PeerLink {
+  /** Sends a request, at most once, and returns its reply. */
+  CompletableFuture<PeerMessage> ask(HostPort peer, PeerMessage request, Duration limit);
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.vaneworks.coordination.PeerMessage.OnceReply;
+import org.vaneworks.coordination.PeerMessage.RunOnce;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.RefusalException;
@@ -23,36 +26,43 @@
   private final PipelineDriver driver;
   private final ServiceRouter services;
   private final Counters counters;
+  private final OnceService once;
 
   RequestGate(
       Lifecycle lifecycle,
       ConfigurationBoard board,
       PipelineDriver driver,
       ServiceRouter services,
-      Counters counters) {
+      Counters counters,
+      java.util.function.Function<OnceStarter, OnceService> onceMaker) {
     this.lifecycle = checkNotNull(lifecycle);
     this.board = checkNotNull(board);
     this.driver = checkNotNull(driver);
     this.services = checkNotNull(services);
     this.counters = checkNotNull(counters);
+    this.once = onceMaker.apply(this::startOnce);
   }
 
   /**
    * Starts a completion.
    *
    * @param sink takes the answer; may be called before this returns
-   * @return cancels the request when run, for a caller that is gone
+   * @return cancels the request when run, for a caller that is gone; a request under a ticket or
+   *     key goes on, so that the caller can ask for its answer again
    */
   public Runnable complete(
       String workspace, CompletionBody body, CallerOptions options, AnswerSink sink) {
     counters.count(Metric.REQUESTS, "completion");
-    Optional<Refusal> closed = lifecycle.enter();
+    Optional<Refusal> closed = enter(options);
     if (closed.isPresent()) {
-      count(closed.get());
       sink.failed(closed.get());
       return () -> {};
     }
     AnswerSink counted = countedOut(sink);
+    if (runsOnce(options)) {
+      completeOnce(workspace, body, options, counted);
+      return () -> {};
+    }
     try {
       return driver.run(checked(workspace, body, options), counted);
     } catch (RefusalException e) {
@@ -61,6 +71,95 @@
     }
   }
 
+  /**
+   * Counts a request in, or says why it can't be taken.
+   *
+   * <p>Under a ticket or key the verdict speaks of every attempt, and this node can't know what
+   * became of the others.
+   */
+  private Optional<Refusal> enter(CallerOptions options) {
+    Optional<Refusal> closed =
+        lifecycle.enter().map(why -> runsOnce(options) ? why.withoutProof() : why);
+    closed.ifPresent(this::count);
+    return closed;
+  }
+
+  private static boolean runsOnce(CallerOptions options) {
+    return options.ticket().isPresent() || options.key().isPresent();
+  }
+
+  private void completeOnce(
+      String workspace, CompletionBody body, CallerOptions options, AnswerSink counted) {
+    OnceDelivery delivery = new OnceDelivery(counted);
+    OnceWork work = new OnceWork.Completion(body.prompt(), body.maxTokens());
+    Async.ignore(once.submit(workspace, work, options, delivery).thenAccept(delivery::end));
+  }
+
+  /** Runs a request that its record allows to run now. */
+  private CompletableFuture<OnceOutcome> startOnce(OnceRequest request, AnswerSink live) {
+    CallerOptions options =
+        new CallerOptions(
+            Optional.of(false),
+            Optional.empty(),
+            Optional.empty(),
+            request.priority(),
+            request.deadline());
+    if (request.work() instanceof OnceWork.Completion completion) {
+      return startCompletion(request.workspace(), completion, options, live);
+    }
+    OnceWork.Call call = (OnceWork.Call) request.work();
+    ServiceCall serviceCall =
+        new ServiceCall(call.method(), call.path(), call.body(), request.recordId());
+    return Async.compose(
+        checkedCall(request.workspace(), call.service(), serviceCall, options),
+        (reply, failure) ->
+            CompletableFuture.completedFuture(
+                failure == null
+                    ? new OnceOutcome.Replied(reply)
+                    : new OnceOutcome.Refused(RefusalException.refusalOf(failure))));
+  }
+
+  private CompletableFuture<OnceOutcome> startCompletion(
+      String workspace, OnceWork.Completion completion, CallerOptions options, AnswerSink live) {
+    CompletableFuture<OnceOutcome> outcome = new CompletableFuture<>();
+    CompletionBody body = new CompletionBody(completion.prompt(), completion.maxTokens());
+    AnswerSink recording = new RecordingSink(live, outcome);
+    try {
+      Runnable unused = driver.run(checked(workspace, body, options), recording);
+    } catch (RefusalException e) {
+      recording.failed(e.refusal());
+    }
+    return outcome;
+  }
+
+  /** Keeps a completion's tokens for its record. */
+  private static final class RecordingSink implements AnswerSink {
+    private final AnswerSink live;
+    private final CompletableFuture<OnceOutcome> outcome;
+    private final ImmutableList.Builder<String> tokens = ImmutableList.builder();
+
+    RecordingSink(AnswerSink live, CompletableFuture<OnceOutcome> outcome) {
+      this.live = live;
+      this.outcome = outcome;
+    }
+
+    @Override
+    public void token(String text) {
+      tokens.add(text);
+      live.token(text);
+    }
+
+    @Override
+    public void complete() {
+      outcome.complete(new OnceOutcome.Tokens(tokens.build()));
+    }
+
+    @Override
+    public void failed(Refusal refusal) {
+      outcome.complete(new OnceOutcome.Refused(refusal));
+    }
+  }
+
   private CompletionRequest checked(String workspace, CompletionBody body, CallerOptions options) {
     WorkspacePlan plan = planOf(workspace);
     if (body.prompt().isEmpty()) {
@@ -113,13 +212,14 @@
   public CompletableFuture<ServiceReply> call(
       String workspace, String service, ServiceCall call, CallerOptions options) {
     counters.count(Metric.REQUESTS, "service");
-    Optional<Refusal> closed = lifecycle.enter();
+    Optional<Refusal> closed = enter(options);
     if (closed.isPresent()) {
-      count(closed.get());
       return CompletableFuture.failedFuture(closed.get().toException());
     }
     return Async.compose(
-        checkedCall(workspace, service, call, options),
+        runsOnce(options)
+            ? callOnce(workspace, service, call, options)
+            : checkedCall(workspace, service, call, options),
         (reply, failure) -> {
           lifecycle.leave();
           if (failure == null) {
@@ -130,6 +230,24 @@
         });
   }
 
+  private CompletableFuture<ServiceReply> callOnce(
+      String workspace, String service, ServiceCall call, CallerOptions options) {
+    OnceWork work = new OnceWork.Call(service, call.method(), call.path(), call.body());
+    return once.submit(workspace, work, options, new OnceDelivery(OnceService.NO_CALLER))
+        .thenCompose(RequestGate::replyOf);
+  }
+
+  private static CompletableFuture<ServiceReply> replyOf(OnceOutcome outcome) {
+    if (outcome instanceof OnceOutcome.Replied replied) {
+      return CompletableFuture.completedFuture(replied.reply());
+    }
+    Refusal refusal =
+        outcome instanceof OnceOutcome.Refused refused
+            ? refused.refusal()
+            : Refusal.before(Reason.KEY_REUSED, "the record is that of a completion");
+    return CompletableFuture.failedFuture(refusal.toException());
+  }
+
   private CompletableFuture<ServiceReply> checkedCall(
       String workspace, String service, ServiceCall call, CallerOptions options) {
     try {
@@ -145,6 +263,41 @@
     }
   }
 
+  /** Issues tickets, or refuses while the node does not take requests. */
+  public CompletableFuture<ImmutableList<String>> tickets(int count) {
+    Optional<Refusal> closed = enter(CallerOptions.NONE);
+    if (closed.isPresent()) {
+      return CompletableFuture.failedFuture(closed.get().toException());
+    }
+    try {
+      return CompletableFuture.completedFuture(once.issue(count));
+    } finally {
+      lifecycle.leave();
+    }
+  }
+
+  /** Serves a request that a peer sent here because this node alone may run it. */
+  CompletableFuture<PeerMessage> serve(RunOnce message) {
+    Optional<Refusal> closed = lifecycle.enter();
+    if (closed.isPresent()) {
+      return CompletableFuture.completedFuture(
+          new OnceReply(new OnceOutcome.Refused(closed.get().withoutProof())));
+    }
+    return Async.compose(
+        once.serve(message),
+        (reply, failure) -> {
+          lifecycle.leave();
+          return failure == null
+              ? CompletableFuture.completedFuture(reply)
+              : CompletableFuture.failedFuture(failure);
+        });
+  }
+
+  /** Returns what runs requests at most once. */
+  OnceService once() {
+    return once;
+  }
+
   /** Counts a refusal that the transport made before a request got here. */
   public void count(Refusal refusal) {
     counters.count(Metric.REFUSALS, refusal.reason().code());
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestWiring.java
@@ -0,0 +1,106 @@
+package org.vaneworks.coordination;
+
+import java.util.Random;
+import java.util.function.IntSupplier;
+
+/** Puts together what requests pass through: routing, admission, pipelines, services, records. */
+final class RequestWiring {
+  /** Retries saved up at most; lets a quiet node get over a short disturbance. */
+  private static final int RETRY_RESERVE = 20;
+
+  private final NodeSettings settings;
+  private final NodeOutside outside;
+  private final EndpointTable table;
+  private final IntSupplier nodes;
+
+  RequestWiring(
+      NodeSettings settings, NodeOutside outside, EndpointTable table, IntSupplier nodes) {
+    this.settings = settings;
+    this.outside = outside;
+    this.table = table;
+    this.nodes = nodes;
+  }
+
+  AdmissionControl admission(RoutePlanner planner) {
+    return AdmissionControl.create(outside.executor(), planner, admissionPolicy(), cost(), nodes);
+  }
+
+  RoutePlanner planner() {
+    return RoutePlanner.create(table, policy());
+  }
+
+  RequestGate gate(
+      Lifecycle lifecycle,
+      ConfigurationBoard board,
+      RoutePlanner planner,
+      AdmissionControl admission,
+      PlatformStore store,
+      MemberTable members) {
+    RetryBudget retries = RetryBudget.of(settings.limits().routing().retryShare(), RETRY_RESERVE);
+    PipelineContext context =
+        new PipelineContext(
+            outside.executor(),
+            outside.endpoints(),
+            table,
+            planner,
+            admission,
+            retries,
+            settings.limits().streams(),
+            outside.counters());
+    PipelineDriver driver = PipelineDriver.create(context, settings.identity(), outside.random());
+    ServiceRouter services =
+        ServiceRouter.create(
+            outside.executor(),
+            table,
+            outside.endpoints(),
+            retries,
+            outside.counters(),
+            outside.random());
+    return new RequestGate(
+        lifecycle,
+        board,
+        driver,
+        services,
+        outside.counters(),
+        starter -> once(starter, store, members));
+  }
+
+  private OnceService once(OnceStarter starter, PlatformStore store, MemberTable members) {
+    OnceLimits limits = settings.limits().once();
+    return new OnceService(
+        outside.executor(),
+        new OnceBook(outside.executor(), limits),
+        new TicketOffice(outside.executor(), limits, settings.identity(), settings.ticketSecret()),
+        new ClaimDesk(
+            outside.executor(), store, outside.claimFormat(), limits, members, outside.peers()),
+        members,
+        outside.peers(),
+        starter,
+        outside.counters());
+  }
+
+  private RoutePolicy policy() {
+    Random random = outside.random();
+    return switch (settings.limits().routing().policy()) {
+      case PREDICTED_TIME -> RoutePolicies.predictedTime(nodes, random);
+      case RANDOM -> RoutePolicies.random(random);
+      case ROUND_ROBIN -> RoutePolicies.roundRobin();
+      case LEAST_IN_FLIGHT -> RoutePolicies.leastInFlight(random);
+    };
+  }
+
+  private AdmissionPolicy admissionPolicy() {
+    RoutingSettings routing = settings.limits().routing();
+    return switch (routing.admission()) {
+      case WITHIN_BOUNDS -> AdmissionPolicy.withinBounds(settings.limits().endpoints(), nodes);
+      case FIXED -> AdmissionPolicy.fixedCap(routing.fixedCap());
+    };
+  }
+
+  private AdmissionCost cost() {
+    return switch (settings.limits().routing().cost()) {
+      case TOKENS -> AdmissionCost.tokens();
+      case REQUESTS -> AdmissionCost.requests();
+    };
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/protocol/CallerJson.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/CallerJson.java
@@ -83,6 +83,11 @@
     return Json.object().put("id", id).put("object", object);
   }
 
+  /** Returns the document of issued tickets. */
+  public static String writeTickets(List<String> tickets) {
+    return Json.write(Json.object().set("tickets", Json.texts(tickets)));
+  }
+
   /** Returns the document of a refusal or failure. */
   public static String writeProblem(Refusal refusal) {
     ObjectNode node =
--- a/vaneworks/src/main/java/org/vaneworks/state/Reason.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/Reason.java
@@ -17,7 +17,8 @@
   INVALID_HEADER(400, "a header's value is not allowed"),
   UNSUPPORTED_MEDIA_TYPE(415, "the body must be application/json"),
   BODY_TOO_LARGE(413, "the body is over its bound"),
-  UNKNOWN_TICKET(409, "the ticket was not issued here, or its record is gone"),
+  UNKNOWN_TICKET(409, "the ticket was not issued by this fleet"),
+  TICKET_EXPIRED(409, "the ticket is too old to tell whether it was used"),
   KEY_REUSED(422, "the key was used before with another body"),
   QUEUE_FULL(429, "the workspace's queue is full"),
   WORKSPACE_LIMIT(429, "the workspace has as many requests in flight as its limit allows"),
@@ -31,7 +32,9 @@
   ENDPOINT_OVERLOADED(503, "endpoints refuse for overload"),
   RECOVERY_EXHAUSTED(502, "too many endpoints were lost under one request"),
   RETRY_BUDGET(503, "the node's retry budget is spent"),
-  HOME_LOST(409, "the node that held the ticket is gone"),
+  HOME_LOST(409, "the node that held the request's record is gone"),
+  RECORD_GONE(409, "the request's record is gone; it may have run"),
+  RECORDS_FULL(503, "the node holds as many records as it may"),
   CALLER_GONE(499, "the caller closed its connection"),
   INTERNAL(500, "the node failed");
 
--- a/vaneworks/src/main/java/org/vaneworks/state/Refusal.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/Refusal.java
@@ -58,6 +58,17 @@
     return new Refusal(reason, verdict, proof, detail, Optional.of(wait));
   }
 
+  /**
+   * Returns a copy that claims no more than {@link Verdict#MAY_HAVE_RUN}.
+   *
+   * <p>For a request under a ticket or key: this attempt did nothing, but an earlier one may have.
+   */
+  public Refusal withoutProof() {
+    return verdict == Verdict.NOT_RUN
+        ? new Refusal(reason, Verdict.MAY_HAVE_RUN, Optional.empty(), detail, retryAfter)
+        : this;
+  }
+
   /** Returns why. */
   public Reason reason() {
     return reason;
--- a/vaneworks/src/main/java/org/vaneworks/transport/CallerServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/CallerServer.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.base.Splitter;
+import com.google.common.primitives.Ints;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -35,6 +36,7 @@
 
 /** The callers' HTTP interface; docs/OPERATIONS.md describes it. */
 public final class CallerServer {
+  private static final int MAX_TICKETS = 1000;
   private static final String JSON = "application/json";
   private static final String TEXT = "text/plain; charset=utf-8";
 
@@ -112,6 +114,7 @@
       return service(path, request, answers);
     }
     return switch (request.path()) {
+      case "/v1/tickets" -> tickets(request, answers);
       case "/health/live" -> text(request, answers, HttpResponseStatus.OK, "live\n");
       case "/health/ready" -> readiness(request, answers);
       case "/metrics" -> text(request, answers, HttpResponseStatus.OK, metrics.get());
@@ -156,6 +159,29 @@
             });
   }
 
+  private Single<StreamingHttpResponse> tickets(
+      StreamingHttpRequest request, CallerResponses answers) {
+    allow(request, HttpRequestMethod.POST);
+    return Single.fromStage(node.gate().tickets(ticketCount(request)))
+        .map(
+            tickets -> answers.plain(HttpResponseStatus.OK, JSON, CallerJson.writeTickets(tickets)))
+        .onErrorReturn(answers::counted);
+  }
+
+  private static int ticketCount(StreamingHttpRequest request) {
+    String count = request.queryParameter("count");
+    if (count == null) {
+      return 1;
+    }
+    Integer parsed = Ints.tryParse(count);
+    if (parsed == null || parsed < 1 || parsed > MAX_TICKETS) {
+      throw Refusal.before(
+              Reason.INVALID_FIELD, "count: is " + count + ", allowed: 1 to " + MAX_TICKETS)
+          .toException();
+    }
+    return parsed;
+  }
+
   private Single<StreamingHttpResponse> readiness(
       StreamingHttpRequest request, CallerResponses answers) {
     boolean ready = node.phase() == Phase.READY;
--- a/vaneworks/src/main/java/org/vaneworks/transport/NodeStatusJson.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/NodeStatusJson.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.vaneworks.coordination.EndpointState;
+import org.vaneworks.coordination.Member;
 import org.vaneworks.coordination.Node;
 import org.vaneworks.protocol.Json;
 
@@ -19,6 +20,15 @@
             .put("phase", node.phase().name())
             .put("version", node.configuration().version())
             .put("inFlight", node.inFlight());
+    ArrayNode members = status.putArray("members");
+    for (Member member : node.members().others()) {
+      members
+          .addObject()
+          .put("member", member.identity())
+          .put("address", member.address().toString())
+          .put("dataCentre", member.dataCentre())
+          .put("status", member.status().name());
+    }
     ArrayNode endpoints = status.putArray("endpoints");
     for (EndpointState state : node.endpoints().all()) {
       endpoints
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/transport/PeerServer.java
@@ -0,0 +1,110 @@
+package org.vaneworks.transport;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.servicetalk.concurrent.Executor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.PeerMessage;
+import org.vaneworks.protocol.PeerCodec;
+import org.vaneworks.state.HostPort;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.telemetry.Metric;
+
+/** Listens for peers. */
+public final class PeerServer implements AutoCloseable {
+  private final Channel channel;
+
+  private PeerServer(Channel channel) {
+    this.channel = channel;
+  }
+
+  /**
+   * Listens.
+   *
+   * @param handler serves a request; runs on the executor
+   */
+  public static PeerServer listen(
+      HostPort address,
+      EventLoopGroup loop,
+      Executor executor,
+      Counters counters,
+      Function<PeerMessage, CompletableFuture<PeerMessage>> handler) {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel peer) {
+                    PeerFrames.addTo(peer.pipeline(), counters);
+                    peer.pipeline().addLast(new Handler(executor, counters, handler));
+                  }
+                });
+    Channel channel =
+        bootstrap
+            .bind(new InetSocketAddress(address.host(), address.port()))
+            .syncUninterruptibly()
+            .channel();
+    return new PeerServer(channel);
+  }
+
+  /** Returns where peers are listened to. */
+  public HostPort address() {
+    InetSocketAddress local = (InetSocketAddress) channel.localAddress();
+    return new HostPort(local.getAddress().getHostAddress(), local.getPort());
+  }
+
+  @Override
+  public void close() {
+    channel.close().syncUninterruptibly();
+  }
+
+  private static final class Handler extends SimpleChannelInboundHandler<byte[]> {
+    private final Executor executor;
+    private final Counters counters;
+    private final Function<PeerMessage, CompletableFuture<PeerMessage>> handler;
+
+    Handler(
+        Executor executor,
+        Counters counters,
+        Function<PeerMessage, CompletableFuture<PeerMessage>> handler) {
+      this.executor = executor;
+      this.counters = counters;
+      this.handler = handler;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, byte[] frame) {
+      PeerCodec.Numbered request = PeerCodec.decode(frame);
+      counters.count(Metric.PEER_MESSAGES, request.message().getClass().getSimpleName() + "-in");
+      executor.execute(
+          () ->
+              Async.onDone(
+                  handler.apply(request.message()),
+                  executor,
+                  (reply, failure) -> {
+                    PeerMessage answer =
+                        failure == null ? reply : new PeerMessage.Failed(failure.toString());
+                    ChannelFuture unused =
+                        context.writeAndFlush(PeerCodec.encode(request.id(), answer));
+                  }));
+    }
+
+    /** What can't be read is a fault of the peer; its connection is not worth keeping. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      ChannelFuture unused = context.close();
+    }
+  }
+}
