Random schedules for requests that run once and for configuration

Cause: scenarios show single failures; promises must hold when any come together or twice.

Ruled out: a first run reported calls that never ended; their nodes had been killed, so their callers had lost the connection. The schedule counts such callers as ended now; no check on runs or verdicts was touched.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/ConfigurationSchedule.java
@@ -0,0 +1,157 @@
+package org.vaneworks.tests;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Ordering;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.vaneworks.coordination.Node;
+import org.vaneworks.coordination.StoredConfiguration;
+import org.vaneworks.state.ConfigurationHead;
+import org.vaneworks.testlib.InMemoryFleet;
+
+/**
+ * One random schedule of operators' changes while the store fails, loses answers and is slow, links
+ * are cut, and nodes freeze, die and start. All from one seed.
+ */
+final class ConfigurationSchedule {
+  private static final int NODES = 6;
+  private static final int SPAN_MILLIS = 30_000;
+
+  /** The two-year aim: in force everywhere within 17 s. */
+  private static final Duration IN_FORCE_WITHIN = Duration.ofSeconds(17);
+
+  private final Random random;
+  private final InMemoryFleet fleet;
+  private final List<CompletableFuture<ConfigurationHead>> changes = new ArrayList<>();
+  private final Map<Node, List<Long>> seen = new LinkedHashMap<>();
+  private final List<String> problems = new ArrayList<>();
+  private int faults;
+
+  private ConfigurationSchedule(long seed) {
+    this.random = new Random(seed);
+    this.fleet = InMemoryFleet.create(12, seed);
+  }
+
+  /** What a schedule came to. */
+  record Outcome(ImmutableList<String> problems, int changes, int accepted, int faults) {}
+
+  static Outcome run(long seed) {
+    return new ConfigurationSchedule(seed).run();
+  }
+
+  private Outcome run() {
+    for (int i = 1; i <= NODES; i++) {
+      start("n" + i);
+    }
+    fleet.settle();
+    planChanges();
+    planFaults();
+    fleet.clock().advance(Duration.ofMillis(SPAN_MILLIS));
+    mendAll();
+    fleet.clock().advance(IN_FORCE_WITHIN);
+    judge();
+    int accepted =
+        (int)
+            changes.stream()
+                .filter(change -> change.isDone() && !change.isCompletedExceptionally())
+                .count();
+    return new Outcome(ImmutableList.copyOf(problems), changes.size(), accepted, faults);
+  }
+
+  private void start(String name) {
+    Node node = fleet.addNode(name);
+    List<Long> versions = new ArrayList<>();
+    seen.put(node, versions);
+    node.configuration().onChange(snapshot -> versions.add(snapshot.version()));
+  }
+
+  private void planChanges() {
+    int count = 1 + random.nextInt(8);
+    for (int i = 0; i < count; i++) {
+      boolean sameTemplate = random.nextBoolean();
+      int tokens = 10 + i;
+      String workspace = "{kind: workspace, name: w" + i + ", template: t}";
+      later(() -> changes.add(fleet.apply(sameTemplate ? fleet.configuration(tokens) : workspace)));
+    }
+  }
+
+  private void planFaults() {
+    faults = random.nextInt(10);
+    for (int i = 0; i < faults; i++) {
+      String name = "n" + (1 + random.nextInt(NODES));
+      String other = "n" + (1 + random.nextInt(NODES));
+      int kind = random.nextInt(6);
+      int count = 1 + random.nextInt(4);
+      later(() -> bringAbout(kind, name, other, count));
+    }
+  }
+
+  private void bringAbout(int kind, String name, String other, int count) {
+    switch (kind) {
+      case 0 -> fleet.store().down(true);
+      case 1 -> fleet.store().loseAnswers(count);
+      case 2 -> fleet.store().slow(Duration.ofMillis(150L * count));
+      case 3 -> fleet.freezeNode(name);
+      case 4 -> {
+        fleet.killNode(name);
+        start(name);
+      }
+      default -> fleet.peers().cut(fleet.addressOf(name), fleet.addressOf(other));
+    }
+  }
+
+  private void mendAll() {
+    fleet.store().down(false);
+    fleet.store().loseAnswers(0);
+    fleet.store().slow(Duration.ZERO);
+    fleet.peers().mend();
+    for (int i = 1; i <= NODES; i++) {
+      fleet.thawNode("n" + i);
+    }
+  }
+
+  private void later(Runnable task) {
+    fleet.clock().schedule(task, Duration.ofMillis(random.nextInt(SPAN_MILLIS)));
+  }
+
+  private void judge() {
+    CompletableFuture<StoredConfiguration> load = fleet.editor().load();
+    fleet.clock().runDue();
+    ConfigurationHead head = load.join().head();
+    for (CompletableFuture<ConfigurationHead> change : changes) {
+      if (!change.isDone()) {
+        problems.add("a change never ended");
+      } else if (!change.isCompletedExceptionally() && change.join().version() > head.version()) {
+        problems.add("accepted version " + change.join().version() + " is lost");
+      }
+    }
+    Set<Long> versions = new HashSet<>();
+    head.history().forEach(record -> versions.add(record.version()));
+    if (versions.size() != head.history().size()) {
+      problems.add("two changes made one version: " + head.history());
+    }
+    seen.forEach(
+        (node, each) -> {
+          if (!Ordering.natural().isStrictlyOrdered(each)) {
+            problems.add(node.settings().identity() + " went back: " + each);
+          }
+        });
+    for (Node node : fleet.nodes()) {
+      if (node.configuration().version() != head.version()) {
+        problems.add(
+            node.settings().identity()
+                + " has version "
+                + node.configuration().version()
+                + " of "
+                + head.version());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/OnceSchedule.java
@@ -0,0 +1,204 @@
+package org.vaneworks.tests;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.vaneworks.coordination.CallerOptions;
+import org.vaneworks.coordination.Node;
+import org.vaneworks.coordination.ServiceCall;
+import org.vaneworks.coordination.ServiceReply;
+import org.vaneworks.state.HostPort;
+import org.vaneworks.state.RefusalException;
+import org.vaneworks.state.Verdict;
+import org.vaneworks.testlib.InMemoryFleet;
+import org.vaneworks.testlib.ServiceCore;
+
+/**
+ * One random schedule of confirmations under tickets and keys, each repeated at several nodes,
+ * while nodes die, freeze, stop as planned and are replaced, links are cut one way, replies are
+ * lost and the store fails. All from one seed.
+ */
+final class OnceSchedule {
+  private static final int NODES = 5;
+  private static final int SPAN_MILLIS = 30_000;
+  private static final Duration PATIENCE = Duration.ofMinutes(10);
+  private static final Duration AFTERWARDS = Duration.ofMinutes(1);
+
+  private record Repeat(Node node, CompletableFuture<ServiceReply> reply) {}
+
+  private final Random random;
+  private final InMemoryFleet fleet;
+  private final ServiceCore records;
+  private final List<CallerOptions> options = new ArrayList<>();
+  private final List<Repeat> repeats = new ArrayList<>();
+  private final List<String> problems = new ArrayList<>();
+  private int faults;
+
+  private OnceSchedule(long seed) {
+    this.random = new Random(seed);
+    this.fleet = InMemoryFleet.create(12, seed);
+    this.records = fleet.addService("records-box", "records");
+  }
+
+  /** What a schedule came to. */
+  record Outcome(ImmutableList<String> problems, int calls, int answered, int faults) {}
+
+  static Outcome run(long seed) {
+    return new OnceSchedule(seed).run();
+  }
+
+  private Outcome run() {
+    for (int i = 1; i <= NODES; i++) {
+      fleet.addNode("n" + i);
+    }
+    fleet.settle();
+    takeTicketsAndKeys();
+    planCalls();
+    planFaults();
+    fleet.clock().advance(Duration.ofMillis(SPAN_MILLIS));
+    boolean ended =
+        fleet.clock().advanceUntil(() -> repeats.stream().allMatch(this::isEnded), PATIENCE);
+    fleet.clock().advance(AFTERWARDS);
+    if (!ended) {
+      problems.add("some calls never ended");
+    }
+    judge();
+    int answered =
+        (int) repeats.stream().filter(repeat -> !repeat.reply().isCompletedExceptionally()).count();
+    return new Outcome(ImmutableList.copyOf(problems), repeats.size(), answered, faults);
+  }
+
+  /** A caller whose node died lost its connection; it waits no more. */
+  private boolean isEnded(Repeat repeat) {
+    return repeat.reply().isDone() || !fleet.nodes().contains(repeat.node());
+  }
+
+  private void takeTicketsAndKeys() {
+    int requests = 4 + random.nextInt(6);
+    for (int i = 0; i < requests; i++) {
+      boolean ticket = random.nextBoolean();
+      Optional<String> taken =
+          ticket
+              ? Optional.of(anyNode().orElseThrow().gate().tickets(1).join().get(0))
+              : Optional.empty();
+      Optional<String> key = ticket ? Optional.empty() : Optional.of("key" + i);
+      options.add(
+          new CallerOptions(Optional.of(false), key, taken, Optional.empty(), Optional.empty()));
+    }
+  }
+
+  private Optional<Node> anyNode() {
+    List<Node> nodes = fleet.nodes();
+    return nodes.isEmpty()
+        ? Optional.empty()
+        : Optional.of(nodes.get(random.nextInt(nodes.size())));
+  }
+
+  private void planCalls() {
+    for (int i = 0; i < options.size(); i++) {
+      int request = i;
+      int times = 1 + random.nextInt(5);
+      int around = random.nextInt(SPAN_MILLIS);
+      for (int j = 0; j < times; j++) {
+        boolean close = random.nextBoolean();
+        int at = close ? around + random.nextInt(30) : random.nextInt(SPAN_MILLIS);
+        later(at, () -> anyNode().ifPresent(node -> call(node, request)));
+      }
+    }
+  }
+
+  private void call(Node node, int request) {
+    ServiceCall call = new ServiceCall("POST", "/confirm", "swap " + request, "");
+    CompletableFuture<ServiceReply> reply =
+        node.gate().call(InMemoryFleet.WORKSPACE, "records", call, options.get(request));
+    repeats.add(new Repeat(node, reply));
+    var unused = reply.whenComplete((answer, failure) -> check(request, answer, failure));
+  }
+
+  /** Judges an answer at the moment that the caller gets it. */
+  private void check(int request, ServiceReply answer, Throwable failure) {
+    int ran = runsOf(request);
+    if (answer != null && ran != 1) {
+      problems.add("request " + request + " was answered but ran " + ran + " times");
+    }
+    if (failure != null
+        && RefusalException.refusalOf(failure).verdict() == Verdict.NOT_RUN
+        && ran != 0) {
+      problems.add("request " + request + " was refused as not run but ran: " + failure);
+    }
+  }
+
+  private int runsOf(int request) {
+    return records.runs().getOrDefault("POST /confirm swap " + request, 0);
+  }
+
+  private void planFaults() {
+    faults = random.nextInt(12);
+    for (int i = 0; i < faults; i++) {
+      String name = "n" + (1 + random.nextInt(NODES));
+      String other = "n" + (1 + random.nextInt(NODES));
+      int kind = random.nextInt(10);
+      int length = 100 + random.nextInt(15_000);
+      int count = 1 + random.nextInt(3);
+      later(random.nextInt(SPAN_MILLIS), () -> bringAbout(kind, name, other, length, count));
+    }
+  }
+
+  private void bringAbout(int kind, String name, String other, int length, int count) {
+    boolean present = fleet.nodes().contains(fleet.node(name));
+    HostPort address = fleet.addressOf(name);
+    HostPort service = fleet.addressOf("records-box");
+    if (kind <= 3 && !present) {
+      fleet.addNode(name);
+      return;
+    }
+    switch (kind) {
+      case 0 -> fleet.killNode(name);
+      case 1 -> {
+        fleet.freezeNode(name);
+        later(length, () -> fleet.thawNode(name));
+      }
+      case 2 -> {
+        var unused = fleet.stopNode(name);
+      }
+      case 3 -> {
+        fleet.killNode(name);
+        fleet.addNode(name);
+      }
+      case 4 -> {
+        fleet.peers().cut(address, fleet.addressOf(other));
+        later(length, () -> fleet.peers().mend());
+      }
+      case 5 -> fleet.peers().loseReplies(address, count);
+      case 6 -> {
+        fleet.store().down(true);
+        later(length, () -> fleet.store().down(false));
+      }
+      case 7 -> fleet.store().loseAnswers(count);
+      case 8 -> {
+        fleet.store().slow(Duration.ofMillis(length / 10));
+        later(length, () -> fleet.store().slow(Duration.ZERO));
+      }
+      default -> {
+        fleet.endpoints().freeze(service);
+        later(length / 2, () -> fleet.endpoints().thaw(service));
+      }
+    }
+  }
+
+  private void later(int millis, Runnable task) {
+    fleet.clock().schedule(task, Duration.ofMillis(millis));
+  }
+
+  private void judge() {
+    for (int request = 0; request < options.size(); request++) {
+      if (runsOf(request) > 1) {
+        problems.add("request " + request + " ran " + runsOf(request) + " times");
+      }
+    }
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/StreamSchedulesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/StreamSchedulesTest.java
@@ -27,7 +27,7 @@
       tries = TRIES,
       seed = "20261202",
       shrinking = ShrinkingMode.OFF,
-      afterFailure = AfterFailureMode.SAMPLE_ONLY)
+      afterFailure = AfterFailureMode.PREVIOUS_SEED)
   void promisesHoldUnderAnySchedule(@ForAll long seed) {
     for (int i = 0; i < Math.max(1, SCHEDULES / TRIES); i++) {
       long each = seed + i;
