--- a/vaneworks-tests/src/test/resources/features/decisions/at_most_once.feature
+++ b/vaneworks-tests/src/test/resources/features/decisions/at_most_once.feature
@@ -126,6 +126,25 @@
     And 60000 ms pass
     Then swap 17 ran 1 time
 
+  Scenario: A ticket is used again when its record is long gone
+    When ticket old is taken from n1
+    And call first confirms swap 17 at n1 with ticket old
+    Then call first is answered
+    When 1500000 ms pass
+    And ticket new is taken from n1
+    And call other confirms swap 18 at n1 with ticket new
+    Then call other is answered
+    When call second confirms swap 17 at n1 with ticket old
+    Then call second is refused with reason record-gone and verdict MAY_HAVE_RUN
+    And swap 17 ran 1 time
+
+  Scenario: A ticket that was never used expires
+    When ticket old is taken from n1
+    And 700000 ms pass
+    And call first confirms swap 17 at n1 with ticket old
+    Then call first is refused with reason record-gone and verdict MAY_HAVE_RUN
+    And swap 17 ran 0 times
+
   Scenario: A forged or foreign ticket
     When ticket t is taken from n1
     And call first confirms swap 17 at n1 with ticket t
@@ -163,6 +182,18 @@
     Then call second is answered
     And swap 17 ran 1 time
 
+  Scenario: A repeat of a claimed key during an outage of the store
+    When call first confirms swap 17 at n1 with key k
+    Then call first is answered
+    When the store goes down
+    And call other confirms swap 18 at n1 with key l
+    And call second confirms swap 17 at n2 with key k
+    And call third confirms swap 17 at n1 with key k
+    Then call other is refused with reason store-unavailable and verdict MAY_HAVE_RUN
+    And call second is answered
+    And call third is answered
+    And swap 17 ran 1 time
+
   Scenario: The holder of a key's claim dies
     When call first confirms swap 17 at n1 with key k
     Then call first is answered
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ClaimShard.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ClaimShard.java
@@ -77,6 +77,11 @@
   CompletableFuture<Claim> claim(Claim claim, Duration limit) {
     Wanted wanted = new Wanted(claim, now() + limit.toNanos(), new CompletableFuture<>());
     synchronized (this) {
+      // A claim once seen stays in force until it is old, also while the store can't be asked.
+      Claim seen = withoutOld().get(claim.key());
+      if (seen != null) {
+        return CompletableFuture.completedFuture(seen);
+      }
       pending.add(wanted);
     }
     writeSoon();
