--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/Difference.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/Difference.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.Optional;
+import java.util.function.Function;
 import org.vaneworks.coordination.ConfigurationChange;
 import org.vaneworks.coordination.StoredConfiguration;
 import org.vaneworks.protocol.Json;
@@ -49,7 +50,7 @@
   }
 
   private static <T extends Record> Optional<Record> byName(
-      Iterable<T> resources, String name, java.util.function.Function<T, String> nameOf) {
+      Iterable<T> resources, String name, Function<T, String> nameOf) {
     for (T resource : resources) {
       if (nameOf.apply(resource).equals(name)) {
         return Optional.of(resource);
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/GetCommand.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/GetCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import org.vaneworks.coordination.ConfigurationEditor;
 import org.vaneworks.coordination.StoredConfiguration;
 import org.vaneworks.protocol.Json;
@@ -42,8 +43,7 @@
     return ExitCodes.OK;
   }
 
-  private java.util.concurrent.CompletableFuture<StoredConfiguration> load(
-      ConfigurationEditor editor) {
+  private CompletableFuture<StoredConfiguration> load(ConfigurationEditor editor) {
     return version == null
         ? editor.load()
         : editor.load().thenCompose(now -> editor.archived(now, version));
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/StoreOptions.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/StoreOptions.java
@@ -1,5 +1,6 @@
 package org.vaneworks.cli;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
 import java.util.concurrent.CompletableFuture;
@@ -33,7 +34,7 @@
     return HostPort.parse(platform);
   }
 
-  void print(com.fasterxml.jackson.databind.JsonNode result) {
+  void print(JsonNode result) {
     System.out.println(output.print(result));
   }
 
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/Daemon.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.vaneworks.coordination.Node;
@@ -139,7 +140,7 @@
       callers.closeAsync().subscribe();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } catch (java.util.concurrent.ExecutionException e) {
+    } catch (ExecutionException e) {
       EventLog.error(Event.STOP_CUT, e);
     }
     peers.close();
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/EngineCore.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/EngineCore.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.vaneworks.coordination.EndpointStatus;
 import org.vaneworks.coordination.SessionExport;
@@ -104,7 +105,7 @@
 
   /** Returns the status; its load is as old as the options say. */
   public synchronized EndpointStatus status() {
-    long now = executor.currentTime(java.util.concurrent.TimeUnit.NANOSECONDS);
+    long now = executor.currentTime(TimeUnit.NANOSECONDS);
     if (now - reportedAt >= options.reportEvery().toNanos()) {
       reportedAt = now;
       report =
@@ -174,8 +175,7 @@
       millis += options.perSessionMillis() + promptMillis(job.call());
     }
     busy = true;
-    executor.schedule(
-        () -> finishBatch(batch), (long) (millis * 1e6), java.util.concurrent.TimeUnit.NANOSECONDS);
+    executor.schedule(() -> finishBatch(batch), (long) (millis * 1e6), TimeUnit.NANOSECONDS);
   }
 
   /** Time for the prompt's positions, less those of the blocks that the prefix cache holds. */
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryFleet.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryFleet.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -269,7 +270,7 @@
             "",
             templates.build(),
             workspaces.build(),
-            com.google.common.collect.ImmutableSet.of()),
+            ImmutableSet.of()),
         OptionalLong.empty());
   }
 
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/LoadMain.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/LoadMain.java
@@ -1,11 +1,14 @@
 package org.vaneworks.testlib;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.Callable;
@@ -95,7 +98,7 @@
     ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     ExecutorService readers = Executors.newCachedThreadPool();
     long begin = System.nanoTime();
-    List<CompletableFuture<Void>> sent = new java.util.ArrayList<>();
+    List<CompletableFuture<Void>> sent = new ArrayList<>();
     for (LoadProfile.Arrival arrival : profile.arrivals()) {
       int first = balancer.nextInt(nodes.size());
       CompletableFuture<Void> done = new CompletableFuture<>();
@@ -125,9 +128,9 @@
                 HttpResponse.BodyHandlers.ofLines()),
             sink);
         return;
-      } catch (java.net.ConnectException e) {
+      } catch (ConnectException e) {
         continue; // The balancer tries the next; nothing was sent.
-      } catch (java.io.IOException e) {
+      } catch (IOException e) {
         sink.failed(Refusal.mayHaveRun(Reason.HOME_LOST, e.toString()));
         return;
       } catch (InterruptedException e) {
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/PausedExecutor.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/PausedExecutor.java
@@ -8,6 +8,7 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * An executor whose clock stands still until a test advances it.
@@ -94,7 +95,7 @@
   }
 
   /** Moves the clock on in small steps until the condition holds; returns whether it does. */
-  public boolean advanceUntil(java.util.function.BooleanSupplier condition, Duration atMost) {
+  public boolean advanceUntil(BooleanSupplier condition, Duration atMost) {
     long until = now + atMost.toNanos();
     while (!condition.getAsBoolean() && now < until) {
       long next = tasks.isEmpty() ? until : Math.min(until, Math.max(now, tasks.peek().at()));
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/PlatformServer.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/PlatformServer.java
@@ -1,10 +1,12 @@
 package org.vaneworks.testlib;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.http.api.HttpServerContext;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.vaneworks.coordination.Box;
 import org.vaneworks.coordination.StoreEntry;
 import org.vaneworks.coordination.StorePurpose;
 import org.vaneworks.protocol.FieldReader;
@@ -79,7 +81,7 @@
                     .orElseGet(() -> new Reply(CONFLICT, "")));
   }
 
-  private static Reply listReply(Iterable<org.vaneworks.coordination.Box> list) {
+  private static Reply listReply(Iterable<Box> list) {
     return new Reply(200, PlatformJson.writeBoxes(list));
   }
 
@@ -96,7 +98,7 @@
     return Reply.ok("");
   }
 
-  private com.fasterxml.jackson.databind.node.ObjectNode callsNode() {
+  private ObjectNode callsNode() {
     var node = Json.object();
     store.calls().forEach(node::put);
     return node;
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/PolicyBench.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/PolicyBench.java
@@ -53,7 +53,7 @@
   private AdmissionKind baselineAdmission = AdmissionKind.FIXED;
 
   @Option(names = "--cost", description = "What fair sharing counts.")
-  private CostKind cost = CostKind.TOKENS;
+  private CostKind cost = CostKind.REQUESTS;
 
   @Option(names = "--fixed-cap", description = "Streams of a node on one engine, for fixed.")
   private int fixedCap = 64;
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/RecoveryBench.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/RecoveryBench.java
@@ -3,15 +3,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
+import org.vaneworks.coordination.AnswerSink;
 import org.vaneworks.coordination.CallerOptions;
+import org.vaneworks.coordination.CompletionBody;
 import org.vaneworks.coordination.EndpointLimits;
 import org.vaneworks.coordination.NodeLimits;
 import org.vaneworks.coordination.PipelineLimits;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.Refusal;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -154,8 +158,7 @@
             .gate()
             .complete(
                 InMemoryFleet.WORKSPACE,
-                new org.vaneworks.coordination.CompletionBody(
-                    prompt, java.util.OptionalInt.of(TOKENS)),
+                new CompletionBody(prompt, OptionalInt.of(TOKENS)),
                 CallerOptions.NONE,
                 sink);
   }
@@ -184,7 +187,7 @@
   }
 
   /** Measures the longest gap between two tokens after a fault. */
-  private static final class GapSink implements org.vaneworks.coordination.AnswerSink {
+  private static final class GapSink implements AnswerSink {
     private final PausedExecutor clock;
     private long last = -1;
     private long longest;
@@ -228,7 +231,7 @@
     }
 
     @Override
-    public void failed(org.vaneworks.state.Refusal refusal) {
+    public void failed(Refusal refusal) {
       ended = true;
     }
   }
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StandInServer.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StandInServer.java
@@ -14,6 +14,7 @@
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.netty.HttpServers;
 import java.net.InetSocketAddress;
+import java.net.URLDecoder;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.vaneworks.coordination.Async;
@@ -44,7 +45,7 @@
     String parameter(String name) {
       for (String pair : query.split("&", -1)) {
         if (pair.startsWith(name + "=")) {
-          return java.net.URLDecoder.decode(pair.substring(name.length() + 1), UTF_8);
+          return URLDecoder.decode(pair.substring(name.length() + 1), UTF_8);
         }
       }
       return "";
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
@@ -7,6 +7,8 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import java.time.Instant;
+import java.util.Random;
 
 /** Checks that dependencies run downwards only, and that the core has no I/O. */
 @AnalyzeClasses(packages = "org.vaneworks", importOptions = ImportOption.DoNotIncludeTests.class)
@@ -62,9 +64,9 @@
           .orShould()
           .callMethod(System.class, "nanoTime")
           .orShould()
-          .callMethod(java.time.Instant.class, "now")
+          .callMethod(Instant.class, "now")
           .orShould()
           .callMethod(Math.class, "random")
           .orShould()
-          .callConstructor(java.util.Random.class);
+          .callConstructor(Random.class);
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionControl.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionControl.java
@@ -50,6 +50,9 @@
   @GuardedBy("this")
   private final Map<String, Integer> inFlight = new HashMap<>();
 
+  @GuardedBy("this")
+  private final Map<String, Integer> weights = new HashMap<>();
+
   @GuardedBy("this")
   private final Map<String, Integer> streams = new HashMap<>();
 
@@ -291,7 +294,8 @@
   @GuardedBy("this")
   private Optional<Admission> tryGrant(Waiting waiting) {
     String model = waiting.query().model();
-    if (!pace.of(model).allows(streams.getOrDefault(model, 0))) {
+    int own = inFlight.getOrDefault(waiting.flow().workspace(), 0);
+    if (!pace.of(model).allows(streams.getOrDefault(model, 0), own, shareOf(waiting))) {
       return Optional.empty();
     }
     Optional<PlannedRoute> planned = planner.plan(waiting.query());
@@ -302,14 +306,29 @@
     String workspace = waiting.request().plan().workspace();
     planned.get().engines().forEach(EndpointState::streamStarted);
     inFlight.merge(workspace, 1, Integer::sum);
+    weights.put(workspace, waiting.request().plan().weight());
     streams.merge(model, 1, Integer::sum);
     return Optional.of(new Admission(planned.get(), () -> released(workspace, model)));
   }
 
+  /** The share by weight of a request's workspace among those that have streams now. */
+  @GuardedBy("this")
+  private double shareOf(Waiting waiting) {
+    int own = waiting.request().plan().weight();
+    int others = 0;
+    for (Map.Entry<String, Integer> active : weights.entrySet()) {
+      others += active.getKey().equals(waiting.flow().workspace()) ? 0 : active.getValue();
+    }
+    return (double) own / (own + others);
+  }
+
   private void released(String workspace, String model) {
     synchronized (this) {
       streams.merge(model, -1, Integer::sum);
       inFlight.computeIfPresent(workspace, (name, count) -> count == 1 ? null : count - 1);
+      if (!inFlight.containsKey(workspace)) {
+        weights.remove(workspace);
+      }
     }
     executor.execute(this::recheck);
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/BudgetedStore.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/BudgetedStore.java
@@ -6,6 +6,7 @@
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -64,7 +65,7 @@
 
   private <T> CompletableFuture<T> call(
       StorePurpose purpose, String kind, Supplier<CompletableFuture<T>> work) {
-    String label = purpose.name().toLowerCase(java.util.Locale.ROOT) + "-" + kind;
+    String label = purpose.name().toLowerCase(Locale.ROOT) + "-" + kind;
     if (!take()) {
       counters.count(Metric.STORE_FAILURES, label + "-over-budget");
       return CompletableFuture.failedFuture(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ConfigurationBoard.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ConfigurationBoard.java
@@ -46,6 +46,10 @@
   @GuardedBy("this")
   private Map<String, String> pages = new HashMap<>();
 
+  /** Pages in force, read: a change replaces one page, so the others needn't be read again. */
+  @GuardedBy("this")
+  private Map<String, ConfigurationPage> readPages = new HashMap<>();
+
   private volatile ConfigurationSnapshot snapshot = ConfigurationSnapshot.empty();
   private volatile boolean loaded;
 
@@ -153,7 +157,8 @@
   }
 
   private void enforce(ConfigurationHead offered, String text, Map<String, String> texts) {
-    ConfigurationSnapshot next = read(offered, texts);
+    Map<String, ConfigurationPage> nextPages = readPages(offered, texts);
+    ConfigurationSnapshot next = snapshotOf(offered, nextPages);
     synchronized (this) {
       if (loaded && offered.version() <= version()) {
         return;
@@ -161,6 +166,7 @@
       head = Optional.of(offered);
       headText = text;
       pages = texts;
+      readPages = nextPages;
       snapshot = next;
       loaded = true;
     }
@@ -169,12 +175,26 @@
     listeners.forEach(listener -> listener.accept(next));
   }
 
-  private ConfigurationSnapshot read(ConfigurationHead offered, Map<String, String> texts) {
-    List<Template> templates = new ArrayList<>();
-    List<Workspace> workspaces = new ArrayList<>();
+  private Map<String, ConfigurationPage> readPages(
+      ConfigurationHead offered, Map<String, String> texts) {
+    Map<String, ConfigurationPage> known;
+    synchronized (this) {
+      known = readPages;
+    }
+    Map<String, ConfigurationPage> next = new HashMap<>();
     for (String hash : offered.pages().values()) {
       checkArgument(texts.containsKey(hash), "page %s could not be had", hash);
-      ConfigurationPage page = format.decodePage(texts.get(hash));
+      ConfigurationPage page = known.get(hash);
+      next.put(hash, page == null ? format.decodePage(texts.get(hash)) : page);
+    }
+    return next;
+  }
+
+  private static ConfigurationSnapshot snapshotOf(
+      ConfigurationHead offered, Map<String, ConfigurationPage> pages) {
+    List<Template> templates = new ArrayList<>();
+    List<Workspace> workspaces = new ArrayList<>();
+    for (ConfigurationPage page : pages.values()) {
       templates.addAll(page.templates());
       workspaces.addAll(page.workspaces());
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/EndpointState.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/EndpointState.java
@@ -7,6 +7,7 @@
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.IntSupplier;
 import org.vaneworks.state.Endpoint;
@@ -297,7 +298,7 @@
       hashes.forEach(hash -> newest.put(hash, true));
     }
 
-    double cachedShare(java.util.List<Long> hashes) {
+    double cachedShare(List<Long> hashes) {
       int hits = 0;
       while (hits < hashes.size() && newest.containsKey(hashes.get(hits))) {
         hits++;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceBook.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceBook.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.servicetalk.concurrent.Executor;
+import java.time.Duration;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -88,7 +89,7 @@
     if (entries.size() >= limits.maxRecords() || bytes >= limits.maxBytes()) {
       return refuse(
           Refusal.before(Reason.RECORDS_FULL, entries.size() + " records")
-              .withRetryAfter(java.time.Duration.ofSeconds(5)));
+              .withRetryAfter(Duration.ofSeconds(5)));
     }
     entries.put(recordId, new Entry(bodyHash, now()));
     return new Opening.Start();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceDelivery.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceDelivery.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
+import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 
 /**
@@ -46,7 +47,6 @@
   }
 
   private static Refusal wrongKind() {
-    return Refusal.before(
-        org.vaneworks.state.Reason.KEY_REUSED, "the record is that of a service call");
+    return Refusal.before(Reason.KEY_REUSED, "the record is that of a service call");
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PaceLimit.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/PaceLimit.java
@@ -22,6 +22,10 @@
 
   private static final double FALL = 0.93;
   private static final double RISE = 0.03;
+
+  /** Part of the limit that workspaces over their share may fill; the rest is for the others. */
+  private static final double OPEN_TO_ALL = 0.85;
+
   private static final double FIRST = 16;
   private static final double LEAST = 1;
   private static final int WINDOW_TOKENS = 100;
@@ -51,9 +55,17 @@
     this.windowBegan = clock.currentTime(NANOSECONDS);
   }
 
-  /** Returns whether one more stream may start beside those in flight. */
-  synchronized boolean allows(int inFlight) {
-    boolean allowed = unlimited || inFlight < limit;
+  /**
+   * Returns whether one more stream may start.
+   *
+   * @param inFlight the node's streams of the model
+   * @param ownInFlight those of the workspace that asks
+   * @param ownShare the share of the streams that is the workspace's by its weight, 0 to 1
+   */
+  synchronized boolean allows(int inFlight, int ownInFlight, double ownShare) {
+    boolean withinShare = ownInFlight < limit * ownShare;
+    double open = withinShare ? limit : limit * OPEN_TO_ALL;
+    boolean allowed = unlimited || inFlight < open;
     reached |= !allowed;
     return allowed;
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.vaneworks.coordination.PeerMessage.OnceReply;
 import org.vaneworks.coordination.PeerMessage.RunOnce;
 import org.vaneworks.state.Reason;
@@ -34,7 +35,7 @@
       PipelineDriver driver,
       ServiceRouter services,
       Counters counters,
-      java.util.function.Function<OnceStarter, OnceService> onceMaker) {
+      Function<OnceStarter, OnceService> onceMaker) {
     this.lifecycle = checkNotNull(lifecycle);
     this.board = checkNotNull(board);
     this.driver = checkNotNull(driver);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RoutePlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RoutePlanner.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import org.vaneworks.state.Endpoint;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.Route;
 
@@ -90,8 +91,7 @@
     }
 
     static PlannedRoute of(LayerRange span, List<EndpointState> engines) {
-      List<org.vaneworks.state.Endpoint> hops =
-          engines.stream().map(EndpointState::endpoint).toList();
+      List<Endpoint> hops = engines.stream().map(EndpointState::endpoint).toList();
       return new PlannedRoute(Route.tiling(span, hops), ImmutableList.copyOf(engines));
     }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RoutingSettings.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RoutingSettings.java
@@ -42,6 +42,6 @@
   /** Returns what holds unless settings say otherwise. */
   public static RoutingSettings defaults() {
     return new RoutingSettings(
-        PolicyKind.PREDICTED_TIME, AdmissionKind.WITHIN_BOUNDS, CostKind.TOKENS, 64, 0.1);
+        PolicyKind.PREDICTED_TIME, AdmissionKind.WITHIN_BOUNDS, CostKind.REQUESTS, 64, 0.1);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/protocol/ResourceJson.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/ResourceJson.java
@@ -4,6 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Function;
 import org.vaneworks.state.CallRule;
 import org.vaneworks.state.ParameterSpec;
 import org.vaneworks.state.ParameterType;
@@ -69,7 +72,7 @@
   }
 
   private static <T> ImmutableList<T> readAll(
-      ImmutableList<FieldReader> readers, java.util.function.Function<FieldReader, T> read) {
+      ImmutableList<FieldReader> readers, Function<FieldReader, T> read) {
     return readers.stream().map(read).collect(ImmutableList.toImmutableList());
   }
 
@@ -139,7 +142,7 @@
     ObjectNode node =
         Json.object()
             .put("name", parameter.name())
-            .put("type", parameter.type().name().toLowerCase(java.util.Locale.ROOT));
+            .put("type", parameter.type().name().toLowerCase(Locale.ROOT));
     parameter.defaultValue().ifPresent(value -> node.put("default", value));
     node.put("min", parameter.min()).put("max", parameter.max());
     if (!parameter.values().isEmpty()) {
@@ -169,7 +172,7 @@
             .put("template", workspace.template());
     ObjectNode arguments = node.putObject("parameters");
     workspace.arguments().entrySet().stream()
-        .sorted(java.util.Map.Entry.comparingByKey())
+        .sorted(Map.Entry.comparingByKey())
         .forEach(entry -> arguments.put(entry.getKey(), entry.getValue()));
     return node;
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.vaneworks.coordination.Async;
+import org.vaneworks.protocol.EngineJson;
 import org.vaneworks.state.HostPort;
 
 /**
@@ -87,8 +88,7 @@
 
   private static Answer answer(HttpResponse response) {
     CharSequence type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, JSON);
-    CharSequence refused =
-        response.headers().get(org.vaneworks.protocol.EngineJson.REFUSED_HEADER, "");
+    CharSequence refused = response.headers().get(EngineJson.REFUSED_HEADER, "");
     return new Answer(
         response.status().code(),
         response.payloadBody().toString(UTF_8),
