Streams: hops and measurement out of StreamRun

Behaviour is as it was. Ruled out: moving the loss handling as well; it needs the lock and every field.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/StreamRun.java
@@ -7,9 +7,7 @@
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -61,13 +59,15 @@
   private final RouteQuery query;
   private final AnswerSink sink;
   private final Consumer<StreamRun> onEnd;
-  private final long startedAt;
 
   @GuardedBy("this")
   private CompletableFuture<Admission> admission = new CompletableFuture<>();
 
   @GuardedBy("this")
-  private List<Hop> hops = new ArrayList<>();
+  private final StreamHops hops;
+
+  @GuardedBy("this")
+  private final StreamMeter meter;
 
   @GuardedBy("this")
   private final Set<EndpointId> excluded = new HashSet<>();
@@ -78,9 +78,6 @@
   @GuardedBy("this")
   private boolean ended;
 
-  @GuardedBy("this")
-  private int epoch = 1;
-
   @GuardedBy("this")
   private int step;
 
@@ -90,15 +87,6 @@
   @GuardedBy("this")
   private int replacements;
 
-  @GuardedBy("this")
-  private long lostAt = -1;
-
-  @GuardedBy("this")
-  private long lastTokenAt;
-
-  @GuardedBy("this")
-  private int replayCharacters;
-
   @GuardedBy("this")
   private Cancellable deadline = () -> {};
 
@@ -113,7 +101,6 @@
     this.request = request;
     this.sink = sink;
     this.onEnd = onEnd;
-    this.startedAt = now();
     this.query =
         new RouteQuery(
             request.plan().model(),
@@ -124,6 +111,8 @@
             request.plan().firstToken(),
             request.plan().betweenTokens(),
             ImmutableSet.of());
+    this.hops = new StreamHops(id, context.client(), context.limits().replayCharacters());
+    this.meter = new StreamMeter(context, query, now());
   }
 
   synchronized void start() {
@@ -158,35 +147,21 @@
       }
       return;
     }
-    hops = freshHops(granted.route());
+    hops.begin(granted.route());
     if (ended) {
-      releaseHops();
+      hops.release();
       granted.release();
       return;
     }
     callHop(0, request.prompt());
   }
 
-  @GuardedBy("this")
-  private List<Hop> freshHops(PlannedRoute route) {
-    List<Hop> fresh = new ArrayList<>();
-    for (EndpointState engine : route.engines()) {
-      fresh.add(Hop.fresh(engine, sessionOn(engine)));
-    }
-    return fresh;
-  }
-
-  @GuardedBy("this")
-  private SessionId sessionOn(EndpointState engine) {
-    return new SessionId(id, epoch, engine.endpoint().layers().get());
-  }
-
   // Sending.
 
   @GuardedBy("this")
   private void callHop(int index, String input) {
     Hop hop = hops.get(index);
-    remember(hop, input);
+    hops.remember(hop, step, input);
     ImmutableList<String> history = hop.missingBefore(step);
     StepCall call =
         new StepCall(
@@ -206,23 +181,6 @@
         (reply, failure) -> guarded(() -> answered(attempt, reply, failure)));
   }
 
-  /**
-   * Keeps a step's input for a rebuild, within bounds.
-   *
-   * <p>The first hop's inputs are the prompt and the tokens, which a whole new route can always be
-   * rebuilt from; only the other hops' inputs are given up when they grow too large.
-   */
-  @GuardedBy("this")
-  private void remember(Hop hop, String input) {
-    hop.input(step, input);
-    replayCharacters += input.length();
-    if (replayCharacters > context.limits().replayCharacters()) {
-      // A hop that is yet to be rebuilt still needs them.
-      hops.stream().skip(1).filter(each -> each.stepsRun() > 0).forEach(Hop::forgetInputs);
-      replayCharacters = 0;
-    }
-  }
-
   /**
    * Plans a look at the attempt's progress.
    *
@@ -300,7 +258,7 @@
 
   @GuardedBy("this")
   private void acceptToken(String token) {
-    measureToken();
+    meter.token(now());
     step++;
     sink.token(token);
     if (ended) {
@@ -320,24 +278,6 @@
     }
   }
 
-  @GuardedBy("this")
-  private void measureToken() {
-    long at = now();
-    if (step == 0) {
-      context.counters().record(Metric.FIRST_TOKEN, Duration.ofNanos(at - startedAt));
-    } else {
-      Duration gap = Duration.ofNanos(at - lastTokenAt);
-      context.counters().record(Metric.BETWEEN_TOKENS, gap);
-      context.admission().tokenCame(query.model(), gap.compareTo(query.betweenTokens()) > 0);
-    }
-    if (lostAt >= 0) {
-      context.counters().record(Metric.RECOVERY, Duration.ofNanos(at - lostAt));
-      lostAt = -1;
-    }
-    lastTokenAt = at;
-    context.counters().count(Metric.TOKENS, query.model());
-  }
-
   // Loss and replacement.
 
   @GuardedBy("this")
@@ -358,7 +298,7 @@
     } else if (++replacements > context.limits().maxReplacements()) {
       fail(Reason.RECOVERY_EXHAUSTED, why.detail(), Optional.of(Duration.ofSeconds(1)));
     } else {
-      lostAt = lostAt < 0 ? now() : lostAt;
+      meter.lost(now());
       excluded.add(hop.engine().endpoint().id());
       context.counters().count(Metric.RETRIES, overloaded ? "overloaded" : "lost");
       replace(attempt.index, now());
@@ -386,17 +326,12 @@
       return;
     }
     excluded.clear();
-    deadlineOrRetry(() -> replace(index, since));
-  }
-
-  @GuardedBy("this")
-  private void deadlineOrRetry(Runnable retry) {
-    context.executor().schedule(() -> guarded(retry), RECOVERY_RECHECK);
+    context.executor().schedule(() -> guarded(() -> replace(index, since)), RECOVERY_RECHECK);
   }
 
   @GuardedBy("this")
   private boolean mayRestart() {
-    return request.repeatable() || hops.stream().allMatch(hop -> hop.stepsRun() == 0);
+    return request.repeatable() || hops.neverRan();
   }
 
   @GuardedBy("this")
@@ -410,14 +345,8 @@
     if (part.isEmpty()) {
       return false;
     }
-    epoch++;
-    List<Hop> replacement = freshHops(part.get());
-    replacement.set(
-        0, Hop.inPlaceOf(lost, replacement.get(0).engine(), replacement.get(0).session()));
-    swap(ImmutableList.of(lost), replacement);
-    hops.remove(index);
-    hops.addAll(index, replacement);
-    callHop(index, replacement.get(0).input(step));
+    hops.replace(index, part.get(), step);
+    callHop(index, lost.input(step));
     return true;
   }
 
@@ -427,14 +356,8 @@
     if (route.isEmpty()) {
       return false;
     }
-    epoch++;
-    Hop first = hops.get(0);
-    List<Hop> replacement = freshHops(route.get());
-    replacement.set(
-        0, Hop.inPlaceOf(first, replacement.get(0).engine(), replacement.get(0).session()));
-    swap(hops, replacement);
-    hops = replacement;
-    callHop(0, first.input(step));
+    hops.replaceAll(route.get(), step);
+    callHop(0, hops.get(0).input(step));
     return true;
   }
 
@@ -444,30 +367,11 @@
     return part.withWork(request.promptTokens() + step, request.maxTokens() - step);
   }
 
-  @GuardedBy("this")
-  private void swap(List<Hop> old, List<Hop> replacement) {
-    replacement.forEach(hop -> hop.engine().streamStarted());
-    old.forEach(this::giveUp);
-    EventLog.info(
-        Event.HOP_REPLACED, "stream", id, "epoch", epoch, "step", step, "hops", replacement.size());
-  }
-
-  @GuardedBy("this")
-  private void giveUp(Hop hop) {
-    hop.engine().streamEnded();
-    endSession(hop);
-  }
-
-  private void endSession(Hop hop) {
-    // Best effort: an engine that can't be reached frees an idle session by its own timeout.
-    Async.ignore(context.client().end(hop.engine().endpoint(), hop.session()));
-  }
-
   // Moving off a leaving engine.
 
   @GuardedBy("this")
   private Optional<Integer> hopToMove() {
-    double pace = (double) (now() - startedAt) / Math.max(1, step);
+    double pace = meter.pace(now(), step);
     boolean endsSoon = pace * (request.maxTokens() - step) < context.limits().moveOver().toNanos();
     if (endsSoon) {
       return Optional.empty();
@@ -491,10 +395,8 @@
       callHop(0, token);
       return;
     }
-    epoch++;
     EndpointState engine = target.get().engines().get(0);
-    SessionId session = sessionOn(engine);
-    engine.streamStarted();
+    SessionId session = hops.beginMove(engine);
     Async.onDone(
         context
             .client()
@@ -511,14 +413,10 @@
 
   private synchronized void moved(
       int index, EndpointState engine, SessionId session, String token, Throwable failure) {
-    Hop from = hops.get(index);
     if (ended || failure != null) {
-      engine.streamEnded();
-      endSession(Hop.fresh(engine, session));
+      hops.undoMove(engine, session);
     } else {
-      hops.set(index, Hop.importedFrom(from, engine, session));
-      giveUp(from);
-      EventLog.info(Event.HOP_MOVED, "stream", id, "epoch", epoch, "to", engine.endpoint().id());
+      hops.endMove(index, engine, session);
     }
     if (!ended) {
       callHop(0, token);
@@ -564,17 +462,11 @@
       current.timer.cancel();
       current = null;
     }
-    releaseHops();
+    hops.release();
     Async.ignore(admission.thenAccept(Admission::release));
     onEnd.accept(this);
   }
 
-  @GuardedBy("this")
-  private void releaseHops() {
-    hops.forEach(this::giveUp);
-    hops = new ArrayList<>();
-  }
-
   /** Turns a fault of this program into a final answer instead of a stream that hangs. */
   private void guarded(Runnable part) {
     try {
