Status calls bounded for each node

Cause: each node asked every endpoint for its status each second: 33 calls a second today, 2400 at the two-year size, at about half a millisecond of processor time a call; far over the 1.2% of a core for control.

Change: at most 20 status calls a second, spread over the endpoints. Ruled out: asking used endpoints less often; their load reports are what routes go by.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/EndpointMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/EndpointMonitor.java
@@ -27,10 +27,18 @@
  * <p>An endpoint gets no new work as soon as any source says that it leaves. Thread-safe.
  */
 public final class EndpointMonitor {
+  private static final long MILLIS_PER_SECOND = 1000;
   private static final Duration LIST_EVERY = Duration.ofSeconds(1);
   private static final Duration LIST_SELDOM = Duration.ofSeconds(10);
   private static final Duration LIST_LIMIT = Duration.ofSeconds(1);
   private static final Duration STATUS_EVERY = Duration.ofSeconds(1);
+
+  /**
+   * Status calls a second at most, so that their cost does not grow with the fleet; the calls of
+   * requests show an endpoint's health sooner than its status does.
+   */
+  private static final int STATUS_CALLS_PER_SECOND = 20;
+
   private static final Duration STATUS_LIMIT = Duration.ofMillis(800);
 
   /** How many lists in a row must lack a box before it counts as gone: the list lags. */
@@ -193,7 +201,7 @@
           } else {
             stateOf(watch).ifPresent(state -> table.eject(state, "status"));
           }
-          executor.schedule(() -> pollStatus(watch), jittered(STATUS_EVERY));
+          executor.schedule(() -> pollStatus(watch), jittered(statusEvery()));
         });
   }
 
@@ -215,6 +223,12 @@
     }
   }
 
+  private synchronized Duration statusEvery() {
+    Duration affordable =
+        Duration.ofMillis(MILLIS_PER_SECOND * watched.size() / STATUS_CALLS_PER_SECOND);
+    return affordable.compareTo(STATUS_EVERY) > 0 ? affordable : STATUS_EVERY;
+  }
+
   private Duration jittered(Duration base) {
     return Duration.ofNanos((long) (base.toNanos() * (0.8 + random.nextDouble() * 0.4)));
   }
