--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryEndpoints.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryEndpoints.java
@@ -1,13 +1,16 @@
 package org.vaneworks.testlib;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.Async;
@@ -62,6 +65,7 @@
   private final Executor executor;
   private final Random random;
   private final Map<HostPort, Link> links = new LinkedHashMap<>();
+  private final Set<HostPort> forgotten = new HashSet<>();
   private final List<HeldReply> exchanged = new ArrayList<>();
 
   private InMemoryEndpoints(Executor executor, Random random) {
@@ -140,6 +144,16 @@
     }
   }
 
+  @Override
+  public void forget(HostPort address) {
+    forgotten.add(address);
+  }
+
+  /** Returns the addresses that some node let go of. */
+  public ImmutableSet<HostPort> forgotten() {
+    return ImmutableSet.copyOf(forgotten);
+  }
+
   @Override
   public CompletableFuture<EndpointStatus> status(HostPort address) {
     return call(address, link -> CompletableFuture.completedFuture(statusOf(link)));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/StreamSteps.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/StreamSteps.java
@@ -134,6 +134,18 @@
     world.fleet().boxes().leaving(box);
   }
 
+  /** Takes a box off the platform's list. */
+  @When("the box list no longer has {word}")
+  public void unlisted(String box) {
+    world.fleet().boxes().remove(box);
+  }
+
+  /** Checks that connections to an endpoint are not kept. */
+  @Then("connections to {word} are let go of")
+  public void letGo(String box) {
+    assertTrue(world.fleet().endpoints().forgotten().contains(addressOf(box)));
+  }
+
   private HostPort addressOf(String box) {
     return world.fleet().addressOf(box);
   }
--- a/vaneworks-tests/src/test/resources/features/decisions/leaving_and_stopping.feature
+++ b/vaneworks-tests/src/test/resources/features/decisions/leaving_and_stopping.feature
@@ -52,3 +52,11 @@
     And no engine ran any part of cleo's request
     And anna's answer is whole and right
     And n1 stops with 0 requests cut
+
+  Scenario: An endpoint that left the list is let go of, and a stream there goes on
+    When anna asks n1 for 900 tokens
+    And anna has 5 tokens
+    And the box list no longer has a1
+    And 40000 ms pass
+    Then connections to a1 are let go of
+    And anna's answer is whole and right
