--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/processes/FleetSteps.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/processes/FleetSteps.java
@@ -323,6 +323,19 @@
     last = caller.send(addressOf(node), method, path, body, Map.of(header, value));
   }
 
+  /** Sends a long prompt. */
+  @When("a caller sends a prompt of {int} characters to {word}")
+  public void sendLong(int characters, String node) throws Exception {
+    String body = "{\"prompt\":\"" + "x".repeat(characters) + "\"}";
+    send("POST", "/v1/workspaces/ward/completions", node, body);
+  }
+
+  /** Checks a header of the kept answer. */
+  @Then("the answer's header {word} is {word}")
+  public void header(String name, String value) {
+    assertEquals(value, last.headers().firstValue(name).orElse("absent"));
+  }
+
   /** Checks the kept answer. */
   @Then("the answer has status {int}, reason {word} and verdict {word}")
   public void refused(int status, String reason, String verdict) {
--- a/vaneworks-tests/src/test/resources/features/processes/whole_path.feature
+++ b/vaneworks-tests/src/test/resources/features/processes/whole_path.feature
@@ -39,6 +39,7 @@
     Then the answer has status 400, reason invalid-field and verdict NOT_RUN
     When a caller sends GET /v1/workspaces/ward/completions to n1 with body ''
     Then the answer has status 405, reason method-not-allowed and verdict NOT_RUN
+    And the answer's header allow is POST
     When a caller sends POST /v1/workspaces/ward/completions to n1 with body '{"prompt":"x"}' and header vaneworks-deadline-ms 'soon'
     Then the answer has status 400, reason invalid-header and verdict NOT_RUN
     When a caller sends POST /v1/workspaces/ward/completions to n1 with body '{"prompt":"x"}' and header content-type 'text/plain'
--- a/vaneworks/src/main/java/org/vaneworks/transport/CallerServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/CallerServer.java
@@ -36,6 +36,7 @@
 
 /** The callers' HTTP interface; docs/OPERATIONS.md describes it. */
 public final class CallerServer {
+  private static final String TICKETS_PATH = "/v1/tickets";
   private static final int MAX_TICKETS = 1000;
   private static final String JSON = "application/json";
   private static final String TEXT = "text/plain; charset=utf-8";
@@ -75,9 +76,9 @@
       StreamingHttpResponseFactory responses) {
     CallerResponses answers = new CallerResponses(responses, context, () -> isStopping());
     try {
-      return route(request, answers).onErrorResume(failure -> failed(answers, failure));
+      return route(request, answers).onErrorResume(failure -> failed(request, answers, failure));
     } catch (RuntimeException e) {
-      return failed(answers, e);
+      return failed(request, answers, e);
     }
   }
 
@@ -85,10 +86,15 @@
     return node.phase().compareTo(Phase.LEAVING) >= 0;
   }
 
-  private Single<StreamingHttpResponse> failed(CallerResponses answers, Throwable failure) {
+  private Single<StreamingHttpResponse> failed(
+      StreamingHttpRequest request, CallerResponses answers, Throwable failure) {
     Refusal refusal = refusalOf(failure);
     node.gate().count(refusal);
-    return Single.succeeded(answers.problem(refusal));
+    StreamingHttpResponse response = answers.problem(refusal);
+    if (refusal.reason() == Reason.METHOD_NOT_ALLOWED) {
+      response.setHeader(HttpHeaderNames.ALLOW, allowedAt(request.path()).name());
+    }
+    return Single.succeeded(response);
   }
 
   /** Failures that the gate reported were counted there; only the transport's own come here. */
@@ -114,7 +120,7 @@
       return service(path, request, answers);
     }
     return switch (request.path()) {
-      case "/v1/tickets" -> tickets(request, answers);
+      case TICKETS_PATH -> tickets(request, answers);
       case "/health/live" -> text(request, answers, HttpResponseStatus.OK, "live\n");
       case "/health/ready" -> readiness(request, answers);
       case "/metrics" -> text(request, answers, HttpResponseStatus.OK, metrics.get());
@@ -129,7 +135,7 @@
 
   private Single<StreamingHttpResponse> completion(
       String workspace, StreamingHttpRequest request, CallerResponses answers) {
-    allow(request, HttpRequestMethod.POST);
+    checkMethod(request);
     requireJson(request);
     CallerOptions options = CallerHeaders.read(request.headers());
     return body(request)
@@ -161,7 +167,7 @@
 
   private Single<StreamingHttpResponse> tickets(
       StreamingHttpRequest request, CallerResponses answers) {
-    allow(request, HttpRequestMethod.POST);
+    checkMethod(request);
     return Single.fromStage(node.gate().tickets(ticketCount(request)))
         .map(
             tickets -> answers.plain(HttpResponseStatus.OK, JSON, CallerJson.writeTickets(tickets)))
@@ -192,7 +198,7 @@
 
   private Single<StreamingHttpResponse> status(
       StreamingHttpRequest request, CallerResponses answers) {
-    allow(request, HttpRequestMethod.GET);
+    checkMethod(request);
     return Single.succeeded(answers.plain(HttpResponseStatus.OK, JSON, NodeStatusJson.write(node)));
   }
 
@@ -201,14 +207,20 @@
       CallerResponses answers,
       HttpResponseStatus status,
       String body) {
-    allow(request, HttpRequestMethod.GET);
+    checkMethod(request);
     return Single.succeeded(answers.plain(status, TEXT, body));
   }
 
-  private static void allow(StreamingHttpRequest request, HttpRequestMethod method) {
-    if (!request.method().equals(method)) {
+  private static HttpRequestMethod allowedAt(String path) {
+    boolean takesPosts = path.endsWith("/completions") || path.equals(TICKETS_PATH);
+    return takesPosts ? HttpRequestMethod.POST : HttpRequestMethod.GET;
+  }
+
+  private static void checkMethod(StreamingHttpRequest request) {
+    HttpRequestMethod allowed = allowedAt(request.path());
+    if (!request.method().equals(allowed)) {
       throw Refusal.before(
-              Reason.METHOD_NOT_ALLOWED, request.method().name() + ", allowed: " + method.name())
+              Reason.METHOD_NOT_ALLOWED, request.method().name() + ", allowed: " + allowed.name())
           .toException();
     }
   }
