Operators' messages: a conflict shows the difference, a name says what is allowed

Cause: trying the command by hand, a conflict told the operator to run plan, and a name that is not allowed did not say what is.

Change: apply prints what the change would still do to the version in force; the message on names gives the form.

Ruled out: making the change again on top by itself; both touch one resource.

--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/ApplyCommand.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/ApplyCommand.java
@@ -1,8 +1,10 @@
 package org.vaneworks.cli;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.OptionalLong;
 import java.util.concurrent.Callable;
 import org.vaneworks.coordination.ConfigurationChange;
+import org.vaneworks.coordination.ConflictException;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.ConfigurationHead;
 import picocli.CommandLine.Command;
@@ -22,7 +24,7 @@
   public Integer call() {
     ConfigurationChange change = options.read();
     OptionalLong only = onlyAt == null ? OptionalLong.empty() : OptionalLong.of(onlyAt);
-    ConfigurationHead head = store.edit(editor -> editor.apply(change, only));
+    ConfigurationHead head = apply(change, only);
     long version =
         head.history().stream()
             .filter(record -> record.changeId().equals(change.changeId()))
@@ -36,4 +38,16 @@
             .put("resources", change.keys().size()));
     return ExitCodes.OK;
   }
+
+  private ConfigurationHead apply(ConfigurationChange change, OptionalLong only) {
+    try {
+      return store.edit(editor -> editor.apply(change, only));
+    } catch (ConflictException e) {
+      ArrayNode rows =
+          store.edit(editor -> editor.load().thenApply(now -> Difference.between(now, change)));
+      System.err.println("vaneworks: what the change would do to the version in force now:");
+      System.err.println(OutputFormat.TABLE.print(rows));
+      throw e;
+    }
+  }
 }
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/VaneworksMain.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/VaneworksMain.java
@@ -51,7 +51,7 @@
   private static int explain(Exception failure) {
     System.err.println("vaneworks: " + failure.getMessage());
     if (failure instanceof ConflictException) {
-      System.err.println("vaneworks: nothing was changed; run plan again to see the difference");
+      System.err.println("vaneworks: nothing was changed");
       return ExitCodes.CONFLICT;
     }
     if (failure instanceof StoreException store) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/ResourceJsonTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/ResourceJsonTest.java
@@ -81,6 +81,12 @@
         () -> configuration("{kind: workspace, name: w, template: other}"), "none is named other");
   }
 
+  @Test
+  void nameNotAllowed() {
+    rejects(
+        () -> read("{kind: workspace, name: W, template: t}"), "name is W", "lower case letters");
+  }
+
   @Test
   void unknownKind() {
     rejects(() -> read("{kind: thing, name: x}"), "kind", "template, workspace");
--- a/vaneworks/src/main/java/org/vaneworks/state/ResourceKey.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/ResourceKey.java
@@ -22,6 +22,9 @@
     WORKSPACE
   }
 
+  /** What a name may be, for messages. */
+  static final String NAME_FORM = "1 to 63 lower case letters, digits, - and .";
+
   /** Returns whether the text is allowed as a resource's name. */
   public static boolean isName(String text) {
     return NAME.matcher(text).matches();
--- a/vaneworks/src/main/java/org/vaneworks/state/Template.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/Template.java
@@ -35,6 +35,6 @@
     Setting weight) {
   /** Checks that the template is named. */
   public Template {
-    checkArgument(ResourceKey.isName(name), "template name is not allowed: %s", name);
+    checkArgument(ResourceKey.isName(name), "name is %s, allowed: %s", name, ResourceKey.NAME_FORM);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/state/Workspace.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/Workspace.java
@@ -14,7 +14,7 @@
 public record Workspace(String name, String template, ImmutableMap<String, String> arguments) {
   /** Checks that both names are given. */
   public Workspace {
-    checkArgument(ResourceKey.isName(name), "workspace name is not allowed: %s", name);
+    checkArgument(ResourceKey.isName(name), "name is %s, allowed: %s", name, ResourceKey.NAME_FORM);
     checkArgument(!template.isEmpty(), "workspace %s must name its template", name);
   }
 }
