Figures served on an address of their own; settings tell every problem; HUP takes what may change

A forwarding node listens on 'metrics' and answers with all meters in Prometheus' text form; timers are histograms: first token, pause between tokens, whole request, detection of a lost engine, store call, order, placement. Calls to the store are counted by purpose in one place (MeasuredStore). Meters are found once and kept. The settings' reader notes all problems and tells them at once.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
@@ -46,20 +46,22 @@
    * Reads a settings file.
    *
    * @throws IOException if the file can't be read
-   * @throws IllegalArgumentException naming the field, its value and what is allowed
+   * @throws IllegalArgumentException with a line for each field that is not accepted, its value and
+   *     what is allowed
    */
   public static DaemonSettings read(Path file) throws IOException {
     ImmutableList<JsonNode> documents = Json.parseYaml(Files.readString(file));
-    FieldReader fields = FieldReader.of("", documents.isEmpty() ? null : documents.get(0));
+    FieldReader fields = FieldReader.collecting(documents.isEmpty() ? null : documents.get(0));
     DaemonSettings settings = read(fields);
     fields.rejectUnknown();
+    fields.finish();
     return settings;
   }
 
   private static DaemonSettings read(FieldReader fields) {
     String name = fields.text("name");
-    if (!ResourceKey.isName(name)) {
-      throw fields.invalid("name", "is " + name + ", allowed: lower case letters, digits, - and .");
+    if (!name.isEmpty() && !ResourceKey.isName(name)) {
+      fields.reject("name", "is " + name + ", allowed: lower case letters, digits, - and .");
     }
     return new DaemonSettings(
         name,
@@ -118,7 +120,8 @@
     Duration least = millis(fields, "leastProgressMs", usual.leastProgress());
     Duration timeout = millis(fields, "stepTimeoutMs", usual.stepTimeout());
     if (least.compareTo(timeout) > 0) {
-      throw fields.invalid("leastProgressMs", "must not be over stepTimeoutMs");
+      fields.reject("leastProgressMs", "must not be over stepTimeoutMs");
+      least = timeout;
     }
     EndpointLimits limits =
         new EndpointLimits(
@@ -147,7 +150,8 @@
     Duration lag = millis(fields, "balancerLagMs", usual.balancerLag());
     Duration deadline = millis(fields, "deadlineMs", usual.deadline());
     if (lag.compareTo(deadline) > 0) {
-      throw fields.invalid("balancerLagMs", "must not be over deadlineMs");
+      fields.reject("balancerLagMs", "must not be over deadlineMs");
+      lag = deadline;
     }
     fields.rejectUnknown();
     return new StopTimes(lag, deadline);
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -3,12 +3,14 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableMap;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.servicetalk.concurrent.api.AsyncContext;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.transport.api.IoExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.coordination.fleet.Fleet;
@@ -16,9 +18,11 @@
 import org.vaneworks.coordination.forwarding.Forwarder;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.placement.PlacementController;
+import org.vaneworks.coordination.shared.MeasuredStore;
 import org.vaneworks.coordination.shared.NodeLease;
 import org.vaneworks.coordination.shared.PrefixFollower;
 import org.vaneworks.coordination.shared.PrefixRouter;
+import org.vaneworks.coordination.shared.SharedStore;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryLimits;
@@ -57,7 +61,8 @@
   private static final EntryLimits LIMITS_AT_START =
       new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
 
-  private final EntrySettings settings;
+  private final PrometheusMeterRegistry meters =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final IoExecutor io;
   private final Fleet fleet;
   private final NodeLease lease;
@@ -70,6 +75,8 @@
   private final Counters counters;
   private HttpServerContext callers;
   private HttpServerContext readiness;
+  private Optional<HttpServerContext> metrics = Optional.empty();
+  private EntrySettings settings;
   private boolean stopping;
   private boolean closingIdle;
   private boolean wasReady;
@@ -79,16 +86,17 @@
     this.settings = settings;
     this.adapters = adapters;
     this.io = io;
-    counters = Counters.in(new SimpleMeterRegistry());
+    counters = Counters.in(meters);
     fleet = Fleet.create(io, counters, RELIST_GRACE);
-    lease = NodeLease.create(io, random, adapters.store(), OWN_PREFIX, settings.name(), run);
+    SharedStore store = MeasuredStore.of(io, adapters.store(), counters);
+    lease = NodeLease.create(io, random, store, OWN_PREFIX, settings.name(), run);
     configuration = new ConfigurationWatch(adapters.configurationKey(), adapters.configuration());
     FollowTimes times = FollowTimes.within(settings.keyRevocation());
     follower =
         PrefixFollower.create(
             io,
             random,
-            adapters.store(),
+            store,
             counters,
             EVERYTHING,
             times.watchWait(),
@@ -157,6 +165,10 @@
             () -> stopping || !forwarder.fresh(),
             counters);
     readiness = EntryServer.listenReadiness(settings.readiness(), io, this::ready);
+    if (settings.metrics().isPresent()) {
+      metrics =
+          Optional.of(EntryServer.listenMetrics(settings.metrics().get(), io, meters::scrape));
+    }
   }
 
   private void begin() {
@@ -185,6 +197,11 @@
     return address(readiness);
   }
 
+  /** Returns where readers of the node's figures are listened to, if at all. */
+  public Optional<HostPort> metricsAddress() {
+    return metrics.map(EntryNode::address);
+  }
+
   private static HostPort address(HttpServerContext context) {
     InetSocketAddress address = (InetSocketAddress) context.listenAddress();
     return new HostPort(address.getAddress().getHostAddress(), address.getPort());
@@ -209,6 +226,34 @@
         .allMatch(service -> fleet.holdsAll(service.name(), service.model().get().layers()));
   }
 
+  /**
+   * Takes settings that were read again; fields that hold for the life of a process stay as they
+   * are, and a line names each.
+   */
+  public void reload(EntrySettings next) {
+    io.execute(() -> take(next));
+  }
+
+  private void take(EntrySettings next) {
+    for (String field : settings.fixedFieldsThatDiffer(next)) {
+      EventLog.warn(Event.SETTING_NEEDS_RESTART, "field", field);
+    }
+    settings = settings.withChangeableFieldsOf(next);
+    FollowTimes times = FollowTimes.within(settings.keyRevocation());
+    follower.times(times.watchWait(), times.pause());
+    forwarder.limits(limits(settings));
+    EventLog.info(
+        Event.SETTINGS_READ_AGAIN,
+        "keyRevocationMs",
+        settings.keyRevocation().toMillis(),
+        "stopGraceMs",
+        settings.stopGrace().toMillis(),
+        "retryShare",
+        settings.retryShare(),
+        "retryReserve",
+        settings.retryReserve());
+  }
+
   /** Stops as planned; the result is the number of requests that were cut. */
   public CompletableFuture<Integer> stop() {
     CompletableFuture<Integer> stopped = new CompletableFuture<>();
@@ -248,6 +293,7 @@
   private void closeSockets(CompletableFuture<Integer> stopped) {
     int cut = forwarder.inFlight();
     follower.stop();
+    metrics.ifPresent(server -> server.closeAsync().subscribe());
     callers
         .closeAsync()
         .merge(readiness.closeAsync())
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntrySettings.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntrySettings.java
@@ -6,6 +6,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
 import org.vaneworks.protocol.FieldReader;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.HostPort;
@@ -17,6 +19,7 @@
  * @param dataCentre where the box stands
  * @param callers where callers are listened to
  * @param readiness where the balancer's readiness check is listened to
+ * @param metrics where readers of the node's own figures are listened to, if at all
  * @param store where the platform's store is
  * @param keyRevocation time in which a key that was taken away has to stop working everywhere
  * @param stopGrace time from SIGTERM until the platform ends the process
@@ -29,6 +32,7 @@
     String dataCentre,
     HostPort callers,
     HostPort readiness,
+    Optional<HostPort> metrics,
     HostPort store,
     Duration keyRevocation,
     Duration stopGrace,
@@ -44,13 +48,15 @@
    * Reads a settings file.
    *
    * @throws IOException if the file can't be read
-   * @throws IllegalArgumentException naming the field, its value and what is allowed
+   * @throws IllegalArgumentException with a line for each field that is not accepted, its value and
+   *     what is allowed
    */
   public static EntrySettings read(Path file) throws IOException {
     ImmutableList<JsonNode> documents = Json.parseYaml(Files.readString(file));
-    FieldReader fields = FieldReader.of("", documents.isEmpty() ? null : documents.get(0));
+    FieldReader fields = FieldReader.collecting(documents.isEmpty() ? null : documents.get(0));
     EntrySettings settings = read(fields);
     fields.rejectUnknown();
+    fields.finish();
     return settings;
   }
 
@@ -60,6 +66,7 @@
         fields.text("dataCentre"),
         fields.address("callers"),
         fields.address("readiness"),
+        fields.optionalAddress("metrics"),
         fields.address("store"),
         Duration.ofMillis(
             fields.integer("keyRevocationMs", 100, MAX_MS, DEFAULT_KEY_REVOCATION_MS)),
@@ -68,4 +75,40 @@
         fields.number("retryReserve", 0, 1e6, 100),
         fields.integer("maxHeaderBytes", 1024, 1 << 20, DEFAULT_MAX_HEADER_BYTES));
   }
+
+  /** Returns the names of the fields that differ but hold for the life of a process. */
+  ImmutableList<String> fixedFieldsThatDiffer(EntrySettings next) {
+    ImmutableList.Builder<String> fields = ImmutableList.builder();
+    addIfDifferent(fields, "name", name, next.name);
+    addIfDifferent(fields, "dataCentre", dataCentre, next.dataCentre);
+    addIfDifferent(fields, "callers", callers, next.callers);
+    addIfDifferent(fields, "readiness", readiness, next.readiness);
+    addIfDifferent(fields, "metrics", metrics, next.metrics);
+    addIfDifferent(fields, "store", store, next.store);
+    addIfDifferent(fields, "maxHeaderBytes", maxHeaderBytes, next.maxHeaderBytes);
+    return fields.build();
+  }
+
+  private static void addIfDifferent(
+      ImmutableList.Builder<String> fields, String name, Object before, Object after) {
+    if (!Objects.equals(before, after)) {
+      fields.add(name);
+    }
+  }
+
+  /** Returns these settings with those fields of the next that may change in a running process. */
+  EntrySettings withChangeableFieldsOf(EntrySettings next) {
+    return new EntrySettings(
+        name,
+        dataCentre,
+        callers,
+        readiness,
+        metrics,
+        store,
+        next.keyRevocation,
+        next.stopGrace,
+        next.retryShare,
+        next.retryReserve,
+        maxHeaderBytes);
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/DaemonSettingsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/DaemonSettingsTest.java
@@ -75,6 +75,21 @@
     rejects(GOOD + "stop: {balancerLagMs: 9, deadlineMs: 8}\n", "stop.balancerLagMs");
   }
 
+  @Test
+  void everyProblemIsToldAtOnce() {
+    rejects(
+        GOOD.replace("name: n1\n", "") + "workers: 0\nstop: {lag: 3}\nwhat: 1\n",
+        "name: must be given",
+        "workers: is 0",
+        "stop.lag: is not a known field",
+        "what: is not a known field");
+  }
+
+  @Test
+  void sectionOfAWrongTypeIsToldBesideOthers() {
+    rejects(GOOD + "stop: 3\nworkers: many\n", "stop: must be an object", "workers: must be");
+  }
+
   @Test
   void notYaml() {
     rejects("a: [", "not YAML");
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.ConnectException;
+import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.RepathOutcome;
+import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Verdict;
 import org.vaneworks.tests.forwarding.ForwardingFixture.Got;
@@ -41,6 +43,14 @@
     assertTrue(got.refusal.get().retryAfter().isPresent());
   }
 
+  @Test
+  void limitsThatChangedHoldForTheNextRequest() {
+    node.replica(1);
+    node.forwarder.limits(new ForwardingLimits(Duration.ofSeconds(1), 0.2, 100));
+    node.advance(1500);
+    assertEquals(Reason.CONFIGURATION_STALE, reason(node.ask("/safe/x")));
+  }
+
   @Test
   void requestBeforeTheFirstConfigurationWaitsForIt() {
     node.replica(1);
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AnswerTimes.java
@@ -0,0 +1,50 @@
+package org.vaneworks.coordination.forwarding;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.telemetry.Metric;
+
+/**
+ * Records what the caller of one request sees: its first part, the pauses between parts, its end.
+ *
+ * <p>Attempts don't matter here: a pause in which a request was sent again counts in full. Confined
+ * to the node's event loop.
+ */
+final class AnswerTimes {
+  private final Counters counters;
+  private final boolean streamed;
+  private final long startedAt;
+  private long lastPartAt = -1;
+
+  /**
+   * Makes the times of a request without an answer.
+   *
+   * @param streamed whether the answer comes in parts that are worth something by themselves
+   * @param startedAt when the request came, in ns of the node's clock
+   */
+  AnswerTimes(Counters counters, boolean streamed, long startedAt) {
+    this.counters = checkNotNull(counters);
+    this.streamed = streamed;
+    this.startedAt = startedAt;
+  }
+
+  /** Takes note that a part of the answer came at a time in ns. */
+  void part(long now) {
+    if (!streamed) {
+      return;
+    }
+    if (lastPartAt < 0) {
+      counters.record(Metric.FIRST_TOKEN, Duration.ofNanos(now - startedAt));
+    } else {
+      counters.record(Metric.BETWEEN_TOKENS, Duration.ofNanos(now - lastPartAt));
+    }
+    lastPartAt = now;
+  }
+
+  /** Takes note that the answer was whole at a time in ns. */
+  void whole(long now) {
+    counters.record(Metric.REQUEST_TIME, Duration.ofNanos(now - startedAt));
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -16,6 +16,7 @@
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryRoute;
 import org.vaneworks.state.entry.ServiceProfile;
+import org.vaneworks.telemetry.Metric;
 
 /**
  * One request on its way to an endpoint and back.
@@ -65,6 +66,7 @@
   private final ProgressWatch progress;
   private final long startedAt;
   private final long endsAt;
+  private final AnswerTimes times;
   private final EventSplitter splitter = new EventSplitter();
 
   private EndpointCall call;
@@ -100,6 +102,7 @@
     this.progress = new ProgressWatch(context, place, route.pauseObjective());
     this.startedAt = now();
     this.endsAt = startedAt + limit().toNanos();
+    this.times = new AnswerTimes(context.counters(), route.kind().streamed(), startedAt);
   }
 
   static ForwardRun create(
@@ -196,6 +199,7 @@
     public void data(byte[] bytes) {
       if (counts()) {
         progress.data();
+        times.part(now());
         passOn(bytes);
       }
     }
@@ -283,6 +287,7 @@
       answer.data(rest);
     }
     close();
+    times.whole(now());
     answer.end();
   }
 
@@ -380,7 +385,7 @@
     if (call != null) {
       call.cancel();
     }
-    context.counters().count(org.vaneworks.telemetry.Metric.REFUSALS, Reason.CALLER_GONE.code());
+    context.counters().count(Metric.REFUSALS, Reason.CALLER_GONE.code());
     close();
   }
 
@@ -405,6 +410,8 @@
     if (!passes(engine)) {
       return;
     }
+    Duration silence = Duration.ofNanos(now() - progress.lastProgress());
+    context.counters().record(Metric.DETECTION_TIME, silence);
     if (place.target() != engine) {
       replacePath(engine, "lost " + engine);
     } else {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -43,7 +43,7 @@
   private final ForwardContext context;
   private final Supplier<Optional<EntryConfiguration>> configuration;
   private final LongSupplier confirmedAt;
-  private final Duration keyFreshness;
+  private Duration keyFreshness;
   private final Set<ForwardRun> running = new LinkedHashSet<>();
   private boolean stopping;
 
@@ -99,6 +99,12 @@
     return new Forwarder(context, configuration, confirmedAt, limits.keyFreshness());
   }
 
+  /** Sets the bounds for requests from now on. */
+  public void limits(ForwardingLimits limits) {
+    keyFreshness = limits.keyFreshness();
+    context.budget().limits(limits);
+  }
+
   /** Takes a request whose body has been read; returns what is told of the caller from now on. */
   public CallerAnswer.Flow take(CallerRequest request, CallerAnswer answer) {
     if (configuration.get().isPresent()) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
@@ -18,22 +18,27 @@
   /** Part of the earned share that is given out; requests of a window may come at its end. */
   private static final double SHARE_IN_USE = 0.8;
 
-  private final double share;
-  private final double fleetReserve;
   private final IntSupplier liveNodes;
+  private double share;
+  private double fleetReserve;
   private double spentBeyondShare;
 
-  private ResendBudget(double share, double fleetReserve, IntSupplier liveNodes) {
-    this.share = share;
-    this.fleetReserve = fleetReserve;
+  private ResendBudget(IntSupplier liveNodes) {
     this.liveNodes = liveNodes;
   }
 
   /** Returns an unspent budget. */
   public static ResendBudget of(ForwardingLimits limits, IntSupplier liveNodes) {
+    ResendBudget budget = new ResendBudget(liveNodes);
+    budget.limits(limits);
+    return budget;
+  }
+
+  /** Sets the bounds; what was spent before stays spent. */
+  void limits(ForwardingLimits limits) {
     checkArgument(limits.retryShare() >= 0, "retryShare is negative: %s", limits.retryShare());
-    return new ResendBudget(
-        limits.retryShare() * SHARE_IN_USE, limits.retryReserve() * RESERVE_IN_USE, liveNodes);
+    share = limits.retryShare() * SHARE_IN_USE;
+    fleetReserve = limits.retryReserve() * RESERVE_IN_USE;
   }
 
   /** Notes a first send. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -64,12 +64,14 @@
 
   private static final class Assignment {
     final LayerRange layers;
+    final long decidedAt;
     boolean callOpen;
     boolean accepted;
     long expiresAt;
 
-    Assignment(LayerRange layers) {
+    Assignment(LayerRange layers, long decidedAt) {
       this.layers = layers;
+      this.decidedAt = decidedAt;
     }
   }
 
@@ -183,6 +185,9 @@
     if (assignment != null) {
       boolean done = layers.equals(Optional.of(assignment.layers));
       boolean overdue = assignment.accepted && now() > assignment.expiresAt;
+      if (done) {
+        counters.record(Metric.PLACEMENT_TIME, since(assignment.decidedAt));
+      }
       if (done || overdue) {
         assignments.remove(engine);
       } else {
@@ -205,7 +210,7 @@
         engine.endpoint().layers().map(Object::toString).orElse("none"),
         "fence",
         actingAs.getAsLong());
-    assignments.put(engine, new Assignment(layers));
+    assignments.put(engine, new Assignment(layers, now()));
   }
 
   private void pursue(TrackedEndpoint engine, Assignment assignment) {
@@ -238,11 +243,13 @@
       return;
     }
     OrderGuard guard = new OrderGuard(actingAs.getAsLong(), report.ordersTaken());
+    long orderedAt = now();
     Async.onDone(
         control.hold(engine.endpoint(), assignment.layers, guard),
         clock,
         (outcome, failure) -> {
           assignment.callOpen = false;
+          counters.record(Metric.ORDER_TIME, since(orderedAt));
           if (failure != null) {
             counters.count(Metric.ORDERS, "unanswered");
             EventLog.warn(
@@ -303,6 +310,10 @@
     return Duration.ofMillis((long) (slowest * 3000));
   }
 
+  private Duration since(long then) {
+    return Duration.ofNanos(now() - then);
+  }
+
   private long now() {
     return clock.currentTime(NANOSECONDS);
   }
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/MeasuredStore.java
@@ -0,0 +1,74 @@
+package org.vaneworks.coordination.shared;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import io.servicetalk.concurrent.Executor;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.telemetry.Metric;
+
+/**
+ * Counts the calls to a store by purpose, and records how long those take that do not wait.
+ *
+ * <p>A failed call is counted and recorded too: its time shows a store that hangs. Thread-safe if
+ * the store is.
+ */
+public final class MeasuredStore implements SharedStore {
+  private final Executor clock;
+  private final SharedStore store;
+  private final Counters counters;
+
+  private MeasuredStore(Executor clock, SharedStore store, Counters counters) {
+    this.clock = checkNotNull(clock);
+    this.store = checkNotNull(store);
+    this.counters = checkNotNull(counters);
+  }
+
+  /** Returns a store that passes all calls on. */
+  public static MeasuredStore of(Executor clock, SharedStore store, Counters counters) {
+    return new MeasuredStore(clock, store, counters);
+  }
+
+  @Override
+  public CompletableFuture<StoreView> list(String prefix) {
+    return measured("list", store.list(prefix));
+  }
+
+  @Override
+  public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, Duration wait) {
+    counters.count(Metric.STORE_CALLS, "watch");
+    return store.watch(prefix, afterRevision, wait);
+  }
+
+  @Override
+  public CompletableFuture<OptionalLong> create(String key, String value, long lease) {
+    return measured("create", store.create(key, value, lease));
+  }
+
+  @Override
+  public CompletableFuture<Long> openLease(Duration lifetime) {
+    return measured("open-lease", store.openLease(lifetime));
+  }
+
+  @Override
+  public CompletableFuture<Boolean> renew(long lease) {
+    return measured("renew", store.renew(lease));
+  }
+
+  @Override
+  public CompletableFuture<Void> endLease(long lease) {
+    return measured("end-lease", store.endLease(lease));
+  }
+
+  private <T> CompletableFuture<T> measured(String purpose, CompletableFuture<T> call) {
+    counters.count(Metric.STORE_CALLS, purpose);
+    long askedAt = clock.currentTime(NANOSECONDS);
+    return call.whenComplete(
+        (answer, failure) ->
+            counters.record(
+                Metric.STORE_TIME, Duration.ofNanos(clock.currentTime(NANOSECONDS) - askedAt)));
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -45,9 +45,9 @@
   private final SharedStore store;
   private final Counters counters;
   private final String prefix;
-  private final Duration wait;
-  private final Duration pause;
   private final Listener listener;
+  private Duration wait;
+  private Duration pause;
   private long revision = -1;
   private long confirmedAt = Long.MIN_VALUE / 2;
   private Duration backOff = FIRST_BACK_OFF;
@@ -91,6 +91,12 @@
     return new PrefixFollower(clock, random, store, counters, prefix, wait, pause, listener);
   }
 
+  /** Sets how long a watch waits and the pause after it, from the next call on. */
+  public void times(Duration newWait, Duration newPause) {
+    wait = checkNotNull(newWait);
+    pause = checkNotNull(newPause);
+  }
+
   /** Begins to follow. */
   public void start() {
     ask();
@@ -112,7 +118,6 @@
     }
     long askedAt = clock.currentTime(NANOSECONDS);
     if (revision < 0) {
-      counters.count(Metric.STORE_CALLS, prefix + "list");
       Async.onDone(
           store.list(prefix),
           clock,
@@ -127,7 +132,6 @@
           });
       return;
     }
-    counters.count(Metric.STORE_CALLS, prefix + "watch");
     Async.onDone(
         store.watch(prefix, revision, failing ? NO_WAIT : wait),
         clock,
--- a/vaneworks/src/main/java/org/vaneworks/protocol/FieldReader.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/FieldReader.java
@@ -5,26 +5,42 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.vaneworks.state.HostPort;
 
 /**
  * Reads the fields of one object of a document, checking each.
  *
- * <p>Every method throws {@link InvalidFieldException} naming the field, its value and what is
- * allowed. Not thread-safe.
+ * <p>A reader made by {@link #of} throws {@link InvalidFieldException} at the first problem, naming
+ * the field, its value and what is allowed. One made by {@link #collecting} goes on with a value
+ * that means nothing, and {@link #finish} throws with all problems; what was read must not be used
+ * before that. Not thread-safe.
  */
 public final class FieldReader {
+  /** Stands in for an address that is not accepted. */
+  private static final HostPort NO_ADDRESS = new HostPort("0.0.0.0", 0);
+
   private final String path;
   private final JsonNode node;
+  private final Consumer<InvalidFieldException> problems;
+  private final List<InvalidFieldException> collected;
   private final Set<String> read = new HashSet<>();
 
-  private FieldReader(String path, JsonNode node) {
+  private FieldReader(
+      String path,
+      JsonNode node,
+      Consumer<InvalidFieldException> problems,
+      List<InvalidFieldException> collected) {
     this.path = path;
     this.node = node;
+    this.problems = problems;
+    this.collected = collected;
   }
 
   /**
@@ -37,7 +53,43 @@
     if (node == null || !node.isObject()) {
       throw new InvalidFieldException(path.isEmpty() ? "document" : path, "must be an object");
     }
-    return new FieldReader(path, node);
+    return new FieldReader(path, node, FieldReader::raise, ImmutableList.of());
+  }
+
+  /**
+   * Returns a reader of a whole document that notes problems until {@link #finish}.
+   *
+   * @throws InvalidFieldException if the document is no object
+   */
+  public static FieldReader collecting(JsonNode node) {
+    FieldReader checked = FieldReader.of("", node);
+    List<InvalidFieldException> collected = new ArrayList<>();
+    return new FieldReader("", checked.node, collected::add, collected);
+  }
+
+  private static void raise(InvalidFieldException problem) {
+    throw problem;
+  }
+
+  /**
+   * Checks that all that was read is accepted, by this reader and those that it gave out.
+   *
+   * @throws InvalidFieldException with a line for each problem
+   */
+  public void finish() {
+    if (!collected.isEmpty()) {
+      throw InvalidFieldException.all(collected);
+    }
+  }
+
+  /** Throws, or notes a problem with a field. */
+  public void reject(String name, String problem) {
+    problems.accept(invalid(name, problem));
+  }
+
+  private <T> T reject(String name, String problem, T standIn) {
+    reject(name, problem);
+    return standIn;
   }
 
   /** Returns where a field stands. */
@@ -52,11 +104,11 @@
 
   /** Returns a text that must be given and not be empty. */
   public String text(String name) {
-    String text = scalar(name).orElseThrow(() -> invalid(name, "must be given"));
+    Optional<String> text = scalar(name);
     if (text.isEmpty()) {
-      throw invalid(name, "must not be empty");
+      return reject(name, "must be given", "");
     }
-    return text;
+    return text.get().isEmpty() ? reject(name, "must not be empty", "") : text.get();
   }
 
   /** Returns a text, or the default. */
@@ -72,10 +124,19 @@
   /** Returns an IP number and port that must be given. */
   public HostPort address(String name) {
     String text = text(name);
+    return text.isEmpty() ? NO_ADDRESS : parseAddress(name, text);
+  }
+
+  /** Returns an IP number and port if they are given. */
+  public Optional<HostPort> optionalAddress(String name) {
+    return has(name) ? Optional.of(address(name)) : Optional.empty();
+  }
+
+  private HostPort parseAddress(String name, String text) {
     try {
       return HostPort.parse(text);
     } catch (IllegalArgumentException e) {
-      throw invalid(name, "is " + text + ", allowed: IP number and port");
+      return reject(name, "is " + text + ", allowed: IP number and port", NO_ADDRESS);
     }
   }
 
@@ -91,13 +152,17 @@
 
   /** Returns a long integer that must be given, within bounds. */
   public long longInteger(String name, long min, long max) {
-    JsonNode value = find(name).orElseThrow(() -> invalid(name, "must be given"));
-    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
-      throw invalid(name, "must be an integer from " + min + " to " + max + ", not " + value);
+    Optional<JsonNode> value = find(name);
+    if (value.isEmpty()) {
+      return reject(name, "must be given", min);
+    }
+    if (!value.get().isIntegralNumber() || !value.get().canConvertToLong()) {
+      return reject(
+          name, "must be an integer from " + min + " to " + max + ", not " + value.get(), min);
     }
-    long number = value.longValue();
+    long number = value.get().longValue();
     if (number < min || number > max) {
-      throw invalid(name, "is " + number + ", allowed: " + min + " to " + max);
+      return reject(name, "is " + number + ", allowed: " + min + " to " + max, min);
     }
     return number;
   }
@@ -109,11 +174,12 @@
       return defaultValue;
     }
     if (!value.get().isNumber()) {
-      throw invalid(name, "must be a number from " + min + " to " + max + ", not " + value.get());
+      return reject(
+          name, "must be a number from " + min + " to " + max + ", not " + value.get(), min);
     }
     double number = value.get().doubleValue();
     if (number < min || number > max) {
-      throw invalid(name, "is " + number + ", allowed: " + min + " to " + max);
+      return reject(name, "is " + number + ", allowed: " + min + " to " + max, min);
     }
     return number;
   }
@@ -125,7 +191,7 @@
       return defaultValue;
     }
     if (!value.get().isBoolean()) {
-      throw invalid(name, "must be true or false, not " + value.get());
+      return reject(name, "must be true or false, not " + value.get(), defaultValue);
     }
     return value.get().booleanValue();
   }
@@ -142,7 +208,7 @@
         return value;
       }
     }
-    throw invalid(name, "is " + text.get() + ", allowed: " + names(type));
+    return reject(name, "is " + text.get() + ", allowed: " + names(type), defaultValue);
   }
 
   private static <E extends Enum<E>> String names(Class<E> type) {
@@ -155,14 +221,25 @@
 
   /** Returns a reader of an object that must be given. */
   public FieldReader object(String name) {
-    JsonNode value = find(name).orElseThrow(() -> invalid(name, "must be given"));
-    return FieldReader.of(pathOf(name), value);
+    Optional<JsonNode> value = find(name);
+    if (value.isEmpty()) {
+      reject(name, "must be given");
+    }
+    return part(pathOf(name), value.orElseGet(Json::object));
   }
 
   /** Returns a reader of an object, of an empty one if it isn't given. */
   public FieldReader objectOrEmpty(String name) {
     Optional<JsonNode> value = find(name);
-    return FieldReader.of(pathOf(name), value.orElseGet(Json::object));
+    return part(pathOf(name), value.orElseGet(Json::object));
+  }
+
+  private FieldReader part(String partPath, JsonNode part) {
+    if (!part.isObject()) {
+      problems.accept(new InvalidFieldException(partPath, "must be an object"));
+      return new FieldReader(partPath, Json.object(), problems, collected);
+    }
+    return new FieldReader(partPath, part, problems, collected);
   }
 
   /** Returns readers of a list of objects; an absent list is empty. */
@@ -170,7 +247,7 @@
     ImmutableList.Builder<FieldReader> readers = ImmutableList.builder();
     int index = 0;
     for (JsonNode element : list(name)) {
-      readers.add(FieldReader.of(pathOf(name) + "[" + index++ + "]", element));
+      readers.add(part(pathOf(name) + "[" + index++ + "]", element));
     }
     return readers.build();
   }
@@ -180,7 +257,7 @@
     ImmutableList.Builder<String> texts = ImmutableList.builder();
     for (JsonNode element : list(name)) {
       if (!element.isValueNode()) {
-        throw invalid(name, "must be a list of plain values");
+        return reject(name, "must be a list of plain values", ImmutableList.of());
       }
       texts.add(element.asText());
     }
@@ -201,7 +278,7 @@
       return Json.list();
     }
     if (!value.get().isArray()) {
-      throw invalid(name, "must be a list");
+      return reject(name, "must be a list", Json.list());
     }
     return value.get();
   }
@@ -212,7 +289,7 @@
         .forEachRemaining(
             name -> {
               if (!read.contains(name)) {
-                throw invalid(name, "is not a known field, known: " + String.join(", ", read));
+                reject(name, "is not a known field, known: " + String.join(", ", read));
               }
             });
   }
@@ -225,7 +302,7 @@
   private Optional<String> scalar(String name) {
     Optional<JsonNode> value = find(name);
     if (value.isPresent() && !value.get().isValueNode()) {
-      throw invalid(name, "must be a plain value");
+      return reject(name, "must be a plain value", Optional.empty());
     }
     return value.map(JsonNode::asText);
   }
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Counters.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Counters.java
@@ -2,12 +2,44 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
-/** The node's counters and timers; docs/METRICS.md lists them. */
+/**
+ * The node's counters and timers; docs/METRICS.md lists them.
+ *
+ * <p>Meters are kept once found: a registry's own look-up makes a name and its labels anew each
+ * time. Thread-safe.
+ */
 public final class Counters {
+  /** Upper ends of the histograms' buckets; those of the objectives of a first token are close. */
+  private static final Duration[] BUCKETS = {
+    Duration.ofMillis(5),
+    Duration.ofMillis(10),
+    Duration.ofMillis(25),
+    Duration.ofMillis(50),
+    Duration.ofMillis(75),
+    Duration.ofMillis(100),
+    Duration.ofMillis(150),
+    Duration.ofMillis(250),
+    Duration.ofMillis(350),
+    Duration.ofMillis(500),
+    Duration.ofMillis(750),
+    Duration.ofMillis(1000),
+    Duration.ofMillis(2000),
+    Duration.ofMillis(5000),
+    Duration.ofMillis(20_000)
+  };
+
+  private record CounterKey(Metric metric, String reason) {}
+
   private final MeterRegistry registry;
+  private final Map<CounterKey, Counter> counters = new ConcurrentHashMap<>();
+  private final Map<Metric, Timer> timers = new ConcurrentHashMap<>();
 
   private Counters(MeterRegistry registry) {
     this.registry = checkNotNull(registry);
@@ -25,16 +57,34 @@
 
   /** Adds to a counter with a reason. */
   public void add(Metric metric, String reason, double amount) {
-    registry.counter(metric.meter(), "reason", reason).increment(amount);
+    counter(metric, reason).increment(amount);
   }
 
   /** Records a duration. */
   public void record(Metric metric, Duration duration) {
-    registry.timer(metric.meter()).record(duration);
+    timers.computeIfAbsent(metric, this::timer).record(duration);
   }
 
   /** Returns the present value of a counter, 0 if it was never raised. */
   public double value(Metric metric, String reason) {
-    return registry.counter(metric.meter(), "reason", reason).count();
+    return counter(metric, reason).count();
+  }
+
+  /** Returns how many durations were recorded. */
+  public long recorded(Metric metric) {
+    return timers.computeIfAbsent(metric, this::timer).count();
+  }
+
+  private Counter counter(Metric metric, String reason) {
+    return counters.computeIfAbsent(
+        new CounterKey(metric, reason),
+        key -> registry.counter(metric.meter(), "reason", key.reason()));
+  }
+
+  private Timer timer(Metric metric) {
+    return Timer.builder(metric.meter())
+        .description(metric.text())
+        .serviceLevelObjectives(BUCKETS)
+        .register(registry);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -19,7 +19,14 @@
   CLAIMS("vaneworks.claims", "keyed requests, by outcome"),
   FIRST_TOKEN("vaneworks.first.token", "time to the first token"),
   BETWEEN_TOKENS("vaneworks.between.tokens", "time between tokens"),
-  RECOVERY("vaneworks.recovery", "time from the loss of a hop to the next accepted token");
+  RECOVERY("vaneworks.recovery", "time from the loss of a hop to the next accepted token"),
+  REQUEST_TIME("vaneworks.request.time", "time from a request to the end of its whole answer"),
+  DETECTION_TIME(
+      "vaneworks.detection.time", "time from a request's last progress to its engine's suspicion"),
+  STORE_TIME("vaneworks.store.time", "time of a call to the platform's store that does not wait"),
+  ORDER_TIME("vaneworks.order.time", "time from an order to its answer"),
+  PLACEMENT_TIME(
+      "vaneworks.placement.time", "time from a decision on an engine's layers until it is listed");
 
   private final String meter;
   private final String text;
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -5,9 +5,12 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.DecoderException;
 import io.servicetalk.concurrent.api.Completable;
+import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpServerBuilder;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -42,6 +45,9 @@
   /** Colon, space and line end of a header. */
   private static final int HEADER_MARKS = 4;
 
+  /** The text form that Prometheus reads. */
+  private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
   private final Service service;
   private final HeaderDialect dialect;
   private final Supplier<EntryLimits> limits;
@@ -80,10 +86,7 @@
       Counters counters)
       throws Exception {
     EntryServer server = new EntryServer(service, dialect, limits, closing, counters);
-    return HttpServers.forAddress(new InetSocketAddress(address.host(), address.port()))
-        .ioExecutor(io)
-        .executor(io)
-        .executionStrategy(HttpExecutionStrategies.offloadNone())
+    return onTheLoop(address, io)
         .protocols(
             HttpProtocolConfigs.h1()
                 .maxStartLineLength(maxHeaderBytes)
@@ -102,16 +105,38 @@
   /** Listens to the balancer's readiness check; any path is answered. */
   public static HttpServerContext listenReadiness(
       HostPort address, IoExecutor io, BooleanSupplier ready) throws Exception {
-    return HttpServers.forAddress(new InetSocketAddress(address.host(), address.port()))
-        .ioExecutor(io)
-        .executor(io)
-        .executionStrategy(HttpExecutionStrategies.offloadNone())
+    return onTheLoop(address, io)
         .listenStreamingAndAwait(
             (context, request, factory) ->
                 Single.succeeded(
                     ready.getAsBoolean() ? factory.ok() : factory.serviceUnavailable()));
   }
 
+  /** Listens to readers of the node's own figures; any path is answered with the text. */
+  public static HttpServerContext listenMetrics(
+      HostPort address, IoExecutor io, Supplier<String> metrics) throws Exception {
+    return onTheLoop(address, io)
+        .listenStreamingAndAwait(
+            (context, request, factory) ->
+                Single.succeeded(
+                    factory
+                        .ok()
+                        .setHeader(HttpHeaderNames.CONTENT_TYPE, METRICS_TYPE)
+                        .payloadBody(
+                            Publisher.from(
+                                context
+                                    .executionContext()
+                                    .bufferAllocator()
+                                    .fromUtf8(metrics.get())))));
+  }
+
+  private static HttpServerBuilder onTheLoop(HostPort address, IoExecutor io) {
+    return HttpServers.forAddress(new InetSocketAddress(address.host(), address.port()))
+        .ioExecutor(io)
+        .executor(io)
+        .executionStrategy(HttpExecutionStrategies.offloadNone());
+  }
+
   private Single<StreamingHttpResponse> handle(
       HttpServiceContext context,
       StreamingHttpRequest request,
