Two silences in a row, not one, make an engine suspected

Cause: a node that has just started has streams that look stalled because it is late itself; it checks all engines of their paths at once, and a dozen connections set up one after the other take longer than the limit of one check. Ruled out: engines that are slow (no other node saw it), a slow network (the same). Weighed: no suspicion by a timer that fired late (the timers fire in time, the set-ups are what queues); fewer checks at once (holds a dead data centre up just as long). Change: a silent engine is asked a second time at once; the limit is 100 ms instead of 150, so a silent loss is known 50 ms later than before, a refused connection as fast.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -0,0 +1,149 @@
+package org.vaneworks.tests.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableMap;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.fleet.EngineControl;
+import org.vaneworks.coordination.fleet.EngineReport;
+import org.vaneworks.coordination.fleet.Fleet;
+import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.HealthWatch;
+import org.vaneworks.coordination.fleet.RepathOutcome;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.state.HostPort;
+import org.vaneworks.state.LayerRange;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.testlib.PausedExecutor;
+
+/** Checks what makes a node believe that an engine is dead. */
+final class HealthWatchTest {
+  /** What the engine does when it is asked. */
+  private enum Reply {
+    ANSWERS,
+    IS_SILENT,
+    REFUSES
+  }
+
+  private final PausedExecutor clock = PausedExecutor.create();
+  private final Fleet fleet =
+      Fleet.create(clock, Counters.in(new SimpleMeterRegistry()), Duration.ofMillis(2500));
+  private final Queue<Reply> replies = new ArrayDeque<>();
+  private final HealthWatch health = HealthWatch.create(clock, fleet, new Engine());
+  private TrackedEndpoint engine;
+  private int asked;
+  private int suspicions;
+
+  /** Replies as the test says, and answers once nothing more was said. */
+  private final class Engine implements EngineControl {
+    @Override
+    public CompletableFuture<EngineReport> report(FleetEndpoint endpoint, Duration limit) {
+      asked++;
+      Reply reply = replies.isEmpty() ? Reply.ANSWERS : replies.remove();
+      return switch (reply) {
+        case ANSWERS ->
+            CompletableFuture.completedFuture(
+                new EngineReport(1, false, endpoint.layers(), 1, ImmutableMap.of()));
+        case REFUSES -> CompletableFuture.failedFuture(new ConnectException("refused"));
+        case IS_SILENT -> {
+          CompletableFuture<EngineReport> late = new CompletableFuture<>();
+          clock.schedule(
+              () -> late.completeExceptionally(new TimeoutException("timeout after " + limit)),
+              limit);
+          yield late;
+        }
+      };
+    }
+
+    @Override
+    public CompletableFuture<OrderOutcome> hold(
+        FleetEndpoint endpoint, LayerRange layers, OrderGuard guard) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<RepathOutcome> repath(
+        FleetEndpoint first, String requestId, String path) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  @BeforeEach
+  void listEngine() {
+    fleet.put(
+        new FleetEndpoint(
+            "a", "s", new HostPort("10.0.0.1", 80), "dc1", 6, false, Optional.empty(), ""));
+    engine = fleet.of("s").get(0);
+    fleet.onSuspicion(suspected -> suspicions++);
+  }
+
+  private void check(Reply... inOrder) {
+    replies.addAll(List.of(inOrder));
+    health.check(engine);
+  }
+
+  @Test
+  void engineThatAnswersIsNotSuspected() {
+    check(Reply.ANSWERS);
+    clock.advance(Duration.ofSeconds(1));
+    assertEquals(0, suspicions);
+  }
+
+  @Test
+  void engineThatRefusesIsSuspectedAtOnce() {
+    check(Reply.REFUSES);
+    clock.runDue();
+    assertTrue(engine.suspected());
+  }
+
+  @Test
+  void oneLateAnswerIsNoSuspicion() {
+    check(Reply.IS_SILENT, Reply.ANSWERS);
+    clock.advance(Duration.ofSeconds(1));
+    assertEquals(0, suspicions);
+    assertEquals(2, asked);
+  }
+
+  @Test
+  void engineThatIsSilentTwiceIsSuspectedWithinAFifthOfASecond() {
+    check(Reply.IS_SILENT, Reply.IS_SILENT);
+    clock.advance(Duration.ofMillis(200));
+    assertTrue(engine.suspected());
+  }
+
+  @Test
+  void engineThatRefusesAfterASilenceIsSuspected() {
+    check(Reply.IS_SILENT, Reply.REFUSES);
+    clock.advance(Duration.ofMillis(150));
+    assertTrue(engine.suspected());
+  }
+
+  @Test
+  void engineThatLeftTheListIsNotAskedAgain() {
+    check(Reply.IS_SILENT);
+    fleet.remove("a");
+    clock.advance(Duration.ofSeconds(1));
+    assertEquals(1, asked);
+    assertEquals(0, suspicions);
+  }
+
+  @Test
+  void suspectedEngineIsAskedUntilItAnswers() {
+    check(Reply.REFUSES, Reply.IS_SILENT);
+    clock.advance(Duration.ofSeconds(3));
+    assertFalse(engine.suspected());
+    assertEquals(3, asked);
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeoutException;
 import org.vaneworks.coordination.Async;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -18,8 +19,15 @@
  * <p>Nothing is sent while requests make progress. Confined to the node's event loop.
  */
 public final class HealthWatch {
-  /** An engine in the same region answers in a few ms; ten times its usual worst. */
-  private static final Duration PROBE_LIMIT = Duration.ofMillis(150);
+  /** An engine in the same region answers in a few ms; six times its usual worst. */
+  private static final Duration PROBE_LIMIT = Duration.ofMillis(100);
+
+  /**
+   * Questions without an answer, in a row, that make an engine suspected. One proves nothing: a
+   * node that has just started sets up a dozen connections at once, and takes its own delay for the
+   * engines' silence. A refused connection needs no second question.
+   */
+  private static final int SILENCES = 2;
 
   /** An answer this young serves all requests that ask about the same engine. */
   private static final Duration FRESH = Duration.ofMillis(200);
@@ -59,20 +67,37 @@
     if (askedLately || engine.suspected() || engine.delisted()) {
       return;
     }
-    askedAt.put(engine, now);
+    ask(engine, 1);
+  }
+
+  /**
+   * Asks an engine.
+   *
+   * @param question counts from 1, and rises while the engine is silent
+   */
+  private void ask(TrackedEndpoint engine, int question) {
+    askedAt.put(engine, clock.currentTime(NANOSECONDS));
     Async.onDone(
         control.report(engine.endpoint(), PROBE_LIMIT),
         clock,
         (report, failure) -> {
-          if (failure != null) {
-            fleet.suspect(engine, "no sign of life: " + failure);
-          } else {
+          if (failure == null) {
             takePace(engine, report);
             takeStalls(engine, report);
+          } else if (!engine.delisted()) {
+            unanswered(engine, question, failure);
           }
         });
   }
 
+  private void unanswered(TrackedEndpoint engine, int question, Throwable failure) {
+    if (failure instanceof TimeoutException && question < SILENCES) {
+      ask(engine, question + 1);
+    } else {
+      fleet.suspect(engine, "no sign of life, asked " + question + " times: " + failure);
+    }
+  }
+
   /** Asks an engine for its pace, unless it was asked within the last second. */
   public void checkPace(TrackedEndpoint engine) {
     Long last = askedAt.get(engine);
