A node that is late itself gives engines three times the slowest answer of the last second

Ruled out: engines that are dead (no other node suspected one). Change: the limit of a check is three times the slowest answer of the last second, from 100 to 400 ms.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -29,6 +29,15 @@
    */
   private static final int SILENCES = 2;
 
+  /**
+   * An answer may take this many times as long as the slowest of the last second. While a node is
+   * late itself, all answers seem to be: those that come show by how much.
+   */
+  private static final int SLOWEST_TIMES = 3;
+
+  private static final Duration SLOWEST_HOLDS = Duration.ofSeconds(1);
+  private static final Duration LONGEST_LIMIT = Duration.ofMillis(400);
+
   /** An answer this young serves all requests that ask about the same engine. */
   private static final Duration FRESH = Duration.ofMillis(200);
 
@@ -45,6 +54,8 @@
   private final Fleet fleet;
   private final EngineControl control;
   private final Map<TrackedEndpoint, Long> askedAt = new HashMap<>();
+  private Duration slowestAnswer = Duration.ZERO;
+  private long slowestAnswerAt = Long.MIN_VALUE / 2;
 
   private HealthWatch(Executor clock, Fleet fleet, EngineControl control) {
     this.clock = checkNotNull(clock);
@@ -61,7 +72,7 @@
 
   /** Asks an engine, unless it was asked a moment ago; suspects it if it doesn't answer. */
   public void check(TrackedEndpoint engine) {
-    long now = clock.currentTime(NANOSECONDS);
+    long now = now();
     Long last = askedAt.get(engine);
     boolean askedLately = last != null && now - last < FRESH.toNanos();
     if (askedLately || engine.suspected() || engine.delisted()) {
@@ -76,12 +87,14 @@
    * @param question counts from 1, and rises while the engine is silent
    */
   private void ask(TrackedEndpoint engine, int question) {
-    askedAt.put(engine, clock.currentTime(NANOSECONDS));
+    long asked = now();
+    askedAt.put(engine, asked);
     Async.onDone(
-        control.report(engine.endpoint(), PROBE_LIMIT),
+        control.report(engine.endpoint(), limit()),
         clock,
         (report, failure) -> {
           if (failure == null) {
+            noteAnswer(Duration.ofNanos(now() - asked));
             takePace(engine, report);
             takeStalls(engine, report);
           } else if (!engine.delisted()) {
@@ -98,10 +111,31 @@
     }
   }
 
+  private void noteAnswer(Duration took) {
+    if (slowestIsOld() || took.compareTo(slowestAnswer) >= 0) {
+      slowestAnswer = took;
+      slowestAnswerAt = now();
+    }
+  }
+
+  private boolean slowestIsOld() {
+    return now() - slowestAnswerAt > SLOWEST_HOLDS.toNanos();
+  }
+
+  private Duration limit() {
+    Duration atLeast = slowestIsOld() ? Duration.ZERO : slowestAnswer.multipliedBy(SLOWEST_TIMES);
+    Duration limit = atLeast.compareTo(PROBE_LIMIT) > 0 ? atLeast : PROBE_LIMIT;
+    return limit.compareTo(LONGEST_LIMIT) > 0 ? LONGEST_LIMIT : limit;
+  }
+
+  private long now() {
+    return clock.currentTime(NANOSECONDS);
+  }
+
   /** Asks an engine for its pace, unless it was asked within the last second. */
   public void checkPace(TrackedEndpoint engine) {
     Long last = askedAt.get(engine);
-    if (last == null || clock.currentTime(NANOSECONDS) - last >= PACE_RETRY.toNanos()) {
+    if (last == null || now() - last >= PACE_RETRY.toNanos()) {
       check(engine);
     }
   }
