Fewer calls to the store in large fleets: long leases for entries, a longer pause

Each of 69 nodes renewed a lease of three seconds each second, though only the controller needs a short one, and each change woke each node after half a second. Ruled out: stale reads (they say nothing of how fresh a view is); a longer wait of the watch (a node would serve on for less when the store goes away). Change: HeldLease, one lease that is kept; a node's entry has one of 12 s renewed each 4 s, the controller's claim another of 3 s that is opened to claim. An entry whose write had no answer is written again under the same lease. News of an earlier controller changes nothing. The pause grows from 0.1 to 0.2 of the revocation time between 32 and 64 nodes; a node then serves on for a quarter of the time. The number of live nodes is counted when it changes, not for each request. Tests: NodeLeaseTest (four more), FollowTimesTest.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -91,7 +91,6 @@
     SharedStore store = MeasuredStore.of(io, adapters.store(), counters);
     lease = NodeLease.create(io, random, store, OWN_PREFIX, settings.name(), run);
     configuration = new ConfigurationWatch(adapters.configurationKey(), adapters.configuration());
-    FollowTimes times = FollowTimes.within(settings.keyRevocation());
     follower =
         PrefixFollower.create(
             io,
@@ -99,8 +98,8 @@
             store,
             counters,
             EVERYTHING,
-            times.watchWait(),
-            times.pause(),
+            () -> followTimes().watchWait(),
+            () -> followTimes().pause(),
             PrefixRouter.of(
                 ImmutableMap.of(
                     adapters.configurationKey(),
@@ -130,6 +129,10 @@
             counters);
   }
 
+  private FollowTimes followTimes() {
+    return FollowTimes.within(settings.keyRevocation(), lease.liveNodes());
+  }
+
   private static ForwardingLimits limits(EntrySettings settings) {
     long freshness = (long) (settings.keyRevocation().toNanos() * KEY_FRESHNESS_PART);
     return new ForwardingLimits(
@@ -239,8 +242,6 @@
       EventLog.warn(Event.SETTING_NEEDS_RESTART, "field", field);
     }
     settings = settings.withChangeableFieldsOf(next);
-    FollowTimes times = FollowTimes.within(settings.keyRevocation());
-    follower.times(times.watchWait(), times.pause());
     forwarder.limits(limits(settings));
     EventLog.info(
         Event.SETTINGS_READ_AGAIN,
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/FollowTimes.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/FollowTimes.java
@@ -22,22 +22,38 @@
 
   /**
    * Half a second of five: small against the two seconds in which a change has to be in force. On
-   * days with trouble changes come without end, and this bounds the calls to two a second.
+   * days with trouble changes come without end, and this bounds a node's calls to two a second.
    */
   private static final double PAUSE_PART = 0.1;
 
+  /**
+   * The same in a large fleet: each change wakes every node, and more boxes bring more changes. A
+   * node still serves on for a quarter of the time when the store goes away.
+   */
+  private static final double LONGEST_PAUSE_PART = 0.2;
+
+  /** Nodes from which on the pause grows; with twice as many it is longest. */
+  private static final int LARGE_FLEET = 32;
+
   /**
    * A watch that a cut has silenced is given up a second after its wait; nodes count as connected
    * again three seconds after a cut.
    */
   private static final Duration LONGEST_WAIT = Duration.ofSeconds(3);
 
-  /** Returns the times for a deployment in which revoked keys have to stop working that soon. */
-  static FollowTimes within(Duration keyRevocation) {
+  /**
+   * Returns the times for a deployment.
+   *
+   * @param keyRevocation time in which a key that was taken away has to stop working
+   * @param nodes live nodes, which all follow the same changes
+   */
+  static FollowTimes within(Duration keyRevocation, int nodes) {
     Duration wait = part(keyRevocation, WAIT_PART);
     boolean bounded = wait.compareTo(LONGEST_WAIT) > 0;
     Duration longest = bounded ? LONGEST_WAIT : wait;
-    return new FollowTimes(longest, part(longest, PAUSE_PART / WAIT_PART));
+    double grown = PAUSE_PART * nodes / LARGE_FLEET;
+    double pausePart = Math.max(PAUSE_PART, Math.min(LONGEST_PAUSE_PART, grown));
+    return new FollowTimes(longest, part(longest, pausePart / WAIT_PART));
   }
 
   private static Duration part(Duration of, double share) {
--- a/vaneworks-daemon/src/test/java/org/vaneworks/daemon/entry/FollowTimesTest.java
+++ b/vaneworks-daemon/src/test/java/org/vaneworks/daemon/entry/FollowTimesTest.java
@@ -14,7 +14,7 @@
   void viewStaysYoungEnoughToServeWhileASlowStoreAnswers() {
     for (int seconds = 1; seconds <= 60; seconds++) {
       Duration revocation = Duration.ofSeconds(seconds);
-      FollowTimes times = FollowTimes.within(revocation);
+      FollowTimes times = FollowTimes.within(revocation, 350);
       Duration slowStore = revocation.dividedBy(10);
 
       Duration oldest = times.watchWait().multipliedBy(2).plus(times.pause()).plus(slowStore);
@@ -26,7 +26,7 @@
   @Test
   void nodeServesOnForAThirdOfTheTimeWhenTheStoreGoesAway() {
     Duration revocation = Duration.ofSeconds(5);
-    FollowTimes times = FollowTimes.within(revocation);
+    FollowTimes times = FollowTimes.within(revocation, 8);
 
     Duration oldest = times.watchWait().multipliedBy(2).plus(times.pause());
 
@@ -36,6 +36,14 @@
 
   @Test
   void longRevocationTimeDoesNotDelayTheEndOfASilentWatch() {
-    assertEquals(Duration.ofSeconds(3), FollowTimes.within(Duration.ofMinutes(1)).watchWait());
+    assertEquals(Duration.ofSeconds(3), FollowTimes.within(Duration.ofMinutes(1), 8).watchWait());
+  }
+
+  @Test
+  void largeFleetWaitsLongerBetweenCalls() {
+    Duration revocation = Duration.ofSeconds(5);
+    assertEquals(Duration.ofMillis(500), FollowTimes.within(revocation, 8).pause());
+    assertEquals(Duration.ofMillis(750), FollowTimes.within(revocation, 48).pause());
+    assertEquals(Duration.ofSeconds(1), FollowTimes.within(revocation, 85).pause());
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.shared.NodeLease;
 import org.vaneworks.coordination.shared.PrefixFollower;
+import org.vaneworks.coordination.shared.StoreChanges;
+import org.vaneworks.coordination.shared.StoredItem;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -31,8 +33,8 @@
             reached,
             Counters.in(new SimpleMeterRegistry()),
             PREFIX,
-            Duration.ofMillis(1500),
-            Duration.ofMillis(100),
+            () -> Duration.ofMillis(1500),
+            () -> Duration.ofMillis(100),
             lease)
         .start();
     lease.start();
@@ -131,6 +133,52 @@
     assertTrue(claims < 20, "claims: " + claims);
   }
 
+  @Test
+  void nodesThatDoNotDecideCallTheStoreSeldom() {
+    for (int i = 0; i < 8; i++) {
+      node(store, "box" + i, "1");
+    }
+    advance(3000);
+    store.calls.clear();
+    advance(12_000);
+    long renewals = store.calls.stream().filter(call -> call.startsWith("renew")).count();
+    assertTrue(renewals <= 8 * 3 + 12, "renewals: " + renewals);
+  }
+
+  @Test
+  void nodeIsCountedWhileItsEntryStands() {
+    NodeLease first = node(store, "box1", "1");
+    store.put(PREFIX + "nodes/box2/1", "");
+    advance(500);
+    assertEquals(2, first.liveNodes());
+    store.remove(PREFIX + "nodes/box2/1");
+    advance(2000);
+    assertEquals(1, first.liveNodes());
+  }
+
+  @Test
+  void entryWhoseWriteHadNoAnswerIsThereInTheEnd() {
+    store.losesAnswers = false;
+    NodeLease first = node(store, "box1", "1");
+    store.losesAnswers = true;
+    advance(300);
+    store.losesAnswers = false;
+    advance(30_000);
+    assertTrue(store.has(PREFIX + "nodes/box1/1"));
+    assertTrue(first.controllerFence().isPresent());
+  }
+
+  @Test
+  void newsOfAnEarlierControllerChangesNothing() {
+    NodeLease first = node(store, "box1", "1");
+    advance(500);
+    long fence = first.controllerFence().getAsLong();
+    first.change(
+        new StoreChanges.Change(new StoredItem(PREFIX + "controller", "", fence - 1, 0), true));
+    advance(5000);
+    assertEquals(fence, first.controllerFence().getAsLong());
+  }
+
   private NodeLease controller() {
     return nodes.stream().filter(node -> node.controllerFence().isPresent()).findFirst().get();
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/PrefixFollowerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/PrefixFollowerTest.java
@@ -29,8 +29,8 @@
           store,
           Counters.in(new SimpleMeterRegistry()),
           "a/",
-          Duration.ofMillis(1500),
-          Duration.ofMillis(100),
+          () -> Duration.ofMillis(1500),
+          () -> Duration.ofMillis(100),
           new PrefixFollower.Listener() {
             @Override
             public void replace(ImmutableList<StoredItem> items) {
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/HeldLease.java
@@ -0,0 +1,135 @@
+package org.vaneworks.coordination.shared;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import io.servicetalk.concurrent.Executor;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.vaneworks.coordination.Async;
+
+/**
+ * A lease in the store that is opened, renewed, and opened anew when the store ended it.
+ *
+ * <p>It counts as held until its lifetime after the last renewal was asked, by this node's clock;
+ * the store may end it later, never sooner. Confined to the node's event loop.
+ */
+final class HeldLease {
+  private final Executor clock;
+  private final SharedStore store;
+  private final Duration lifetime;
+  private final Duration renewal;
+  private final LongConsumer onOpened;
+  private final Consumer<String> onLost;
+  private OptionalLong id = OptionalLong.empty();
+  private long heldUntil = Long.MIN_VALUE / 2;
+  private boolean wanted;
+
+  /** Rises with each start, so that calls of an earlier one change nothing. */
+  private int start;
+
+  /**
+   * Makes a lease that is not open.
+   *
+   * @param renewal how often it is renewed; well below the lifetime
+   * @param onOpened is told the id of each lease that is opened
+   * @param onLost is told why a lease is over that was not released
+   */
+  HeldLease(
+      Executor clock,
+      SharedStore store,
+      Duration lifetime,
+      Duration renewal,
+      LongConsumer onOpened,
+      Consumer<String> onLost) {
+    this.clock = checkNotNull(clock);
+    this.store = checkNotNull(store);
+    this.lifetime = checkNotNull(lifetime);
+    this.renewal = checkNotNull(renewal);
+    this.onOpened = checkNotNull(onOpened);
+    this.onLost = checkNotNull(onLost);
+  }
+
+  /** Opens the lease and keeps it, if that is not under way. */
+  void keep() {
+    if (!wanted) {
+      wanted = true;
+      start++;
+      renewOrOpen(start);
+    }
+  }
+
+  /** Renews no longer; the store ends the lease in its time. */
+  void release() {
+    wanted = false;
+    id = OptionalLong.empty();
+  }
+
+  /** Ends the lease at once, so that others need not wait for it to lapse. */
+  void end() {
+    id.ifPresent(open -> Async.ignore(store.endLease(open)));
+    release();
+  }
+
+  /** Returns the id of the lease that was opened last and is not known to be over. */
+  OptionalLong id() {
+    return id;
+  }
+
+  /** Returns whether the store still keeps the lease for sure. */
+  boolean isHeld() {
+    return id.isPresent() && clock.currentTime(NANOSECONDS) < heldUntil;
+  }
+
+  private void renewOrOpen(int began) {
+    if (!wanted || began != start) {
+      return;
+    }
+    long askedAt = clock.currentTime(NANOSECONDS);
+    if (id.isPresent()) {
+      Async.onDone(
+          store.renew(id.getAsLong()),
+          clock,
+          (alive, failure) -> {
+            if (wanted && began == start) {
+              renewed(askedAt, failure == null, failure == null && alive);
+              later(began);
+            }
+          });
+    } else {
+      Async.onDone(
+          store.openLease(lifetime),
+          clock,
+          (opened, failure) -> {
+            if (wanted && began == start) {
+              // A failure is counted by the store's own meters; the next renewal tries again.
+              if (failure == null) {
+                opened(askedAt, opened);
+              }
+              later(began);
+            }
+          });
+    }
+  }
+
+  private void renewed(long askedAt, boolean answered, boolean alive) {
+    if (alive) {
+      heldUntil = askedAt + lifetime.toNanos();
+    } else if (answered) {
+      id = OptionalLong.empty();
+      onLost.accept("the store ended the lease");
+    }
+  }
+
+  private void opened(long askedAt, long newId) {
+    id = OptionalLong.of(newId);
+    heldUntil = askedAt + lifetime.toNanos();
+    onOpened.accept(newId);
+  }
+
+  private void later(int began) {
+    clock.schedule(() -> renewOrOpen(began), renewal.toNanos(), NANOSECONDS);
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -15,15 +15,24 @@
 import org.vaneworks.telemetry.EventLog;
 
 /**
- * This node's lease in the store: its entry among the live nodes and, on one node, the
+ * This node's leases in the store: that of its entry among the live nodes and, on one node, the
  * controller's.
  *
- * <p>The lease counts as held until its lifetime after the last renewal was asked, by this node's
- * clock; the store may remove it later, never sooner. Confined to the node's event loop.
+ * <p>The entry only tells how many nodes share the endpoints, so its lease is long: short ones were
+ * two thirds of all calls of a large fleet. The controller's is short, and opened to claim it.
+ * Confined to the node's event loop.
  */
 public final class NodeLease implements PrefixFollower.Listener {
-  private static final Duration LIFETIME = Duration.ofMillis(3000);
-  private static final Duration RENEWAL = Duration.ofMillis(1000);
+  private static final Duration ENTRY_LIFETIME = Duration.ofSeconds(12);
+  private static final Duration ENTRY_RENEWAL = Duration.ofSeconds(4);
+
+  /** How long after an entry was not written, perhaps, it is written again. */
+  private static final Duration ENTRY_RETRY = Duration.ofSeconds(1);
+
+  /** Bounds how long engines are without a controller after a crash. */
+  private static final Duration CONTROLLER_LIFETIME = Duration.ofMillis(3000);
+
+  private static final Duration CONTROLLER_RENEWAL = Duration.ofMillis(1000);
 
   /**
    * Claims of all nodes are spread over this much a node, so that most nodes have seen the winner
@@ -41,11 +50,11 @@
   private final String prefix;
   private final String node;
   private final Set<String> nodes = new HashSet<>();
-  private OptionalLong lease = OptionalLong.empty();
-  private long heldUntil = Long.MIN_VALUE / 2;
+  private final HeldLease entry;
+  private final HeldLease controller;
   private OptionalLong fence = OptionalLong.empty();
+  private int liveNodes = 1;
   private boolean controllerPresent;
-  private boolean claiming;
   private boolean followed;
   private boolean stopped;
 
@@ -55,6 +64,22 @@
     this.store = checkNotNull(store);
     this.prefix = checkNotNull(prefix);
     this.node = checkNotNull(node);
+    entry =
+        new HeldLease(
+            clock,
+            store,
+            ENTRY_LIFETIME,
+            ENTRY_RENEWAL,
+            this::writeEntry,
+            cause -> EventLog.warn(Event.LEASE_LOST, "cause", cause, "controller", false));
+    controller =
+        new HeldLease(
+            clock,
+            store,
+            CONTROLLER_LIFETIME,
+            CONTROLLER_RENEWAL,
+            this::writeClaim,
+            this::controllerLost);
   }
 
   /**
@@ -69,23 +94,28 @@
     return new NodeLease(clock, random, store, prefix, box + RUN_SEPARATOR + run);
   }
 
-  /** Opens the lease and keeps it. */
+  /** Writes the node's entry and keeps it. */
   public void start() {
-    keep();
+    entry.keep();
   }
 
-  /** Ends the lease, so that others need not wait for it to lapse. */
+  /** Ends the leases, so that others need not wait for them to lapse. */
   public void stop() {
     stopped = true;
     fence = OptionalLong.empty();
-    lease.ifPresent(id -> Async.ignore(store.endLease(id)));
+    controller.end();
+    entry.end();
   }
 
   /** Returns the number of live nodes, this one included. */
   public int liveNodes() {
+    return liveNodes;
+  }
+
+  private void countNodes() {
     // An earlier run of a box's process may be listed until its lease lapses.
     long boxes = nodes.stream().map(NodeLease::boxOf).distinct().count();
-    return Math.max(1, (int) boxes);
+    liveNodes = Math.max(1, (int) boxes);
   }
 
   private static String boxOf(String node) {
@@ -94,58 +124,32 @@
 
   /** Returns the controller's fence while this node is the controller. */
   public OptionalLong controllerFence() {
-    boolean held = !stopped && clock.currentTime(NANOSECONDS) < heldUntil;
-    return held ? fence : OptionalLong.empty();
+    return controller.isHeld() ? fence : OptionalLong.empty();
   }
 
-  private void keep() {
-    if (stopped) {
-      return;
-    }
-    long askedAt = clock.currentTime(NANOSECONDS);
-    if (lease.isEmpty()) {
-      Async.onDone(store.openLease(LIFETIME), clock, (id, failure) -> opened(askedAt, id, failure));
-      return;
-    }
+  private void writeEntry(long lease) {
     Async.onDone(
-        store.renew(lease.getAsLong()),
+        store.create(prefix + NODES + node, "", lease),
         clock,
-        (alive, failure) -> {
-          if (failure == null && alive) {
-            heldUntil = askedAt + LIFETIME.toNanos();
-          } else if (failure == null) {
-            lost("the store ended the lease");
+        (created, failure) -> {
+          // No other run has this key: if it exists, an earlier try was done after all.
+          if (failure != null && entry.id().equals(OptionalLong.of(lease))) {
+            clock.schedule(() -> writeEntryAgain(lease), ENTRY_RETRY.toNanos(), NANOSECONDS);
           }
-          keepLater();
         });
   }
 
-  private void opened(long askedAt, Long id, Throwable failure) {
-    if (failure == null && !stopped) {
-      lease = OptionalLong.of(id);
-      heldUntil = askedAt + LIFETIME.toNanos();
-      Async.onDone(
-          store.create(prefix + NODES + node, "", id),
-          clock,
-          (created, refused) -> {
-            if (refused != null) {
-              EventLog.info(Event.LEASE_LOST, "cause", refused.getMessage());
-              lost("the node's entry could not be written");
-            }
-          });
-      claimLater();
+  private void writeEntryAgain(long lease) {
+    if (entry.id().equals(OptionalLong.of(lease))) {
+      writeEntry(lease);
     }
-    keepLater();
   }
 
-  private void lost(String cause) {
+  private void controllerLost(String cause) {
     EventLog.warn(Event.LEASE_LOST, "cause", cause, "controller", fence.isPresent());
-    lease = OptionalLong.empty();
     fence = OptionalLong.empty();
-  }
-
-  private void keepLater() {
-    clock.schedule(this::keep, RENEWAL.toNanos(), NANOSECONDS);
+    controller.release();
+    claimLater();
   }
 
   private void claimLater() {
@@ -155,26 +159,37 @@
   }
 
   private void claim() {
-    boolean free = followed && !controllerPresent && lease.isPresent();
-    if (!free || claiming || stopped) {
-      return;
+    if (followed && !controllerPresent && !stopped) {
+      controller.keep();
     }
-    claiming = true;
-    long under = lease.getAsLong();
+  }
+
+  private void writeClaim(long lease) {
     Async.onDone(
-        store.create(prefix + CONTROLLER, node, under),
+        store.create(prefix + CONTROLLER, node, lease),
         clock,
         (created, failure) -> {
-          claiming = false;
+          if (!controller.id().equals(OptionalLong.of(lease))) {
+            return;
+          }
           if (failure != null) {
             // It may have been written all the same; the watch then shows this node's name.
-            clock.schedule(this::claim, RENEWAL.toNanos(), NANOSECONDS);
-          } else if (created.isPresent() && lease.equals(OptionalLong.of(under))) {
+            clock.schedule(() -> giveUpUnlessWon(lease), CONTROLLER_RENEWAL.toNanos(), NANOSECONDS);
+          } else if (created.isPresent()) {
             won(created.getAsLong());
+          } else {
+            controller.release();
           }
         });
   }
 
+  private void giveUpUnlessWon(long lease) {
+    if (fence.isEmpty() && controller.id().equals(OptionalLong.of(lease))) {
+      controller.end();
+      claimLater();
+    }
+  }
+
   private void won(long createdAt) {
     controllerPresent = true;
     if (fence.isEmpty()) {
@@ -189,6 +204,7 @@
     nodes.clear();
     controllerPresent = false;
     items.forEach(item -> take(item, false));
+    countNodes();
     if (!controllerPresent) {
       claimLater();
     }
@@ -197,6 +213,7 @@
   @Override
   public void change(StoreChanges.Change change) {
     take(change.item(), change.removed());
+    countNodes();
   }
 
   private void take(StoredItem item, boolean removed) {
@@ -209,12 +226,19 @@
   }
 
   private void takeController(StoredItem item, boolean removed) {
+    if (fence.isPresent() && item.revision() < fence.getAsLong()) {
+      return; // It tells of an earlier controller.
+    }
     controllerPresent = !removed;
     if (removed) {
       fence = OptionalLong.empty();
+      controller.release();
       claimLater();
-    } else if (item.value().equals(node) && lease.isPresent()) {
+    } else if (item.value().equals(node) && controller.id().isPresent()) {
       won(item.createdAt());
+    } else {
+      fence = OptionalLong.empty();
+      controller.release();
     }
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -7,6 +7,7 @@
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.Random;
+import java.util.function.Supplier;
 import org.vaneworks.coordination.Async;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
@@ -45,9 +46,9 @@
   private final SharedStore store;
   private final Counters counters;
   private final String prefix;
+  private final Supplier<Duration> wait;
+  private final Supplier<Duration> pause;
   private final Listener listener;
-  private Duration wait;
-  private Duration pause;
   private long revision = -1;
   private long confirmedAt = Long.MIN_VALUE / 2;
   private Duration backOff = FIRST_BACK_OFF;
@@ -60,8 +61,8 @@
       SharedStore store,
       Counters counters,
       String prefix,
-      Duration wait,
-      Duration pause,
+      Supplier<Duration> wait,
+      Supplier<Duration> pause,
       Listener listener) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
@@ -76,7 +77,7 @@
   /**
    * Returns a follower that asks nothing before {@link #start}.
    *
-   * @param wait how long a watch waits; bounds the age of the view while the store answers
+   * @param wait how long the next watch waits; bounds the age of the view while the store answers
    * @param pause between an answer and the next call, so that changes that come together cost one
    */
   public static PrefixFollower create(
@@ -85,18 +86,12 @@
       SharedStore store,
       Counters counters,
       String prefix,
-      Duration wait,
-      Duration pause,
+      Supplier<Duration> wait,
+      Supplier<Duration> pause,
       Listener listener) {
     return new PrefixFollower(clock, random, store, counters, prefix, wait, pause, listener);
   }
 
-  /** Sets how long a watch waits and the pause after it, from the next call on. */
-  public void times(Duration newWait, Duration newPause) {
-    wait = checkNotNull(newWait);
-    pause = checkNotNull(newPause);
-  }
-
   /** Begins to follow. */
   public void start() {
     ask();
@@ -133,7 +128,7 @@
       return;
     }
     Async.onDone(
-        store.watch(prefix, revision, failing ? NO_WAIT : wait),
+        store.watch(prefix, revision, failing ? NO_WAIT : wait.get()),
         clock,
         (changes, failure) -> {
           if (failure != null) {
@@ -156,7 +151,7 @@
       failing = false;
       EventLog.info(Event.STORE_RECOVERED, "prefix", prefix);
     }
-    clock.schedule(this::ask, pause.toNanos(), NANOSECONDS);
+    clock.schedule(this::ask, pause.get().toNanos(), NANOSECONDS);
   }
 
   private void retry(Throwable failure) {
