Store and concurrent get packages of their own; themes have no circle

Moves only, but for BudgetedStore.of in place of its constructor. LayersTest names the new arrows: themes have no circle, and use nothing that is still in the common package.

--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/StatusCommand.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/StatusCommand.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletionException;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.transport.HttpSender;
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/VaneworksMain.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/VaneworksMain.java
@@ -1,7 +1,7 @@
 package org.vaneworks.cli;
 
 import org.vaneworks.coordination.ConflictException;
-import org.vaneworks.coordination.StoreException;
+import org.vaneworks.coordination.store.StoreException;
 import picocli.AutoComplete.GenerateCompletion;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
@@ -13,7 +13,7 @@
 import org.vaneworks.coordination.PipelineLimits;
 import org.vaneworks.coordination.RoutingSettings;
 import org.vaneworks.coordination.StopTimes;
-import org.vaneworks.coordination.StoreBudget;
+import org.vaneworks.coordination.store.StoreBudget;
 import org.vaneworks.protocol.FieldReader;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.HostPort;
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryPeers.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryPeers.java
@@ -8,11 +8,11 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.vaneworks.coordination.Async;
 import org.vaneworks.coordination.Node;
 import org.vaneworks.coordination.PeerException;
 import org.vaneworks.coordination.PeerLink;
 import org.vaneworks.coordination.PeerMessage;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.protocol.PeerCodec;
 import org.vaneworks.state.HostPort;
 
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StandInServer.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StandInServer.java
@@ -17,7 +17,7 @@
 import java.net.URLDecoder;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.protocol.EngineJson;
 import org.vaneworks.state.HostPort;
 
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StoreCore.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StoreCore.java
@@ -11,10 +11,10 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import org.vaneworks.coordination.PlatformStore;
-import org.vaneworks.coordination.StoreEntry;
-import org.vaneworks.coordination.StoreException;
-import org.vaneworks.coordination.StorePurpose;
+import org.vaneworks.coordination.store.PlatformStore;
+import org.vaneworks.coordination.store.StoreEntry;
+import org.vaneworks.coordination.store.StoreException;
+import org.vaneworks.coordination.store.StorePurpose;
 
 /**
  * The platform's key-value store without a socket, with faults.
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
@@ -2,6 +2,7 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.junit.AnalyzeClasses;
@@ -51,6 +52,35 @@
           .dependOnClassesThat()
           .resideInAPackage("org.vaneworks.platform..");
 
+  @ArchTest
+  static final ArchRule THEMES_HAVE_NO_CIRCLE =
+      slices().matching("org.vaneworks.coordination.(*)..").should().beFreeOfCycles();
+
+  /** What is not yet in a package of its own may use those that are, never the other way round. */
+  @ArchTest
+  static final ArchRule THEMES_DO_NOT_USE_WHAT_HAS_NONE =
+      noClasses()
+          .that()
+          .resideInAPackage("org.vaneworks.coordination.*..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.vaneworks.coordination");
+
+  @ArchTest
+  static final ArchRule STORE_AND_CONCURRENT_ARE_LEAVES =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.vaneworks.coordination.store..", "org.vaneworks.coordination.concurrent..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.vaneworks.coordination.fleet..",
+              "org.vaneworks.coordination.forwarding..",
+              "org.vaneworks.coordination.placement..",
+              "org.vaneworks.coordination.relay..",
+              "org.vaneworks.coordination.shared..");
+
   @ArchTest
   static final ArchRule NO_IO_IN_THE_CORE =
       noClasses()
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ClaimDesk.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ClaimDesk.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.vaneworks.coordination.PeerMessage.AskClaims;
 import org.vaneworks.coordination.PeerMessage.Claims;
+import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.store.PlatformStore;
 
 /**
  * Claims callers' keys, through the present writer of each key's shard.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ConfigurationBoard.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ConfigurationBoard.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import org.vaneworks.coordination.store.PageSource;
 import org.vaneworks.state.ConfigurationHead;
 import org.vaneworks.state.ConfigurationSnapshot;
 import org.vaneworks.state.Template;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/EndpointMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/EndpointMonitor.java
@@ -16,6 +16,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.Box.Role;
+import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.store.StoreException;
 import org.vaneworks.state.EndpointId;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Event;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Membership.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/Membership.java
@@ -22,6 +22,7 @@
 import org.vaneworks.coordination.PeerMessage.Ack;
 import org.vaneworks.coordination.PeerMessage.Ping;
 import org.vaneworks.coordination.PeerMessage.PingFor;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.state.HostPort;
 
 /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Node.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/Node.java
@@ -13,6 +13,10 @@
 import org.vaneworks.coordination.PeerMessage.Ping;
 import org.vaneworks.coordination.PeerMessage.PingFor;
 import org.vaneworks.coordination.PeerMessage.RunOnce;
+import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.store.BudgetedStore;
+import org.vaneworks.coordination.store.PageSource;
+import org.vaneworks.coordination.store.PlatformStore;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
@@ -43,7 +47,7 @@
     this.settings = settings;
     this.outside = outside;
     PlatformStore store =
-        new BudgetedStore(
+        BudgetedStore.of(
             outside.store(), outside.executor(), outside.counters(), settings.limits().store());
     this.board =
         ConfigurationBoard.create(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/NodeLimits.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/NodeLimits.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.vaneworks.coordination.store.StoreBudget;
+
 /**
  * Bounds on what a node does.
  *
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ServiceRouter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ServiceRouter.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.state.EndpointId;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/StreamHops.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/StreamHops.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.vaneworks.coordination.RoutePlanner.PlannedRoute;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.state.StreamId;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/StreamRun.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.RoutePlanner.PlannedRoute;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.state.EndpointId;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.NotRunProof;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Async.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/concurrent/Async.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.concurrent;
 
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.servicetalk.concurrent.Executor;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -8,7 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeoutException;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -6,7 +6,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.relay.EnginePath;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -12,7 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.EngineControl.OrderGuard;
 import org.vaneworks.coordination.fleet.EngineControl.OrderOutcome;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/HeldLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/HeldLease.java
@@ -8,7 +8,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 
 /**
  * A lease in the store that is opened, renewed, and opened anew when the store ended it.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -10,7 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -8,7 +8,7 @@
 import java.time.Duration;
 import java.util.Random;
 import java.util.function.Supplier;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/BudgetedStore.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/store/BudgetedStore.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.store;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -21,7 +22,7 @@
  * <p>A call over the budget fails at once, so that no fault of a node, and no end of an outage, can
  * flood the store. Calls are counted by purpose. Thread-safe.
  */
-final class BudgetedStore implements PlatformStore {
+public final class BudgetedStore implements PlatformStore {
   private final PlatformStore store;
   private final Executor clock;
   private final Counters counters;
@@ -36,7 +37,8 @@
   @GuardedBy("this")
   private boolean failing;
 
-  BudgetedStore(PlatformStore store, Executor clock, Counters counters, StoreBudget budget) {
+  private BudgetedStore(
+      PlatformStore store, Executor clock, Counters counters, StoreBudget budget) {
     this.store = checkNotNull(store);
     this.clock = checkNotNull(clock);
     this.counters = checkNotNull(counters);
@@ -45,6 +47,12 @@
     this.refilledAt = clock.currentTime(NANOSECONDS);
   }
 
+  /** Returns a store that passes on what the budget allows. */
+  public static BudgetedStore of(
+      PlatformStore store, Executor clock, Counters counters, StoreBudget budget) {
+    return new BudgetedStore(store, clock, counters, budget);
+  }
+
   @Override
   public CompletableFuture<Optional<StoreEntry>> read(String key, StorePurpose purpose) {
     return call(purpose, "read", () -> store.read(key, purpose));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PageSource.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/store/PageSource.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.store;
 
 import com.google.common.collect.ImmutableMap;
 import java.util.Set;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PlatformStore.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/store/PlatformStore.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.store;
 
 import java.time.Duration;
 import java.util.Optional;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/StoreException.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/store/StoreException.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.store;
 
 /** A failed call to the platform's store. */
 public final class StoreException extends RuntimeException {
--- a/vaneworks/src/main/java/org/vaneworks/protocol/PlatformJson.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/PlatformJson.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import org.vaneworks.coordination.Box;
-import org.vaneworks.coordination.StoreEntry;
+import org.vaneworks.coordination.store.StoreEntry;
 import org.vaneworks.state.HostPort;
 
 /** The messages of the platform's store and box list. */
--- a/vaneworks/src/main/java/org/vaneworks/transport/SentState.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/SentState.java
@@ -4,7 +4,7 @@
 import io.servicetalk.client.api.NoAvailableHostException;
 import io.servicetalk.transport.api.RetryableException;
 import java.net.ConnectException;
-import org.vaneworks.coordination.Async;
+import org.vaneworks.coordination.concurrent.Async;
 
 /** Tells from a failure whether any byte of its request left this node. */
 public final class SentState {
