--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -178,4 +178,16 @@
     clock.advance(Duration.ofMillis(200));
     assertEquals(1, suspicions);
   }
+
+  @Test
+  void engineIsAskedOnceAtATimeHoweverLongItsAnswerTakes() {
+    replies.add(Reply.answersAfter(80));
+    health.check(fleet.of("s").get(1));
+    clock.advance(Duration.ofMillis(100));
+    check(Reply.answersAfter(235));
+    clock.advance(Duration.ofMillis(220));
+    health.check(engine);
+    clock.advance(Duration.ofMillis(10));
+    assertEquals(2, asked);
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -6,7 +6,9 @@
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeoutException;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.telemetry.Event;
@@ -54,6 +56,10 @@
   private final Fleet fleet;
   private final EngineControl control;
   private final Map<TrackedEndpoint, Long> askedAt = new HashMap<>();
+
+  /** Engines whose answer is waited for: whoever asks about one meanwhile waits with the others. */
+  private final Set<TrackedEndpoint> asked = new HashSet<>();
+
   private Duration slowestAnswer = Duration.ZERO;
   private long slowestAnswerAt = Long.MIN_VALUE / 2;
 
@@ -75,7 +81,7 @@
     long now = now();
     Long last = askedAt.get(engine);
     boolean askedLately = last != null && now - last < FRESH.toNanos();
-    if (askedLately || engine.suspected() || engine.delisted()) {
+    if (askedLately || asked.contains(engine) || engine.suspected() || engine.delisted()) {
       return;
     }
     ask(engine, 1);
@@ -87,14 +93,16 @@
    * @param question counts from 1, and rises while the engine is silent
    */
   private void ask(TrackedEndpoint engine, int question) {
-    long asked = now();
-    askedAt.put(engine, asked);
+    long begun = now();
+    askedAt.put(engine, begun);
+    asked.add(engine);
     Async.onDone(
         control.report(engine.endpoint(), limit()),
         clock,
         (report, failure) -> {
+          asked.remove(engine);
           if (failure == null) {
-            noteAnswer(Duration.ofNanos(now() - asked));
+            noteAnswer(Duration.ofNanos(now() - begun));
             takePace(engine, report);
             takeStalls(engine, report);
           } else if (!engine.delisted()) {
