--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/FollowTimes.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/FollowTimes.java
@@ -66,6 +66,6 @@
   }
 
   private static Duration part(Duration of, double share) {
-    return Duration.ofNanos((long) (of.toNanos() * share));
+    return Duration.ofNanos(Math.round(of.toNanos() * share));
   }
 }
