A suspected engine is given as much time as others when it is asked again

Found in reading: questions after a suspicion kept the fixed limit, so a node that is late itself could not take a suspicion back. Test: HealthWatchTest.suspectedEngineIsGivenAsMuchTime.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -190,4 +190,16 @@
     clock.advance(Duration.ofMillis(10));
     assertEquals(2, asked);
   }
+
+  @Test
+  void suspectedEngineIsGivenAsMuchTime() {
+    check(Reply.REFUSES);
+    clock.runDue();
+    replies.add(Reply.answersAfter(80));
+    clock.advance(Duration.ofMillis(250));
+    health.check(fleet.of("s").get(1));
+    replies.add(Reply.answersAfter(200));
+    clock.advance(Duration.ofMillis(400));
+    assertFalse(engine.suspected());
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -183,7 +183,7 @@
       return;
     }
     Async.onDone(
-        control.report(engine.endpoint(), PROBE_LIMIT),
+        control.report(engine.endpoint(), limit()),
         clock,
         (report, failure) -> {
           if (failure == null) {
