The line of a failed request names where it was sent last, how often, and how long nothing came

Change: VW4008 and VW4003 carry lastSentTo, sends, afterMs, noProgressMs. The caller's body stays as it was. Not measured: four fields more on lines that are written up to a rate.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
@@ -11,7 +11,7 @@
 final class ForwardLog {
   private ForwardLog() {}
 
-  static void refused(CallerRequest request, Refusal refusal, Counters counters) {
+  static void refused(CallerRequest request, Refusal refusal, Trail trail, Counters counters) {
     counters.count(Metric.REFUSALS, refusal.reason().code());
     counters.count(Metric.VERDICTS, refusal.verdict().name().toLowerCase(Locale.ROOT));
     EventLog.info(
@@ -23,7 +23,19 @@
         "verdict",
         refusal.verdict(),
         "detail",
-        refusal.detail());
+        refusal.detail(),
+        "lastSentTo",
+        lastSentTo(trail),
+        "sends",
+        trail.sends(),
+        "afterMs",
+        trail.sinceArrival().toMillis(),
+        "noProgressMs",
+        trail.sinceProgress().toMillis());
+  }
+
+  private static String lastSentTo(Trail trail) {
+    return trail.lastSentTo().map(Object::toString).orElse("");
   }
 
   static void sent(CallerRequest request, Attempt attempt, int sends) {
@@ -88,8 +100,21 @@
         path);
   }
 
-  static void cut(CallerRequest request, String cause, Counters counters) {
+  static void cut(CallerRequest request, String cause, Trail trail, Counters counters) {
     counters.count(Metric.REFUSALS, "cut");
-    EventLog.info(Event.STREAM_FAILED, "request", request.id(), "cause", cause);
+    EventLog.info(
+        Event.STREAM_FAILED,
+        "request",
+        request.id(),
+        "cause",
+        cause,
+        "lastSentTo",
+        lastSentTo(trail),
+        "sends",
+        trail.sends(),
+        "afterMs",
+        trail.sinceArrival().toMillis(),
+        "noProgressMs",
+        trail.sinceProgress().toMillis());
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -70,6 +70,7 @@
   private final EventSplitter splitter = new EventSplitter();
 
   private EndpointCall call;
+  private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int attemptNumber;
   private int sends;
   private int runs;
@@ -154,6 +155,7 @@
 
   private void send() {
     sends++;
+    lastSentTo = Optional.of(place.target());
     attemptNumber++;
     Attempt attempt =
         new Attempt(
@@ -336,7 +338,7 @@
   private void giveUp(Verdict lastVerdict, Reason reason, String detail) {
     if (headPassed) {
       close();
-      ForwardLog.cut(request, detail, context.counters());
+      ForwardLog.cut(request, detail, trail(), context.counters());
       answer.cut();
       return;
     }
@@ -347,10 +349,19 @@
       refusal = Refusal.mayHaveRun(Reason.ENDPOINT_LOST, detail);
     }
     close();
-    ForwardLog.refused(request, refusal, context.counters());
+    ForwardLog.refused(request, refusal, trail(), context.counters());
     answer.refuse(refusal);
   }
 
+  private Trail trail() {
+    long progressAt = sends == 0 ? startedAt : progress.lastProgress();
+    return new Trail(
+        lastSentTo,
+        sends,
+        Duration.ofNanos(now() - startedAt),
+        Duration.ofNanos(now() - progressAt));
+  }
+
   /** Dozens of streams end each second, so places come free within a part of the objective. */
   private Duration comeBack() {
     return route.objective().dividedBy(COME_BACK_PART);
@@ -373,7 +384,7 @@
         runs == 0 && !sentNow
             ? Refusal.before(Reason.NOT_STARTED_IN_TIME, "no place").withRetryAfter(comeBack())
             : Refusal.mayHaveRun(Reason.DEADLINE, "the time limit passed");
-    ForwardLog.refused(request, refusal, context.counters());
+    ForwardLog.refused(request, refusal, trail(), context.counters());
     answer.refuse(refusal);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -198,7 +198,7 @@
     if (reason.status() == 503) {
       refusal = refusal.withRetryAfter(COME_BACK_SOON);
     }
-    ForwardLog.refused(request, refusal, context.counters());
+    ForwardLog.refused(request, refusal, Trail.none(), context.counters());
     answer.refuse(refusal);
     return new HeldRequest();
   }
