The first placement waits for the list, however seldom it is read

Ruled out: liveNodes (counted alike), the checks of HealthWatch (the small twin with the same code had 448, before 814). Change: settled means one pause and a half without a new engine. At 8 boxes that is 0.8 s, as before. Test: PlacementControllerTest.firstPlacementWaitsForTheNextReadOfTheList.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -110,7 +110,13 @@
                     lease)));
     placement =
         PlacementController.create(
-            io, fleet, adapters.engines(), configuration::newest, lease::controllerFence, counters);
+            io,
+            fleet,
+            adapters.engines(),
+            configuration::newest,
+            lease::controllerFence,
+            () -> followTimes().pause(),
+            counters);
     connections = EndpointConnections.create(io, adapters.headers());
     fleet.onRemoval(endpoint -> connections.forget(endpoint.address()));
     forwarder =
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -101,6 +101,7 @@
   private final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final Fleet fleet = Fleet.create(clock, counters, Duration.ofMillis(2500));
   private final Engines engines = new Engines();
+  private Duration listPause = Duration.ofMillis(500);
   private OptionalLong firstFence = OptionalLong.empty();
   private OptionalLong secondFence = OptionalLong.empty();
 
@@ -116,7 +117,13 @@
   private PlacementController controller(java.util.function.Supplier<OptionalLong> fence) {
     PlacementController controller =
         PlacementController.create(
-            clock, fleet, engines, () -> Optional.of(configuration()), fence, counters);
+            clock,
+            fleet,
+            engines,
+            () -> Optional.of(configuration()),
+            fence,
+            () -> listPause,
+            counters);
     controller.start();
     return controller;
   }
@@ -157,6 +164,20 @@
     assertEquals(5, engines.loads.size());
   }
 
+  @Test
+  void firstPlacementWaitsForTheNextReadOfTheList() {
+    listPause = Duration.ofMillis(1750);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    list("early", new HostPort("10.0.9.1", 80), Optional.empty());
+    advance(1800);
+    enlist(5);
+    advance(1000);
+    assertTrue(engines.loads.isEmpty());
+    advance(10_000);
+    assertEquals(6, engines.loads.size());
+  }
+
   @Test
   void refusedOrderIsGivenAgain() {
     enlist(5);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -43,8 +43,14 @@
   /** An engine answers in a few ms; the platform's slowest days are under this. */
   private static final Duration CALL_LIMIT = Duration.ofMillis(600);
 
-  /** Time without a new engine after which the first placement is made. */
-  private static final Duration SETTLED = Duration.ofMillis(800);
+  /**
+   * Pauses between reads of the list without a new engine, after which the first placement is made;
+   * and time for the read itself. Engines come into the list over some seconds; a placement of a
+   * part of them cuts the model unlike the rest, and is never undone.
+   */
+  private static final double SETTLED_PAUSES = 1.5;
+
+  private static final Duration READ = Duration.ofMillis(50);
 
   /** How long after an accepted order the list may still show the old layers. */
   private static final Duration LIST_LAG = Duration.ofMillis(2500);
@@ -54,6 +60,7 @@
   private final EngineControl control;
   private final Supplier<Optional<EntryConfiguration>> configuration;
   private final Supplier<OptionalLong> fence;
+  private final Supplier<Duration> listPause;
   private final Counters counters;
   private final Map<TrackedEndpoint, Assignment> assignments = new HashMap<>();
   private final Map<String, PlanInput> settledInputs = new HashMap<>();
@@ -85,12 +92,14 @@
       EngineControl control,
       Supplier<Optional<EntryConfiguration>> configuration,
       Supplier<OptionalLong> fence,
+      Supplier<Duration> listPause,
       Counters counters) {
     this.clock = checkNotNull(clock);
     this.fleet = checkNotNull(fleet);
     this.control = checkNotNull(control);
     this.configuration = checkNotNull(configuration);
     this.fence = checkNotNull(fence);
+    this.listPause = checkNotNull(listPause);
     this.counters = checkNotNull(counters);
   }
 
@@ -98,6 +107,7 @@
    * Returns a controller that does nothing before {@link #start}.
    *
    * @param fence present while this node holds the lease; higher for each later holder
+   * @param listPause the longest time between two reads of the list of endpoints
    */
   public static PlacementController create(
       Executor clock,
@@ -105,8 +115,10 @@
       EngineControl control,
       Supplier<Optional<EntryConfiguration>> configuration,
       Supplier<OptionalLong> fence,
+      Supplier<Duration> listPause,
       Counters counters) {
-    return new PlacementController(clock, fleet, control, configuration, fence, counters);
+    return new PlacementController(
+        clock, fleet, control, configuration, fence, listPause, counters);
   }
 
   /** Starts to look at the fleet at short intervals. */
@@ -186,7 +198,8 @@
       engineCountChangedAt = now();
     }
     boolean anyHeld = engines.stream().anyMatch(e -> e.endpoint().layers().isPresent());
-    return !engines.isEmpty() && (anyHeld || now() - engineCountChangedAt >= SETTLED.toNanos());
+    double settledAfter = READ.toNanos() + SETTLED_PAUSES * listPause.get().toNanos();
+    return !engines.isEmpty() && (anyHeld || now() - engineCountChangedAt >= settledAfter);
   }
 
   private Holding holding(TrackedEndpoint engine, AcceleratorProfile kind) {
