--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonMain.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonMain.java
@@ -58,7 +58,21 @@
     return runUntilStopped(settings);
   }
 
-  private static int runUntilStopped(DaemonSettings settings) throws Exception {
+  /** Checks the file again: no field of a running daemon may change, so each change is named. */
+  private void reread(DaemonSettings inForce) {
+    try {
+      DaemonSettings next = DaemonSettings.read(file);
+      for (String field : inForce.fieldsThatDiffer(next)) {
+        EventLog.warn(Event.SETTING_NEEDS_RESTART, "field", field);
+      }
+      EventLog.info(Event.SETTINGS_READ_AGAIN, "file", file);
+    } catch (IOException | IllegalArgumentException e) {
+      EventLog.warn(Event.SETTINGS_NOT_ACCEPTED, "file", file, "cause", e.getMessage());
+    }
+  }
+
+  private int runUntilStopped(DaemonSettings settings) throws Exception {
+    Signal.handle(new Signal("HUP"), signal -> reread(settings));
     Daemon daemon = Daemon.start(settings);
     CountDownLatch stopped = new CountDownLatch(1);
     AtomicInteger cut = new AtomicInteger();
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
@@ -169,4 +169,30 @@
   public NodeSettings nodeSettings(String incarnation, String secret, HostPort peerAddress) {
     return new NodeSettings(name, incarnation, secret, peerAddress, dataCentre, limits);
   }
+
+  /** Returns the names of the fields that differ; each holds for the life of a process. */
+  ImmutableList<String> fieldsThatDiffer(DaemonSettings next) {
+    ImmutableList.Builder<String> fields = ImmutableList.builder();
+    addIfDifferent(fields, "name", name, next.name);
+    addIfDifferent(fields, "dataCentre", dataCentre, next.dataCentre);
+    addIfDifferent(fields, "callers", callers, next.callers);
+    addIfDifferent(fields, "peers", peers, next.peers);
+    addIfDifferent(fields, "platform", platform, next.platform);
+    addIfDifferent(fields, "workers", workers, next.workers);
+    addIfDifferent(fields, "maxBodyBytes", maxBodyBytes, next.maxBodyBytes);
+    addIfDifferent(fields, "routing", limits.routing(), next.limits.routing());
+    addIfDifferent(fields, "endpoints", limits.endpoints(), next.limits.endpoints());
+    addIfDifferent(fields, "streams", limits.streams(), next.limits.streams());
+    addIfDifferent(fields, "once", limits.once(), next.limits.once());
+    addIfDifferent(fields, "store", limits.store(), next.limits.store());
+    addIfDifferent(fields, "stop", limits.stop(), next.limits.stop());
+    return fields.build();
+  }
+
+  private static void addIfDifferent(
+      ImmutableList.Builder<String> fields, String name, Object before, Object after) {
+    if (!before.equals(after)) {
+      fields.add(name);
+    }
+  }
 }
--- /dev/null
+++ b/vaneworks-daemon/src/test/java/org/vaneworks/daemon/DaemonSettingsChangeTest.java
@@ -0,0 +1,33 @@
+package org.vaneworks.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Checks that each field that a changed file would change is named. */
+final class DaemonSettingsChangeTest {
+  private static final String GOOD =
+      "name: n1\ndataCentre: dc1\ncallers: 127.0.0.1:1\npeers: 127.0.0.1:2\nplatform: 127.0.0.1:3\n";
+
+  @TempDir private Path folder;
+
+  private DaemonSettings read(String text) throws IOException {
+    return DaemonSettings.read(Files.writeString(folder.resolve("settings.yaml"), text));
+  }
+
+  @Test
+  void sameFileChangesNothing() throws IOException {
+    assertEquals(List.of(), read(GOOD).fieldsThatDiffer(read(GOOD)));
+  }
+
+  @Test
+  void eachFieldThatDiffersIsNamed() throws IOException {
+    DaemonSettings next = read(GOOD + "workers: 7\nstop: {balancerLagMs: 1}\n");
+    assertEquals(List.of("workers", "stop"), read(GOOD).fieldsThatDiffer(next));
+  }
+}
