Scenarios over processes ask again when the stand-in store gave no answer

Each starts a dozen processes at once, and the platform's stand-in is one of them. Ruled out: the product under test (no node had started to serve yet). An endpoint's entry is put again if there was no answer.

--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StandInMain.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StandInMain.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
@@ -69,6 +70,9 @@
   }
 
   private abstract static class EndpointServer extends Server {
+    /** A minute in all: the platform's process may still be starting on a busy machine. */
+    private static final int ENLIST_TRIES = 12;
+
     @Option(names = "--box", required = true, description = "The box's name.")
     String box;
 
@@ -83,17 +87,32 @@
 
     final String incarnation = UUID.randomUUID().toString().substring(0, 8);
 
-    /** Puts the endpoint's box into the platform's list, as its operator would. */
+    /**
+     * Puts the endpoint's box into the platform's list, as its operator would: again if there was
+     * no answer, which changes nothing if it was done.
+     */
     final HttpServerContext enlist(HttpServerContext server) throws Exception {
+      HttpRequest request = entryRequest(server);
+      HttpClient client = HttpClient.newHttpClient();
+      for (int left = ENLIST_TRIES; ; left--) {
+        try {
+          client.send(request, HttpResponse.BodyHandlers.discarding());
+          return server;
+        } catch (HttpTimeoutException e) {
+          if (left == 1) {
+            throw e;
+          }
+        }
+      }
+    }
+
+    private HttpRequest entryRequest(HttpServerContext server) {
       HostPort own = StandInServer.addressOf(server);
       Box entry = new Box(box, Box.Role.ENDPOINT, own, dataCentre, false);
-      HttpRequest request =
-          HttpRequest.newBuilder(URI.create("http://" + platform + PlatformJson.BOXES_PATH))
-              .timeout(Duration.ofSeconds(5))
-              .POST(HttpRequest.BodyPublishers.ofString(Json.write(PlatformJson.writeBox(entry))))
-              .build();
-      HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
-      return server;
+      return HttpRequest.newBuilder(URI.create("http://" + platform + PlatformJson.BOXES_PATH))
+          .timeout(Duration.ofSeconds(5))
+          .POST(HttpRequest.BodyPublishers.ofString(Json.write(PlatformJson.writeBox(entry))))
+          .build();
     }
 
     final Endpoint endpoint(HostPort own, Optional<LayerRange> layers, String accelerator) {
