Reading: one comparison of settings, one line of a request's end, no number that stands for none

Found in reading the whole change. VW4008 and VW4003 listed the same four fields of a Trail twice: one method writes them. AnswerTimes took a negative time for 'no part yet', but the clock's origin is arbitrary: an OptionalLong.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonSettings.java
@@ -172,27 +172,20 @@
 
   /** Returns the names of the fields that differ; each holds for the life of a process. */
   ImmutableList<String> fieldsThatDiffer(DaemonSettings next) {
-    ImmutableList.Builder<String> fields = ImmutableList.builder();
-    addIfDifferent(fields, "name", name, next.name);
-    addIfDifferent(fields, "dataCentre", dataCentre, next.dataCentre);
-    addIfDifferent(fields, "callers", callers, next.callers);
-    addIfDifferent(fields, "peers", peers, next.peers);
-    addIfDifferent(fields, "platform", platform, next.platform);
-    addIfDifferent(fields, "workers", workers, next.workers);
-    addIfDifferent(fields, "maxBodyBytes", maxBodyBytes, next.maxBodyBytes);
-    addIfDifferent(fields, "routing", limits.routing(), next.limits.routing());
-    addIfDifferent(fields, "endpoints", limits.endpoints(), next.limits.endpoints());
-    addIfDifferent(fields, "streams", limits.streams(), next.limits.streams());
-    addIfDifferent(fields, "once", limits.once(), next.limits.once());
-    addIfDifferent(fields, "store", limits.store(), next.limits.store());
-    addIfDifferent(fields, "stop", limits.stop(), next.limits.stop());
-    return fields.build();
-  }
-
-  private static void addIfDifferent(
-      ImmutableList.Builder<String> fields, String name, Object before, Object after) {
-    if (!before.equals(after)) {
-      fields.add(name);
-    }
+    return FieldDifferences.create()
+        .compare("name", name, next.name)
+        .compare("dataCentre", dataCentre, next.dataCentre)
+        .compare("callers", callers, next.callers)
+        .compare("peers", peers, next.peers)
+        .compare("platform", platform, next.platform)
+        .compare("workers", workers, next.workers)
+        .compare("maxBodyBytes", maxBodyBytes, next.maxBodyBytes)
+        .compare("routing", limits.routing(), next.limits.routing())
+        .compare("endpoints", limits.endpoints(), next.limits.endpoints())
+        .compare("streams", limits.streams(), next.limits.streams())
+        .compare("once", limits.once(), next.limits.once())
+        .compare("store", limits.store(), next.limits.store())
+        .compare("stop", limits.stop(), next.limits.stop())
+        .names();
   }
 }
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntrySettings.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntrySettings.java
@@ -6,8 +6,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Objects;
 import java.util.Optional;
+import org.vaneworks.daemon.FieldDifferences;
 import org.vaneworks.protocol.FieldReader;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.HostPort;
@@ -78,22 +78,15 @@
 
   /** Returns the names of the fields that differ but hold for the life of a process. */
   ImmutableList<String> fixedFieldsThatDiffer(EntrySettings next) {
-    ImmutableList.Builder<String> fields = ImmutableList.builder();
-    addIfDifferent(fields, "name", name, next.name);
-    addIfDifferent(fields, "dataCentre", dataCentre, next.dataCentre);
-    addIfDifferent(fields, "callers", callers, next.callers);
-    addIfDifferent(fields, "readiness", readiness, next.readiness);
-    addIfDifferent(fields, "metrics", metrics, next.metrics);
-    addIfDifferent(fields, "store", store, next.store);
-    addIfDifferent(fields, "maxHeaderBytes", maxHeaderBytes, next.maxHeaderBytes);
-    return fields.build();
-  }
-
-  private static void addIfDifferent(
-      ImmutableList.Builder<String> fields, String name, Object before, Object after) {
-    if (!Objects.equals(before, after)) {
-      fields.add(name);
-    }
+    return FieldDifferences.create()
+        .compare("name", name, next.name)
+        .compare("dataCentre", dataCentre, next.dataCentre)
+        .compare("callers", callers, next.callers)
+        .compare("readiness", readiness, next.readiness)
+        .compare("metrics", metrics, next.metrics)
+        .compare("store", store, next.store)
+        .compare("maxHeaderBytes", maxHeaderBytes, next.maxHeaderBytes)
+        .names();
   }
 
   /** Returns these settings with those fields of the next that may change in a running process. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AnswerTimes.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AnswerTimes.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Metric;
 
@@ -16,7 +17,7 @@
   private final Counters counters;
   private final boolean streamed;
   private final long startedAt;
-  private long lastPartAt = -1;
+  private OptionalLong lastPartAt = OptionalLong.empty();
 
   /**
    * Makes the times of a request without an answer.
@@ -35,12 +36,12 @@
     if (!streamed) {
       return;
     }
-    if (lastPartAt < 0) {
+    if (lastPartAt.isEmpty()) {
       counters.record(Metric.FIRST_TOKEN, Duration.ofNanos(now - startedAt));
     } else {
-      counters.record(Metric.BETWEEN_TOKENS, Duration.ofNanos(now - lastPartAt));
+      counters.record(Metric.BETWEEN_TOKENS, Duration.ofNanos(now - lastPartAt.getAsLong()));
     }
-    lastPartAt = now;
+    lastPartAt = OptionalLong.of(now);
   }
 
   /** Takes note that the answer was whole at a time in ns. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
@@ -1,5 +1,6 @@
 package org.vaneworks.coordination.forwarding;
 
+import com.google.common.collect.ObjectArrays;
 import java.util.Locale;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.telemetry.Counters;
@@ -14,8 +15,9 @@
   static void refused(CallerRequest request, Refusal refusal, Trail trail, Counters counters) {
     counters.count(Metric.REFUSALS, refusal.reason().code());
     counters.count(Metric.VERDICTS, refusal.verdict().name().toLowerCase(Locale.ROOT));
-    EventLog.info(
+    failed(
         Event.REQUEST_REFUSED,
+        trail,
         "request",
         request.id(),
         "reason",
@@ -23,19 +25,22 @@
         "verdict",
         refusal.verdict(),
         "detail",
-        refusal.detail(),
-        "lastSentTo",
-        lastSentTo(trail),
-        "sends",
-        trail.sends(),
-        "afterMs",
-        trail.sinceArrival().toMillis(),
-        "noProgressMs",
-        trail.sinceProgress().toMillis());
+        refusal.detail());
   }
 
-  private static String lastSentTo(Trail trail) {
-    return trail.lastSentTo().map(Object::toString).orElse("");
+  /** Writes the line of a request's end, with how far it came. */
+  private static void failed(Event event, Trail trail, Object... pairs) {
+    Object[] way = {
+      "lastSentTo",
+      trail.lastSentTo().map(Object::toString).orElse(""),
+      "sends",
+      trail.sends(),
+      "afterMs",
+      trail.sinceArrival().toMillis(),
+      "noProgressMs",
+      trail.sinceProgress().toMillis()
+    };
+    EventLog.info(event, ObjectArrays.concat(pairs, way, Object.class));
   }
 
   static void sent(CallerRequest request, Attempt attempt, int sends) {
@@ -102,19 +107,6 @@
 
   static void cut(CallerRequest request, String cause, Trail trail, Counters counters) {
     counters.count(Metric.REFUSALS, "cut");
-    EventLog.info(
-        Event.STREAM_FAILED,
-        "request",
-        request.id(),
-        "cause",
-        cause,
-        "lastSentTo",
-        lastSentTo(trail),
-        "sends",
-        trail.sends(),
-        "afterMs",
-        trail.sinceArrival().toMillis(),
-        "noProgressMs",
-        trail.sinceProgress().toMillis());
+    failed(Event.STREAM_FAILED, trail, "request", request.id(), "cause", cause);
   }
 }
