Nodes tell their peers what their requests take of each endpoint

Cause: a node reckoned an engine's use as its own requests there times all live nodes.

Ruled out: a smaller factor.

Change: each node sends a datagram of some 250 bytes every 40 ms to the next peer in turn; peers' addresses stand in the nodes' own entries in the store, so there is no new call. What peers told is kept with the endpoint; nodes that were not heard are taken to be like the others, which is the former reckoning when none is heard.

crowdedEngineIsLeftForASlowerOne gave the load of seven other nodes by a factor; it now gives it as their reports, the same 32 requests in all.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -17,6 +17,8 @@
 import org.vaneworks.coordination.fleet.HealthWatch;
 import org.vaneworks.coordination.forwarding.Forwarder;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.coordination.load.LoadExchange;
+import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.coordination.placement.PlacementController;
 import org.vaneworks.coordination.shared.MeasuredStore;
 import org.vaneworks.coordination.shared.NodeLease;
@@ -31,6 +33,7 @@
 import org.vaneworks.telemetry.EventLog;
 import org.vaneworks.transport.entry.EndpointConnections;
 import org.vaneworks.transport.entry.EntryServer;
+import org.vaneworks.transport.entry.LoadDatagrams;
 
 /** One forwarding node: followers of the store, placement, forwarding and sockets on one loop. */
 public final class EntryNode {
@@ -68,6 +71,7 @@
   private final NodeLease lease;
   private final ConfigurationWatch configuration;
   private final PrefixFollower follower;
+  private final LoadExchange exchange;
   private final PlacementController placement;
   private final Forwarder forwarder;
   private final EndpointConnections connections;
@@ -76,6 +80,7 @@
   private HttpServerContext callers;
   private HttpServerContext readiness;
   private Optional<HttpServerContext> metrics = Optional.empty();
+  private Optional<LoadDatagrams> loads = Optional.empty();
   private EntrySettings settings;
   private boolean stopping;
   private boolean closingIdle;
@@ -89,7 +94,12 @@
     counters = Counters.in(meters);
     fleet = Fleet.create(io, counters, RELIST_GRACE);
     SharedStore store = MeasuredStore.of(io, adapters.store(), counters);
-    lease = NodeLease.create(io, random, store, OWN_PREFIX, settings.name(), run);
+    lease =
+        NodeLease.create(
+            io, random, store, OWN_PREFIX, settings.name(), run, this::loadReportsAddress);
+    exchange =
+        LoadExchange.create(
+            io, fleet, settings.name(), lease::peers, lease::liveNodes, this::tellPeer);
     configuration = new ConfigurationWatch(adapters.configurationKey(), adapters.configuration());
     follower =
         PrefixFollower.create(
@@ -174,15 +184,21 @@
             () -> stopping || !forwarder.fresh(),
             counters);
     readiness = EntryServer.listenReadiness(settings.readiness(), io, this::ready);
+    loads = settings.peers().map(at -> LoadDatagrams.listen(at, io, exchange::heard, counters));
     if (settings.metrics().isPresent()) {
       metrics =
           Optional.of(EntryServer.listenMetrics(settings.metrics().get(), io, meters::scrape));
     }
   }
 
+  private void tellPeer(HostPort peer, LoadReport report) {
+    loads.ifPresent(datagrams -> datagrams.send(peer, report));
+  }
+
   private void begin() {
     follower.start();
     lease.start();
+    exchange.start();
     placement.start();
     EventLog.info(
         Event.STARTED,
@@ -211,6 +227,11 @@
     return metrics.map(EntryNode::address);
   }
 
+  /** Returns where load reports of other nodes are listened for, if at all. */
+  public Optional<HostPort> loadReportsAddress() {
+    return loads.map(LoadDatagrams::address);
+  }
+
   private static HostPort address(HttpServerContext context) {
     InetSocketAddress address = (InetSocketAddress) context.listenAddress();
     return new HostPort(address.getAddress().getHostAddress(), address.getPort());
@@ -300,6 +321,8 @@
   private void closeSockets(CompletableFuture<Integer> stopped) {
     int cut = forwarder.inFlight();
     follower.stop();
+    exchange.stop();
+    loads.ifPresent(LoadDatagrams::close);
     metrics.ifPresent(server -> server.closeAsync().subscribe());
     callers
         .closeAsync()
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntrySettings.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntrySettings.java
@@ -20,6 +20,8 @@
  * @param callers where callers are listened to
  * @param readiness where the balancer's readiness check is listened to
  * @param metrics where readers of the node's own figures are listened to, if at all
+ * @param peers where other nodes' load reports are listened for; without it each node takes the
+ *     others to be like itself
  * @param store where the platform's store is
  * @param keyRevocation time in which a key that was taken away has to stop working everywhere
  * @param stopGrace time from SIGTERM until the platform ends the process
@@ -33,6 +35,7 @@
     HostPort callers,
     HostPort readiness,
     Optional<HostPort> metrics,
+    Optional<HostPort> peers,
     HostPort store,
     Duration keyRevocation,
     Duration stopGrace,
@@ -67,6 +70,7 @@
         fields.address("callers"),
         fields.address("readiness"),
         fields.optionalAddress("metrics"),
+        fields.optionalAddress("peers"),
         fields.address("store"),
         Duration.ofMillis(
             fields.integer("keyRevocationMs", 100, MAX_MS, DEFAULT_KEY_REVOCATION_MS)),
@@ -84,6 +88,7 @@
         .compare("callers", callers, next.callers)
         .compare("readiness", readiness, next.readiness)
         .compare("metrics", metrics, next.metrics)
+        .compare("peers", peers, next.peers)
         .compare("store", store, next.store)
         .compare("maxHeaderBytes", maxHeaderBytes, next.maxHeaderBytes)
         .names();
@@ -97,6 +102,7 @@
         callers,
         readiness,
         metrics,
+        peers,
         store,
         next.keyRevocation,
         next.stopGrace,
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
@@ -0,0 +1,64 @@
+package org.vaneworks.tests.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableList;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.load.EndpointLoad;
+import org.vaneworks.coordination.load.LoadReport;
+import org.vaneworks.protocol.LoadCodec;
+import org.vaneworks.state.HostPort;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.transport.entry.LoadDatagrams;
+
+/** Checks load reports as bytes and over the loopback. */
+final class LoadDatagramsTest {
+  private static final HostPort ANY = new HostPort("127.0.0.1", 0);
+  private static final LoadReport REPORT =
+      new LoadReport(
+          "box-1", ImmutableList.of(new EndpointLoad(-7, 3, 12_000), new EndpointLoad(9, 1, 0)));
+
+  private final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
+
+  @AfterEach
+  void closeLoop() throws Exception {
+    io.closeAsync().toFuture().get();
+  }
+
+  @Test
+  void reportIsReadAsItWasWritten() {
+    assertEquals(REPORT, LoadCodec.decode(LoadCodec.encode(REPORT)));
+  }
+
+  @Test
+  void bytesThatAreNoReportAreAnError() {
+    byte[] bytes = {0x0f, 0x7f, 0x01};
+    assertThrows(IllegalArgumentException.class, () -> LoadCodec.decode(bytes));
+  }
+
+  @Test
+  void reportReachesItsPeerAlsoAfterBytesThatAreNone() throws Exception {
+    Counters counters = Counters.in(new SimpleMeterRegistry());
+    CompletableFuture<LoadReport> got = new CompletableFuture<>();
+    LoadDatagrams receiver = LoadDatagrams.listen(ANY, io, got::complete, counters);
+    LoadDatagrams sender = LoadDatagrams.listen(ANY, io, report -> {}, counters);
+    try (java.net.DatagramSocket stranger = new java.net.DatagramSocket()) {
+      HostPort to = receiver.address();
+      byte[] bytes = {0x0f, 0x7f, 0x01};
+      stranger.send(
+          new java.net.DatagramPacket(
+              bytes, bytes.length, java.net.InetAddress.getByName(to.host()), to.port()));
+    }
+    sender.send(receiver.address(), REPORT);
+    assertEquals(REPORT, got.get(10, TimeUnit.SECONDS));
+    sender.close();
+    receiver.close();
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/relay/PathPlannerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/relay/PathPlannerTest.java
@@ -51,7 +51,7 @@
   }
 
   private static PathPlanner.Query query() {
-    return new PathPlanner.Query(Models.eightyLayers(), new RequestSize(800, 200), "dc1", 8, 0);
+    return new PathPlanner.Query(Models.eightyLayers(), new RequestSize(800, 200), "dc1", 0);
   }
 
   private Optional<EnginePath> plan() {
@@ -87,6 +87,18 @@
     for (int i = 0; i < 4; i++) {
       fast.reserve(1000 * 36.0);
     }
+    // Seven other nodes with as much each.
+    fast.peersLoad(28, 28 * 1000 * 36.0, 1);
+    assertEquals(slow, plan().get().first());
+  }
+
+  @Test
+  void engineThatOtherNodesFilledIsLeftForASlowerOne() {
+    TrackedEndpoint fast = engine(1, "dc1", "large", 0, 36);
+    TrackedEndpoint slow = engine(2, "dc1", "middle", 0, 20);
+    engine(3, "dc1", "large", 20, 57);
+    engine(4, "dc1", "large", 44, 80);
+    fast.peersLoad(32, 32 * 1000 * 36.0, 1);
     assertEquals(slow, plan().get().first());
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -4,16 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableList;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.shared.NodeLease;
 import org.vaneworks.coordination.shared.PrefixFollower;
 import org.vaneworks.coordination.shared.StoreChanges;
 import org.vaneworks.coordination.shared.StoredItem;
+import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -26,7 +29,9 @@
   private final List<NodeLease> nodes = new ArrayList<>();
 
   private NodeLease node(StoreInMemory reached, String box, String run) {
-    NodeLease lease = NodeLease.create(clock, new Random(nodes.size()), reached, PREFIX, box, run);
+    NodeLease lease =
+        NodeLease.create(
+            clock, new Random(nodes.size()), reached, PREFIX, box, run, () -> addressOf(box));
     PrefixFollower.create(
             clock,
             new Random(9),
@@ -42,6 +47,14 @@
     return lease;
   }
 
+  /** Boxes are named by a number, which ends their address; others listen for no peer. */
+  private static Optional<HostPort> addressOf(String box) {
+    String number = box.replaceAll("[^0-9]", "");
+    return number.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new HostPort("10.1.0." + number, 7340));
+  }
+
   private void advance(int millis) {
     clock.advance(Duration.ofMillis(millis));
   }
@@ -60,6 +73,26 @@
     assertEquals(8, nodes.get(0).liveNodes());
   }
 
+  @Test
+  void nodesFindWhereTheirPeersListen() {
+    for (int i = 1; i <= 3; i++) {
+      node(store, "box" + i, "1");
+    }
+    advance(1000);
+    assertEquals(
+        ImmutableList.of(new HostPort("10.1.0.2", 7340), new HostPort("10.1.0.3", 7340)),
+        nodes.get(0).peers());
+  }
+
+  @Test
+  void nodeWithoutAnAddressIsNoPeerButCounts() {
+    node(store, "box1", "1");
+    node(store, "silent", "1");
+    advance(1000);
+    assertEquals(ImmutableList.of(), nodes.get(0).peers());
+    assertEquals(2, nodes.get(0).liveNodes());
+  }
+
   @Test
   void stoppedControllerIsReplacedAtOnceWithAHigherFence() {
     node(store, "box1", "1");
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -174,6 +174,11 @@
     }
   }
 
+  /** Returns all endpoints that are listed. */
+  public ImmutableList<TrackedEndpoint> all() {
+    return ImmutableList.copyOf(byId.values());
+  }
+
   /** Returns the endpoints of a service that are listed. */
   public ImmutableList<TrackedEndpoint> of(String service) {
     ImmutableList.Builder<TrackedEndpoint> found = ImmutableList.builder();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -22,6 +22,9 @@
   private FleetEndpoint endpoint;
   private int inFlight;
   private double reservedTokenLayers;
+  private int peersRequests;
+  private double peersTokenLayers;
+  private double unheardFactor = 1;
   private long avoidedUntil = Long.MIN_VALUE;
   private boolean suspected;
   private boolean delisted;
@@ -152,6 +155,29 @@
     return reservedTokenLayers;
   }
 
+  /**
+   * Notes what the requests of other nodes take.
+   *
+   * @param requests of the nodes that told of theirs
+   * @param tokenLayers memory that those requests need, in tokens times layers
+   * @param factor live nodes by nodes whose load is known, this one included; at least 1
+   */
+  public void peersLoad(int requests, double tokenLayers, double factor) {
+    peersRequests = requests;
+    peersTokenLayers = tokenLayers;
+    unheardFactor = factor;
+  }
+
+  /** Returns the requests of all nodes there, as far as it is known. */
+  public double requestsOfAll() {
+    return (inFlight + peersRequests) * unheardFactor;
+  }
+
+  /** Returns the tokens times layers that the requests of all nodes need there. */
+  public double tokenLayersOfAll() {
+    return (reservedTokenLayers + peersTokenLayers) * unheardFactor;
+  }
+
   /** Counts a request of this node in; every call is matched by one of {@link #release}. */
   public void reserve(double tokenLayers) {
     inFlight++;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
@@ -2,7 +2,6 @@
 
 import io.servicetalk.concurrent.Executor;
 import java.util.Random;
-import java.util.function.IntSupplier;
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.HealthWatch;
@@ -20,7 +19,6 @@
  * @param control changes the path of a running request
  * @param calls sends to endpoints
  * @param budget bounds what is sent again
- * @param liveNodes number of nodes that share the endpoints
  * @param dataCentre this node's
  * @param counters counts refusals and retries
  */
@@ -33,6 +31,5 @@
     EngineControl control,
     EndpointCalls calls,
     ResendBudget budget,
-    IntSupplier liveNodes,
     String dataCentre,
     Counters counters) {}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -93,7 +93,6 @@
             control,
             calls,
             ResendBudget.of(limits, liveNodes),
-            liveNodes,
             dataCentre,
             counters);
     return new Forwarder(context, configuration, confirmedAt, limits.keyFreshness());
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -123,19 +123,15 @@
 
   private PathPlanner.Query query() {
     return new PathPlanner.Query(
-        model.orElseThrow(),
-        size,
-        context.dataCentre(),
-        context.liveNodes().getAsInt(),
-        context.clock().currentTime(NANOSECONDS));
+        model.orElseThrow(), size, context.dataCentre(), context.clock().currentTime(NANOSECONDS));
   }
 
-  /** Returns the replica with the fewest requests of this node, those not yet tried first. */
+  /** Returns the replica with the fewest requests, those not yet tried first. */
   private Optional<TrackedEndpoint> leastLoaded() {
     Optional<TrackedEndpoint> best = Optional.empty();
     double bestLoad = Double.MAX_VALUE;
     for (TrackedEndpoint replica : context.fleet().usable(service)) {
-      double load = replica.inFlight() + context.random().nextDouble();
+      double load = replica.requestsOfAll() + context.random().nextDouble();
       load += tried.contains(replica) ? replica.endpoint().slots() : 0;
       if (load < bestLoad) {
         best = Optional.of(replica);
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadSender.java
@@ -0,0 +1,10 @@
+package org.vaneworks.coordination.load;
+
+import org.vaneworks.state.HostPort;
+
+/** Sends a report to a peer; it may be lost on the way, a newer one follows. */
+@FunctionalInterface
+public interface LoadSender {
+  /** Sends without waiting. */
+  void send(HostPort peer, LoadReport report);
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -20,9 +20,9 @@
  *
  * <p>A shortest path over (layer boundary, data centre). A part may begin and end anywhere inside
  * what its engine holds, so ranges may overlap and a path may change between copies of the model.
- * The cost of a part is the engine's expected time for the request's share there, at the load that
- * this node knows of times the number of nodes, with a penalty once memory runs short. Chance
- * within a tenth keeps nodes with the same view from choosing the same engines.
+ * The cost of a part is the engine's expected time for the request's share there, at the load of
+ * all nodes as far as it is known, with a penalty once memory runs short. Chance within a tenth
+ * keeps nodes with the same view from choosing the same engines.
  */
 public final class PathPlanner {
   /** Paid once a path changes the data centre: the pipe between them is shared by all. */
@@ -63,11 +63,9 @@
    * @param model what the engines run
    * @param size the request's size
    * @param dataCentre the node's
-   * @param nodes live nodes, each with a load like this one's
    * @param nowNanos the time
    */
-  public record Query(
-      ModelProfile model, RequestSize size, String dataCentre, int nodes, long nowNanos) {}
+  public record Query(ModelProfile model, RequestSize size, String dataCentre, long nowNanos) {}
 
   private record Step(PathPart part, int state, double cost) {}
 
@@ -273,10 +271,11 @@
   private EngineCost cost(Query query, TrackedEndpoint engine, AcceleratorProfile accelerator) {
     ModelProfile model = query.model();
     RequestSize size = query.size();
-    double others = query.nodes() * engine.shortage(query.nowNanos());
-    double streams = engine.inFlight() * others;
+    double shortage = engine.shortage(query.nowNanos());
+    double streams = engine.requestsOfAll() * shortage;
     int held = engine.endpoint().layers().get().size();
-    double contextTokens = engine.reservedTokenLayers() * others / held;
+    double taken = engine.tokenLayersOfAll() * shortage;
+    double contextTokens = taken / held;
     double stepMillis =
         accelerator.stepFactor()
             * engine.pace()
@@ -299,7 +298,7 @@
         perLayer * noise,
         fixed * noise,
         model.roomTokenLayers(accelerator, held),
-        engine.reservedTokenLayers() * others,
+        taken,
         size.tokens());
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -6,11 +6,14 @@
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
-import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
@@ -18,9 +21,9 @@
  * This node's leases in the store: that of its entry among the live nodes and, on one node, the
  * controller's.
  *
- * <p>The entry only tells how many nodes share the endpoints, so its lease is long: short ones were
- * two thirds of all calls of a large fleet. The controller's is short, and opened to claim it.
- * Confined to the node's event loop.
+ * <p>The entry only tells how many nodes share the endpoints and where they listen for their peers,
+ * so its lease is long: short ones were two thirds of all calls of a large fleet. The controller's
+ * is short, and opened to claim it. Confined to the node's event loop.
  */
 public final class NodeLease implements PrefixFollower.Listener {
   private static final Duration ENTRY_LIFETIME = Duration.ofSeconds(12);
@@ -49,7 +52,11 @@
   private final SharedStore store;
   private final String prefix;
   private final String node;
-  private final Set<String> nodes = new HashSet<>();
+  private final Supplier<Optional<HostPort>> address;
+
+  /** The live nodes by name, with where each listens for its peers, if it does. */
+  private final Map<String, Optional<HostPort>> nodes = new TreeMap<>();
+
   private final HeldLease entry;
   private final HeldLease controller;
   private OptionalLong fence = OptionalLong.empty();
@@ -58,12 +65,19 @@
   private boolean followed;
   private boolean stopped;
 
-  private NodeLease(Executor clock, Random random, SharedStore store, String prefix, String node) {
+  private NodeLease(
+      Executor clock,
+      Random random,
+      SharedStore store,
+      String prefix,
+      String node,
+      Supplier<Optional<HostPort>> address) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
     this.store = checkNotNull(store);
     this.prefix = checkNotNull(prefix);
     this.node = checkNotNull(node);
+    this.address = checkNotNull(address);
     entry =
         new HeldLease(
             clock,
@@ -88,10 +102,17 @@
    * @param prefix of all keys of this product
    * @param box the box's name
    * @param run this run of the process; no two runs share it
+   * @param address where this node listens for its peers, if it does
    */
   public static NodeLease create(
-      Executor clock, Random random, SharedStore store, String prefix, String box, String run) {
-    return new NodeLease(clock, random, store, prefix, box + RUN_SEPARATOR + run);
+      Executor clock,
+      Random random,
+      SharedStore store,
+      String prefix,
+      String box,
+      String run,
+      Supplier<Optional<HostPort>> address) {
+    return new NodeLease(clock, random, store, prefix, box + RUN_SEPARATOR + run, address);
   }
 
   /** Writes the node's entry and keeps it. */
@@ -112,9 +133,19 @@
     return liveNodes;
   }
 
+  /** Returns where the other live nodes listen for their peers, in a stable order. */
+  public ImmutableList<HostPort> peers() {
+    Optional<HostPort> own = address.get();
+    return nodes.values().stream()
+        .flatMap(Optional::stream)
+        .filter(peer -> !own.equals(Optional.of(peer)))
+        .distinct()
+        .collect(ImmutableList.toImmutableList());
+  }
+
   private void countNodes() {
     // An earlier run of a box's process may be listed until its lease lapses.
-    long boxes = nodes.stream().map(NodeLease::boxOf).distinct().count();
+    long boxes = nodes.keySet().stream().map(NodeLease::boxOf).distinct().count();
     liveNodes = Math.max(1, (int) boxes);
   }
 
@@ -129,7 +160,8 @@
 
   private void writeEntry(long lease) {
     Async.onDone(
-        store.create(prefix + NODES + node, "", lease),
+        store.create(
+            prefix + NODES + node, address.get().map(HostPort::toString).orElse(""), lease),
         clock,
         (created, failure) -> {
           // No other run has this key: if it exists, an earlier try was done after all.
@@ -219,12 +251,28 @@
   private void take(StoredItem item, boolean removed) {
     String name = item.key().substring(prefix.length());
     if (name.startsWith(NODES)) {
-      boolean unused = removed ? nodes.remove(name) : nodes.add(name);
+      if (removed) {
+        nodes.remove(name);
+      } else {
+        nodes.put(name, addressIn(item));
+      }
     } else if (name.equals(CONTROLLER)) {
       takeController(item, removed);
     }
   }
 
+  private static Optional<HostPort> addressIn(StoredItem entry) {
+    if (entry.value().isEmpty()) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(HostPort.parse(entry.value()));
+    } catch (IllegalArgumentException e) {
+      EventLog.warn(Event.PEER_ADDRESS_NOT_READ, "entry", entry.key(), "cause", e.getMessage());
+      return Optional.empty();
+    }
+  }
+
   private void takeController(StoredItem item, boolean removed) {
     if (fence.isPresent() && item.revision() < fence.getAsLong()) {
       return; // It tells of an earlier controller.
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -52,7 +52,9 @@
   MEMBER_LEFT(5003, "a node left or was declared dead"),
   PEER_FAILED(5004, "a message to a peer failed"),
   LEASE_WON(5005, "this node holds the controller's lease"),
-  LEASE_LOST(5006, "this node's lease in the store is over");
+  LEASE_LOST(5006, "this node's lease in the store is over"),
+  PEER_ADDRESS_NOT_READ(5007, "a node's entry holds no address that can be read"),
+  PEER_REPORT_NOT_READ(5008, "a peer's load report could not be read");
 
   private final int number;
   private final String text;
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -15,6 +15,7 @@
   EJECTIONS("vaneworks.ejections", "endpoints ejected, by cause"),
   PEER_MESSAGES("vaneworks.peer.messages", "messages to peers, by type"),
   PEER_BYTES("vaneworks.peer.bytes", "bytes to and from peers, by direction"),
+  LOAD_REPORTS("vaneworks.load.reports", "reports of load between nodes, by outcome"),
   TICKETS("vaneworks.tickets", "ticketed requests, by outcome"),
   CLAIMS("vaneworks.claims", "keyed requests, by outcome"),
   FIRST_TOKEN("vaneworks.first.token", "time to the first token"),
