Requests wait for room while they can be served in time, and no path passes a full engine

Cause: paths were taken over engines without room; the engines refused, or stopped their newest request and read it again. A request whose engines had all just refused was refused after a quarter of the objective and asked to come back 0.17 s later, in the same shortage: 825 of 1,108 unserved requests ended with two refusals.

Change: WaitingLine, one a service: streams that go on, then who can be in time, then who is late. A request waits while those before it leave it a prospect, by the starts of the last second; it is refused at once otherwise, or if no endpoint could run it. A shortage is taken to last as long again as it has lasted, and callers are asked to come back then, spread. The parts of the objective (a quarter, a third) are gone.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -207,10 +207,20 @@
     return byId.values().stream().filter(e -> e.address().equals(address)).findFirst();
   }
 
-  /** Returns whether the endpoints of a service hold every layer between them. */
+  /** Returns whether any endpoint of a service gets new work, now or once it has room again. */
+  public boolean serves(String service) {
+    return of(service).stream().anyMatch(TrackedEndpoint::serving);
+  }
+
+  /**
+   * Returns whether the endpoints of a service hold every layer between them, full ones included.
+   */
   public boolean holdsAll(String service, int layers) {
     boolean[] held = new boolean[layers];
-    for (TrackedEndpoint endpoint : usable(service)) {
+    for (TrackedEndpoint endpoint : of(service)) {
+      if (!endpoint.serving()) {
+        continue;
+      }
       endpoint
           .endpoint()
           .layers()
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -75,7 +75,12 @@
 
   /** Returns whether it may get new work at that time. */
   public boolean usable(long nowNanos) {
-    return !suspected && !delisted && !endpoint.leaving() && nowNanos >= avoidedUntil;
+    return serving() && nowNanos >= avoidedUntil;
+  }
+
+  /** Returns whether it gets new work, now or once it has room again. */
+  public boolean serving() {
+    return !suspected && !delisted && !endpoint.leaving();
   }
 
   /** Returns whether it is believed dead or unreachable. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
@@ -18,6 +18,7 @@
  * @param health asks engines for signs of life
  * @param control changes the path of a running request
  * @param calls sends to endpoints
+ * @param lines requests that wait for room
  * @param budget bounds what is sent again
  * @param dataCentre this node's
  * @param counters counts refusals and retries
@@ -30,6 +31,7 @@
     HealthWatch health,
     EngineControl control,
     EndpointCalls calls,
+    WaitingLines lines,
     ResendBudget budget,
     String dataCentre,
     Counters counters) {}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -2,6 +2,7 @@
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.collect.Ordering;
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
 import java.util.Optional;
@@ -25,17 +26,22 @@
  * the node's event loop.
  */
 final class ForwardRun implements CallerAnswer.Flow {
-  /** Part of the objective within which a refusal costs the caller little. */
-  private static final int EARLY_PART = 4;
+  /** Callers of a stream wait this long for its first event at least. */
+  private static final Duration FIRST_EVENT_PATIENCE = Duration.ofSeconds(2);
 
-  /** Part of the objective after which a refused caller is asked to come back. */
-  private static final int COME_BACK_PART = 3;
+  /** The same as a multiple of the objective, and of that of the longest pause. */
+  private static final int OBJECTIVES_OF_PATIENCE = 4;
 
-  /** Left of that part for the refusal's own way back. */
-  private static final Duration EARLY_MARGIN = Duration.ofMillis(25);
+  private static final int PAUSES_OF_PATIENCE = 8;
 
-  /** How often a request without a place looks for one. */
-  private static final Duration PLACE_RETRY = Duration.ofMillis(20);
+  /** A request that is refused is refused this long before its caller leaves. */
+  private static final Duration ON_THE_WAY = Duration.ofMillis(100);
+
+  /** A caller that comes back on a new connection needs about this long anyway. */
+  private static final Duration SOONEST_RETURN = Duration.ofMillis(100);
+
+  /** Callers honour a time to come back up to this part of what they have left. */
+  private static final int LATEST_RETURN_PART = 3;
 
   /** An engine that said that it is full gets nothing new for its report's lag. */
   private static final Duration FULL_PAUSE = Duration.ofMillis(200);
@@ -67,6 +73,8 @@
   private final long startedAt;
   private final long endsAt;
   private final AnswerTimes times;
+  private final WaitingLine line;
+  private final WaitingLine.Waiter waiter = new InLine();
   private final EventSplitter splitter = new EventSplitter();
 
   private EndpointCall call;
@@ -74,10 +82,11 @@
   private int attemptNumber;
   private int sends;
   private int runs;
+  private long sentAt;
+  private boolean partCame;
   private boolean headPassed;
   private boolean done;
   private Cancellable limitTimer = () -> {};
-  private Cancellable placeTimer = () -> {};
 
   private ForwardRun(
       ForwardContext context,
@@ -100,6 +109,7 @@
             service,
             configuration.service(service).flatMap(ServiceProfile::model),
             request.size());
+    this.line = context.lines().of(service);
     this.progress = new ProgressWatch(context, place, route.pauseObjective());
     this.startedAt = now();
     this.endsAt = startedAt + limit().toNanos();
@@ -129,32 +139,77 @@
     seekPlace();
   }
 
-  /** Looks for an endpoint until an early refusal is due. */
+  /** Begins at an endpoint, or waits for room at one while that has a prospect. */
   private void seekPlace() {
-    if (done) {
-      return;
+    if (!done) {
+      line.join(waiter);
     }
-    if (place.take()) {
+  }
+
+  /** This request while it waits for room. */
+  private final class InLine implements WaitingLine.Waiter {
+    @Override
+    public boolean start() {
+      if (!place.take()) {
+        return false;
+      }
       send();
-      return;
+      return true;
     }
-    if (now() + PLACE_RETRY.toNanos() > placeSoughtUntil()) {
-      giveUp(Verdict.NOT_RUN, Reason.NO_ENDPOINT, "no endpoint of " + service + " is free");
-      return;
+
+    @Override
+    public boolean hasEndpoints() {
+      return place.exists();
+    }
+
+    @Override
+    public void refuse() {
+      giveUp(
+          Verdict.NOT_RUN, Reason.NO_ENDPOINT, "no endpoint of " + service + " has room in time");
+    }
+
+    @Override
+    public boolean continues() {
+      return headPassed;
+    }
+
+    @Override
+    public long inTimeUntil() {
+      return startedAt + route.objective().toNanos() - line.firstPartTime().toNanos();
+    }
+
+    @Override
+    public long waitsUntil() {
+      if (headPassed) {
+        return progress.lastProgress() + RESUME_PATIENCE.toNanos();
+      }
+      long callerLeaves = Math.min(endsAt, startedAt + firstPartPatience().toNanos());
+      return callerLeaves - ON_THE_WAY.toNanos() - line.firstPartTime().toNanos();
+    }
+
+    @Override
+    public int priority() {
+      return caller
+          .map(known -> known.priority().orElse(route.priority()))
+          .orElse(route.priority());
     }
-    placeTimer = context.clock().schedule(this::seekPlace, PLACE_RETRY.toNanos(), NANOSECONDS);
   }
 
-  private long placeSoughtUntil() {
-    if (headPassed) {
-      return progress.lastProgress() + RESUME_PATIENCE.toNanos();
+  /** Returns how long the caller waits for the first part of its answer. */
+  private Duration firstPartPatience() {
+    if (!route.kind().streamed()) {
+      return limit();
     }
-    Duration early = route.objective().dividedBy(EARLY_PART).minus(EARLY_MARGIN);
-    return startedAt + early.toNanos();
+    return Ordering.<Duration>natural()
+        .max(
+            FIRST_EVENT_PATIENCE,
+            route.objective().multipliedBy(OBJECTIVES_OF_PATIENCE),
+            route.pauseObjective().multipliedBy(PAUSES_OF_PATIENCE));
   }
 
   private void send() {
     sends++;
+    sentAt = now();
     lastSentTo = Optional.of(place.target());
     attemptNumber++;
     Attempt attempt =
@@ -201,7 +256,7 @@
     public void data(byte[] bytes) {
       if (counts()) {
         progress.data();
-        times.part(now());
+        notePart();
         passOn(bytes);
       }
     }
@@ -222,6 +277,14 @@
     }
   }
 
+  private void notePart() {
+    if (!partCame && sends == 1) {
+      line.firstPartTook(now() - sentAt);
+    }
+    partCame = true;
+    times.part(now());
+  }
+
   private void head(AnswerHead head, TrackedEndpoint endpoint) {
     if (!head.matches()) {
       call.cancel();
@@ -362,9 +425,12 @@
         Duration.ofNanos(now() - progressAt));
   }
 
-  /** Dozens of streams end each second, so places come free within a part of the objective. */
+  /** Returns when room is expected, spread so that callers don't come back in one wave. */
   private Duration comeBack() {
-    return route.objective().dividedBy(COME_BACK_PART);
+    Duration expected = Ordering.<Duration>natural().max(line.expectedWait(), SOONEST_RETURN);
+    long latest = Math.max(0, endsAt - now()) / LATEST_RETURN_PART;
+    double spread = 0.75 + context.random().nextDouble() / 2;
+    return Duration.ofNanos(Math.min(latest, (long) (expected.toNanos() * spread)));
   }
 
   private void timeIsUp() {
@@ -405,7 +471,7 @@
     place.release();
     limitTimer.cancel();
     progress.stop();
-    placeTimer.cancel();
+    line.leave(waiter);
     onDone.accept(this);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -92,6 +92,7 @@
             health,
             control,
             calls,
+            new WaitingLines(clock),
             ResendBudget.of(limits, liveNodes),
             dataCentre,
             counters);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -91,6 +91,13 @@
     return target.isPresent();
   }
 
+  /** Returns whether endpoints could run the request if they had room. */
+  boolean exists() {
+    return model
+        .map(profile -> context.fleet().holdsAll(service, profile.layers()))
+        .orElseGet(() -> context.fleet().serves(service));
+  }
+
   /** Returns a path with the same first part that avoids some engines. */
   Optional<EnginePath> another(ImmutableList<TrackedEndpoint> without) {
     PathPart first = path.orElseThrow().parts().get(0);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -37,6 +37,13 @@
   /** Share of an engine's memory from which waiting for memory becomes likely. */
   private static final double CROWDED = 0.7;
 
+  /**
+   * Most of an engine's memory that requests may be going to need. The rest is for answers longer
+   * than expected and for requests of other nodes that are not known yet: an engine that runs out
+   * of memory stops the newest request and reads it again later.
+   */
+  private static final double MOST_TAKEN = 1.0;
+
   /** Cost of an engine whose memory is full, far above any time of a step. */
   private static final double FULL_MILLIS = 20_000;
 
@@ -307,6 +314,10 @@
       double perLayer, double fixed, double room, double taken, double tokens) {
     double of(int layers) {
       double fill = room <= 0 ? 1 : (taken + tokens * layers) / room;
+      // An empty engine takes whatever fits; one that is described as too small refuses itself.
+      if (room > 0 && fill > (taken > 0 ? MOST_TAKEN : 1)) {
+        return Double.MAX_VALUE;
+      }
       double crowding = fill <= CROWDED ? 0 : FULL_MILLIS * (fill - CROWDED) / (1 - CROWDED);
       return perLayer * layers + fixed + crowding;
     }
