--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -25,8 +25,12 @@
  * keeps nodes with the same view from choosing the same engines.
  */
 public final class PathPlanner {
-  /** Paid once a path changes the data centre: the pipe between them is shared by all. */
-  private static final double CROSSING_MILLIS = 1500;
+  /**
+   * Paid once a path changes the data centre: as much as for an engine without room. The pipe
+   * between two data centres is shared by all and can't be seen to fill; each token passes it. A
+   * data centre that lacks room or layers sends its requests whole to another one instead.
+   */
+  private static final double CROSSING_MILLIS = 20_000;
 
   /** Paid for leaving the node's data centre: bytes between them are priced. */
   private static final double REMOTE_MILLIS = 60;
