--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/ChangeOptions.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/ChangeOptions.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
-import org.vaneworks.coordination.ConfigurationChange;
+import org.vaneworks.coordination.configuration.ConfigurationChange;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/HistoryCommand.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/HistoryCommand.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.time.Instant;
 import java.util.concurrent.Callable;
-import org.vaneworks.coordination.StoredConfiguration;
+import org.vaneworks.coordination.configuration.StoredConfiguration;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.ChangeRecord;
 import picocli.CommandLine.Command;
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/PlanCommand.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/PlanCommand.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.concurrent.Callable;
-import org.vaneworks.coordination.ConfigurationChange;
+import org.vaneworks.coordination.configuration.ConfigurationChange;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/ResourceFiles.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/ResourceFiles.java
@@ -9,7 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
-import org.vaneworks.coordination.ConfigurationChange;
+import org.vaneworks.coordination.configuration.ConfigurationChange;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.protocol.ResourceJson;
 import org.vaneworks.state.ResourceKey;
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/ValidateCommand.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/ValidateCommand.java
@@ -1,7 +1,7 @@
 package org.vaneworks.cli;
 
 import java.util.concurrent.Callable;
-import org.vaneworks.coordination.ConfigurationChange;
+import org.vaneworks.coordination.configuration.ConfigurationChange;
 import org.vaneworks.state.ConfigurationSnapshot;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
--- a/vaneworks-cli/src/main/java/org/vaneworks/cli/VaneworksMain.java
+++ b/vaneworks-cli/src/main/java/org/vaneworks/cli/VaneworksMain.java
@@ -1,6 +1,6 @@
 package org.vaneworks.cli;
 
-import org.vaneworks.coordination.ConflictException;
+import org.vaneworks.coordination.configuration.ConflictException;
 import org.vaneworks.coordination.store.StoreException;
 import picocli.AutoComplete.GenerateCompletion;
 import picocli.CommandLine;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/ConfigurationSchedule.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/ConfigurationSchedule.java
@@ -11,10 +11,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.vaneworks.coordination.ConflictException;
 import org.vaneworks.coordination.Node;
-import org.vaneworks.coordination.StoredConfiguration;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.configuration.ConflictException;
+import org.vaneworks.coordination.configuration.StoredConfiguration;
 import org.vaneworks.state.ConfigurationHead;
 import org.vaneworks.testlib.InMemoryFleet;
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/NodeSteps.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/NodeSteps.java
@@ -13,9 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.vaneworks.coordination.ConflictException;
 import org.vaneworks.coordination.Node;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.configuration.ConflictException;
 import org.vaneworks.state.ConfigurationHead;
 
 /** Steps on nodes, the platform's store and the configuration. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ConfigurationSpread.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ConfigurationSpread.java
@@ -19,6 +19,7 @@
 import org.vaneworks.coordination.PeerMessage.Head;
 import org.vaneworks.coordination.PeerMessage.Pages;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.configuration.ConfigurationBoard;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Node.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/Node.java
@@ -14,6 +14,8 @@
 import org.vaneworks.coordination.PeerMessage.PingFor;
 import org.vaneworks.coordination.PeerMessage.RunOnce;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.configuration.ConfigurationBoard;
+import org.vaneworks.coordination.configuration.ConfigurationFollower;
 import org.vaneworks.coordination.store.BudgetedStore;
 import org.vaneworks.coordination.store.PageSource;
 import org.vaneworks.coordination.store.PlatformStore;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
@@ -9,6 +9,7 @@
 import org.vaneworks.coordination.PeerMessage.OnceReply;
 import org.vaneworks.coordination.PeerMessage.RunOnce;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.configuration.ConfigurationBoard;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.RefusalException;
