--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -2,7 +2,6 @@
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
-import com.google.common.collect.Ordering;
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
 import java.util.Optional;
@@ -26,23 +25,6 @@
  * the node's event loop.
  */
 final class ForwardRun implements CallerAnswer.Flow {
-  /** Callers of a stream wait this long for its first event at least. */
-  private static final Duration FIRST_EVENT_PATIENCE = Duration.ofSeconds(2);
-
-  /** The same as a multiple of the objective, and of that of the longest pause. */
-  private static final int OBJECTIVES_OF_PATIENCE = 4;
-
-  private static final int PAUSES_OF_PATIENCE = 8;
-
-  /** A request that is refused is refused this long before its caller leaves. */
-  private static final Duration ON_THE_WAY = Duration.ofMillis(100);
-
-  /** A caller that comes back on a new connection needs about this long anyway. */
-  private static final Duration SOONEST_RETURN = Duration.ofMillis(100);
-
-  /** Callers honour a time to come back up to this part of what they have left. */
-  private static final int LATEST_RETURN_PART = 3;
-
   /** An engine that said that it is full gets nothing new for its report's lag. */
   private static final Duration FULL_PAUSE = Duration.ofMillis(200);
 
@@ -71,6 +53,7 @@
   private final Place place;
   private final ProgressWatch progress;
   private final long startedAt;
+  private final CallerPatience patience;
   private final long endsAt;
   private final AnswerTimes times;
   private final WaitingLine line;
@@ -112,7 +95,8 @@
     this.line = context.lines().of(service);
     this.progress = new ProgressWatch(context, place, route.pauseObjective());
     this.startedAt = now();
-    this.endsAt = startedAt + limit().toNanos();
+    this.patience = CallerPatience.of(route, request.patience(), startedAt);
+    this.endsAt = patience.endsAt();
     this.times = new AnswerTimes(context.counters(), route.kind().streamed(), startedAt);
   }
 
@@ -127,11 +111,6 @@
     return new ForwardRun(context, configuration, route, caller, request, answer, onDone);
   }
 
-  private Duration limit() {
-    Duration patience = request.patience().orElse(route.timeout());
-    return patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
-  }
-
   void start() {
     limitTimer =
         context.clock().schedule(this::timeIsUp, Math.max(0, endsAt - startedAt), NANOSECONDS);
@@ -175,7 +154,7 @@
 
     @Override
     public long inTimeUntil() {
-      return startedAt + route.objective().toNanos() - line.firstPartTime().toNanos();
+      return patience.inTimeUntil(line.firstPartTime());
     }
 
     @Override
@@ -183,8 +162,7 @@
       if (headPassed) {
         return progress.lastProgress() + RESUME_PATIENCE.toNanos();
       }
-      long callerLeaves = Math.min(endsAt, startedAt + firstPartPatience().toNanos());
-      return callerLeaves - ON_THE_WAY.toNanos() - line.firstPartTime().toNanos();
+      return patience.waitsUntil(line.firstPartTime());
     }
 
     @Override
@@ -195,18 +173,6 @@
     }
   }
 
-  /** Returns how long the caller waits for the first part of its answer. */
-  private Duration firstPartPatience() {
-    if (!route.kind().streamed()) {
-      return limit();
-    }
-    return Ordering.<Duration>natural()
-        .max(
-            FIRST_EVENT_PATIENCE,
-            route.objective().multipliedBy(OBJECTIVES_OF_PATIENCE),
-            route.pauseObjective().multipliedBy(PAUSES_OF_PATIENCE));
-  }
-
   private void send() {
     sends++;
     sentAt = now();
@@ -425,12 +391,8 @@
         Duration.ofNanos(now() - progressAt));
   }
 
-  /** Returns when room is expected, spread so that callers don't come back in one wave. */
   private Duration comeBack() {
-    Duration expected = Ordering.<Duration>natural().max(line.expectedWait(), SOONEST_RETURN);
-    long latest = Math.max(0, endsAt - now()) / LATEST_RETURN_PART;
-    double spread = 0.75 + context.random().nextDouble() / 2;
-    return Duration.ofNanos(Math.min(latest, (long) (expected.toNanos() * spread)));
+    return patience.comeBack(line.expectedWait(), now(), context.random().nextDouble());
   }
 
   private void timeIsUp() {
