Reading: a request's usual tokens and an engine's room a layer stand once; a comment that said otherwise

The sum of prompt and answer stood in two classes of placement, the room of a layer in three. The peers' list was built twice for each load report. MOST_TAKEN's comment still told of a rest that is no longer left. Behaviour unchanged; placement, exchange, path, forwarding and layer tests pass.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -104,9 +104,9 @@
       return;
     }
     tellLater();
-    expire();
-    noteWithEndpoints();
     ImmutableList<HostPort> all = peers.get();
+    expire(all.size());
+    noteWithEndpoints();
     if (!all.isEmpty()) {
       next = (next + 1) % all.size();
       sender.send(all.get(next), report());
@@ -133,8 +133,8 @@
     heard.put(report.sender(), new Heard(report.loads(), now()));
   }
 
-  private void expire() {
-    long round = PAUSE.toNanos() * Math.max(1, peers.get().size());
+  private void expire(int peerCount) {
+    long round = PAUSE.toNanos() * Math.max(1, peerCount);
     long limit = Math.max(SHORTEST_EXPIRY.toNanos(), ROUNDS_TO_EXPIRY * round);
     heard.values().removeIf(peer -> now() - peer.at() > limit);
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/FirstPlacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/FirstPlacement.java
@@ -89,7 +89,7 @@
   }
 
   private double tokens(double requests) {
-    return requests * (model.usualPrompt() + model.usualAnswer());
+    return requests * model.usualTokens();
   }
 
   /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementPlanner.java
@@ -202,7 +202,7 @@
         continue;
       }
       int added = wider - range.size();
-      double room = model.roomTokenLayers(engine.accelerator(), wider) / wider / added;
+      double room = model.roomTokens(engine.accelerator(), wider) / added;
       if (room > bestRoom) {
         best = engine;
         bestRoom = room;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementValue.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementValue.java
@@ -85,16 +85,12 @@
   }
 
   private Holder holder(int index, Holding engine, LayerRange range) {
-    double tokens = model.roomTokenLayers(engine.accelerator(), range.size()) / range.size();
+    double tokens = model.roomTokens(engine.accelerator(), range.size());
     return new Holder(
         index,
         engine.accelerator().stepFactor(),
         HOP_MILLIS / range.size(),
-        tokens / usualTokens());
-  }
-
-  private double usualTokens() {
-    return model.usualPrompt() + model.usualAnswer();
+        tokens / model.usualTokens());
   }
 
   private double streamsPerSecond(List<List<Holder>> holders, Optional<Integer> lost) {
@@ -148,7 +144,7 @@
   }
 
   private double stepMillis(double streams) {
-    double thousands = usualTokens() / 1000;
+    double thousands = model.usualTokens() / 1000.0;
     return model.stepMillis()
         + streams * (model.perSequenceMillis() + thousands * model.perThousandContextMillis());
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -44,9 +44,10 @@
   private static final double CROWDED = 0.7;
 
   /**
-   * Most of an engine's memory that requests may be going to need. The rest is for answers longer
-   * than expected and for requests of other nodes that are not known yet: an engine that runs out
-   * of memory stops the newest request and reads it again later.
+   * Most of an engine's memory that requests may be going to need at their end. All of it: few of
+   * them are at their end at once, which leaves room for answers longer than expected and for
+   * requests of other nodes that are not known yet. An engine that runs out of memory stops the
+   * newest request and reads it again later.
    */
   private static final double MOST_TAKEN = 1.0;
 
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/ModelProfile.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/ModelProfile.java
@@ -54,6 +54,16 @@
     return Optional.ofNullable(accelerators.get(name));
   }
 
+  /** Returns the tokens of a request of the usual size at its end. */
+  public int usualTokens() {
+    return usualPrompt + usualAnswer;
+  }
+
+  /** Returns how many tokens of requests fit beside the held layers, in each of them. */
+  public double roomTokens(AcceleratorProfile accelerator, int heldLayers) {
+    return roomTokenLayers(accelerator, heldLayers) / heldLayers;
+  }
+
   /** Returns how many tokens times layers fit beside the held layers. */
   public double roomTokenLayers(AcceleratorProfile accelerator, int heldLayers) {
     double free = accelerator.megabytes() - heldLayers * layerMegabytes;
