Logs tell how long the store was silent and which unlisted endpoints are kept

Cause: in the incident nothing was said between the first failed call to the store and the first answer, 13 s later, nor of an endpoint that was found missing and kept. So 'kept by the grace' could not be told from 'learnt late', nor a long way back from a long outage. Change: VW2005 says how long the store was silent, how many calls failed, why the last one did, how long ago it was begun, and whether the view came back whole or by changes; VW3010 names an unlisted endpoint that is kept and for how long. No change of logic.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -130,6 +130,7 @@
       long wait = relistGrace.toNanos() - sinceFailure;
       clock.schedule(() -> removeIfStillUnlisted(known), wait, NANOSECONDS);
       known.delistPending(true);
+      EventLog.info(Event.ENDPOINT_KEPT, "endpoint", id, "forMs", NANOSECONDS.toMillis(wait));
       return;
     }
     drop(known, "unlisted");
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.concurrent.Async;
@@ -51,8 +52,9 @@
   private final Listener listener;
   private long revision = -1;
   private long confirmedAt = Long.MIN_VALUE / 2;
+  private long startedAt;
   private Duration backOff = FIRST_BACK_OFF;
-  private boolean failing;
+  private Optional<StoreSilence> silence = Optional.empty();
   private boolean stopped;
 
   private PrefixFollower(
@@ -94,6 +96,7 @@
 
   /** Begins to follow. */
   public void start() {
+    startedAt = clock.currentTime(NANOSECONDS);
     ask();
   }
 
@@ -118,53 +121,72 @@
           clock,
           (view, failure) -> {
             if (failure != null) {
-              retry(failure);
+              retry(askedAt, failure);
             } else {
               revision = view.revision();
               listener.replace(view.items());
-              answered(askedAt);
+              answered(askedAt, "whole");
             }
           });
       return;
     }
     Async.onDone(
-        store.watch(prefix, revision, failing ? NO_WAIT : wait.get()),
+        store.watch(prefix, revision, silence.isPresent() ? NO_WAIT : wait.get()),
         clock,
         (changes, failure) -> {
           if (failure != null) {
-            retry(failure);
+            retry(askedAt, failure);
           } else {
             revision = Math.max(revision, changes.revision());
             changes.changes().forEach(listener::change);
-            answered(askedAt);
+            answered(askedAt, changes.changes().size() + " changes");
           }
         });
   }
 
-  private void answered(long askedAt) {
+  private void answered(long askedAt, String read) {
     if (stopped) {
       return;
     }
+    silence.ifPresent(over -> tellRecovery(over, askedAt, read));
+    silence = Optional.empty();
     confirmedAt = Math.max(confirmedAt, askedAt);
     backOff = FIRST_BACK_OFF;
-    if (failing) {
-      failing = false;
-      EventLog.info(Event.STORE_RECOVERED, "prefix", prefix);
-    }
     clock.schedule(this::ask, pause.get().toNanos(), NANOSECONDS);
   }
 
-  private void retry(Throwable failure) {
+  private void tellRecovery(StoreSilence over, long askedAt, String read) {
+    EventLog.info(
+        Event.STORE_RECOVERED,
+        "prefix",
+        prefix,
+        "silentMs",
+        NANOSECONDS.toMillis(askedAt - over.lastAnswerAskedAt()),
+        "failedCalls",
+        over.failedCalls(),
+        "lastCallBegunMsAgo",
+        NANOSECONDS.toMillis(clock.currentTime(NANOSECONDS) - over.lastCallBegunAt()),
+        "lastCause",
+        over.lastCause(),
+        "read",
+        read);
+  }
+
+  private void retry(long askedAt, Throwable failure) {
     counters.count(Metric.STORE_FAILURES, prefix);
     if (historyLost(failure)) {
       revision = -1;
     } else {
       listener.failed();
     }
-    if (!failing) {
-      failing = true;
+    if (silence.isEmpty()) {
       EventLog.warn(Event.STORE_FAILED, "prefix", prefix, "cause", failure.getMessage());
     }
+    silence =
+        Optional.of(
+            silence
+                .orElseGet(() -> StoreSilence.since(Math.max(confirmedAt, startedAt)))
+                .and(askedAt, String.valueOf(failure.getMessage())));
     long jittered = (long) (backOff.toNanos() * (0.5 + random.nextDouble()));
     Duration doubled = backOff.multipliedBy(2);
     backOff = doubled.compareTo(LONGEST_BACK_OFF) > 0 ? LONGEST_BACK_OFF : doubled;
