--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
@@ -20,7 +20,7 @@
 import org.vaneworks.coordination.shared.StoredItem;
 
 /** The shared store under a paused clock, with outages, lost answers and forgotten history. */
-final class StoreInMemory implements SharedStore {
+public final class StoreInMemory implements SharedStore {
   private record Lease(Duration lifetime, long renewedAt) {}
 
   private record Stored(StoredItem item, long lease) {}
@@ -32,19 +32,19 @@
   final List<String> calls = new ArrayList<>();
   private long revision;
   private long nextLease = 1;
-  boolean down;
+  public boolean down;
   boolean losesAnswers;
   private boolean forgot;
 
-  StoreInMemory(Executor clock) {
+  public StoreInMemory(Executor clock) {
     this.clock = clock;
   }
 
-  void put(String key, String value) {
+  public void put(String key, String value) {
     store(key, value, 0);
   }
 
-  void forgetHistory() {
+  public void forgetHistory() {
     forgot = true;
   }
 
@@ -62,7 +62,7 @@
     history.add(new StoreChanges.Change(item, false));
   }
 
-  void remove(String key) {
+  public void remove(String key) {
     revision++;
     items.remove(key);
     history.add(new StoreChanges.Change(new StoredItem(key, "", revision, 0), true));
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
@@ -0,0 +1,78 @@
+package org.vaneworks.tests.shared;
+
+import io.servicetalk.concurrent.Executor;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.vaneworks.coordination.shared.SharedStore;
+import org.vaneworks.coordination.shared.SharedStoreException;
+import org.vaneworks.coordination.shared.SharedStoreException.Kind;
+import org.vaneworks.coordination.shared.StoreChanges;
+import org.vaneworks.coordination.shared.StoreView;
+
+/**
+ * One node's way to the shared store. While it is cut the store goes on for everybody else; a call
+ * that is begun meanwhile fails when its limit is over, also if the way is open again by then.
+ */
+public final class StoreLink implements SharedStore {
+  private static final long CALL_LIMIT_MILLIS = 900;
+
+  private final Executor clock;
+  private final SharedStore store;
+  private boolean cut;
+
+  /** Creates an open way. */
+  public StoreLink(Executor clock, SharedStore store) {
+    this.clock = clock;
+    this.store = store;
+  }
+
+  /** Cuts the way, or opens it again. */
+  public void cut(boolean value) {
+    cut = value;
+  }
+
+  private <T> CompletableFuture<T> unlessCut(Supplier<CompletableFuture<T>> call) {
+    if (!cut) {
+      return call.get();
+    }
+    CompletableFuture<T> unanswered = new CompletableFuture<>();
+    SharedStoreException silence =
+        SharedStoreException.of(Kind.UNKNOWN_EFFECT, "the store did not answer");
+    clock.schedule(
+        () -> unanswered.completeExceptionally(silence), CALL_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+    return unanswered;
+  }
+
+  @Override
+  public CompletableFuture<StoreView> list(String prefix) {
+    return unlessCut(() -> store.list(prefix));
+  }
+
+  @Override
+  public CompletableFuture<StoreChanges> watch(String prefix, long after, Duration wait) {
+    return unlessCut(() -> store.watch(prefix, after, wait));
+  }
+
+  @Override
+  public CompletableFuture<OptionalLong> create(String key, String value, long lease) {
+    return unlessCut(() -> store.create(key, value, lease));
+  }
+
+  @Override
+  public CompletableFuture<Long> openLease(Duration lifetime) {
+    return unlessCut(() -> store.openLease(lifetime));
+  }
+
+  @Override
+  public CompletableFuture<Boolean> renew(long lease) {
+    return unlessCut(() -> store.renew(lease));
+  }
+
+  @Override
+  public CompletableFuture<Void> endLease(long lease) {
+    return unlessCut(() -> store.endLease(lease));
+  }
+}
