The way to the store and to endpoints is tried as soon as it is asked for

Cause: each of our clients has one address, but the library's load balancer, made for many, gives an address no more calls after five failed connections and tries it by itself 5 s and up to 3 s more later. Every call in between fails unsent, 'failed to pick an active host'. Ruled out: calls that hang on dead connections (the last failures before the view came back took no time); the back-off (0.75 s at most). Change: SingleAddress, a load balancer that judges nothing, for HttpSender (the store, reports, orders, vaneworksd's calls) and EndpointConnections: the same cause delayed the first request to an endpoint that had come back. Unlisted endpoints are still kept in use after the cut.

--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
@@ -114,6 +114,7 @@
     io.ifPresent(builder::ioExecutor);
     return builder
         .executor(executor)
+        .loadBalancerFactory(SingleAddress.alwaysTried())
         .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
         .executionStrategy(HttpExecutionStrategies.offloadNone())
         .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -26,6 +26,7 @@
 import org.vaneworks.coordination.forwarding.EndpointCalls;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.transport.SentState;
+import org.vaneworks.transport.SingleAddress;
 
 /**
  * Sends attempts over pooled connections, one request at a time on each.
@@ -89,6 +90,7 @@
     return HttpClients.forResolvedAddress(to.host(), to.port())
         .ioExecutor(io)
         .executor(io)
+        .loadBalancerFactory(SingleAddress.alwaysTried())
         .executionStrategy(HttpExecutionStrategies.offloadNone())
         .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
         .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
