Random courses of cuts, outages, lapsed entries and leavings

Why: all our tests of a lost store had the store away for everybody, and the soak has no endpoint that leaves, so neither could show the incident. Change: ListingSchedulesTest plays a minute of one node's list in paused time: endpoints renew, lapse, come and leave, the store is away for all or the node is cut off, also both. What has left is not in use 3 s after the last fault (2 s if it was a cut that an entry outlived), what lives is; after an outage in which all entries lapsed or none, nothing that lives is ever out of use. A fixture is shared with StoreCutTest, whose steps stay as they were.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListedFleet.java
@@ -0,0 +1,84 @@
+package org.vaneworks.daemon.entry;
+
+import com.google.common.collect.ImmutableSet;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.vaneworks.coordination.fleet.Fleet;
+import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.shared.PrefixFollower;
+import org.vaneworks.coordination.shared.StoredItem;
+import org.vaneworks.state.HostPort;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.testlib.PausedExecutor;
+import org.vaneworks.tests.shared.StoreInMemory;
+import org.vaneworks.tests.shared.StoreLink;
+
+/** One node's table of endpoints, kept by its follower of the store, under a paused clock. */
+final class ListedFleet {
+  private static final String PREFIX = "servers/";
+  private static final String SERVICE = "records";
+
+  /** As a node has it; see {@link EntryNode}. */
+  private static final Duration RELIST_GRACE = Duration.ofMillis(2900);
+
+  final PausedExecutor clock = PausedExecutor.create();
+  final StoreInMemory store = new StoreInMemory(clock);
+  final StoreLink link = new StoreLink(clock, store);
+  private final Counters counters = Counters.in(new SimpleMeterRegistry());
+  private final Fleet fleet = Fleet.create(clock, counters, RELIST_GRACE);
+  final PrefixFollower follower;
+
+  ListedFleet(long seed) {
+    follower =
+        PrefixFollower.create(
+            clock,
+            new Random(seed),
+            link,
+            counters,
+            PREFIX,
+            () -> Duration.ofMillis(1250),
+            () -> Duration.ofMillis(500),
+            new EndpointListWatch(PREFIX, ListedFleet::endpoint, fleet));
+  }
+
+  private static FleetEndpoint endpoint(StoredItem item) {
+    String id = item.key().substring(PREFIX.length());
+    HostPort address = new HostPort("10.0.0.1", 80);
+    return new FleetEndpoint(
+        id, SERVICE, address, "dc1", 6, false, Optional.empty(), "", item.createdAt());
+  }
+
+  void list(String... ids) {
+    for (String id : ids) {
+      store.put(PREFIX + id, "ready");
+    }
+  }
+
+  void unlist(String... ids) {
+    for (String id : ids) {
+      store.remove(PREFIX + id);
+    }
+  }
+
+  boolean isListed(String id) {
+    return store.has(PREFIX + id);
+  }
+
+  /** Returns the endpoints that get new work now. */
+  ImmutableSet<String> usable() {
+    return fleet.usable(SERVICE).stream()
+        .map(endpoint -> endpoint.endpoint().id())
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  void advance(int millis) {
+    clock.advance(Duration.ofMillis(millis));
+  }
+
+  long nowMillis() {
+    return clock.currentTime(TimeUnit.MILLISECONDS);
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/Schedules.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/Schedules.java
@@ -13,12 +13,12 @@
  * <p>{@code -Dvaneworks.schedules=N} runs more of them; a failing seed is printed and replays with
  * the schedule's {@code run}.
  */
-final class Schedules {
+public final class Schedules {
   /** How many seeds a property is tried with. */
-  static final int TRIES = 200;
+  public static final int TRIES = 200;
 
   /** The seed that the properties' seeds come from. */
-  static final String SEED = "20261202";
+  public static final String SEED = "20261202";
 
   private static final int SCHEDULES = Integer.getInteger("vaneworks.schedules", TRIES);
 
@@ -26,15 +26,15 @@
   private final Map<String, Integer> totals = new TreeMap<>();
   private int count;
 
-  Schedules(String name) {
+  public Schedules(String name) {
     this.name = name;
   }
 
   /** What one schedule came to: what is wrong, and counts to add up. */
-  record Result(ImmutableList<String> problems, Map<String, Integer> counts) {}
+  public record Result(ImmutableList<String> problems, Map<String, Integer> counts) {}
 
   /** Runs the share of the schedules that falls to one try. */
-  void run(long seed, LongFunction<Result> schedule) {
+  public void run(long seed, LongFunction<Result> schedule) {
     for (int i = 0; i < Math.max(1, SCHEDULES / TRIES); i++) {
       long each = seed + i;
       Result result = schedule.apply(each);
@@ -45,7 +45,7 @@
   }
 
   /** Prints the sums. */
-  void report() {
+  public void report() {
     System.out.println(name + " schedules: " + count + " " + totals);
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
@@ -48,7 +48,7 @@
     forgot = true;
   }
 
-  boolean has(String key) {
+  public boolean has(String key) {
     lapse();
     return items.containsKey(key);
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.shared.SharedStore;
 import org.vaneworks.coordination.shared.SharedStoreException;
 import org.vaneworks.coordination.shared.SharedStoreException.Kind;
@@ -14,7 +15,8 @@
 
 /**
  * One node's way to the shared store. While it is cut the store goes on for everybody else; a call
- * that is begun meanwhile fails when its limit is over, also if the way is open again by then.
+ * that is begun or answered meanwhile fails when its limit is over, also if the way is open again
+ * by then.
  */
 public final class StoreLink implements SharedStore {
   private static final long CALL_LIMIT_MILLIS = 900;
@@ -35,9 +37,19 @@
   }
 
   private <T> CompletableFuture<T> unlessCut(Supplier<CompletableFuture<T>> call) {
-    if (!cut) {
-      return call.get();
+    return cut ? unanswered() : Async.compose(call.get(), this::answerUnlessCut);
+  }
+
+  private <T> CompletableFuture<T> answerUnlessCut(T answer, Throwable failure) {
+    if (cut) {
+      return unanswered();
     }
+    return failure == null
+        ? CompletableFuture.completedFuture(answer)
+        : CompletableFuture.failedFuture(failure);
+  }
+
+  private <T> CompletableFuture<T> unanswered() {
     CompletableFuture<T> unanswered = new CompletableFuture<>();
     SharedStoreException silence =
         SharedStoreException.of(Kind.UNKNOWN_EFFECT, "the store did not answer");
