A node whose entry lapsed in a cut is listed again as soon as it sees that

Cause, found by looking for consequences of the same class (a node's own loss of contact): the node learnt at its next renewal, up to 4 s after its view was back, that its lease was over, and opened another one 4 s later. Until then all nodes counted fewer live nodes than there were, so each took a larger share of the retries that the fleet may send, and peers told it no load. It did not even count itself. Change: the removal of its own entry, or a renewal that finds the lease over, opens another lease at once, removals spread over a second for fleets whose entries lapse together; a node always counts itself. Tests: nodeWhoseEntryLapsedInACutIsCountedAgainSoonAfterIt and nodeCountsItselfWhileItsEntryIsMissing failed first; a third, with a forgotten history, was written with the change and not run without it.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.shared.NodeLease;
 import org.vaneworks.coordination.shared.PrefixFollower;
+import org.vaneworks.coordination.shared.SharedStore;
 import org.vaneworks.coordination.shared.StoreChanges;
 import org.vaneworks.coordination.shared.StoredItem;
 import org.vaneworks.state.HostPort;
@@ -28,7 +29,7 @@
   private final StoreInMemory store = new StoreInMemory(clock);
   private final List<NodeLease> nodes = new ArrayList<>();
 
-  private NodeLease node(StoreInMemory reached, String box, String run) {
+  private NodeLease node(SharedStore reached, String box, String run) {
     NodeLease lease =
         NodeLease.create(
             clock, new Random(nodes.size()), reached, PREFIX, box, run, () -> addressOf(box));
@@ -215,4 +216,47 @@
   private NodeLease controller() {
     return nodes.stream().filter(node -> node.controllerFence().isPresent()).findFirst().get();
   }
+
+  @Test
+  void nodeWhoseEntryLapsedInACutIsCountedAgainSoonAfterIt() {
+    StoreLink link = new StoreLink(clock, store);
+    NodeLease other = node(store, "box1", "1");
+    node(link, "box2", "1");
+    advance(2000);
+    link.cut(true);
+    advance(15_000);
+    assertEquals(1, other.liveNodes());
+    link.cut(false);
+    advance(3500);
+    assertEquals(2, other.liveNodes());
+  }
+
+  @Test
+  void nodeWhoseEntryLapsedInACutIsCountedAgainThoughTheStoreForgotIt() {
+    StoreLink link = new StoreLink(clock, store);
+    NodeLease other = node(store, "box1", "1");
+    node(link, "box2", "1");
+    advance(2000);
+    link.cut(true);
+    advance(15_000);
+    store.forgetHistory();
+    link.cut(false);
+    advance(6000);
+    assertEquals(2, other.liveNodes());
+  }
+
+  @Test
+  void nodeCountsItselfWhileItsEntryIsMissing() {
+    StoreLink link = new StoreLink(clock, store);
+    node(store, "box1", "1");
+    NodeLease cutOff = node(link, "box2", "1");
+    advance(2000);
+    link.cut(true);
+    advance(15_000);
+    link.cut(false);
+    for (int i = 0; i < 30; i++) {
+      advance(100);
+      assertEquals(2, cutOff.liveNodes(), "after " + (i + 1) * 100 + " ms");
+    }
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/HeldLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/HeldLease.java
@@ -27,7 +27,7 @@
   private long heldUntil = Long.MIN_VALUE / 2;
   private boolean wanted;
 
-  /** Rises with each start, so that calls of an earlier one change nothing. */
+  /** Rises with each start and lease, so that calls of an earlier one change nothing. */
   private int start;
 
   /**
@@ -83,6 +83,18 @@
     return id.isPresent() && clock.currentTime(NANOSECONDS) < heldUntil;
   }
 
+  /** Takes note that the store has ended the lease; another is opened after the wait. */
+  void over(String cause, Duration wait) {
+    if (!wanted || id.isEmpty()) {
+      return;
+    }
+    id = OptionalLong.empty();
+    start++;
+    int began = start;
+    onLost.accept(cause);
+    clock.schedule(() -> renewOrOpen(began), wait.toNanos(), NANOSECONDS);
+  }
+
   private void renewOrOpen(int began) {
     if (!wanted || began != start) {
       return;
@@ -93,10 +105,17 @@
           store.renew(id.getAsLong()),
           clock,
           (alive, failure) -> {
-            if (wanted && began == start) {
-              renewed(askedAt, failure == null, failure == null && alive);
-              later(began);
+            if (!wanted || began != start) {
+              return;
+            }
+            if (failure == null && !alive) {
+              over("the store ended the lease", Duration.ZERO);
+              return;
+            }
+            if (failure == null) {
+              heldUntil = askedAt + lifetime.toNanos();
             }
+            later(began);
           });
     } else {
       Async.onDone(
@@ -114,15 +133,6 @@
     }
   }
 
-  private void renewed(long askedAt, boolean answered, boolean alive) {
-    if (alive) {
-      heldUntil = askedAt + lifetime.toNanos();
-    } else if (answered) {
-      id = OptionalLong.empty();
-      onLost.accept("the store ended the lease");
-    }
-  }
-
   private void opened(long askedAt, long newId) {
     id = OptionalLong.of(newId);
     heldUntil = askedAt + lifetime.toNanos();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Event;
@@ -32,6 +33,12 @@
   /** How long after an entry was not written, perhaps, it is written again. */
   private static final Duration ENTRY_RETRY = Duration.ofSeconds(1);
 
+  /**
+   * Nodes whose entries lapsed together write them again spread over this time: at the two-year
+   * size that is 700 calls.
+   */
+  private static final Duration ENTRY_SPREAD = Duration.ofSeconds(1);
+
   /** Bounds how long engines are without a controller after a crash. */
   private static final Duration CONTROLLER_LIFETIME = Duration.ofMillis(3000);
 
@@ -60,6 +67,7 @@
   private final HeldLease entry;
   private final HeldLease controller;
   private OptionalLong fence = OptionalLong.empty();
+  private OptionalLong entryCreatedAt = OptionalLong.empty();
   private int liveNodes = 1;
   private boolean controllerPresent;
   private boolean followed;
@@ -144,9 +152,12 @@
   }
 
   private void countNodes() {
-    // An earlier run of a box's process may be listed until its lease lapses.
-    long boxes = nodes.keySet().stream().map(NodeLease::boxOf).distinct().count();
-    liveNodes = Math.max(1, (int) boxes);
+    // An earlier run of a box's process may be listed until its lease lapses, and this node's entry
+    // may be missing: counted too low, each node would take too much of what all share.
+    Stream<String> listed = nodes.keySet().stream();
+    liveNodes =
+        (int)
+            Stream.concat(listed, Stream.of(NODES + node)).map(NodeLease::boxOf).distinct().count();
   }
 
   private static String boxOf(String node) {
@@ -165,6 +176,7 @@
         clock,
         (created, failure) -> {
           // No other run has this key: if it exists, an earlier try was done after all.
+          entryCreatedAt = failure == null ? created : OptionalLong.empty();
           if (failure != null && entry.id().equals(OptionalLong.of(lease))) {
             clock.schedule(() -> writeEntryAgain(lease), ENTRY_RETRY.toNanos(), NANOSECONDS);
           }
@@ -253,6 +265,7 @@
     if (name.startsWith(NODES)) {
       if (removed) {
         nodes.remove(name);
+        takeOwnRemoval(name, item.revision());
       } else {
         nodes.put(name, addressIn(item));
       }
@@ -261,6 +274,18 @@
     }
   }
 
+  /** An entry that lapsed while this node was cut off is written again without waiting. */
+  private void takeOwnRemoval(String name, long removedAt) {
+    boolean presentEntry =
+        name.equals(NODES + node)
+            && entryCreatedAt.isPresent()
+            && removedAt > entryCreatedAt.getAsLong();
+    if (presentEntry) {
+      long wait = (long) (random.nextDouble() * ENTRY_SPREAD.toNanos());
+      entry.over("this node's entry lapsed", Duration.ofNanos(wait));
+    }
+  }
+
   private static Optional<HostPort> addressIn(StoredItem entry) {
     if (entry.value().isEmpty()) {
       return Optional.empty();
