coordination.endpoints and coordination.boxes: what vaneworksd knows of endpoints, and the list of boxes

Change: fifteen classes of endpoints and two of the list of boxes move into packages of their own; EndpointState takes prefixes in place of a route's query, its only tie to routing. Behaviour is unchanged; the forwarding node uses none of these classes.

--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/BoxListCore.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/BoxListCore.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import org.vaneworks.coordination.Box;
-import org.vaneworks.coordination.BoxList;
+import org.vaneworks.coordination.boxes.Box;
+import org.vaneworks.coordination.boxes.BoxList;
 
 /** The platform's box list without a socket. Thread-safe. */
 public final class BoxListCore implements BoxList {
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/LedgerEntry.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/LedgerEntry.java
@@ -1,6 +1,6 @@
 package org.vaneworks.testlib;
 
-import org.vaneworks.coordination.SessionId;
+import org.vaneworks.coordination.endpoints.SessionId;
 
 /**
  * One run of a layer range for one step.
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/PlatformServer.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/PlatformServer.java
@@ -6,7 +6,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.vaneworks.coordination.Box;
+import org.vaneworks.coordination.boxes.Box;
 import org.vaneworks.coordination.store.StoreEntry;
 import org.vaneworks.coordination.store.StorePurpose;
 import org.vaneworks.protocol.FieldReader;
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/ServiceCore.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/ServiceCore.java
@@ -3,8 +3,8 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Map;
 import java.util.TreeMap;
-import org.vaneworks.coordination.ServiceCall;
-import org.vaneworks.coordination.ServiceReply;
+import org.vaneworks.coordination.endpoints.ServiceCall;
+import org.vaneworks.coordination.endpoints.ServiceReply;
 
 /** A plain service without a socket that counts how often each call ran. Thread-safe. */
 public final class ServiceCore {
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StandInMain.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/StandInMain.java
@@ -12,7 +12,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.Callable;
-import org.vaneworks.coordination.Box;
+import org.vaneworks.coordination.boxes.Box;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.protocol.PlatformJson;
 import org.vaneworks.state.Endpoint;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
@@ -4,6 +4,8 @@
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
@@ -81,6 +83,23 @@
               "org.vaneworks.coordination.relay..",
               "org.vaneworks.coordination.shared..");
 
+  @ArchTest
+  static final ArchRule ENDPOINTS_USE_BOXES_AND_LEAVES_ONLY =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.vaneworks.coordination.endpoints..", "org.vaneworks.coordination.boxes..")
+          .should()
+          .dependOnClassesThat(
+              JavaClass.Predicates.resideInAPackage("org.vaneworks.coordination..")
+                  .and(
+                      DescribedPredicate.not(
+                          JavaClass.Predicates.resideInAnyPackage(
+                              "org.vaneworks.coordination.endpoints..",
+                              "org.vaneworks.coordination.boxes..",
+                              "org.vaneworks.coordination.concurrent..",
+                              "org.vaneworks.coordination.store.."))));
+
   @ArchTest
   static final ArchRule NO_IO_IN_THE_CORE =
       noClasses()
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/processes/FleetSteps.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/processes/FleetSteps.java
@@ -18,7 +18,7 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 import org.vaneworks.cli.VaneworksMain;
-import org.vaneworks.coordination.Box;
+import org.vaneworks.coordination.boxes.Box;
 import org.vaneworks.daemon.DaemonMain;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.protocol.PlatformJson;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionControl.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionControl.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
 import org.vaneworks.coordination.RoutePlanner.PlannedRoute;
+import org.vaneworks.coordination.endpoints.EndpointState;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionPolicy.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionPolicy.java
@@ -1,6 +1,8 @@
 package org.vaneworks.coordination;
 
 import java.time.Duration;
+import org.vaneworks.coordination.endpoints.EndpointLimits;
+import org.vaneworks.coordination.endpoints.EndpointState;
 
 /** Decides whether a planned route may take one more stream now. */
 @FunctionalInterface
@@ -42,7 +44,8 @@
         pace += engine.predictedStepMillis(running + 1);
         tails += engine.stepTailMillis() * engine.stepTailMillis();
         first +=
-            engine.predictedPromptMillis(query.promptTokens() * (1 - engine.cachedShare(query)));
+            engine.predictedPromptMillis(
+                query.promptTokens() * (1 - engine.cachedShare(query.prefixes())));
       }
       double slowPace = pace + Math.sqrt(tails);
       boolean paceHolds = slowPace <= query.betweenTokens().toMillis();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Gossip.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/Gossip.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import org.vaneworks.coordination.endpoints.EndpointHint;
 
 /**
  * What every membership message carries.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Hop.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/Hop.java
@@ -3,6 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import org.vaneworks.coordination.endpoints.EndpointState;
+import org.vaneworks.coordination.endpoints.SessionId;
 
 /**
  * One engine's part of a running stream: its session, and the inputs that could rebuild it.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Membership.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/Membership.java
@@ -23,6 +23,7 @@
 import org.vaneworks.coordination.PeerMessage.Ping;
 import org.vaneworks.coordination.PeerMessage.PingFor;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.endpoints.EndpointHint;
 import org.vaneworks.state.HostPort;
 
 /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/NodeOutside.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/NodeOutside.java
@@ -4,7 +4,9 @@
 
 import io.servicetalk.concurrent.Executor;
 import java.util.Random;
+import org.vaneworks.coordination.boxes.BoxList;
 import org.vaneworks.coordination.configuration.ConfigurationFormat;
+import org.vaneworks.coordination.endpoints.EndpointClient;
 import org.vaneworks.coordination.store.PlatformStore;
 import org.vaneworks.telemetry.Counters;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceOutcome.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceOutcome.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import org.vaneworks.coordination.endpoints.ServiceReply;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.Verdict;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PipelineContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/PipelineContext.java
@@ -1,6 +1,8 @@
 package org.vaneworks.coordination;
 
 import io.servicetalk.concurrent.Executor;
+import org.vaneworks.coordination.endpoints.EndpointClient;
+import org.vaneworks.coordination.endpoints.EndpointTable;
 import org.vaneworks.telemetry.Counters;
 
 /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
@@ -10,6 +10,8 @@
 import org.vaneworks.coordination.PeerMessage.RunOnce;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.configuration.ConfigurationBoard;
+import org.vaneworks.coordination.endpoints.ServiceCall;
+import org.vaneworks.coordination.endpoints.ServiceReply;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.RefusalException;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RequestWiring.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestWiring.java
@@ -3,6 +3,7 @@
 import java.util.Random;
 import java.util.function.IntSupplier;
 import org.vaneworks.coordination.configuration.ConfigurationBoard;
+import org.vaneworks.coordination.endpoints.EndpointTable;
 import org.vaneworks.coordination.store.PlatformStore;
 
 /** Puts together what requests pass through: routing, admission, pipelines, services, records. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RoutePlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RoutePlanner.java
@@ -8,6 +8,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import org.vaneworks.coordination.endpoints.EndpointState;
+import org.vaneworks.coordination.endpoints.EndpointTable;
 import org.vaneworks.state.Endpoint;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.Route;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RoutePolicies.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RoutePolicies.java
@@ -27,7 +27,7 @@
   public static RoutePolicy predictedTime(Random random) {
     return (engine, query) -> {
       double running = engine.estimatedRunning();
-      double uncached = query.promptTokens() * (1 - engine.cachedShare(query));
+      double uncached = query.promptTokens() * (1 - engine.cachedShare(query.prefixes()));
       double prompt = engine.predictedPromptMillis(uncached);
       double pace = engine.predictedStepMillis(running + 1);
       double slowPace = pace + engine.stepTailMillis();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RoutePolicy.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RoutePolicy.java
@@ -1,5 +1,7 @@
 package org.vaneworks.coordination;
 
+import org.vaneworks.coordination.endpoints.EndpointState;
+
 /**
  * Prices one engine as part of a route; the planner takes the cheapest tiling.
  *
--- a/vaneworks/src/main/java/org/vaneworks/coordination/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/StreamRun.java
@@ -14,6 +14,11 @@
 import java.util.function.Consumer;
 import org.vaneworks.coordination.RoutePlanner.PlannedRoute;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.endpoints.EndpointState;
+import org.vaneworks.coordination.endpoints.SessionExport;
+import org.vaneworks.coordination.endpoints.SessionId;
+import org.vaneworks.coordination.endpoints.StepCall;
+import org.vaneworks.coordination.endpoints.StepReply;
 import org.vaneworks.state.EndpointId;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.NotRunProof;
@@ -246,7 +251,7 @@
     hop.ranThrough(step);
     hop.engine().stepAnswered(attempt.call, Duration.ofNanos(now() - attempt.sentAt));
     if (step == 0) {
-      hop.engine().promptCached(query);
+      hop.engine().promptCached(query.prefixes());
     }
     int next = attempt.index + 1;
     if (next < hops.size()) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/BoxList.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/boxes/BoxList.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.boxes;
 
 import com.google.common.collect.ImmutableList;
 import java.util.concurrent.CompletableFuture;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/EndpointClient.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointClient.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.endpoints;
 
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.state.Endpoint;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/EndpointMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointMonitor.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.endpoints;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
@@ -15,7 +15,9 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.vaneworks.coordination.Box.Role;
+import org.vaneworks.coordination.boxes.Box;
+import org.vaneworks.coordination.boxes.Box.Role;
+import org.vaneworks.coordination.boxes.BoxList;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.store.StoreException;
 import org.vaneworks.state.EndpointId;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/EndpointState.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointState.java
@@ -1,8 +1,9 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.endpoints;
 
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.collect.ImmutableList;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
@@ -125,7 +126,7 @@
    * <p>A status call that is late once says little: the endpoint or this node may have been busy.
    * To refuse everything for it would be the greater harm.
    */
-  synchronized boolean isLastResort() {
+  public synchronized boolean isLastResort() {
     return !leaving && doubted;
   }
 
@@ -142,14 +143,14 @@
   }
 
   /** Takes note of a stream that starts here. */
-  synchronized void streamStarted() {
+  public synchronized void streamStarted() {
     inFlight++;
     changeSinceReport++;
     uses++;
   }
 
   /** Takes note of a stream that ended here. */
-  synchronized void streamEnded() {
+  public synchronized void streamEnded() {
     inFlight--;
     changeSinceReport--;
   }
@@ -201,18 +202,22 @@
     return linkMillis;
   }
 
-  /** Returns the share of the prompt, 0 to 1, whose prefix is believed to be cached here. */
-  public synchronized double cachedShare(RouteQuery query) {
-    return prefixes.cachedShare(query.prefixes());
+  /**
+   * Returns the share of a prompt, 0 to 1, whose prefix is believed to be cached here.
+   *
+   * @param hashes of the prompt's growing prefixes, shortest first
+   */
+  public synchronized double cachedShare(ImmutableList<Long> hashes) {
+    return prefixes.cachedShare(hashes);
   }
 
   /** Takes note that the prompt's prefixes are now cached here. */
-  synchronized void promptCached(RouteQuery query) {
-    prefixes.add(query.prefixes());
+  public synchronized void promptCached(ImmutableList<Long> hashes) {
+    prefixes.add(hashes);
   }
 
   /** Takes note that the endpoint did the work that it was given; ends an ejection. */
-  synchronized void workAnswered() {
+  public synchronized void workAnswered() {
     failures = 0;
     doubted = false;
     if (ejected) {
@@ -222,7 +227,7 @@
   }
 
   /** Takes the time that one call took, from sending to the answer. */
-  synchronized void stepAnswered(StepCall call, Duration took) {
+  public synchronized void stepAnswered(StepCall call, Duration took) {
     lastProgress = clock.currentTime(NANOSECONDS);
     workAnswered();
     double millis = Math.max(0, took.toNanos() / 1e6 - linkMillis);
@@ -238,17 +243,17 @@
   }
 
   /** Returns when a step was last answered here, by the clock, in nanoseconds. */
-  synchronized long lastProgress() {
+  public synchronized long lastProgress() {
     return lastProgress;
   }
 
   /** Returns how long a call may take at most. */
-  Duration stepTimeout() {
+  public Duration stepTimeout() {
     return limits.stepTimeout();
   }
 
   /** Returns how long a call may take before its progress is looked into. */
-  synchronized Duration progressDeadline(StepCall call) {
+  public synchronized Duration progressDeadline(StepCall call) {
     boolean isPrompt = call.step() == 0 || call.rebuilds();
     StepTimeModel model = isPrompt ? prompts : steps;
     if (!model.isTrusted()) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/KindTimes.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/KindTimes.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.endpoints;
 
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.util.HashMap;
--- a/vaneworks/src/main/java/org/vaneworks/protocol/PlatformJson.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/PlatformJson.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
-import org.vaneworks.coordination.Box;
+import org.vaneworks.coordination.boxes.Box;
 import org.vaneworks.coordination.store.StoreEntry;
 import org.vaneworks.state.HostPort;
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/CallerResponses.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/CallerResponses.java
@@ -11,7 +11,7 @@
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
-import org.vaneworks.coordination.ServiceReply;
+import org.vaneworks.coordination.endpoints.ServiceReply;
 import org.vaneworks.protocol.CallerJson;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.RefusalException;
--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpBoxList.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpBoxList.java
@@ -5,8 +5,8 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import org.vaneworks.coordination.Box;
-import org.vaneworks.coordination.BoxList;
+import org.vaneworks.coordination.boxes.Box;
+import org.vaneworks.coordination.boxes.BoxList;
 import org.vaneworks.protocol.PlatformJson;
 import org.vaneworks.state.HostPort;
 
