--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
@@ -100,6 +100,17 @@
                               "org.vaneworks.coordination.concurrent..",
                               "org.vaneworks.coordination.store.."))));
 
+  /** Admission asks routing, and both know endpoints; nothing of it runs the other way. */
+  @ArchTest
+  static final ArchRule ROUTING_AND_REQUESTS_DO_NOT_USE_ADMISSION =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.vaneworks.coordination.routing..", "org.vaneworks.coordination.requests..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.vaneworks.coordination.admission..");
+
   @ArchTest
   static final ArchRule NO_IO_IN_THE_CORE =
       noClasses()
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/StreamSchedule.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/StreamSchedule.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import org.vaneworks.coordination.CallerOptions;
+import org.vaneworks.coordination.requests.CallerOptions;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.testlib.EngineCore;
 import org.vaneworks.testlib.InMemoryFleet;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/World.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/World.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-import org.vaneworks.coordination.CallerOptions;
+import org.vaneworks.coordination.requests.CallerOptions;
 import org.vaneworks.testlib.InMemoryFleet;
 import org.vaneworks.testlib.RecordedAnswer;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PipelineContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/PipelineContext.java
@@ -1,8 +1,10 @@
 package org.vaneworks.coordination;
 
 import io.servicetalk.concurrent.Executor;
+import org.vaneworks.coordination.admission.AdmissionControl;
 import org.vaneworks.coordination.endpoints.EndpointClient;
 import org.vaneworks.coordination.endpoints.EndpointTable;
+import org.vaneworks.coordination.routing.RoutePlanner;
 import org.vaneworks.telemetry.Counters;
 
 /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PipelineDriver.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/PipelineDriver.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import org.vaneworks.coordination.requests.CompletionRequest;
 import org.vaneworks.state.StreamId;
 
 /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RequestWiring.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestWiring.java
@@ -2,8 +2,16 @@
 
 import java.util.Random;
 import java.util.function.IntSupplier;
+import org.vaneworks.coordination.admission.AdmissionControl;
+import org.vaneworks.coordination.admission.AdmissionCost;
+import org.vaneworks.coordination.admission.AdmissionPolicy;
+import org.vaneworks.coordination.admission.PaceLimit;
 import org.vaneworks.coordination.configuration.ConfigurationBoard;
 import org.vaneworks.coordination.endpoints.EndpointTable;
+import org.vaneworks.coordination.routing.RoutePlanner;
+import org.vaneworks.coordination.routing.RoutePolicies;
+import org.vaneworks.coordination.routing.RoutePolicy;
+import org.vaneworks.coordination.routing.RoutingSettings;
 import org.vaneworks.coordination.store.PlatformStore;
 
 /** Puts together what requests pass through: routing, admission, pipelines, services, records. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/StreamHops.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/StreamHops.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.vaneworks.coordination.RoutePlanner.PlannedRoute;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.endpoints.EndpointClient;
 import org.vaneworks.coordination.endpoints.EndpointState;
 import org.vaneworks.coordination.endpoints.SessionId;
+import org.vaneworks.coordination.routing.RoutePlanner.PlannedRoute;
 import org.vaneworks.state.StreamId;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/StreamMeter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/StreamMeter.java
@@ -1,6 +1,7 @@
 package org.vaneworks.coordination;
 
 import java.time.Duration;
+import org.vaneworks.coordination.routing.RouteQuery;
 import org.vaneworks.telemetry.Metric;
 
 /** Measures one stream's tokens. Not thread-safe; the stream's lock guards it. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Admission.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/Admission.java
@@ -1,7 +1,7 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.admission;
 
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.vaneworks.coordination.RoutePlanner.PlannedRoute;
+import org.vaneworks.coordination.routing.RoutePlanner.PlannedRoute;
 
 /** The right to run one request on a route; to be released exactly once. */
 public final class Admission {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionControl.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/AdmissionControl.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.admission;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
@@ -16,8 +16,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
-import org.vaneworks.coordination.RoutePlanner.PlannedRoute;
 import org.vaneworks.coordination.endpoints.EndpointState;
+import org.vaneworks.coordination.requests.CompletionRequest;
+import org.vaneworks.coordination.routing.RoutePlanner;
+import org.vaneworks.coordination.routing.RoutePlanner.PlannedRoute;
+import org.vaneworks.coordination.routing.RouteQuery;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 
@@ -86,7 +89,7 @@
    *
    * @param nodes how many nodes share the workspaces' limits
    */
-  static AdmissionControl create(
+  public static AdmissionControl create(
       Executor executor,
       RoutePlanner planner,
       AdmissionPolicy policy,
@@ -143,7 +146,7 @@
   }
 
   /** Takes whether a token of a model came within its bound. */
-  void tokenCame(String model, boolean late) {
+  public void tokenCame(String model, boolean late) {
     int running;
     synchronized (this) {
       running = streams.getOrDefault(model, 0);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionCost.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/AdmissionCost.java
@@ -1,4 +1,6 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.admission;
+
+import org.vaneworks.coordination.requests.CompletionRequest;
 
 /** Says how much of a workspace's share one request uses up. */
 @FunctionalInterface
--- a/vaneworks/src/main/java/org/vaneworks/coordination/AdmissionPolicy.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/AdmissionPolicy.java
@@ -1,8 +1,10 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.admission;
 
 import java.time.Duration;
 import org.vaneworks.coordination.endpoints.EndpointLimits;
 import org.vaneworks.coordination.endpoints.EndpointState;
+import org.vaneworks.coordination.routing.RoutePlanner;
+import org.vaneworks.coordination.routing.RouteQuery;
 
 /** Decides whether a planned route may take one more stream now. */
 @FunctionalInterface
--- a/vaneworks/src/main/java/org/vaneworks/coordination/FairQueue.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/FairQueue.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.admission;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.vaneworks.coordination.requests.CompletionRequest;
 import org.vaneworks.state.Priority;
 
 /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PaceLimit.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/PaceLimit.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.admission;
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
@@ -16,7 +16,7 @@
  * underestimated. The limit needs no prediction: it falls by a share while too many tokens are late
  * and rises by little while they are not and the limit is what holds requests back. Thread-safe.
  */
-final class PaceLimit {
+public final class PaceLimit {
   /** Share of tokens that may be late: a little under the contract's 5 in 100. */
   private static final double LATE_SHARE = 0.045;
 
@@ -90,7 +90,7 @@
   }
 
   /** The limits of all models. Thread-safe. */
-  static final class Table {
+  public static final class Table {
     private final TimeSource clock;
     private final boolean unlimited;
     private final Map<String, PaceLimit> limits = new ConcurrentHashMap<>();
@@ -101,12 +101,12 @@
     }
 
     /** Returns limits that follow the pace. */
-    static Table adaptive(TimeSource clock) {
+    public static Table adaptive(TimeSource clock) {
       return new Table(clock, false);
     }
 
     /** Returns limits that never hold anything back. */
-    static Table unlimited(TimeSource clock) {
+    public static Table unlimited(TimeSource clock) {
       return new Table(clock, true);
     }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Waiting.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/Waiting.java
@@ -1,8 +1,10 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.admission;
 
 import io.servicetalk.concurrent.Cancellable;
 import java.util.concurrent.CompletableFuture;
-import org.vaneworks.coordination.FairQueue.FlowKey;
+import org.vaneworks.coordination.admission.FairQueue.FlowKey;
+import org.vaneworks.coordination.requests.CompletionRequest;
+import org.vaneworks.coordination.routing.RouteQuery;
 
 /** A request that waits for admission. Its mutable parts are guarded by the admission lock. */
 final class Waiting {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PrefixHashes.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/routing/PrefixHashes.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.routing;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.hash.HashFunction;
@@ -6,7 +6,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** Hashes a prompt's growing prefixes, so that two prompts can be compared by their start. */
-final class PrefixHashes {
+public final class PrefixHashes {
   private static final HashFunction HASH = Hashing.murmur3_128(0x7661);
   private static final int BLOCK_CHARACTERS = 256;
   private static final int MAX_BLOCKS = 32;
@@ -14,7 +14,7 @@
   private PrefixHashes() {}
 
   /** Returns the hashes of the prompt's prefixes of whole blocks, shortest first. */
-  static ImmutableList<Long> of(String prompt) {
+  public static ImmutableList<Long> of(String prompt) {
     ImmutableList.Builder<Long> hashes = ImmutableList.builder();
     int blocks = Math.min(MAX_BLOCKS, prompt.length() / BLOCK_CHARACTERS);
     long previous = 0;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RoutePolicies.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/routing/RoutePolicies.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.routing;
 
 import java.util.Random;
 
--- a/vaneworks/src/main/java/org/vaneworks/protocol/CallerJson.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/CallerJson.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.OptionalInt;
-import org.vaneworks.coordination.CompletionBody;
+import org.vaneworks.coordination.requests.CompletionBody;
 import org.vaneworks.state.Refusal;
 
 /**
--- a/vaneworks/src/main/java/org/vaneworks/transport/CallerHeaders.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/CallerHeaders.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.regex.Pattern;
-import org.vaneworks.coordination.CallerOptions;
+import org.vaneworks.coordination.requests.CallerOptions;
 import org.vaneworks.state.Priority;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
