Entries that lapsed together are written again at a pace that the store takes

Cause, found in reading: spread over a fixed second, the entries of 350 nodes are 700 writing calls a second; the smallest store takes a hundred. Change: 20 ms a node that was counted before the silence. PrefixFollower.retry is read as two steps; behaviour unchanged there.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -8,6 +8,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -259,4 +260,28 @@
       assertEquals(2, cutOff.liveNodes(), "after " + (i + 1) * 100 + " ms");
     }
   }
+
+  @Test
+  void entriesThatLapsedTogetherAreWrittenAgainOneAfterTheOther() {
+    int nodeCount = 200;
+    for (int i = 0; i < nodeCount; i++) {
+      node(store, "box" + i, "1");
+    }
+    advance(3000);
+    store.down = true;
+    advance(15_000);
+    store.down = false;
+    int most = 0;
+    for (int i = 0; i < 60; i++) {
+      int before = entriesOpened();
+      advance(100);
+      most = Math.max(most, entriesOpened() - before);
+    }
+    assertTrue(most <= 15, "in a tenth of a second: " + most);
+    assertEquals(nodeCount, nodes.get(0).liveNodes());
+  }
+
+  private int entriesOpened() {
+    return Collections.frequency(store.calls, "create");
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -34,10 +34,10 @@
   private static final Duration ENTRY_RETRY = Duration.ofSeconds(1);
 
   /**
-   * Nodes whose entries lapsed together write them again spread over this time: at the two-year
-   * size that is 700 calls.
+   * Nodes whose entries lapsed together write them again spread over this much a node: two writing
+   * calls each, so a hundred a second, which is what the smallest store takes.
    */
-  private static final Duration ENTRY_SPREAD = Duration.ofSeconds(1);
+  private static final Duration ENTRY_SPREAD_A_NODE = Duration.ofMillis(20);
 
   /** Bounds how long engines are without a controller after a crash. */
   private static final Duration CONTROLLER_LIFETIME = Duration.ofMillis(3000);
@@ -69,6 +69,10 @@
   private OptionalLong fence = OptionalLong.empty();
   private OptionalLong entryCreatedAt = OptionalLong.empty();
   private int liveNodes = 1;
+
+  /** Counted before the store was silent: those that may have to write their entries again. */
+  private int nodesBeforeSilence = 1;
+
   private boolean controllerPresent;
   private boolean followed;
   private boolean stopped;
@@ -242,6 +246,13 @@
     fence = OptionalLong.of(createdAt);
   }
 
+  @Override
+  public void silent(StoreSilence silence) {
+    if (silence.failedCalls() == 1) {
+      nodesBeforeSilence = liveNodes;
+    }
+  }
+
   @Override
   public void replace(ImmutableList<StoredItem> items) {
     followed = true;
@@ -281,7 +292,8 @@
             && entryCreatedAt.isPresent()
             && removedAt > entryCreatedAt.getAsLong();
     if (presentEntry) {
-      long wait = (long) (random.nextDouble() * ENTRY_SPREAD.toNanos());
+      long spread = ENTRY_SPREAD_A_NODE.toNanos() * nodesBeforeSilence;
+      long wait = (long) (random.nextDouble() * spread);
       entry.over("this node's entry lapsed", Duration.ofNanos(wait));
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -177,20 +177,12 @@
   }
 
   private void retry(long askedAt, Throwable failure) {
-    counters.count(Metric.STORE_FAILURES, prefix);
-    if (silence.isEmpty()) {
-      EventLog.warn(Event.STORE_FAILED, "prefix", prefix, "cause", failure.getMessage());
-    }
-    StoreSilence longer =
-        silence
-            .orElseGet(() -> StoreSilence.since(Math.max(confirmedAt, startedAt), revision))
-            .and(askedAt, String.valueOf(failure.getMessage()));
-    silence = Optional.of(longer);
+    noteFailure(askedAt, failure);
     if (historyLost(failure)) {
       revision = -1;
       backOff = FIRST_BACK_OFF; // The store did answer.
     } else {
-      listener.silent(longer);
+      silence.ifPresent(listener::silent);
     }
     long jittered = (long) (backOff.toNanos() * (0.5 + random.nextDouble()));
     Duration doubled = backOff.multipliedBy(2);
@@ -198,6 +190,16 @@
     clock.schedule(this::ask, jittered, NANOSECONDS);
   }
 
+  private void noteFailure(long askedAt, Throwable failure) {
+    counters.count(Metric.STORE_FAILURES, prefix);
+    if (silence.isEmpty()) {
+      EventLog.warn(Event.STORE_FAILED, "prefix", prefix, "cause", failure.getMessage());
+    }
+    StoreSilence before =
+        silence.orElseGet(() -> StoreSilence.since(Math.max(confirmedAt, startedAt), revision));
+    silence = Optional.of(before.and(askedAt, String.valueOf(failure.getMessage())));
+  }
+
   private static boolean historyLost(Throwable failure) {
     return failure instanceof SharedStoreException lost
         && lost.kind() == SharedStoreException.Kind.HISTORY_LOST;
