--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -285,7 +285,7 @@
     }
   }
 
-  /** An entry that lapsed while this node was cut off is written again without waiting. */
+  /** An entry that lapsed while this node was cut off need not wait for the next renewal. */
   private void takeOwnRemoval(String name, long removedAt) {
     boolean presentEntry =
         name.equals(NODES + node)
