Reading: one grace constant for the node and its tests, one set-up for three tests

Cause: ListedFleet repeated the node's 2.9 s, so a change of the node's would not have reached the tests; three tests of NodeLeaseTest repeated their set-up. Change: EntryNode's constant is visible to tests; the set-up stands once and also checks that both nodes were counted before. Behaviour is unchanged.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -2,6 +2,7 @@
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.annotations.VisibleForTesting;
 import com.google.common.collect.ImmutableMap;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -48,7 +49,7 @@
    * after the last failed call was begun; a node has to know what has left three seconds after the
    * end.
    */
-  private static final Duration RELIST_GRACE = Duration.ofMillis(2900);
+  @VisibleForTesting static final Duration RELIST_GRACE = Duration.ofMillis(2900);
 
   /** The balancer asks each second and takes a node out after two misses. */
   private static final Duration BALANCER_LAG = Duration.ofMillis(3000);
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListedFleet.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListedFleet.java
@@ -21,14 +21,11 @@
   private static final String PREFIX = "servers/";
   private static final String SERVICE = "records";
 
-  /** As a node has it; see {@link EntryNode}. */
-  private static final Duration RELIST_GRACE = Duration.ofMillis(2900);
-
   final PausedExecutor clock = PausedExecutor.create();
   final StoreInMemory store = new StoreInMemory(clock);
   final StoreLink link = new StoreLink(clock, store);
   private final Counters counters = Counters.in(new SimpleMeterRegistry());
-  private final Fleet fleet = Fleet.create(clock, counters, RELIST_GRACE);
+  private final Fleet fleet = Fleet.create(clock, counters, EntryNode.RELIST_GRACE);
   final PrefixFollower follower;
 
   ListedFleet(long seed) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -220,12 +220,9 @@
 
   @Test
   void nodeWhoseEntryLapsedInACutIsCountedAgainSoonAfterIt() {
-    StoreLink link = new StoreLink(clock, store);
     NodeLease other = node(store, "box1", "1");
-    node(link, "box2", "1");
-    advance(2000);
-    link.cut(true);
-    advance(15_000);
+    StoreLink link = new StoreLink(clock, store);
+    cutOffUntilItsEntryLapses(node(link, "box2", "1"), link);
     assertEquals(1, other.liveNodes());
     link.cut(false);
     advance(3500);
@@ -234,12 +231,9 @@
 
   @Test
   void nodeWhoseEntryLapsedInACutIsCountedAgainThoughTheStoreForgotIt() {
-    StoreLink link = new StoreLink(clock, store);
     NodeLease other = node(store, "box1", "1");
-    node(link, "box2", "1");
-    advance(2000);
-    link.cut(true);
-    advance(15_000);
+    StoreLink link = new StoreLink(clock, store);
+    cutOffUntilItsEntryLapses(node(link, "box2", "1"), link);
     store.forgetHistory();
     link.cut(false);
     advance(6000);
@@ -248,12 +242,10 @@
 
   @Test
   void nodeCountsItselfWhileItsEntryIsMissing() {
-    StoreLink link = new StoreLink(clock, store);
     node(store, "box1", "1");
+    StoreLink link = new StoreLink(clock, store);
     NodeLease cutOff = node(link, "box2", "1");
-    advance(2000);
-    link.cut(true);
-    advance(15_000);
+    cutOffUntilItsEntryLapses(cutOff, link);
     link.cut(false);
     for (int i = 0; i < 30; i++) {
       advance(100);
@@ -261,6 +253,13 @@
     }
   }
 
+  private void cutOffUntilItsEntryLapses(NodeLease node, StoreLink link) {
+    advance(2000);
+    assertEquals(2, node.liveNodes());
+    link.cut(true);
+    advance(15_000);
+  }
+
   @Test
   void entriesThatLapsedTogetherAreWrittenAgainOneAfterTheOther() {
     int nodeCount = 200;
