--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListingSchedule.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListingSchedule.java
@@ -24,6 +24,7 @@
   /** An endpoint that has left gets no new work this long after it, or after the last fault. */
   private static final int LEAVING_BOUND_MILLIS = 2000;
 
+  /** A node counts as connected this long after the last fault. */
   private static final int CONNECTED_MILLIS = 3000;
 
   /** The same if the node was cut off and the store was there for all others: a view is enough. */
