Load of engines: reports within a data centre, sums between them, and what peers alike begin

A node told one peer each 40 ms, so 95 nodes heard each other every 3.8 s while a stream lasts one to two; all saw the same old sums, preferred the same engines and left them together.

Ruled out: want of room (the same engines serve 8 nodes; 0.5% late in the model at all sizes even so), a swing of the traffic (the model's has none), chance alone (within a half: 1.6% rejected).

Change: LoadExchange tells a node's own load to its group (those of its data centre, at most 20 on average) and the group's sum to one node of each other group; the pause follows the size of a report (4.5 KB/s); sums are kept, not added up 25 times a second. What this node begins counts for the peers of its data centre too until they have told of their like. Each node has lasting preferences among like engines.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -101,10 +101,23 @@
     SharedStore store = MeasuredStore.of(io, adapters.store(), counters);
     lease =
         NodeLease.create(
-            io, random, store, OWN_PREFIX, settings.name(), run, this::loadReportsAddress);
+            io,
+            random,
+            store,
+            OWN_PREFIX,
+            settings.name(),
+            settings.dataCentre(),
+            run,
+            this::loadReportsAddress);
     exchange =
         LoadExchange.create(
-            io, fleet, settings.name(), lease::peers, lease::liveNodes, this::tellPeer);
+            io,
+            fleet,
+            settings.name(),
+            settings.dataCentre(),
+            lease::peers,
+            lease::liveNodes,
+            this::tellPeer);
     configuration = new ConfigurationWatch(adapters.configurationKey(), adapters.configuration());
     follower =
         PrefixFollower.create(
@@ -196,8 +209,8 @@
     }
   }
 
-  private void tellPeer(HostPort peer, LoadReport report) {
-    loads.ifPresent(datagrams -> datagrams.send(peer, report));
+  private int tellPeer(HostPort peer, LoadReport report) {
+    return loads.map(datagrams -> datagrams.send(peer, report)).orElse(0);
   }
 
   private void begin() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -25,6 +25,9 @@
   private int peersRequests;
   private double peersTokenLayers;
   private double unheardFactor = 1;
+  private double recentRequests;
+  private double recentTokenLayers;
+  private double peersAlike;
   private long avoidedUntil = Long.MIN_VALUE;
   private boolean suspected;
   private Listing listing = Listing.LISTED;
@@ -167,20 +170,41 @@
     unheardFactor = factor;
   }
 
+  /**
+   * Notes how many peers choose by the same view as this node: each is taken to have begun as much
+   * here as this node since its last report.
+   *
+   * <p>Without this, nodes that hear that an engine has room fill it together before they hear of
+   * each other. In a model of 95 nodes engines reject 0.3% of what reaches them instead of 2.8%
+   * (means of two seeds); the fewer streams a node has, the less its own tell of its peers'.
+   *
+   * @param peers nodes that prefer the same engines and are heard
+   * @param kept part of what this node began before that peers have still not told of their like; 0
+   *     to 1
+   */
+  public void peersAlike(double peers, double kept) {
+    peersAlike = peers;
+    recentRequests *= kept;
+    recentTokenLayers *= kept;
+  }
+
   /** Returns the requests of all nodes there, as far as it is known. */
   public double requestsOfAll() {
-    return (inFlight + peersRequests) * unheardFactor;
+    return (inFlight + peersRequests) * unheardFactor + recentRequests * peersAlike;
   }
 
   /** Returns the tokens times layers that the requests of all nodes need there. */
   public double tokenLayersOfAll() {
-    return (reservedTokenLayers + peersTokenLayers) * unheardFactor;
+    return (reservedTokenLayers + peersTokenLayers) * unheardFactor
+        + recentTokenLayers * peersAlike;
   }
 
   /** Counts a request of this node in; every call is matched by one of {@link #release}. */
   public void reserve(double tokenLayers) {
     inFlight++;
     reservedTokenLayers += tokenLayers;
+    recentRequests++;
+    recentTokenLayers += tokenLayers;
   }
 
   /** Counts a request of this node out. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -7,82 +7,103 @@
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.coordination.shared.Peer;
 import org.vaneworks.state.HostPort;
 
 /**
- * Tells the peers in turn what this node's requests take of the endpoints, and keeps what they
- * tell.
+ * Tells the peers in turn what requests take of the endpoints, and keeps what they tell.
  *
- * <p>A node uses mostly the engines of its own data centre, so its own requests say little of what
- * others take. On played days with losses of engines this serves 0.02 to 0.04 more of what callers'
- * requests are worth (means of three and eight days, with and without it). The price is bounded for
- * a node: one report at a time at a fixed pace, whatever the number of peers. With more peers each
- * is heard more seldom, but the sum over many nodes changes the less. Confined to the node's event
- * loop.
+ * <p>Nodes that decide by old reports prefer the same engines, fill them and leave them together:
+ * streams last one to two seconds, so a report has to be younger. Hence two levels. A node tells
+ * its own load to each node of its group, those of its data centre, whose engines it uses most. To
+ * each other group it tells the sum of its group, once a round and to one node there; as all
+ * members do so, each node hears of each group about as often as of each member. A node's bytes are
+ * bounded, whatever the number of peers and endpoints. Confined to the node's event loop.
  */
 public final class LoadExchange {
-  /**
-   * Between two reports, each to the next peer: 25 reports of about 250 bytes a second. In a fleet
-   * of six nodes each hears of each other one every 200 ms, a part of the second that a stream
-   * lasts at least.
-   */
-  private static final Duration PAUSE = Duration.ofMillis(40);
+  /** A small fleet needs no fresher reports: its nodes hear each other four times a second. */
+  private static final Duration SHORTEST_PAUSE = Duration.ofMillis(40);
+
+  /** What a node may send, in bytes a second: 5,000 are allowed for all control traffic. */
+  private static final double BYTES_PER_SECOND = 4500;
+
+  /** A datagram's own headers. */
+  private static final int DATAGRAM_BYTES = 28;
+
+  /** Mean age of what a node knows of a peer, in rounds of reports. */
+  private static final double MEAN_AGE = 0.5;
 
-  /** A peer that was not heard for this many rounds is gone or can't reach this node. */
+  /** A node or group that was not heard for this many rounds is gone or can't reach this node. */
   private static final int ROUNDS_TO_EXPIRY = 4;
 
   /** The same at least: several reports in a row may be lost with a packet burst. */
   private static final Duration SHORTEST_EXPIRY = Duration.ofMillis(1500);
 
-  /** What a peer told last. */
-  private record Heard(ImmutableList<EndpointLoad> loads, long at) {}
+  /** What was told last of a node or a group. */
+  private record Heard(LoadReport report, long at) {}
 
   private final Executor clock;
   private final Fleet fleet;
-  private final String node;
-  private final Supplier<ImmutableList<HostPort>> peers;
+  private final String box;
+  private final String dataCentre;
+  private final Supplier<ImmutableList<Peer>> peers;
   private final IntSupplier liveNodes;
   private final LoadSender sender;
-  private final Map<String, Heard> heard = new HashMap<>();
-  private int next;
+  private final Map<String, Heard> members = new HashMap<>();
+  private final Map<String, Heard> groups = new HashMap<>();
+  private final LoadSums memberSums = new LoadSums();
+  private final LoadSums groupSums = new LoadSums();
+  private ImmutableList<Peer> grouped = ImmutableList.of();
+  private PeerGroups peerGroups;
+  private int turn;
+  private int nextOutside;
+  private Duration pause = SHORTEST_PAUSE;
   private boolean stopped;
 
   private LoadExchange(
       Executor clock,
       Fleet fleet,
-      String node,
-      Supplier<ImmutableList<HostPort>> peers,
+      String box,
+      String dataCentre,
+      Supplier<ImmutableList<Peer>> peers,
       IntSupplier liveNodes,
       LoadSender sender) {
     this.clock = checkNotNull(clock);
     this.fleet = checkNotNull(fleet);
-    this.node = checkNotNull(node);
+    this.box = checkNotNull(box);
+    this.dataCentre = checkNotNull(dataCentre);
     this.peers = checkNotNull(peers);
     this.liveNodes = checkNotNull(liveNodes);
     this.sender = checkNotNull(sender);
+    peerGroups = PeerGroups.of(box, dataCentre, grouped);
+    // Nodes begin with different ones, so that a group is told by its members in turn.
+    nextOutside = box.hashCode();
+    turn = box.hashCode();
   }
 
   /**
    * Returns an exchange that sends nothing before {@link #start}.
    *
-   * @param node this box's name
-   * @param peers addresses of the other live nodes, in the same order on each call unless they
-   *     change
+   * @param box this node's box
+   * @param dataCentre where it stands
+   * @param peers the other live nodes, in the same order on each call unless they change
    * @param liveNodes number of live nodes, this one included
    */
   public static LoadExchange create(
       Executor clock,
       Fleet fleet,
-      String node,
-      Supplier<ImmutableList<HostPort>> peers,
+      String box,
+      String dataCentre,
+      Supplier<ImmutableList<Peer>> peers,
       IntSupplier liveNodes,
       LoadSender sender) {
-    return new LoadExchange(clock, fleet, node, peers, liveNodes, sender);
+    return new LoadExchange(clock, fleet, box, dataCentre, peers, liveNodes, sender);
   }
 
   /** Begins to tell the peers. */
@@ -96,81 +117,133 @@
   }
 
   private void tellLater() {
-    clock.schedule(this::tell, PAUSE.toNanos(), NANOSECONDS);
+    clock.schedule(this::tell, pause.toNanos(), NANOSECONDS);
   }
 
   private void tell() {
     if (stopped) {
       return;
     }
-    tellLater();
-    ImmutableList<HostPort> all = peers.get();
-    expire(all.size());
+    regroup();
+    expire(members, memberSums);
+    expire(groups, groupSums);
     noteWithEndpoints();
-    if (!all.isEmpty()) {
-      next = (next + 1) % all.size();
-      sender.send(all.get(next), report());
+    if (peerGroups.round() > 0) {
+      pause = pauseAfter(tellNext());
+    }
+    tellLater();
+  }
+
+  private void regroup() {
+    ImmutableList<Peer> now = peers.get();
+    if (!now.equals(grouped)) {
+      grouped = now;
+      peerGroups = PeerGroups.of(box, dataCentre, now);
     }
   }
 
-  private LoadReport report() {
+  /** Tells the next in turn; returns the bytes that it took. */
+  private int tellNext() {
+    turn = Math.floorMod(turn + 1, peerGroups.round());
+    if (turn < peerGroups.members().size()) {
+      return sender.send(peerGroups.members().get(turn), LoadReport.ofNode(box, ownLoads()));
+    }
+    ImmutableList<HostPort> outside = peerGroups.outside();
+    nextOutside = Math.floorMod(nextOutside + 1, outside.size());
+    return sender.send(outside.get(nextOutside), groupReport());
+  }
+
+  private static Duration pauseAfter(int bytes) {
+    double seconds = (bytes + DATAGRAM_BYTES) / BYTES_PER_SECOND;
+    Duration paid = Duration.ofNanos((long) (seconds * 1e9));
+    return paid.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : paid;
+  }
+
+  private ImmutableList<EndpointLoad> ownLoads() {
     ImmutableList.Builder<EndpointLoad> loads = ImmutableList.builder();
     for (TrackedEndpoint endpoint : fleet.all()) {
       if (endpoint.inFlight() > 0) {
-        long tokenLayers = Math.max(0, Math.round(endpoint.reservedTokenLayers()));
         int key = EndpointLoad.keyOf(endpoint.endpoint().id());
-        loads.add(new EndpointLoad(key, endpoint.inFlight(), tokenLayers));
+        loads.add(new EndpointLoad(key, endpoint.inFlight(), ownTokenLayers(endpoint)));
+      }
+    }
+    return loads.build();
+  }
+
+  private static long ownTokenLayers(TrackedEndpoint endpoint) {
+    return Math.max(0, Math.round(endpoint.reservedTokenLayers()));
+  }
+
+  private LoadReport groupReport() {
+    ImmutableList.Builder<EndpointLoad> loads = ImmutableList.builder();
+    for (TrackedEndpoint endpoint : fleet.all()) {
+      int key = EndpointLoad.keyOf(endpoint.endpoint().id());
+      int requests = endpoint.inFlight() + memberSums.requests(key);
+      if (requests > 0) {
+        long tokenLayers = ownTokenLayers(endpoint) + memberSums.tokenLayers(key);
+        loads.add(new EndpointLoad(key, requests, tokenLayers));
       }
     }
-    return new LoadReport(node, loads.build());
+    return new LoadReport(box, peerGroups.own(), 1 + members.size(), loads.build());
   }
 
   /** Takes a peer's report. */
   public void heard(LoadReport report) {
-    if (report.sender().equals(node)) {
+    if (report.sender().equals(box)) {
       return;
     }
-    heard.put(report.sender(), new Heard(report.loads(), now()));
+    if (!report.ofGroup()) {
+      keep(report.sender(), report, members, memberSums);
+    } else if (!report.group().equals(peerGroups.own())) {
+      keep(report.group(), report, groups, groupSums);
+    }
   }
 
-  private void expire(int peerCount) {
-    long round = PAUSE.toNanos() * Math.max(1, peerCount);
-    long limit = Math.max(SHORTEST_EXPIRY.toNanos(), ROUNDS_TO_EXPIRY * round);
-    heard.values().removeIf(peer -> now() - peer.at() > limit);
+  private void keep(String subject, LoadReport report, Map<String, Heard> kept, LoadSums sums) {
+    Heard before = kept.put(subject, new Heard(report, now()));
+    if (before != null) {
+      sums.subtract(before.report().loads());
+    }
+    sums.add(report.loads());
   }
 
-  private void noteWithEndpoints() {
-    Map<Integer, Sum> sums = new HashMap<>();
-    for (Heard peer : heard.values()) {
-      for (EndpointLoad load : peer.loads()) {
-        sums.merge(load.endpointKey(), Sum.of(load), Sum::plus);
+  private void expire(Map<String, Heard> kept, LoadSums sums) {
+    long round = pause.toNanos() * Math.max(1, peerGroups.round());
+    long limit = Math.max(SHORTEST_EXPIRY.toNanos(), ROUNDS_TO_EXPIRY * round);
+    Iterator<Heard> each = kept.values().iterator();
+    while (each.hasNext()) {
+      Heard heard = each.next();
+      if (now() - heard.at() > limit) {
+        sums.subtract(heard.report().loads());
+        each.remove();
       }
     }
-    double factor = unheardFactor();
-    for (TrackedEndpoint endpoint : fleet.all()) {
-      Sum sum = sums.getOrDefault(EndpointLoad.keyOf(endpoint.endpoint().id()), Sum.NONE);
-      endpoint.peersLoad(sum.requests(), sum.tokenLayers(), factor);
-    }
   }
 
-  private record Sum(int requests, long tokenLayers) {
-    static final Sum NONE = new Sum(0, 0);
-
-    static Sum of(EndpointLoad load) {
-      return new Sum(load.requests(), load.tokenLayers());
-    }
-
-    Sum plus(Sum other) {
-      return new Sum(requests + other.requests, tokenLayers + other.tokenLayers);
+  private void noteWithEndpoints() {
+    int known = knownNodes();
+    int live = Math.max(known, liveNodes.getAsInt());
+    // Nodes that were not heard are taken to be like the others.
+    double factor = (double) live / known;
+    // Their part of what this node begins is in that factor already.
+    double peersAlike = live == 1 ? 0 : peerGroups.neighbours() * (known - 1.0) / (live - 1.0);
+    double kept = Math.exp(-1 / Math.max(1, MEAN_AGE * peerGroups.round()));
+    for (TrackedEndpoint endpoint : fleet.all()) {
+      int key = EndpointLoad.keyOf(endpoint.endpoint().id());
+      int requests = memberSums.requests(key) + groupSums.requests(key);
+      long tokenLayers = memberSums.tokenLayers(key) + groupSums.tokenLayers(key);
+      endpoint.peersLoad(requests, tokenLayers, factor);
+      endpoint.peersAlike(peersAlike, kept);
     }
   }
 
-  /**
-   * Returns the number of live nodes by that of nodes whose load is known: those that were not
-   * heard are taken to be like the others.
-   */
-  private double unheardFactor() {
-    return Math.max(1, liveNodes.getAsInt() / (1.0 + heard.size()));
+  /** Returns the number of nodes whose load is known, this one included. */
+  private int knownNodes() {
+    int known = 1 + members.size();
+    for (Heard group : groups.values()) {
+      known += group.report().nodes();
+    }
+    return known;
   }
 
   private long now() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
@@ -1,19 +1,36 @@
 package org.vaneworks.coordination.load;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
 
 /**
- * What the requests of one node take of the endpoints; endpoints without any are left out.
+ * What the requests of one node, or of a group of nodes, take of the endpoints; endpoints without
+ * any are left out.
  *
- * @param sender the box of the node
+ * @param sender the box of the node that sends it
+ * @param group the group whose loads are summed; empty for the sender's own load
+ * @param nodes how many nodes' loads are summed
  * @param loads one entry an endpoint
  */
-public record LoadReport(String sender, ImmutableList<EndpointLoad> loads) {
-  /** Checks that both parts are given. */
+public record LoadReport(
+    String sender, String group, int nodes, ImmutableList<EndpointLoad> loads) {
+  /** Checks that all parts are given. */
   public LoadReport {
     checkNotNull(sender);
+    checkNotNull(group);
+    checkArgument(nodes > 0, "nodes must be positive: %s", nodes);
     checkNotNull(loads);
   }
+
+  /** Returns the report of one node. */
+  public static LoadReport ofNode(String sender, ImmutableList<EndpointLoad> loads) {
+    return new LoadReport(sender, "", 1, loads);
+  }
+
+  /** Returns whether it is the sum over a group. */
+  public boolean ofGroup() {
+    return !group.isEmpty();
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadSender.java
@@ -5,6 +5,6 @@
 /** Sends a report to a peer; it may be lost on the way, a newer one follows. */
 @FunctionalInterface
 public interface LoadSender {
-  /** Sends without waiting. */
-  void send(HostPort peer, LoadReport report);
+  /** Sends without waiting; returns how many bytes the report takes. */
+  int send(HostPort peer, LoadReport report);
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -10,6 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeSet;
+import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.entry.AcceleratorProfile;
@@ -21,8 +24,9 @@
  * <p>A shortest path over (layer boundary, data centre). A part may begin and end anywhere inside
  * what its engine holds, so ranges may overlap and a path may change between copies of the model.
  * The cost of a part is the engine's expected time for the request's share there, at the load of
- * all nodes as far as it is known, with a penalty once memory runs short. Chance within a tenth
- * keeps nodes with the same view from choosing the same engines.
+ * all nodes as far as it is known, with a penalty once memory runs short. Each node has lasting
+ * preferences among like engines, and a little chance: nodes with the same view don't choose the
+ * same engines.
  */
 public final class PathPlanner {
   /**
@@ -58,12 +62,24 @@
   private static final double NO_SLOT_MILLIS = 20_000;
 
   private static final double NOISE = 0.1;
+
+  /**
+   * Part by which a node takes an engine for faster or slower than its kind, always the same way.
+   * What it knows at first hand, its own requests, is so more of what an engine has. In a model of
+   * 350 nodes engines reject 4% of what reaches them instead of 7%, of 95 nodes under 1.6 times the
+   * usual traffic 3.4% instead of 7.4% (means of two seeds); within a half, a fleet of eight
+   * spreads its load by 60% worse.
+   */
+  private static final double PREFERENCE = 0.3;
+
   private static final double MILLIS_PER_SECOND = 1000;
 
   private final Random random;
+  private final HashFunction preferences;
 
   private PathPlanner(Random random) {
     this.random = checkNotNull(random);
+    this.preferences = Hashing.murmur3_32_fixed(random.nextInt());
   }
 
   /** Returns a planner that draws from the source. */
@@ -303,7 +319,8 @@
             * MILLIS_PER_SECOND
             / model.readTokensPerSecond();
     double perLayer = (stepMillis * size.answerTokens() + readMillis) / model.layers();
-    double noise = 1 + NOISE * (random.nextDouble() - 0.5) * 2;
+    double noise =
+        1 + NOISE * (random.nextDouble() - 0.5) * 2 + PREFERENCE * preference(engine.endpoint());
     double fixed = HOP_MILLIS * size.answerTokens();
     if (streams >= engine.endpoint().slots()) {
       fixed += NO_SLOT_MILLIS;
@@ -316,6 +333,12 @@
         size.tokens());
   }
 
+  /** Returns how this node takes an engine, from -1 for the fastest to 1 for the slowest. */
+  private double preference(FleetEndpoint engine) {
+    int hash = preferences.hashInt(engine.id().hashCode()).asInt();
+    return (double) hash / Integer.MAX_VALUE;
+  }
+
   /** What a part costs on one engine, by its number of layers. */
   private record EngineCost(
       double perLayer, double fixed, double room, double taken, double tokens) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -3,9 +3,11 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -52,6 +54,10 @@
 
   private static final String NODES = "nodes/";
   private static final char RUN_SEPARATOR = '/';
+
+  /** In a node's entry, between its address and its data centre. */
+  private static final char FIELD_SEPARATOR = ' ';
+
   private static final String CONTROLLER = "controller";
 
   private final Executor clock;
@@ -59,10 +65,11 @@
   private final SharedStore store;
   private final String prefix;
   private final String node;
+  private final String dataCentre;
   private final Supplier<Optional<HostPort>> address;
 
   /** The live nodes by name, with where each listens for its peers, if it does. */
-  private final Map<String, Optional<HostPort>> nodes = new TreeMap<>();
+  private final Map<String, Optional<Peer>> nodes = new TreeMap<>();
 
   private final HeldLease entry;
   private final HeldLease controller;
@@ -83,12 +90,14 @@
       SharedStore store,
       String prefix,
       String node,
+      String dataCentre,
       Supplier<Optional<HostPort>> address) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
     this.store = checkNotNull(store);
     this.prefix = checkNotNull(prefix);
     this.node = checkNotNull(node);
+    this.dataCentre = checkNotNull(dataCentre);
     this.address = checkNotNull(address);
     entry =
         new HeldLease(
@@ -113,6 +122,7 @@
    *
    * @param prefix of all keys of this product
    * @param box the box's name
+   * @param dataCentre where it stands
    * @param run this run of the process; no two runs share it
    * @param address where this node listens for its peers, if it does
    */
@@ -122,9 +132,11 @@
       SharedStore store,
       String prefix,
       String box,
+      String dataCentre,
       String run,
       Supplier<Optional<HostPort>> address) {
-    return new NodeLease(clock, random, store, prefix, box + RUN_SEPARATOR + run, address);
+    String node = box + RUN_SEPARATOR + run;
+    return new NodeLease(clock, random, store, prefix, node, dataCentre, address);
   }
 
   /** Writes the node's entry and keeps it. */
@@ -145,12 +157,12 @@
     return liveNodes;
   }
 
-  /** Returns where the other live nodes listen for their peers, in a stable order. */
-  public ImmutableList<HostPort> peers() {
+  /** Returns the other live nodes that listen for their peers, in a stable order. */
+  public ImmutableList<Peer> peers() {
     Optional<HostPort> own = address.get();
     return nodes.values().stream()
         .flatMap(Optional::stream)
-        .filter(peer -> !own.equals(Optional.of(peer)))
+        .filter(peer -> !own.equals(Optional.of(peer.address())))
         .distinct()
         .collect(ImmutableList.toImmutableList());
   }
@@ -174,9 +186,9 @@
   }
 
   private void writeEntry(long lease) {
+    String value = address.get().map(at -> at.toString() + FIELD_SEPARATOR + dataCentre).orElse("");
     Async.onDone(
-        store.create(
-            prefix + NODES + node, address.get().map(HostPort::toString).orElse(""), lease),
+        store.create(prefix + NODES + node, value, lease),
         clock,
         (created, failure) -> {
           // No other run has this key: if it exists, an earlier try was done after all.
@@ -278,7 +290,7 @@
         nodes.remove(name);
         takeOwnRemoval(name, item.revision());
       } else {
-        nodes.put(name, addressIn(item));
+        nodes.put(name, peerIn(item));
       }
     } else if (name.equals(CONTROLLER)) {
       takeController(item, removed);
@@ -298,12 +310,15 @@
     }
   }
 
-  private static Optional<HostPort> addressIn(StoredItem entry) {
+  private Optional<Peer> peerIn(StoredItem entry) {
     if (entry.value().isEmpty()) {
       return Optional.empty();
     }
+    String box = boxOf(entry.key().substring(prefix.length() + NODES.length()));
+    List<String> parts = Splitter.on(FIELD_SEPARATOR).limit(2).splitToList(entry.value());
     try {
-      return Optional.of(HostPort.parse(entry.value()));
+      HostPort listens = HostPort.parse(parts.get(0));
+      return Optional.of(new Peer(box, parts.size() > 1 ? parts.get(1) : "", listens));
     } catch (IllegalArgumentException e) {
       EventLog.warn(Event.PEER_ADDRESS_NOT_READ, "entry", entry.key(), "cause", e.getMessage());
       return Optional.empty();
--- a/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
@@ -17,7 +17,10 @@
   /** Encodes a report. */
   public static byte[] encode(LoadReport report) {
     LoadProto.LoadReport.Builder message =
-        LoadProto.LoadReport.newBuilder().setSender(report.sender());
+        LoadProto.LoadReport.newBuilder()
+            .setSender(report.sender())
+            .setGroup(report.group())
+            .setNodes(report.nodes());
     for (EndpointLoad load : report.loads()) {
       message.addEndpointKey(load.endpointKey());
       message.addRequests(load.requests());
@@ -45,7 +48,9 @@
               message.getRequests(i),
               message.getThousandTokenLayers(i) * THOUSAND));
     }
-    return new LoadReport(message.getSender(), loads.build());
+    // A report that names no number is of one node.
+    int nodes = Math.max(1, message.getNodes());
+    return new LoadReport(message.getSender(), message.getGroup(), nodes, loads.build());
   }
 
   private static LoadProto.LoadReport parse(byte[] bytes) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/LoadDatagrams.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/LoadDatagrams.java
@@ -68,10 +68,10 @@
   }
 
   @Override
-  public void send(HostPort peer, LoadReport report) {
+  public int send(HostPort peer, LoadReport report) {
     InetSocketAddress to = new InetSocketAddress(peer.host(), peer.port());
-    DatagramPacket packet =
-        new DatagramPacket(Unpooled.wrappedBuffer(LoadCodec.encode(report)), to);
+    byte[] bytes = LoadCodec.encode(report);
+    DatagramPacket packet = new DatagramPacket(Unpooled.wrappedBuffer(bytes), to);
     // A peer that is gone answers with "unreachable"; its entry lapses on its own.
     ChannelFuture unused =
         channel
@@ -79,6 +79,7 @@
             .addListener(
                 sent ->
                     counters.count(Metric.LOAD_REPORTS, sent.isSuccess() ? "sent" : "not-sent"));
+    return bytes.length;
   }
 
   /** Listens no longer. */
