A request without a connection has not run, whatever becomes of its engine

Cause: a dead engine is known after some 200 ms, a connection to it is given up after 500. A request that was still being connected counted as one that may have run: two such engines used up its runs, and its caller got 502 (or 504 at the time limit) though no endpoint had been reached; a stream that runs once was not sent elsewhere at all.

Ruled out: failed connections themselves (SentState already tells them apart).

Change: EndpointCall tells whether its request was given a connection; a suspicion and the time limit ask it. Three tests in ForwarderTest failed first (run on the former ForwardRun), EndpointConnections has its own.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -11,6 +11,7 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.state.HostPort;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Verdict;
 import org.vaneworks.tests.forwarding.ForwardingFixture.Got;
@@ -520,6 +521,45 @@
     assertFalse(first.equals(node.last().attempt.endpoint()));
   }
 
+  @Test
+  void streamThatRunsOnceGoesElsewhereIfItsEngineDiesBeforeThereIsAConnection() {
+    node.engine(1, 0, 80);
+    node.engine(2, 0, 80);
+    node.ask("/once/x");
+    HostPort dead = node.last().attempt.endpoint().address();
+    node.last().arrived = false;
+    node.fleet.suspect(node.fleet.at(dead).get(), "test");
+    assertEquals(2, node.sent.size());
+    assertTrue(node.sent.get(0).cancelled);
+  }
+
+  /** Two engines die before the connections to them are given up: no run was used up. */
+  @Test
+  void streamWhoseEnginesDieBeforeThereIsAConnectionHasNotRun() {
+    for (int number = 1; number <= 3; number++) {
+      node.engine(number, 0, 80);
+    }
+    Got got = node.ask("/stream/x");
+    for (int dead = 1; dead <= 3; dead++) {
+      node.last().arrived = false;
+      HostPort address = node.last().attempt.endpoint().address();
+      node.fleet.suspect(node.fleet.at(address).get(), "test");
+    }
+    assertEquals(3, node.sent.size());
+    assertEquals(Verdict.NOT_RUN, got.refusal.get().verdict());
+    assertEquals(503, reason(got).status());
+  }
+
+  @Test
+  void requestThatHadNoConnectionAtItsTimeLimitHasNotRun() {
+    node.replica(1);
+    Got got = node.ask("/unsafe/x");
+    node.last().arrived = false;
+    node.advance(800);
+    assertEquals(Reason.NOT_STARTED_IN_TIME, reason(got));
+    assertEquals(Verdict.NOT_RUN, got.refusal.get().verdict());
+  }
+
   private void occupy(FleetEndpoint engine) {
     node.fleet.at(engine.address()).get().reserve(10_000);
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -52,6 +52,7 @@
   static final class SentAttempt implements EndpointCalls.EndpointCall {
     final Attempt attempt;
     final EndpointCalls.Listener listener;
+    boolean arrived = true;
     boolean cancelled;
     boolean discarded;
     boolean paused;
@@ -61,6 +62,11 @@
       this.listener = listener;
     }
 
+    @Override
+    public boolean mayHaveArrived() {
+      return arrived;
+    }
+
     @Override
     public void cancel() {
       cancelled = true;
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -0,0 +1,173 @@
+package org.vaneworks.transport.entry;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.http.api.DefaultHttpHeadersFactory;
+import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpProtocolVersion;
+import io.servicetalk.http.api.HttpRequestMetaData;
+import io.servicetalk.http.api.HttpRequestMetaDataFactory;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.forwarding.AnswerHead;
+import org.vaneworks.coordination.forwarding.Attempt;
+import org.vaneworks.coordination.forwarding.EndpointCalls.EndpointCall;
+import org.vaneworks.coordination.forwarding.EndpointCalls.Listener;
+import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.HostPort;
+
+/** Checks what is known of an attempt while it is under way. */
+final class EndpointConnectionsTest {
+  /** Generous: nothing is measured. */
+  private static final int SECONDS = 20;
+
+  private final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
+  private final EndpointConnections connections =
+      EndpointConnections.create(io, new PlainHeaders());
+
+  @AfterEach
+  void closeLoop() throws Exception {
+    io.closeAsync().toFuture().get();
+  }
+
+  @Test
+  void attemptMayHaveArrivedOnceItHasAConnection() throws Exception {
+    HttpServer server =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.createContext(
+        "/",
+        exchange -> {
+          exchange.sendResponseHeaders(200, -1);
+          exchange.close();
+        });
+    server.start();
+    try {
+      Outcome outcome = new Outcome();
+      CompletableFuture<EndpointCall> sent = new CompletableFuture<>();
+      io.execute(() -> sent.complete(connections.send(attempt(server.getAddress()), outcome)));
+      assertTrue(outcome.answered.get(SECONDS, TimeUnit.SECONDS));
+      assertTrue(sent.get().mayHaveArrived());
+    } finally {
+      server.stop(0);
+    }
+  }
+
+  @Test
+  void attemptWithoutAConnectionHasNotArrived() throws Exception {
+    try (Socket reserved = new Socket()) {
+      // Bound but not listening: connections are refused and nobody else gets the port.
+      reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      Outcome outcome = new Outcome();
+      CompletableFuture<EndpointCall> sent = new CompletableFuture<>();
+      InetSocketAddress address = (InetSocketAddress) reserved.getLocalSocketAddress();
+      io.execute(() -> sent.complete(connections.send(attempt(address), outcome)));
+      assertFalse(outcome.answered.get(SECONDS, TimeUnit.SECONDS));
+      assertFalse(sent.get(SECONDS, TimeUnit.SECONDS).mayHaveArrived());
+    }
+  }
+
+  private static Attempt attempt(InetSocketAddress to) {
+    HttpRequestMetaData head =
+        HttpRequestMetaDataFactory.newRequestMetaData(
+            HttpProtocolVersion.HTTP_1_1,
+            HttpRequestMethod.GET,
+            "/",
+            DefaultHttpHeadersFactory.INSTANCE.newHeaders());
+    Buffer body = BufferAllocators.PREFER_HEAP_ALLOCATOR.fromAscii("");
+    FleetEndpoint endpoint =
+        new FleetEndpoint(
+            "e1",
+            "s",
+            new HostPort(to.getAddress().getHostAddress(), to.getPort()),
+            "dc1",
+            1,
+            false,
+            Optional.empty(),
+            "",
+            0);
+    return new Attempt(
+        new EntryRequest(head, body, new PlainHeaders(), "q1"),
+        endpoint,
+        Optional.empty(),
+        Duration.ofSeconds(SECONDS),
+        Optional.empty(),
+        Optional.empty());
+  }
+
+  /** Whether the attempt was answered, once it is over. */
+  private static final class Outcome implements Listener {
+    private final CompletableFuture<Boolean> answered = new CompletableFuture<>();
+
+    @Override
+    public void head(AnswerHead head) {}
+
+    @Override
+    public void data(byte[] bytes) {}
+
+    @Override
+    public void end() {
+      answered.complete(true);
+    }
+
+    @Override
+    public void failed(boolean neverSent, Throwable cause) {
+      answered.complete(false);
+    }
+  }
+
+  /** Headers that carry nothing. */
+  private static final class PlainHeaders implements HeaderDialect {
+    @Override
+    public Optional<String> requestId(HttpHeaders headers) {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<String> key(HttpHeaders headers) {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<Duration> patience(HttpHeaders headers) {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<RequestSize> size(HttpHeaders headers) {
+      return Optional.empty();
+    }
+
+    @Override
+    public void address(HttpHeaders headers, Attempt attempt) {}
+
+    @Override
+    public boolean notRun(int status, HttpHeaders headers) {
+      return false;
+    }
+
+    @Override
+    public Optional<HostPort> obstacle(HttpHeaders headers) {
+      return Optional.empty();
+    }
+
+    @Override
+    public boolean matches(HttpHeaders headers, String requestId) {
+      return true;
+    }
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointCalls.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointCalls.java
@@ -11,6 +11,12 @@
 
   /** An attempt on its way. */
   interface EndpointCall {
+    /**
+     * Returns whether any of the request may have reached the endpoint; false until there is a
+     * connection for it.
+     */
+    boolean mayHaveArrived();
+
     /** Breaks it off; the connection is closed, so the endpoint stops work. */
     void cancel();
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -399,17 +399,17 @@
     if (done) {
       return;
     }
+    boolean mayRunNow = call != null && call.mayHaveArrived();
     if (call != null) {
       call.cancel();
     }
-    boolean sentNow = call != null;
     if (headPassed) {
       giveUp(Verdict.RAN, Reason.DEADLINE, "the time limit passed");
       return;
     }
     close();
     Refusal refusal =
-        runs == 0 && !sentNow
+        runs == 0 && !mayRunNow
             ? Refusal.before(Reason.NOT_STARTED_IN_TIME, "no place").withRetryAfter(comeBack())
             : Refusal.mayHaveRun(Reason.DEADLINE, "the time limit passed");
     ForwardLog.refused(request, refusal, trail(), context.counters());
@@ -493,9 +493,11 @@
   }
 
   private void beginElsewhere(String reason, String cause) {
-    if (route.kind().idempotent()) {
+    // An engine is often known to be dead before the connection to it is given up.
+    boolean mayHaveRun = call.mayHaveArrived();
+    if (route.kind().idempotent() || !mayHaveRun) {
       call.cancel();
-      attemptOver(Verdict.MAY_HAVE_RUN, reason, cause);
+      attemptOver(mayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, reason, cause);
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -7,12 +7,16 @@
 import io.servicetalk.concurrent.PublisherSource;
 import io.servicetalk.concurrent.SingleSource;
 import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.concurrent.api.SourceAdapters;
+import io.servicetalk.context.api.ContextMap;
+import io.servicetalk.http.api.FilterableStreamingHttpConnection;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpRequestMetaData;
 import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpConnectionFilter;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.netty.HttpClients;
@@ -22,6 +26,7 @@
 import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.forwarding.EndpointCalls;
 import org.vaneworks.state.HostPort;
@@ -37,6 +42,9 @@
   /** An endpoint of the same region accepts in a few ms; a lost packet is sent again after 200. */
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+  /** The call that a request belongs to. */
+  private static final ContextMap.Key<Call> CALL = ContextMap.Key.newKey("call", Call.class);
+
   private final IoExecutor io;
   private final HeaderDialect dialect;
   private final Map<HostPort, StreamingHttpClient> clients = new HashMap<>();
@@ -63,8 +71,10 @@
   public EndpointCall send(Attempt attempt, Listener listener) {
     StreamingHttpClient client =
         clients.computeIfAbsent(attempt.endpoint().address(), this::connect);
-    Call call = new Call(attempt.request().id(), listener);
-    SourceAdapters.toSource(client.request(request(client, attempt))).subscribe(call);
+    Call call = new Call(dialect, attempt.request().id(), listener);
+    StreamingHttpRequest request = request(client, attempt);
+    request.context().put(CALL, call);
+    SourceAdapters.toSource(client.request(request)).subscribe(call);
     return call;
   }
 
@@ -96,24 +106,40 @@
         .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
         .hostHeaderFallback(false)
         .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
+        .appendConnectionFilter(EndpointConnections::noteConnected)
         .buildStreaming();
   }
 
+  /** Tells a call that it has a connection: from then on its request may arrive. */
+  private static StreamingHttpConnectionFilter noteConnected(
+      FilterableStreamingHttpConnection connection) {
+    return new StreamingHttpConnectionFilter(connection) {
+      @Override
+      public Single<StreamingHttpResponse> request(StreamingHttpRequest request) {
+        Optional.ofNullable(request.context().get(CALL)).ifPresent(Call::connected);
+        return delegate().request(request);
+      }
+    };
+  }
+
   /** One attempt: first the response's head, then its body. */
-  private final class Call
+  private static final class Call
       implements EndpointCall,
           SingleSource.Subscriber<StreamingHttpResponse>,
           PublisherSource.Subscriber<Buffer> {
+    private final HeaderDialect dialect;
     private final String requestId;
     private final Listener listener;
     private Cancellable head = () -> {};
     private PublisherSource.Subscription body;
+    private boolean connected;
     private boolean cancelled;
     private boolean discarded;
     private boolean paused;
     private boolean owed;
 
-    Call(String requestId, Listener listener) {
+    Call(HeaderDialect dialect, String requestId, Listener listener) {
+      this.dialect = dialect;
       this.requestId = requestId;
       this.listener = listener;
     }
@@ -184,6 +210,15 @@
       }
     }
 
+    void connected() {
+      connected = true;
+    }
+
+    @Override
+    public boolean mayHaveArrived() {
+      return connected;
+    }
+
     @Override
     public void cancel() {
       cancelled = true;
