coordination.pipeline: driving a stream hop by hop in a package of its own

Nine files moved (StreamRun, StreamHops, StreamMeter, Hop, PipelineDriver, PipelineContext, PipelineLimits, AnswerSink, RetryBudget); three members became public for their callers one package up. LayersTest holds that pipelines know nothing of forwarding, placement or load. Behaviour is unchanged.

--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/LoadMain.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/LoadMain.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import org.vaneworks.coordination.AnswerSink;
+import org.vaneworks.coordination.pipeline.AnswerSink;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/LoadReport.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/LoadReport.java
@@ -8,7 +8,7 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.HdrHistogram.Histogram;
-import org.vaneworks.coordination.AnswerSink;
+import org.vaneworks.coordination.pipeline.AnswerSink;
 import org.vaneworks.protocol.Json;
 import org.vaneworks.state.Refusal;
 
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/RecordedAnswer.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/RecordedAnswer.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.vaneworks.coordination.AnswerSink;
+import org.vaneworks.coordination.pipeline.AnswerSink;
 import org.vaneworks.state.Refusal;
 
 /** Keeps what a caller was given. Thread-safe. */
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
@@ -111,6 +111,22 @@
           .dependOnClassesThat()
           .resideInAPackage("org.vaneworks.coordination.admission..");
 
+  /** A pipeline is told its route and its budget; it knows neither placement nor forwarding. */
+  @ArchTest
+  static final ArchRule PIPELINES_USE_ROUTES_AND_ENDPOINTS_ONLY =
+      noClasses()
+          .that()
+          .resideInAPackage("org.vaneworks.coordination.pipeline..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.vaneworks.coordination.fleet..",
+              "org.vaneworks.coordination.forwarding..",
+              "org.vaneworks.coordination.load..",
+              "org.vaneworks.coordination.placement..",
+              "org.vaneworks.coordination.relay..",
+              "org.vaneworks.coordination.shared..");
+
   @ArchTest
   static final ArchRule NO_IO_IN_THE_CORE =
       noClasses()
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/StreamSteps.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/scenarios/StreamSteps.java
@@ -11,7 +11,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.vaneworks.coordination.NodeLimits;
-import org.vaneworks.coordination.PipelineLimits;
+import org.vaneworks.coordination.pipeline.PipelineLimits;
 import org.vaneworks.coordination.requests.CallerOptions;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.Refusal;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceDelivery.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceDelivery.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
+import org.vaneworks.coordination.pipeline.AnswerSink;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceService.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceService.java
@@ -19,6 +19,7 @@
 import org.vaneworks.coordination.PeerMessage.OnceReply;
 import org.vaneworks.coordination.PeerMessage.RunOnce;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.pipeline.AnswerSink;
 import org.vaneworks.coordination.requests.CallerOptions;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceStarter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceStarter.java
@@ -1,6 +1,7 @@
 package org.vaneworks.coordination;
 
 import java.util.concurrent.CompletableFuture;
+import org.vaneworks.coordination.pipeline.AnswerSink;
 
 /** Runs a request whose record says that it may run now. */
 @FunctionalInterface
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestGate.java
@@ -12,6 +12,8 @@
 import org.vaneworks.coordination.configuration.ConfigurationBoard;
 import org.vaneworks.coordination.endpoints.ServiceCall;
 import org.vaneworks.coordination.endpoints.ServiceReply;
+import org.vaneworks.coordination.pipeline.AnswerSink;
+import org.vaneworks.coordination.pipeline.PipelineDriver;
 import org.vaneworks.coordination.requests.CallerOptions;
 import org.vaneworks.coordination.requests.CompletionBody;
 import org.vaneworks.coordination.requests.CompletionRequest;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ServiceRouter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ServiceRouter.java
@@ -18,6 +18,7 @@
 import org.vaneworks.coordination.endpoints.EndpointTable;
 import org.vaneworks.coordination.endpoints.ServiceCall;
 import org.vaneworks.coordination.endpoints.ServiceReply;
+import org.vaneworks.coordination.pipeline.RetryBudget;
 import org.vaneworks.state.EndpointId;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/AnswerSink.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/AnswerSink.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.pipeline;
 
 import org.vaneworks.state.Refusal;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Hop.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/Hop.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.pipeline;
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PipelineContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/PipelineContext.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.pipeline;
 
 import io.servicetalk.concurrent.Executor;
 import org.vaneworks.coordination.admission.AdmissionControl;
@@ -19,7 +19,7 @@
  * @param limits bounds on one stream
  * @param counters the node's counters
  */
-record PipelineContext(
+public record PipelineContext(
     Executor executor,
     EndpointClient client,
     EndpointTable table,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PipelineDriver.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/PipelineDriver.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.pipeline;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -16,7 +16,7 @@
  * <p>This node calls each hop in turn, so it knows exactly what ran; see docs/design/0003.
  * Thread-safe.
  */
-final class PipelineDriver {
+public final class PipelineDriver {
   private final PipelineContext context;
   private final String node;
   private final Random random;
@@ -35,7 +35,7 @@
    * @param node this node's name with its incarnation
    * @param random seeded source of the streams' nonces
    */
-  static PipelineDriver create(PipelineContext context, String node, Random random) {
+  public static PipelineDriver create(PipelineContext context, String node, Random random) {
     checkArgument(!node.isEmpty(), "the node must be named");
     return new PipelineDriver(context, node, random);
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RetryBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/RetryBudget.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.pipeline;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -36,12 +36,12 @@
   }
 
   /** Takes note of a first attempt. */
-  synchronized void earn() {
+  public synchronized void earn() {
     balance = Math.min(reserve, balance + share);
   }
 
   /** Takes one retry out of the budget; returns false if it is spent. */
-  synchronized boolean spend() {
+  public synchronized boolean spend() {
     if (balance < 1) {
       return false;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.pipeline;
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/CompletionAnswer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/CompletionAnswer.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
-import org.vaneworks.coordination.AnswerSink;
+import org.vaneworks.coordination.pipeline.AnswerSink;
 import org.vaneworks.protocol.CallerJson;
 import org.vaneworks.state.Refusal;
 
