--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -71,6 +71,9 @@
   /** The live nodes by name, with where each listens for its peers, if it does. */
   private final Map<String, Optional<Peer>> nodes = new TreeMap<>();
 
+  /** Made anew after a change only: it is read for each report to a peer. */
+  private Optional<ImmutableList<Peer>> peers = Optional.empty();
+
   private final HeldLease entry;
   private final HeldLease controller;
   private OptionalLong fence = OptionalLong.empty();
@@ -159,6 +162,13 @@
 
   /** Returns the other live nodes that listen for their peers, in a stable order. */
   public ImmutableList<Peer> peers() {
+    if (peers.isEmpty()) {
+      peers = Optional.of(otherPeers());
+    }
+    return peers.get();
+  }
+
+  private ImmutableList<Peer> otherPeers() {
     Optional<HostPort> own = address.get();
     return nodes.values().stream()
         .flatMap(Optional::stream)
@@ -269,6 +279,7 @@
   public void replace(ImmutableList<StoredItem> items) {
     followed = true;
     nodes.clear();
+    peers = Optional.empty();
     controllerPresent = false;
     items.forEach(item -> take(item, false));
     countNodes();
@@ -286,6 +297,7 @@
   private void take(StoredItem item, boolean removed) {
     String name = item.key().substring(prefix.length());
     if (name.startsWith(NODES)) {
+      peers = Optional.empty();
       if (removed) {
         nodes.remove(name);
         takeOwnRemoval(name, item.revision());
