Slow engines that one node knows at first hand are told with the load reports

Cause: an engine that turned slow was found by each node on its own, by late streams: seven slow engines times 95 nodes. Ruled out: passing it on through the store (each write is priced and wakes every node). Change: LoadReport names the engines that the node, or members of its group, know to be slow from the engine itself; a node takes the larger of its own and its peers' word. Who found an engine slow asks it each second until it is not, as before; others forget it with the next report. Five tests in LoadExchangeTest.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.load.EndpointLoad;
+import org.vaneworks.coordination.load.EnginePace;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.protocol.LoadCodec;
 import org.vaneworks.state.HostPort;
@@ -23,7 +24,9 @@
   private static final HostPort ANY = new HostPort("127.0.0.1", 0);
   private static final LoadReport REPORT =
       LoadReport.ofNode(
-          "box-1", ImmutableList.of(new EndpointLoad(-7, 3, 12_000), new EndpointLoad(9, 1, 0)));
+          "box-1",
+          ImmutableList.of(new EndpointLoad(-7, 3, 12_000), new EndpointLoad(9, 1, 0)),
+          ImmutableList.of(new EnginePace(9, 4.5)));
 
   private final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -14,6 +14,7 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.load.EndpointLoad;
+import org.vaneworks.coordination.load.EnginePace;
 import org.vaneworks.coordination.load.LoadExchange;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.coordination.shared.Peer;
@@ -237,6 +238,59 @@
 
   private void groupTells(String sender, String group, int requests) {
     EndpointLoad load = new EndpointLoad(EndpointLoad.keyOf("e1"), requests, 0);
-    exchange.heard(new LoadReport(sender, group, 2, ImmutableList.of(load)));
+    exchange.heard(new LoadReport(sender, group, 2, ImmutableList.of(load), ImmutableList.of()));
+  }
+
+  private static ImmutableList<EnginePace> slow(double pace) {
+    return ImmutableList.of(new EnginePace(EndpointLoad.keyOf("e1"), pace));
+  }
+
+  private void peerKnowsSlow(String sender, ImmutableList<EnginePace> slow) {
+    exchange.heard(LoadReport.ofNode(sender, ImmutableList.of(), slow));
+  }
+
+  /** The load of an engine that turned slow: each of many nodes would find out by a late stream. */
+  @Test
+  void engineThatAPeerKnowsToBeSlowIsTakenAsSlow() {
+    exchange.start();
+    peerKnowsSlow("one", slow(5));
+    advance(50);
+    assertEquals(5, engine.pace());
+  }
+
+  @Test
+  void engineThatNoPeerCallsSlowAnyMoreIsFastAgain() {
+    exchange.start();
+    peerKnowsSlow("one", slow(5));
+    advance(50);
+    peerKnowsSlow("one", ImmutableList.of());
+    advance(50);
+    assertEquals(1, engine.pace());
+  }
+
+  @Test
+  void silentPeersWordOfASlowEngineLapses() {
+    exchange.start();
+    peerKnowsSlow("one", slow(5));
+    advance(1600);
+    assertEquals(1, engine.pace());
+  }
+
+  @Test
+  void whatPeersSayOfASlowEngineIsNotToldAsFirstHand() {
+    exchange.start();
+    peerKnowsSlow("one", slow(5));
+    advance(100);
+    assertEquals(ImmutableList.of(), last.slow());
+  }
+
+  @Test
+  void slowEnginesOfTheGroupAreToldToOtherGroups() {
+    peers = ImmutableList.of(new Peer("far", "dc2", PEER_2));
+    exchange.start();
+    peerKnowsSlow("one", slow(5));
+    advance(50);
+    assertTrue(last.ofGroup());
+    assertEquals(slow(5), last.slow());
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -46,9 +46,6 @@
   private static final Duration FIRST_RETRY = Duration.ofMillis(400);
   private static final Duration LONGEST_RETRY = Duration.ofSeconds(2);
 
-  /** A pace from which an engine is asked again until it is over. */
-  private static final double SLOW_PACE = 1.3;
-
   /** How often a slow engine is asked, and how often one that is only thought to be slow. */
   private static final Duration PACE_RETRY = Duration.ofSeconds(1);
 
@@ -149,9 +146,9 @@
   }
 
   private void takePace(TrackedEndpoint engine, EngineReport report) {
-    boolean wasSlow = engine.pace() >= SLOW_PACE;
-    boolean slow = report.pace() >= SLOW_PACE;
+    boolean wasSlow = engine.slowAtFirstHand();
     engine.pace(report.pace());
+    boolean slow = engine.slowAtFirstHand();
     if (slow != wasSlow) {
       EventLog.info(Event.ENDPOINT_PACE, "endpoint", engine.endpoint().id(), "pace", report.pace());
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -11,6 +11,9 @@
  * <p>Confined to the node's event loop.
  */
 public final class TrackedEndpoint {
+  /** A pace from which an engine counts as slow. */
+  static final double SLOW_PACE = 1.3;
+
   /** Each refusal raises the estimate of an engine's use by this factor. */
   private static final double SHORTAGE_STEP = 1.3;
 
@@ -35,6 +38,7 @@
   private long lastProgress = Long.MIN_VALUE / 2;
   private long lastFastProgress = Long.MIN_VALUE / 2;
   private double pace = 1;
+  private double peersPace = 1;
   private double shortage = 1;
   private long shortageAt;
 
@@ -116,11 +120,26 @@
     return lastFastProgress;
   }
 
-  /** Returns how many times slower than its kind it says that it is. */
+  /** Returns how many times slower than its kind it says that it is, to this node or to peers. */
   public double pace() {
+    return Math.max(pace, peersPace);
+  }
+
+  /** Returns whether it told this node itself that it is slow. */
+  public boolean slowAtFirstHand() {
+    return pace >= SLOW_PACE;
+  }
+
+  /** Returns the pace that it told this node itself. */
+  public double firstHandPace() {
     return pace;
   }
 
+  /** Takes the pace that peers know at first hand; 1 if none knows it to be slow. */
+  public void peersPace(double value) {
+    peersPace = value;
+  }
+
   void pace(double value) {
     pace = Math.max(1, value);
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -23,8 +23,10 @@
  * streams last one to two seconds, so a report has to be younger. Hence two levels. A node tells
  * its own load to each node of its group, those of its data centre, whose engines it uses most. To
  * each other group it tells the sum of its group, once a round and to one node there; as all
- * members do so, each node hears of each group about as often as of each member. A node's bytes are
- * bounded, whatever the number of peers and endpoints. Confined to the node's event loop.
+ * members do so, each node hears of each group about as often as of each member. Slow engines that
+ * a node knows at first hand are told with it: otherwise each of a hundred nodes finds out by a
+ * late stream of its own. A node's bytes are bounded, whatever the number of peers and endpoints.
+ * Confined to the node's event loop.
  */
 public final class LoadExchange {
   /** A small fleet needs no fresher reports: its nodes hear each other four times a second. */
@@ -149,7 +151,7 @@
   private int tellNext() {
     turn = Math.floorMod(turn + 1, peerGroups.round());
     if (turn < peerGroups.members().size()) {
-      return sender.send(peerGroups.members().get(turn), LoadReport.ofNode(box, ownLoads()));
+      return sender.send(peerGroups.members().get(turn), ownReport());
     }
     ImmutableList<HostPort> outside = peerGroups.outside();
     nextOutside = Math.floorMod(nextOutside + 1, outside.size());
@@ -162,12 +164,44 @@
     return paid.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : paid;
   }
 
+  private LoadReport ownReport() {
+    return LoadReport.ofNode(box, ownLoads(), ownSlow());
+  }
+
+  private ImmutableList<EnginePace> ownSlow() {
+    return fleet.all().stream()
+        .filter(TrackedEndpoint::slowAtFirstHand)
+        .map(engine -> new EnginePace(keyOf(engine), engine.firstHandPace()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the slow engines that this node or members of its group know at first hand. */
+  private ImmutableList<EnginePace> groupSlow() {
+    Map<Integer, Double> paces = new HashMap<>();
+    ownSlow().forEach(engine -> paces.merge(engine.endpointKey(), engine.pace(), Math::max));
+    addSlow(members, paces);
+    return paces.entrySet().stream()
+        .map(entry -> new EnginePace(entry.getKey(), entry.getValue()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static void addSlow(Map<String, Heard> kept, Map<Integer, Double> paces) {
+    for (Heard heard : kept.values()) {
+      for (EnginePace engine : heard.report().slow()) {
+        paces.merge(engine.endpointKey(), engine.pace(), Math::max);
+      }
+    }
+  }
+
+  private static int keyOf(TrackedEndpoint endpoint) {
+    return EndpointLoad.keyOf(endpoint.endpoint().id());
+  }
+
   private ImmutableList<EndpointLoad> ownLoads() {
     ImmutableList.Builder<EndpointLoad> loads = ImmutableList.builder();
     for (TrackedEndpoint endpoint : fleet.all()) {
       if (endpoint.inFlight() > 0) {
-        int key = EndpointLoad.keyOf(endpoint.endpoint().id());
-        loads.add(new EndpointLoad(key, endpoint.inFlight(), ownTokenLayers(endpoint)));
+        loads.add(new EndpointLoad(keyOf(endpoint), endpoint.inFlight(), ownTokenLayers(endpoint)));
       }
     }
     return loads.build();
@@ -180,7 +214,7 @@
   private LoadReport groupReport() {
     ImmutableList.Builder<EndpointLoad> loads = ImmutableList.builder();
     for (TrackedEndpoint endpoint : fleet.all()) {
-      int key = EndpointLoad.keyOf(endpoint.endpoint().id());
+      int key = keyOf(endpoint);
       LoadSums.Sum others = memberSums.of(key);
       int requests = endpoint.inFlight() + others.requests();
       if (requests > 0) {
@@ -188,7 +222,7 @@
         loads.add(new EndpointLoad(key, requests, tokenLayers));
       }
     }
-    return new LoadReport(box, peerGroups.own(), 1 + members.size(), loads.build());
+    return new LoadReport(box, peerGroups.own(), 1 + members.size(), loads.build(), groupSlow());
   }
 
   /** Takes a peer's report. */
@@ -246,8 +280,13 @@
     // Their part of what this node begins is in that factor already.
     double peersAlike = live == 1 ? 0 : peerGroups.neighbours() * (known - 1.0) / (live - 1.0);
     double kept = Math.exp(-1 / Math.max(1, MEAN_AGE * peerGroups.round()));
+    Map<Integer, Double> slow = new HashMap<>();
+    addSlow(members, slow);
+    addSlow(groups, slow);
     for (TrackedEndpoint endpoint : fleet.all()) {
-      LoadSums.Sum peersSum = allSums.of(EndpointLoad.keyOf(endpoint.endpoint().id()));
+      int key = keyOf(endpoint);
+      endpoint.peersPace(slow.getOrDefault(key, 1.0));
+      LoadSums.Sum peersSum = allSums.of(key);
       endpoint.peersLoad(peersSum.requests(), peersSum.tokenLayers(), factor);
       endpoint.peersAlike(peersAlike, kept);
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
@@ -13,20 +13,32 @@
  * @param group the group whose loads are summed; empty for the sender's own load
  * @param nodes how many nodes' loads are summed
  * @param loads one entry an endpoint
+ * @param slow the engines that these nodes know to be slow at first hand
  */
 public record LoadReport(
-    String sender, String group, int nodes, ImmutableList<EndpointLoad> loads) {
+    String sender,
+    String group,
+    int nodes,
+    ImmutableList<EndpointLoad> loads,
+    ImmutableList<EnginePace> slow) {
   /** Checks that all parts are given. */
   public LoadReport {
     checkNotNull(sender);
     checkNotNull(group);
     checkArgument(nodes > 0, "nodes must be positive: %s", nodes);
     checkNotNull(loads);
+    checkNotNull(slow);
   }
 
-  /** Returns the report of one node. */
+  /** Returns the report of one node that knows of no slow engine. */
   public static LoadReport ofNode(String sender, ImmutableList<EndpointLoad> loads) {
-    return new LoadReport(sender, "", 1, loads);
+    return ofNode(sender, loads, ImmutableList.of());
+  }
+
+  /** Returns the report of one node. */
+  public static LoadReport ofNode(
+      String sender, ImmutableList<EndpointLoad> loads, ImmutableList<EnginePace> slow) {
+    return new LoadReport(sender, "", 1, loads, slow);
   }
 
   /** Returns whether it is the sum over a group. */
--- a/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.vaneworks.coordination.load.EndpointLoad;
+import org.vaneworks.coordination.load.EnginePace;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.protocol.generated.LoadProto;
 
@@ -12,6 +13,8 @@
 public final class LoadCodec {
   private static final long THOUSAND = 1000;
 
+  private static final double HUNDREDTHS = 100;
+
   private LoadCodec() {}
 
   /** Encodes a report. */
@@ -26,6 +29,10 @@
       message.addRequests(load.requests());
       message.addThousandTokenLayers((int) Math.round((double) load.tokenLayers() / THOUSAND));
     }
+    for (EnginePace engine : report.slow()) {
+      message.addSlowKey(engine.endpointKey());
+      message.addSlowPaceHundredths((int) Math.round(engine.pace() * HUNDREDTHS));
+    }
     return message.build().toByteArray();
   }
 
@@ -48,9 +55,18 @@
               message.getRequests(i),
               message.getThousandTokenLayers(i) * THOUSAND));
     }
+    checkArgument(
+        message.getSlowKeyCount() == message.getSlowPaceHundredthsCount(),
+        "the lists of slow engines differ in length");
+    ImmutableList.Builder<EnginePace> slow = ImmutableList.builder();
+    for (int i = 0; i < message.getSlowKeyCount(); i++) {
+      double pace = message.getSlowPaceHundredths(i) / HUNDREDTHS;
+      slow.add(new EnginePace(message.getSlowKey(i), pace));
+    }
     // A report that names no number is of one node.
     int nodes = Math.max(1, message.getNodes());
-    return new LoadReport(message.getSender(), message.getGroup(), nodes, loads.build());
+    return new LoadReport(
+        message.getSender(), message.getGroup(), nodes, loads.build(), slow.build());
   }
 
   private static LoadProto.LoadReport parse(byte[] bytes) {
