--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -6,8 +6,6 @@
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -47,9 +45,6 @@
   /** The same at least: several reports in a row may be lost with a packet burst. */
   private static final Duration SHORTEST_EXPIRY = Duration.ofMillis(1500);
 
-  /** What was told last of a node or a group. */
-  private record Heard(LoadReport report, long at) {}
-
   private final Executor clock;
   private final Fleet fleet;
   private final String box;
@@ -57,13 +52,7 @@
   private final Supplier<ImmutableList<Peer>> peers;
   private final IntSupplier liveNodes;
   private final LoadSender sender;
-  private final Map<String, Heard> members = new HashMap<>();
-  private final Map<String, Heard> groups = new HashMap<>();
-
-  /** Of all that is kept, and of the members' part: what the group's sum is made of. */
-  private final LoadSums allSums = new LoadSums();
-
-  private final LoadSums memberSums = new LoadSums();
+  private final HeardLoads heardLoads = new HeardLoads();
   private ImmutableList<Peer> grouped = ImmutableList.of();
   private PeerGroups peerGroups;
   private int turn;
@@ -130,8 +119,7 @@
       return;
     }
     regroup();
-    expire(members);
-    expire(groups);
+    heardLoads.forgetBefore(now() - expiry().toNanos());
     noteWithEndpoints();
     if (peerGroups.round() > 0) {
       pause = pauseAfter(tellNext());
@@ -177,22 +165,13 @@
 
   /** Returns the slow engines that this node or members of its group know at first hand. */
   private ImmutableList<EnginePace> groupSlow() {
-    Map<Integer, Double> paces = new HashMap<>();
+    Map<Integer, Double> paces = heardLoads.slowOfMembers();
     ownSlow().forEach(engine -> paces.merge(engine.endpointKey(), engine.pace(), Math::max));
-    addSlow(members, paces);
     return paces.entrySet().stream()
         .map(entry -> new EnginePace(entry.getKey(), entry.getValue()))
         .collect(ImmutableList.toImmutableList());
   }
 
-  private static void addSlow(Map<String, Heard> kept, Map<Integer, Double> paces) {
-    for (Heard heard : kept.values()) {
-      for (EnginePace engine : heard.report().slow()) {
-        paces.merge(engine.endpointKey(), engine.pace(), Math::max);
-      }
-    }
-  }
-
   private static int keyOf(TrackedEndpoint endpoint) {
     return EndpointLoad.keyOf(endpoint.endpoint().id());
   }
@@ -215,14 +194,15 @@
     ImmutableList.Builder<EndpointLoad> loads = ImmutableList.builder();
     for (TrackedEndpoint endpoint : fleet.all()) {
       int key = keyOf(endpoint);
-      LoadSums.Sum others = memberSums.of(key);
+      LoadSums.Sum others = heardLoads.ofMembers(key);
       int requests = endpoint.inFlight() + others.requests();
       if (requests > 0) {
         long tokenLayers = ownTokenLayers(endpoint) + others.tokenLayers();
         loads.add(new EndpointLoad(key, requests, tokenLayers));
       }
     }
-    return new LoadReport(box, peerGroups.own(), 1 + members.size(), loads.build(), groupSlow());
+    int nodes = 1 + heardLoads.members();
+    return new LoadReport(box, peerGroups.own(), nodes, loads.build(), groupSlow());
   }
 
   /** Takes a peer's report. */
@@ -230,77 +210,35 @@
     if (report.sender().equals(box)) {
       return;
     }
-    if (!report.ofGroup()) {
-      keep(report.sender(), report, members);
-    } else if (!report.group().equals(peerGroups.own())) {
-      keep(report.group(), report, groups);
+    boolean known = report.ofGroup() && report.group().equals(peerGroups.own());
+    if (!known) {
+      heardLoads.keep(report, now());
     }
   }
 
-  private void keep(String subject, LoadReport report, Map<String, Heard> kept) {
-    Heard before = kept.put(subject, new Heard(report, now()));
-    if (before != null) {
-      subtract(before.report());
-    }
-    add(report);
-  }
-
-  private void add(LoadReport report) {
-    allSums.add(report.loads());
-    if (!report.ofGroup()) {
-      memberSums.add(report.loads());
-    }
-  }
-
-  private void subtract(LoadReport report) {
-    allSums.subtract(report.loads());
-    if (!report.ofGroup()) {
-      memberSums.subtract(report.loads());
-    }
-  }
-
-  private void expire(Map<String, Heard> kept) {
-    long round = pause.toNanos() * Math.max(1, peerGroups.round());
-    long limit = Math.max(SHORTEST_EXPIRY.toNanos(), ROUNDS_TO_EXPIRY * round);
-    Iterator<Heard> each = kept.values().iterator();
-    while (each.hasNext()) {
-      Heard heard = each.next();
-      if (now() - heard.at() > limit) {
-        subtract(heard.report());
-        each.remove();
-      }
-    }
+  private Duration expiry() {
+    Duration rounds = pause.multipliedBy((long) ROUNDS_TO_EXPIRY * Math.max(1, peerGroups.round()));
+    return rounds.compareTo(SHORTEST_EXPIRY) > 0 ? rounds : SHORTEST_EXPIRY;
   }
 
   private void noteWithEndpoints() {
-    int known = knownNodes();
+    int known = 1 + heardLoads.nodes();
     int live = Math.max(known, liveNodes.getAsInt());
     // Nodes that were not heard are taken to be like the others.
     double factor = (double) live / known;
     // Their part of what this node begins is in that factor already.
     double peersAlike = live == 1 ? 0 : peerGroups.neighbours() * (known - 1.0) / (live - 1.0);
     double kept = Math.exp(-1 / Math.max(1, MEAN_AGE * peerGroups.round()));
-    Map<Integer, Double> slow = new HashMap<>();
-    addSlow(members, slow);
-    addSlow(groups, slow);
+    Map<Integer, Double> slow = heardLoads.slowOfAll();
     for (TrackedEndpoint endpoint : fleet.all()) {
       int key = keyOf(endpoint);
       endpoint.peersPace(slow.getOrDefault(key, 1.0));
-      LoadSums.Sum peersSum = allSums.of(key);
+      LoadSums.Sum peersSum = heardLoads.ofAll(key);
       endpoint.peersLoad(peersSum.requests(), peersSum.tokenLayers(), factor);
       endpoint.peersAlike(peersAlike, kept);
     }
   }
 
-  /** Returns the number of nodes whose load is known, this one included. */
-  private int knownNodes() {
-    int known = 1 + members.size();
-    for (Heard group : groups.values()) {
-      known += group.report().nodes();
-    }
-    return known;
-  }
-
   private long now() {
     return clock.currentTime(NANOSECONDS);
   }
