--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/SharedEnginesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/SharedEnginesTest.java
@@ -53,6 +53,14 @@
     assertTrue(outcome.lateShare() < 0.005, outcome.toString());
   }
 
+  @Test
+  void engineWithRoomIsFoundByEightNodesOfOneDataCentre() {
+    FleetShape one = new FleetShape(ImmutableList.of(centre("dc-a", 8, 4, 11, 28, 75.5)));
+    FleetOutcome outcome = run(one);
+    assertTrue(outcome.rejectedShare() < 0.01, outcome.toString());
+    assertTrue(outcome.lateShare() < 0.005, outcome.toString());
+  }
+
   /** A node there begins one stream a second, which tells it little of its peers. */
   @Test
   void enginesRejectLittleWithMoreNodesThanEngines() {
