--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -27,7 +27,7 @@
  * Confined to the node's event loop.
  */
 public final class LoadExchange {
-  /** A small fleet needs no fresher reports: its nodes hear each other four times a second. */
+  /** A small fleet needs no fresher reports: its nodes hear each other some times a second. */
   private static final Duration SHORTEST_PAUSE = Duration.ofMillis(40);
 
   /** What a node may send, in bytes a second: 5,000 are allowed for all control traffic. */
