A look of the controller plans one data centre at least, however long it took to read the engines

Read, not seen: with the time counted from before the list was read, a box so slow that the reading alone takes 100 ms would have planned nothing, look after look.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -11,7 +11,10 @@
  * <p>Confined to the node's event loop.
  */
 public final class TrackedEndpoint {
-  /** A pace from which an engine counts as slow. */
+  /**
+   * A pace, in multiples of its kind's time, from which an engine counts as slow: it is asked again
+   * until that is over, and peers are told.
+   */
   static final double SLOW_PACE = 1.3;
 
   /** Each refusal raises the estimate of an engine's use by this factor. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -177,7 +177,6 @@
     if (!settled(engines)) {
       return;
     }
-    long begunAt = now();
     ImmutableMap.Builder<String, TrackedEndpoint> byId = ImmutableMap.builder();
     ImmutableList.Builder<Holding> holdings = ImmutableList.builder();
     for (TrackedEndpoint engine : engines) {
@@ -188,6 +187,7 @@
       }
     }
     ImmutableMap<String, TrackedEndpoint> known = byId.buildOrThrow();
+    long begunAt = now();
     Multimaps.index(holdings.build(), Holding::dataCentre)
         .asMap()
         .forEach(
