A later run of an endpoint ends what was known of the former; entries of other writers name none

Cause: an endpoint that started again under its id, or under another id at its former address, was updated in place: its layers, requests, suspicion, pace, shortage, orders and what peers told outlived it, and former layers counted until its entry lapsed (3.6 s). An entry that can't be read left the one before in use; a missing state counted as ready, an unknown one as leaving, numbers passed for texts.

Taking any entry that names an address for its holder: a late word of an id that was known before, or an entry of another service, proves nothing.

A later run gets an endpoint of its own, the former ends: its requests go on elsewhere once (an unsafe one ends at once as one that may have run), its connections close, orders decided for it are not given, loads that peers tell of it carry another key. Reports are taken for the run that tells them; an engine that answers 421 is asked, so a restart shows in an outage of the store too.

mvn verify: all pass.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EndpointListWatch.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EndpointListWatch.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
@@ -11,23 +13,37 @@
 import org.vaneworks.coordination.shared.StoreChanges;
 import org.vaneworks.coordination.shared.StoreSilence;
 import org.vaneworks.coordination.shared.StoredItem;
+import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
+import org.vaneworks.telemetry.Metric;
 
-/** Keeps the fleet up to date with the endpoints' own entries in the store. */
+/**
+ * Keeps the fleet up to date with the endpoints' own entries in the store.
+ *
+ * <p>Others may write there too. An entry that can't be read names no endpoint to use, whatever the
+ * one before it said; the rest of the list holds.
+ */
 final class EndpointListWatch implements PrefixFollower.Listener {
   private final String prefix;
   private final Function<StoredItem, FleetEndpoint> codec;
   private final Fleet fleet;
+  private final Counters counters;
 
-  EndpointListWatch(String prefix, Function<StoredItem, FleetEndpoint> codec, Fleet fleet) {
+  /** Keys whose entry can't be read; each is logged once until it is read or removed. */
+  private final Set<String> unreadable = new HashSet<>();
+
+  EndpointListWatch(
+      String prefix, Function<StoredItem, FleetEndpoint> codec, Fleet fleet, Counters counters) {
     this.prefix = checkNotNull(prefix);
     this.codec = checkNotNull(codec);
     this.fleet = checkNotNull(fleet);
+    this.counters = checkNotNull(counters);
   }
 
   @Override
   public void replace(ImmutableList<StoredItem> items) {
+    unreadable.clear();
     ImmutableList.Builder<FleetEndpoint> listed = ImmutableList.builder();
     items.forEach(item -> read(item).ifPresent(listed::add));
     fleet.replaceAll(listed.build());
@@ -36,12 +52,17 @@
   @Override
   public void change(StoreChanges.Change change) {
     if (change.removed()) {
-      fleet.remove(change.item().key().substring(prefix.length()));
+      unreadable.remove(change.item().key());
+      fleet.remove(idOf(change.item()));
     } else {
       read(change.item()).ifPresent(fleet::put);
     }
   }
 
+  private String idOf(StoredItem item) {
+    return item.key().substring(prefix.length());
+  }
+
   @Override
   public void silent(StoreSilence silence) {
     fleet.noteStoreSilent(silence.lastCallBegunAt(), silence.lastRevision());
@@ -54,11 +75,20 @@
 
   private Optional<FleetEndpoint> read(StoredItem item) {
     try {
-      return Optional.of(codec.apply(item));
+      FleetEndpoint endpoint = codec.apply(item);
+      unreadable.remove(item.key());
+      return Optional.of(endpoint);
     } catch (IllegalArgumentException e) {
-      EventLog.warn(
-          Event.ENDPOINT_UNREADABLE, "key", item.key(), "cause", String.valueOf(e.getMessage()));
+      rejected(item, String.valueOf(e.getMessage()));
       return Optional.empty();
     }
   }
+
+  private void rejected(StoredItem item, String cause) {
+    counters.count(Metric.ENDPOINT_ENTRIES, "unreadable");
+    if (unreadable.add(item.key())) {
+      EventLog.warn(Event.ENDPOINT_UNREADABLE, "key", item.key(), "cause", cause);
+    }
+    fleet.withdraw(idOf(item), "its entry can't be read");
+  }
 }
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.HealthWatch;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.Forwarder;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.load.LoadExchange;
@@ -133,7 +134,8 @@
                     adapters.configurationKey(),
                     configuration,
                     adapters.endpointPrefix(),
-                    new EndpointListWatch(adapters.endpointPrefix(), adapters.endpoint(), fleet),
+                    new EndpointListWatch(
+                        adapters.endpointPrefix(), adapters.endpoint(), fleet, counters),
                     OWN_PREFIX,
                     lease)));
     placement =
@@ -146,7 +148,7 @@
             () -> followTimes().pause(),
             counters);
     connections = EndpointConnections.create(io, adapters.headers());
-    fleet.onRemoval(endpoint -> connections.forget(endpoint.address()));
+    fleet.onRemoval(this::forgetConnections);
     forwarder =
         Forwarder.create(
             io,
@@ -163,6 +165,11 @@
             counters);
   }
 
+  private void forgetConnections(TrackedEndpoint endpoint) {
+    connections.forget(endpoint.address());
+    adapters.engines().forget(endpoint.address());
+  }
+
   private FollowTimes followTimes() {
     return FollowTimes.within(settings.keyRevocation(), lease.liveNodes());
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListedFleet.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListedFleet.java
@@ -38,12 +38,13 @@
             PREFIX,
             () -> Duration.ofMillis(1250),
             () -> Duration.ofMillis(500),
-            new EndpointListWatch(PREFIX, ListedFleet::endpoint, fleet));
+            new EndpointListWatch(PREFIX, ListedFleet::endpoint, fleet, counters));
   }
 
   private static FleetEndpoint endpoint(StoredItem item) {
     String id = item.key().substring(PREFIX.length());
-    HostPort address = new HostPort("10.0.0.1", 80);
+    // Each run has an address of its own: one that is listed anew takes the former's place.
+    HostPort address = new HostPort("10.0.0.1", 1 + Math.floorMod(id.hashCode(), 65_000));
     return new FleetEndpoint(
         id, SERVICE, address, "dc1", 6, false, Optional.empty(), "", item.createdAt());
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -1,17 +1,23 @@
 package org.vaneworks.tests.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.Incarnation;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.LayerRange;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -153,4 +159,127 @@
     assertTrue(first > 1.2);
     assertTrue(tracked.shortage(Duration.ofSeconds(4).toNanos()) < 1.05);
   }
+
+  private static FleetEndpoint run(String id, int port, long listedAt, Incarnation incarnation) {
+    return new FleetEndpoint(
+        id,
+        "s",
+        new HostPort("10.0.0.2", port),
+        "dc1",
+        6,
+        false,
+        Optional.of(LayerRange.of(0, 10)),
+        "large",
+        listedAt,
+        incarnation);
+  }
+
+  private TrackedEndpoint only() {
+    assertEquals(1, fleet.size());
+    return fleet.all().get(0);
+  }
+
+  @Test
+  void laterRunUnderTheSameIdIsKnownForNothingOfTheFormer() {
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(1000)));
+    TrackedEndpoint former = only();
+    former.reserve(500);
+    former.noteShortage(0);
+    fleet.suspect(former, "test");
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(2000)));
+    TrackedEndpoint later = only();
+    assertTrue(former.hasEnded());
+    assertFalse(later.suspected());
+    assertEquals(0, later.inFlight());
+    assertEquals(1.0, later.shortage(0));
+  }
+
+  @Test
+  void endOfARunIsToldOnceTheLaterOneIsKnown() {
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(1000)));
+    List<Optional<TrackedEndpoint>> atThatTime = new ArrayList<>();
+    fleet.onEnd(ended -> atThatTime.add(fleet.at("s", ended.address())));
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(2000)));
+    assertEquals(List.of(Optional.of(only())), atThatTime);
+  }
+
+  @Test
+  void newsOfAFormerRunChangesNothing() {
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(2000)));
+    TrackedEndpoint known = only();
+    fleet.put(run("a", 81, 1, Incarnation.startedAt(1000)));
+    assertSame(known, only());
+    assertEquals(80, known.address().port());
+  }
+
+  @Test
+  void reportOfALaterRunEndsTheKnownOneBeforeTheListDoes() {
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(1000)));
+    TrackedEndpoint former = only();
+    assertFalse(fleet.isSameRun(former, Incarnation.startedAt(2000)));
+    assertTrue(former.hasEnded());
+    assertEquals(Optional.empty(), only().endpoint().layers());
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(1000)));
+    assertEquals(Optional.empty(), only().endpoint().layers());
+  }
+
+  @Test
+  void reportOfAFormerRunIsOfNoUse() {
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(2000)));
+    assertFalse(fleet.isSameRun(only(), Incarnation.startedAt(1000)));
+    assertTrue(fleet.isSameRun(only(), Incarnation.startedAt(2000)));
+    assertTrue(fleet.isSameRun(only(), Incarnation.UNTOLD));
+  }
+
+  @Test
+  void endpointListedAtAnAddressEndsTheOneThatHadIt() {
+    fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
+    TrackedEndpoint former = only();
+    fleet.put(run("b", 80, 2, Incarnation.UNTOLD));
+    assertEquals("b", only().endpoint().id());
+    assertTrue(former.hasEnded());
+  }
+
+  @Test
+  void lateWordOfAFormerIdDoesNotTakeTheAddressBack() {
+    fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
+    fleet.put(run("b", 80, 2, Incarnation.UNTOLD));
+    fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
+    fleet.put(run("a", 80, 3, Incarnation.UNTOLD));
+    assertEquals("b", only().endpoint().id());
+  }
+
+  @Test
+  void entryOfAnotherServiceTakesNoAddress() {
+    fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
+    fleet.put(
+        new FleetEndpoint(
+            "x", "other", new HostPort("10.0.0.2", 80), "dc1", 6, false, Optional.empty(), "", 2));
+    assertEquals("a", fleet.at("s", new HostPort("10.0.0.2", 80)).get().endpoint().id());
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void entryThatCannotBeOfTheKnownRunNamesNoEndpoint() {
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(1000)));
+    fleet.put(run("a", 81, 1, Incarnation.startedAt(1000)));
+    assertEquals(0, fleet.size());
+  }
+
+  @Test
+  void entryWithoutAStartNamesNoEndpointOfAnIdThatToldOne() {
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(1000)));
+    fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
+    assertEquals(0, fleet.size());
+  }
+
+  @Test
+  void withdrawnEndpointIsGoneAlsoWhileTheStoreIsSilent() {
+    fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
+    storeWasSilent();
+    fleet.withdraw("a", "test");
+    assertEquals(0, fleet.size());
+    fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
+    assertEquals(1, usable());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -21,6 +21,7 @@
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.HealthWatch;
+import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.HostPort;
@@ -49,6 +50,8 @@
   private TrackedEndpoint engine;
   private int asked;
   private int suspicions;
+  private double pace = 1;
+  private Incarnation tells = Incarnation.UNTOLD;
 
   /** Replies as the test says, and answers once nothing more was said. */
   private final class Engine implements EngineControl {
@@ -67,7 +70,7 @@
         clock.schedule(
             () ->
                 report.complete(
-                    new EngineReport(1, false, endpoint.layers(), 1, ImmutableMap.of())),
+                    new EngineReport(1, false, endpoint.layers(), pace, ImmutableMap.of(), tells)),
             reply.after());
       }
       return report;
@@ -202,4 +205,32 @@
     clock.advance(Duration.ofMillis(400));
     assertFalse(engine.suspected());
   }
+
+  private void listRun(long startedAt) {
+    HostPort address = new HostPort("10.0.0.3", 80);
+    Incarnation run = Incarnation.startedAt(startedAt);
+    fleet.put(new FleetEndpoint("c", "s", address, "dc1", 6, false, Optional.empty(), "", 0, run));
+    engine = fleet.at("s", address).get();
+  }
+
+  @Test
+  void answerOfALaterRunEndsTheSuspectedOne() {
+    listRun(1000);
+    check(Reply.REFUSES);
+    clock.runDue();
+    tells = Incarnation.startedAt(2000);
+    clock.advance(Duration.ofSeconds(1));
+    assertTrue(engine.hasEnded());
+    assertFalse(fleet.at("s", engine.address()).get().suspected());
+  }
+
+  @Test
+  void paceOfAFormerRunIsNotTaken() {
+    listRun(2000);
+    tells = Incarnation.startedAt(1000);
+    pace = 12;
+    check(Reply.ANSWERS);
+    clock.advance(Duration.ofSeconds(1));
+    assertEquals(1.0, engine.pace());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -250,7 +250,7 @@
   private void fullEngines() {
     for (int i = 0; i < 3; i++) {
       FleetEndpoint engine = node.engine(i + 1, i * 27, Math.min(80, (i + 1) * 27));
-      node.fleet.at(engine.address()).get().peersLoad(100, 1e9, 1);
+      node.fleet.at(ForwardingFixture.MODEL, engine.address()).get().peersLoad(100, 1e9, 1);
     }
   }
 
@@ -528,7 +528,7 @@
     node.ask("/once/x");
     HostPort dead = node.last().attempt.endpoint().address();
     node.last().arrived = false;
-    node.fleet.suspect(node.fleet.at(dead).get(), "test");
+    node.fleet.suspect(node.fleet.at(ForwardingFixture.MODEL, dead).get(), "test");
     assertEquals(2, node.sent.size());
     assertTrue(node.sent.get(0).cancelled);
   }
@@ -543,7 +543,7 @@
     for (int dead = 1; dead <= 3; dead++) {
       node.last().arrived = false;
       HostPort address = node.last().attempt.endpoint().address();
-      node.fleet.suspect(node.fleet.at(address).get(), "test");
+      node.fleet.suspect(node.fleet.at(ForwardingFixture.MODEL, address).get(), "test");
     }
     assertEquals(3, node.sent.size());
     assertEquals(Verdict.NOT_RUN, got.refusal.get().verdict());
@@ -561,6 +561,6 @@
   }
 
   private void occupy(FleetEndpoint engine) {
-    node.fleet.at(engine.address()).get().reserve(10_000);
+    node.fleet.at(ForwardingFixture.MODEL, engine.address()).get().reserve(10_000);
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,7 @@
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.HealthWatch;
+import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.forwarding.AnswerHead;
 import org.vaneworks.coordination.forwarding.Attempt;
@@ -48,6 +50,9 @@
   static final String PLAIN = "records";
   static final String KEY = "secret";
 
+  /** When all endpoints started that a test lists. */
+  static final Incarnation FIRST_START = Incarnation.startedAt(1000);
+
   /** An attempt that a test answers. */
   static final class SentAttempt implements EndpointCalls.EndpointCall {
     final Attempt attempt;
@@ -163,6 +168,7 @@
     final List<HostPort> dead = new ArrayList<>();
     final List<HostPort> slow = new ArrayList<>();
     final List<HostPort> reported = new ArrayList<>();
+    final Map<HostPort, Incarnation> started = new HashMap<>();
     double pace = 1;
     RepathOutcome answer = new RepathOutcome(RepathOutcome.Kind.ACCEPTED, Optional.empty());
 
@@ -177,7 +183,8 @@
                   false,
                   engine.layers(),
                   slow.contains(engine.address()) ? 12 : pace,
-                  ImmutableMap.of()));
+                  ImmutableMap.of(),
+                  started.getOrDefault(engine.address(), FIRST_START)));
     }
 
     @Override
@@ -269,11 +276,29 @@
             false,
             Optional.of(LayerRange.of(from, to)),
             "large",
-            0);
+            0,
+            FIRST_START);
     fleet.put(engine);
     return engine;
   }
 
+  /** Lists an endpoint as started again under its id, with nothing of before. */
+  void startsAgain(FleetEndpoint endpoint) {
+    long before = endpoint.incarnation().startedAt().orElse(0);
+    fleet.put(
+        new FleetEndpoint(
+            endpoint.id(),
+            endpoint.service(),
+            endpoint.address(),
+            endpoint.dataCentre(),
+            endpoint.slots(),
+            false,
+            Optional.empty(),
+            endpoint.accelerator(),
+            endpoint.listedAt(),
+            Incarnation.startedAt(before + 1000)));
+  }
+
   /** Lists an endpoint as one that will end soon. */
   void announceLeaving(FleetEndpoint endpoint) {
     fleet.put(
@@ -286,7 +311,8 @@
             true,
             endpoint.layers(),
             endpoint.accelerator(),
-            endpoint.listedAt()));
+            endpoint.listedAt(),
+            endpoint.incarnation()));
   }
 
   /** Lists a plain replica. */
@@ -301,7 +327,8 @@
             false,
             Optional.empty(),
             "",
-            0);
+            0,
+            FIRST_START);
     fleet.put(replica);
     return replica;
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.load.EndpointLoad;
 import org.vaneworks.coordination.load.EnginePace;
@@ -63,11 +64,12 @@
     fleet.put(
         new FleetEndpoint(
             "e1", "m", address, "dc1", 134, false, Optional.of(LayerRange.of(0, 80)), "large", 0));
-    return fleet.at(address).get();
+    return fleet.at("m", address).get();
   }
 
   private void peerTells(String sender, int requests, long tokenLayers) {
-    EndpointLoad load = new EndpointLoad(EndpointLoad.keyOf("e1"), requests, tokenLayers);
+    EndpointLoad load =
+        new EndpointLoad(EndpointLoad.keyOf(engine.endpoint()), requests, tokenLayers);
     exchange.heard(LoadReport.ofNode(sender, ImmutableList.of(load)));
   }
 
@@ -88,7 +90,9 @@
     engine.reserve(5000);
     peerTells("other", 7, 70_000);
     advance(100);
-    assertEquals(ImmutableList.of(new EndpointLoad("e1".hashCode(), 1, 5000)), last.loads());
+    assertEquals(
+        ImmutableList.of(new EndpointLoad(EndpointLoad.keyOf(engine.endpoint()), 1, 5000)),
+        last.loads());
   }
 
   @Test
@@ -166,7 +170,9 @@
       reports.add(last);
     }
     LoadReport sum = reports.stream().filter(LoadReport::ofGroup).findFirst().orElseThrow();
-    assertEquals(ImmutableList.of(new EndpointLoad("e1".hashCode(), 8, 75_000)), sum.loads());
+    assertEquals(
+        ImmutableList.of(new EndpointLoad(EndpointLoad.keyOf(engine.endpoint()), 8, 75_000)),
+        sum.loads());
     assertEquals(2, sum.nodes());
     assertEquals(PEER_2, told.get(reports.indexOf(sum)));
   }
@@ -237,12 +243,12 @@
   }
 
   private void groupTells(String sender, String group, int requests) {
-    EndpointLoad load = new EndpointLoad(EndpointLoad.keyOf("e1"), requests, 0);
+    EndpointLoad load = new EndpointLoad(EndpointLoad.keyOf(engine.endpoint()), requests, 0);
     exchange.heard(new LoadReport(sender, group, 2, ImmutableList.of(load), ImmutableList.of()));
   }
 
-  private static ImmutableList<EnginePace> slow(double pace) {
-    return ImmutableList.of(new EnginePace(EndpointLoad.keyOf("e1"), pace));
+  private ImmutableList<EnginePace> slow(double pace) {
+    return ImmutableList.of(new EnginePace(EndpointLoad.keyOf(engine.endpoint()), pace));
   }
 
   private void peerKnowsSlow(String sender, ImmutableList<EnginePace> slow) {
@@ -293,4 +299,29 @@
     assertTrue(last.ofGroup());
     assertEquals(slow(5), last.slow());
   }
+
+  @Test
+  void loadThatPeersTellOfAFormerRunSaysNothingOfTheNext() {
+    FleetEndpoint listed = engine.endpoint();
+    exchange.start();
+    advance(LONG_AGO_MILLIS);
+    peerTells("one", 7, 70_000);
+    peerTells("two", 0, 0);
+    advance(100);
+    assertEquals(7, engine.requestsOfAll(), 0.1);
+    fleet.put(
+        new FleetEndpoint(
+            listed.id(),
+            listed.service(),
+            listed.address(),
+            listed.dataCentre(),
+            listed.slots(),
+            false,
+            Optional.empty(),
+            listed.accelerator(),
+            listed.listedAt(),
+            Incarnation.startedAt(2000)));
+    advance(100);
+    assertEquals(0, fleet.at("m", listed.address()).get().requestsOfAll(), 0.1);
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -19,7 +19,9 @@
 import org.vaneworks.coordination.fleet.EngineReport;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.RepathOutcome;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.placement.PlacementController;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
@@ -36,6 +38,7 @@
   private final class Engines implements EngineControl {
     final Map<String, Long> orders = new HashMap<>();
     final Map<String, Long> fences = new HashMap<>();
+    final Map<String, Incarnation> startedAt = new HashMap<>();
     final Map<String, Boolean> loading = new HashMap<>();
     final List<String> loads = new ArrayList<>();
     Duration load = Duration.ofMillis(500);
@@ -46,14 +49,15 @@
 
     @Override
     public CompletableFuture<EngineReport> report(FleetEndpoint engine, Duration limit) {
-      FleetEndpoint now = fleet.at(engine.address()).get().endpoint();
+      FleetEndpoint now = fleet.at("m", engine.address()).get().endpoint();
       return CompletableFuture.completedFuture(
           new EngineReport(
               orders.getOrDefault(engine.id(), 0L),
               loading.getOrDefault(engine.id(), false),
               now.layers(),
               1,
-              ImmutableMap.of()));
+              ImmutableMap.of(),
+              startedAt.getOrDefault(engine.id(), Incarnation.UNTOLD)));
     }
 
     @Override
@@ -316,7 +320,31 @@
     fleet.remove("e0");
     list("e9", new HostPort("10.0.0.9", 80), Optional.empty());
     advance(5000);
-    assertTrue(fleet.at(new HostPort("10.0.0.9", 80)).get().endpoint().layers().isPresent());
+    assertTrue(fleet.at("m", new HostPort("10.0.0.9", 80)).get().endpoint().layers().isPresent());
     assertTrue(everyLayerIsHeld());
   }
+
+  /**
+   * An engine starts again, empty, between the decision and the read that goes before its order.
+   */
+  @Test
+  void orderDecidedForAFormerRunIsNotGivenToTheNext() {
+    Incarnation first = Incarnation.startedAt(1000);
+    HostPort address = new HostPort("10.0.0.1", 80);
+    fleet.put(
+        new FleetEndpoint(
+            "e0", "m", address, "dc1", 134, false, Optional.empty(), "large", 0, first));
+    TrackedEndpoint former = fleet.at("m", address).get();
+    engines.startedAt.put("e0", Incarnation.startedAt(2000));
+    controller(() -> OptionalLong.of(5));
+    int ticksOfTheFormer = 0;
+    while (!former.hasEnded()) {
+      advance(200);
+      ticksOfTheFormer++;
+      assertTrue(ticksOfTheFormer < 20);
+    }
+    assertEquals(List.of(), engines.loads);
+    advance(2000);
+    assertEquals(1, engines.loads.size());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/relay/PathPlannerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/relay/PathPlannerTest.java
@@ -39,6 +39,8 @@
   private final PathPlanner planner = PathPlanner.create(new Random(1));
 
   private TrackedEndpoint engine(int number, String dataCentre, String kind, int from, int to) {
+    // Each try of a property lists engines of its own under the same ids.
+    fleet.withdraw("e" + number, "another try");
     HostPort address = new HostPort("10.0." + (number / 200) + "." + (number % 200 + 1), 80);
     fleet.put(
         new FleetEndpoint(
@@ -51,7 +53,7 @@
             Optional.of(LayerRange.of(from, to)),
             kind,
             0));
-    return fleet.at(address).get();
+    return fleet.at("m", address).get();
   }
 
   private static PathPlanner.Query query() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EngineControl.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EngineControl.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 
 /**
@@ -46,4 +47,7 @@
    * @param path the new path in the wire's form, with the same first part
    */
   CompletableFuture<RepathOutcome> repath(FleetEndpoint first, String requestId, String path);
+
+  /** Closes what connects to an address whose process is gone. */
+  default void forget(HostPort address) {}
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -9,8 +9,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,16 +31,45 @@
  * store it is kept for a grace period: entries lapse while endpoints can't renew them, and come
  * back soon after it. A node can't see whether the store was away for all or for itself alone, but
  * the list shows it afterwards: an entry that outlived the silence proves that the store went on
- * without this node, so whatever is missing has left. Confined to the node's event loop.
+ * without this node, so whatever is missing has left.
+ *
+ * <p>What is known of an endpoint is known of one run of its process. It is over as soon as a later
+ * run shows, under the same id or under another one at the same address: an address belongs to the
+ * process that was listed there last. News of a former run that comes later changes nothing.
+ * Confined to the node's event loop.
  */
 public final class Fleet {
+  /** Four times the endpoints of the largest fleet that is planned for; some 1 MB of ids. */
+  private static final int MOST_KNOWN_IDS = 10_000;
+
   private final Executor clock;
   private final Counters counters;
   private final Duration relistGrace;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
+  private final Map<ServiceAddress, TrackedEndpoint> byAddress = new HashMap<>();
+
+  /** The ids of all endpoints that were found, those found last at the end. */
+  private final Set<String> knownIds = new LinkedHashSet<>();
+
   private final List<Consumer<TrackedEndpoint>> suspicionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> removalListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> leavingListeners = new ArrayList<>();
+  private final List<Consumer<TrackedEndpoint>> endListeners = new ArrayList<>();
+
+  /**
+   * Where endpoints of a service listen; an entry of another service says nothing of whose address
+   * it is.
+   */
+  private record ServiceAddress(String service, HostPort address) {
+    static ServiceAddress of(TrackedEndpoint endpoint) {
+      return of(endpoint.endpoint());
+    }
+
+    static ServiceAddress of(FleetEndpoint endpoint) {
+      return new ServiceAddress(endpoint.service(), endpoint.address());
+    }
+  }
+
   private long storeSilentAt = Long.MIN_VALUE / 2;
   private long revisionBeforeSilence = -1;
 
@@ -68,6 +99,11 @@
     leavingListeners.add(listener);
   }
 
+  /** Calls back when an endpoint's process is known to have ended; its removal follows. */
+  public void onEnd(Consumer<TrackedEndpoint> listener) {
+    endListeners.add(listener);
+  }
+
   /** Calls back when an endpoint leaves the table. */
   public void onRemoval(Consumer<TrackedEndpoint> listener) {
     removalListeners.add(listener);
@@ -104,19 +140,126 @@
   public void put(FleetEndpoint listed) {
     TrackedEndpoint known = byId.get(listed.id());
     if (known == null) {
-      byId.put(listed.id(), new TrackedEndpoint(listed));
-      EventLog.info(
-          Event.ENDPOINT_FOUND,
-          "endpoint",
-          listed.id(),
-          "address",
-          listed.address(),
-          "serves",
-          listed.service(),
-          "layers",
-          text(listed));
+      find(listed);
+    } else if (known.endpoint().incarnation().isAfter(listed.incarnation())) {
+      counters.count(Metric.ENDPOINT_ENTRIES, "former-run");
+    } else if (isLaterRun(listed.incarnation(), known.endpoint().incarnation())) {
+      startAgain(known, listed);
+    } else if (listed.canBeSameRun(known.endpoint())) {
+      update(known, listed);
+    } else {
+      withdraw(listed.id(), "its entry is not that of the run that is known");
+    }
+  }
+
+  /** An entry that begins to tell its start is of a later run: one run writes one kind of entry. */
+  private static boolean isLaterRun(Incarnation listed, Incarnation known) {
+    return listed.isAfter(known) || (listed.isTold() && !known.isTold());
+  }
+
+  private void find(FleetEndpoint listed) {
+    if (isSuperseded(listed)) {
+      counters.count(Metric.ENDPOINT_ENTRIES, "address-taken");
       return;
     }
+    track(listed);
+    EventLog.info(
+        Event.ENDPOINT_FOUND,
+        "endpoint",
+        listed.id(),
+        "address",
+        listed.address(),
+        "serves",
+        listed.service(),
+        "layers",
+        text(listed));
+  }
+
+  private void track(FleetEndpoint listed) {
+    TrackedEndpoint tracked = new TrackedEndpoint(listed);
+    byId.put(listed.id(), tracked);
+    noteId(listed.id());
+    TrackedEndpoint before = byAddress.put(ServiceAddress.of(listed), tracked);
+    if (before != null && isBefore(before.endpoint(), listed)) {
+      byId.remove(before.endpoint().id(), before);
+      end(before, "its address was listed by " + listed.id());
+    }
+  }
+
+  private void noteId(String id) {
+    knownIds.remove(id);
+    knownIds.add(id);
+    if (knownIds.size() > MOST_KNOWN_IDS) {
+      knownIds.remove(knownIds.iterator().next());
+    }
+  }
+
+  /**
+   * Returns whether another process has the address of an entry since.
+   *
+   * <p>A start takes a new id or tells its time. So the entry of an id that was known before, and
+   * tells none, is a late word of a run that was at the address earlier.
+   */
+  private boolean isSuperseded(FleetEndpoint listed) {
+    TrackedEndpoint holder = byAddress.get(ServiceAddress.of(listed));
+    if (holder == null) {
+      return false;
+    }
+    boolean lateWord = !listed.incarnation().isTold() && knownIds.contains(listed.id());
+    return lateWord || isBefore(listed, holder.endpoint());
+  }
+
+  private static boolean isBefore(FleetEndpoint one, FleetEndpoint other) {
+    if (one.incarnation().isTold() && other.incarnation().isTold()) {
+      return other.incarnation().isAfter(one.incarnation());
+    }
+    return one.listedAt() < other.listedAt();
+  }
+
+  private void startAgain(TrackedEndpoint former, FleetEndpoint next) {
+    byAddress.remove(ServiceAddress.of(former), former);
+    track(next);
+    end(former, "it started again");
+  }
+
+  /**
+   * Ends a run that is no longer in the table.
+   *
+   * <p>Requests that it held are told first: by then a later run is known, and can be chosen.
+   */
+  private void end(TrackedEndpoint endpoint, String cause) {
+    endpoint.end();
+    EventLog.warn(
+        Event.ENDPOINT_RUN_ENDED,
+        "endpoint",
+        endpoint.endpoint().id(),
+        "address",
+        endpoint.address(),
+        "cause",
+        cause);
+    endListeners.forEach(listener -> listener.accept(endpoint));
+    removalListeners.forEach(listener -> listener.accept(endpoint));
+  }
+
+  /**
+   * Takes which run of an endpoint told something of itself.
+   *
+   * @return whether it is the run that is known; if not, what it told is of no use: a later run
+   *     takes the place of the known one, and a former one is over
+   */
+  public boolean isSameRun(TrackedEndpoint endpoint, Incarnation told) {
+    if (endpoint.hasEnded()) {
+      return false;
+    }
+    Incarnation known = endpoint.endpoint().incarnation();
+    if (told.isAfter(known) && !endpoint.delisted()) {
+      startAgain(endpoint, endpoint.endpoint().startedAgain(told));
+      return false;
+    }
+    return !known.isAfter(told);
+  }
+
+  private void update(TrackedEndpoint known, FleetEndpoint listed) {
     FleetEndpoint before = known.endpoint();
     known.update(listed);
     if (listed.leaving() && !before.leaving()) {
@@ -127,6 +270,17 @@
     }
   }
 
+  /**
+   * Takes an entry that names no endpoint to use: the one that it named before gets no new work,
+   * also while the store is silent, until it lists itself again.
+   */
+  public void withdraw(String id, String cause) {
+    TrackedEndpoint known = byId.get(id);
+    if (known != null) {
+      drop(known, cause);
+    }
+  }
+
   private static String text(FleetEndpoint endpoint) {
     return endpoint.layers().map(Object::toString).orElse("none");
   }
@@ -209,6 +363,7 @@
   private void drop(TrackedEndpoint endpoint, String cause) {
     endpoint.listing(Listing.GONE);
     byId.remove(endpoint.endpoint().id());
+    byAddress.remove(ServiceAddress.of(endpoint), endpoint);
     EventLog.info(Event.ENDPOINT_GONE, "endpoint", endpoint.endpoint().id(), "cause", cause);
     removalListeners.forEach(listener -> listener.accept(endpoint));
   }
@@ -267,9 +422,9 @@
     return found.build();
   }
 
-  /** Returns the listed endpoint at an address. */
-  public Optional<TrackedEndpoint> at(HostPort address) {
-    return byId.values().stream().filter(e -> e.address().equals(address)).findFirst();
+  /** Returns the listed endpoint of a service at an address. */
+  public Optional<TrackedEndpoint> at(String service, HostPort address) {
+    return Optional.ofNullable(byAddress.get(new ServiceAddress(service, address)));
   }
 
   /** Returns whether any endpoint of a service gets new work, now or once it has room again. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FleetEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FleetEndpoint.java
@@ -9,7 +9,7 @@
 /**
  * One run of an endpoint's process, as it lists itself.
  *
- * @param id changes at each start of the process
+ * @param id its name in the list; another one at each start, or the same with another incarnation
  * @param service the service that it belongs to
  * @param address where it listens
  * @param dataCentre where its box stands
@@ -19,6 +19,7 @@
  * @param accelerator its kind of accelerator; empty for a plain service
  * @param listedAt the store's counter when it was listed; a higher one later means that the entry
  *     lapsed in between
+ * @param incarnation which run of the process it is
  */
 public record FleetEndpoint(
     String id,
@@ -29,11 +30,63 @@
     boolean leaving,
     Optional<LayerRange> layers,
     String accelerator,
-    long listedAt) {
+    long listedAt,
+    Incarnation incarnation) {
   /** Checks that every part is given. */
   public FleetEndpoint {
     checkNotNull(id);
     checkNotNull(address);
     checkNotNull(layers);
+    checkNotNull(incarnation);
+  }
+
+  /** Returns an endpoint that does not tell when it started. */
+  public FleetEndpoint(
+      String id,
+      String service,
+      HostPort address,
+      String dataCentre,
+      int slots,
+      boolean leaving,
+      Optional<LayerRange> layers,
+      String accelerator,
+      long listedAt) {
+    this(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        leaving,
+        layers,
+        accelerator,
+        listedAt,
+        Incarnation.UNTOLD);
+  }
+
+  /** Returns what is known of a later run before it has listed itself: it holds no layers. */
+  FleetEndpoint startedAgain(Incarnation later) {
+    return new FleetEndpoint(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        false,
+        Optional.empty(),
+        accelerator,
+        listedAt,
+        later);
+  }
+
+  /**
+   * Returns whether both entries can be those of one run: what it lists itself as never changes.
+   */
+  boolean canBeSameRun(FleetEndpoint other) {
+    return incarnation.equals(other.incarnation)
+        && service.equals(other.service)
+        && address.equals(other.address)
+        && dataCentre.equals(other.dataCentre)
+        && accelerator.equals(other.accelerator);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -100,14 +100,20 @@
           asked.remove(engine);
           if (failure == null) {
             noteAnswer(Duration.ofNanos(now() - begun));
-            takePace(engine, report);
-            takeStalls(engine, report);
+            take(engine, report);
           } else if (!engine.delisted()) {
             unanswered(engine, question, failure);
           }
         });
   }
 
+  private void take(TrackedEndpoint engine, EngineReport report) {
+    if (fleet.isSameRun(engine, report.incarnation())) {
+      takePace(engine, report);
+      takeStalls(engine, report);
+    }
+  }
+
   private void unanswered(TrackedEndpoint engine, int question, Throwable failure) {
     if (failure instanceof TimeoutException && question < SILENCES) {
       ask(engine, question + 1);
@@ -164,7 +170,7 @@
         .forEach(
             address ->
                 fleet
-                    .at(address)
+                    .at(engine.endpoint().service(), address)
                     .ifPresent(
                         culprit ->
                             fleet.suspect(
@@ -184,7 +190,9 @@
         clock,
         (report, failure) -> {
           if (failure == null) {
-            fleet.clear(engine);
+            if (fleet.isSameRun(engine, report.incarnation())) {
+              fleet.clear(engine);
+            }
             return;
           }
           EventLog.debug(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -36,6 +36,7 @@
   private double peersAlike;
   private long avoidedUntil = Long.MIN_VALUE;
   private boolean suspected;
+  private boolean ended;
   private Listing listing = Listing.LISTED;
   private int failuresInARow;
   private long lastProgress = Long.MIN_VALUE / 2;
@@ -77,6 +78,16 @@
     return listing == Listing.GONE;
   }
 
+  /** Returns whether its process is known to have ended: nothing comes from it any more. */
+  public boolean hasEnded() {
+    return ended;
+  }
+
+  void end() {
+    ended = true;
+    listing = Listing.GONE;
+  }
+
   /** Returns whether it may get new work at that time. */
   public boolean usable(long nowNanos) {
     return serving() && nowNanos >= avoidedUntil;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -291,9 +291,14 @@
 
   /** Leaves the endpoint alone that was in the way, and returns it. */
   private TrackedEndpoint noteObstacle(AnswerHead head, TrackedEndpoint endpoint) {
-    TrackedEndpoint obstacle = head.obstacle().flatMap(context.fleet()::at).orElse(endpoint);
-    Duration pause = head.status() == MISDIRECTED ? MISPLACED_PAUSE : FULL_PAUSE;
+    TrackedEndpoint obstacle = head.obstacle().flatMap(place::engineAt).orElse(endpoint);
+    boolean misdirected = head.status() == MISDIRECTED;
+    Duration pause = misdirected ? MISPLACED_PAUSE : FULL_PAUSE;
     obstacle.avoidUntil(now() + pause.toNanos());
+    if (misdirected && place.onEngines()) {
+      // It may have started again and hold nothing; it tells before the list does.
+      context.health().check(obstacle);
+    }
     obstacle.noteShortage(now());
     return obstacle;
   }
@@ -458,6 +463,21 @@
     }
   }
 
+  /** Goes on without an endpoint whose process has ended: it can't answer any more. */
+  void ended(TrackedEndpoint endpoint) {
+    if (done || call == null) {
+      return;
+    }
+    if (place.target() == endpoint) {
+      boolean mayHaveRun = call.mayHaveArrived();
+      call.cancel();
+      Verdict verdict = mayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+      attemptOver(verdict, "endpoint-restarted", endpoint.toString());
+    } else if (place.passes(endpoint)) {
+      replacePath(endpoint, "ended " + endpoint);
+    }
+  }
+
   private boolean passes(TrackedEndpoint engine) {
     return !done && place.passes(engine);
   }
@@ -475,7 +495,7 @@
           @Override
           public void refused(TrackedEndpoint engine) {
             // An engine that is only leaving still works; its end will show.
-            if (engine.suspected()) {
+            if (engine.suspected() || engine.hasEnded()) {
               beginElsewhere("path-lost", "no other path was accepted");
             }
           }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -60,6 +60,9 @@
     context
         .fleet()
         .onSuspicion(engine -> ImmutableList.copyOf(running).forEach(run -> run.suspected(engine)));
+    context
+        .fleet()
+        .onEnd(endpoint -> ImmutableList.copyOf(running).forEach(run -> run.ended(endpoint)));
     context.fleet().onLeaving(this::moveOff);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -103,7 +103,7 @@
       retryLater();
       return;
     }
-    Optional<TrackedEndpoint> obstacle = outcome.obstacle().flatMap(context.fleet()::at);
+    Optional<TrackedEndpoint> obstacle = outcome.obstacle().flatMap(place::engineAt);
     if (outcome.kind() == RepathOutcome.Kind.ACCEPTED) {
       owner.replaced(next);
     } else if (outcome.kind() == RepathOutcome.Kind.UNKNOWN_REQUEST) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -11,6 +11,7 @@
 import org.vaneworks.coordination.relay.PathPart;
 import org.vaneworks.coordination.relay.PathPlanner;
 import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.HostPort;
 import org.vaneworks.state.entry.ModelProfile;
 
 /**
@@ -104,6 +105,11 @@
     return context.planner().replan(query(), usable(without), first);
   }
 
+  /** Returns the engine of the same service at an address. */
+  Optional<TrackedEndpoint> engineAt(HostPort address) {
+    return context.fleet().at(service, address);
+  }
+
   /** Goes on over another path with the same first engine. */
   void replace(EnginePath next) {
     path.orElseThrow().release(size.tokens());
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/EndpointLoad.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/EndpointLoad.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import org.vaneworks.coordination.fleet.FleetEndpoint;
+
 /**
  * What the requests of one node take of an endpoint.
  *
@@ -17,13 +19,16 @@
   }
 
   /**
-   * Returns the short name of an endpoint: four bytes instead of its id.
+   * Returns the short name of one run of an endpoint: four bytes instead of its id and its start.
+   *
+   * <p>What peers still tell of a former run has another name, so it says nothing of the next.
    *
    * <p>Two endpoints of the same short name would share their load; among 2,400 endpoints the
    * chance that any two do is 0.07%.
    */
-  public static int keyOf(String endpointId) {
-    // The hash of a string is part of its contract, so all nodes compute the same.
-    return endpointId.hashCode();
+  public static int keyOf(FleetEndpoint endpoint) {
+    // These hashes are part of their types' contracts, so all nodes compute the same.
+    int run = Long.hashCode(endpoint.incarnation().startedAt().orElse(0));
+    return endpoint.id().hashCode() * 31 + run;
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -173,7 +173,7 @@
   }
 
   private static int keyOf(TrackedEndpoint endpoint) {
-    return EndpointLoad.keyOf(endpoint.endpoint().id());
+    return EndpointLoad.keyOf(endpoint.endpoint());
   }
 
   private ImmutableList<EndpointLoad> ownLoads() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -286,7 +286,10 @@
   }
 
   private void order(TrackedEndpoint engine, Assignment assignment, EngineReport report) {
-    if (assignments.get(engine) != assignment || actingAs.isEmpty() || stopped) {
+    boolean sameRun = fleet.isSameRun(engine, report.incarnation());
+    if (!sameRun || assignments.get(engine) != assignment || actingAs.isEmpty() || stopped) {
+      // What was decided for a former run is not ordered of the next one.
+      assignment.callOpen = false;
       return;
     }
     if (report.orderInProgress() || !report.layers().equals(engine.endpoint().layers())) {
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -13,6 +13,7 @@
   STORE_FAILURES("vaneworks.store.failures", "failed calls to the store, by purpose"),
   ORDERS("vaneworks.orders", "orders to engines, by outcome"),
   EJECTIONS("vaneworks.ejections", "endpoints ejected, by cause"),
+  ENDPOINT_ENTRIES("vaneworks.endpoint.entries", "entries of endpoints not taken, by cause"),
   PEER_MESSAGES("vaneworks.peer.messages", "messages to peers, by type"),
   PEER_BYTES("vaneworks.peer.bytes", "bytes to and from peers, by direction"),
   LOAD_REPORTS("vaneworks.load.reports", "reports of load between nodes, by outcome"),
