Fewer wakes of an idle node: loads noted before a choice, reports sent and read together, one node's placement ticks

Reports went out and came in 25 times a second each, every one noted with all endpoints, with Duration arithmetic in decimals; each node looked five times a second whether it is the controller. A wake costs about a millisecond whatever it does.

Ruled out: that entries of endpoints are decoded with each check-in (they change with state and layers only).

Change: what is heard is noted with the endpoints before a choice (Fleet.onChoice); a group without requests tells a fifth as often; reports are sent and read in one wake each 100 ms (500 ms in a quiet group); only the controller ticks, woken by its lease; others look each two seconds. Datagrams of up to 32 KB are read: sums of more than some 200 engines were cut at 2 KB and not read.

SharedEnginesTest passes unchanged.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -21,6 +21,7 @@
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.load.LoadExchange;
 import org.vaneworks.coordination.load.LoadReport;
+import org.vaneworks.coordination.load.LoadSender;
 import org.vaneworks.coordination.placement.PlacementController;
 import org.vaneworks.coordination.shared.MeasuredStore;
 import org.vaneworks.coordination.shared.NodeLease;
@@ -118,7 +119,7 @@
             settings.dataCentre(),
             lease::peers,
             lease::liveNodes,
-            this::tellPeer);
+            new Reports());
     configuration = new ConfigurationWatch(adapters.configurationKey(), adapters.configuration());
     follower =
         PrefixFollower.create(
@@ -147,6 +148,7 @@
             lease::controllerFence,
             () -> followTimes().pause(),
             counters);
+    lease.onControllerWon(placement::wake);
     connections = EndpointConnections.create(io, adapters.headers());
     fleet.onRemoval(this::forgetConnections);
     forwarder =
@@ -216,8 +218,17 @@
     }
   }
 
-  private int tellPeer(HostPort peer, LoadReport report) {
-    return loads.map(datagrams -> datagrams.send(peer, report)).orElse(0);
+  /** Load reports to and from peers, once their socket is open. */
+  private final class Reports implements LoadSender {
+    @Override
+    public int send(HostPort peer, LoadReport report) {
+      return loads.map(datagrams -> datagrams.send(peer, report)).orElse(0);
+    }
+
+    @Override
+    public void collect() {
+      loads.ifPresent(LoadDatagrams::collect);
+    }
   }
 
   private void begin() {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
@@ -2,12 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +30,10 @@
           ImmutableList.of(new EndpointLoad(-7, 3, 12_000), new EndpointLoad(9, 1, 0)),
           ImmutableList.of(new EnginePace(9, 4.5)));
 
+  private static final int REPORTS = 30;
+  private static final int MAX_COLLECTIONS = 2000;
+  private static final int COLLECTION_PAUSE_MILLIS = 5;
+
   private final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
 
   @AfterEach
@@ -60,7 +66,53 @@
               bytes, bytes.length, java.net.InetAddress.getByName(to.host()), to.port()));
     }
     sender.send(receiver.address(), REPORT);
-    assertEquals(REPORT, got.get(10, TimeUnit.SECONDS));
+    assertEquals(REPORT, collected(receiver, got));
+    sender.close();
+    receiver.close();
+  }
+
+  /** Reports wait in the socket until they are collected. */
+  private LoadReport collected(LoadDatagrams receiver, CompletableFuture<LoadReport> got)
+      throws Exception {
+    for (int i = 0; i < MAX_COLLECTIONS && !got.isDone(); i++) {
+      io.execute(receiver::collect);
+      Thread.sleep(COLLECTION_PAUSE_MILLIS);
+    }
+    return got.get(0, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void longestReportIsReadWhole() throws Exception {
+    Counters counters = Counters.in(new SimpleMeterRegistry());
+    ImmutableList.Builder<EndpointLoad> loads = ImmutableList.builder();
+    for (int i = 0; i < 2400; i++) {
+      loads.add(new EndpointLoad(i * 1_000_003, 5, 3_000_000));
+    }
+    LoadReport report = LoadReport.ofNode("box-1", loads.build());
+    CompletableFuture<LoadReport> got = new CompletableFuture<>();
+    LoadDatagrams receiver = LoadDatagrams.listen(ANY, io, got::complete, counters);
+    LoadDatagrams sender = LoadDatagrams.listen(ANY, io, heard -> {}, counters);
+    sender.send(receiver.address(), report);
+    assertEquals(report, collected(receiver, got));
+    sender.close();
+    receiver.close();
+  }
+
+  /**
+   * Peers tell more often than a node collects: what is left behind makes all that follows late.
+   */
+  @Test
+  void oneCollectionHandsOverAllThatHasCome() throws Exception {
+    Counters counters = Counters.in(new SimpleMeterRegistry());
+    CountDownLatch heard = new CountDownLatch(REPORTS);
+    LoadDatagrams receiver = LoadDatagrams.listen(ANY, io, report -> heard.countDown(), counters);
+    LoadDatagrams sender = LoadDatagrams.listen(ANY, io, report -> {}, counters);
+    for (int i = 0; i < REPORTS; i++) {
+      sender.send(receiver.address(), REPORT);
+    }
+    // Behind the sends on the same loop: by then all of them wait in the receiver's socket.
+    io.execute(receiver::collect);
+    assertTrue(heard.await(10, TimeUnit.SECONDS), "left behind: " + heard.getCount());
     sender.close();
     receiver.close();
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -39,6 +39,7 @@
   private final Fleet fleet =
       Fleet.create(clock, Counters.in(new SimpleMeterRegistry()), Duration.ofMillis(2500));
   private final List<HostPort> told = new ArrayList<>();
+  private final List<LoadReport> reports = new ArrayList<>();
   private LoadReport last;
   private int liveNodes = 3;
   private int bytesOfAReport = 100;
@@ -55,6 +56,7 @@
           (peer, report) -> {
             told.add(peer);
             last = report;
+            reports.add(report);
             return bytesOfAReport;
           });
   private final TrackedEndpoint engine = engine();
@@ -73,8 +75,10 @@
     exchange.heard(LoadReport.ofNode(sender, ImmutableList.of(load)));
   }
 
+  /** Lets time pass; then endpoints are looked at to choose from, as before each request. */
   private void advance(int millis) {
     clock.advance(Duration.ofMillis(millis));
+    fleet.of("m");
   }
 
   @Test
@@ -164,11 +168,7 @@
     engine.reserve(5000);
     advance(10);
     peerTells("one", 7, 70_000);
-    List<LoadReport> reports = new ArrayList<>();
-    for (int i = 0; i < 2; i++) {
-      advance(40);
-      reports.add(last);
-    }
+    advance(80);
     LoadReport sum = reports.stream().filter(LoadReport::ofGroup).findFirst().orElseThrow();
     assertEquals(
         ImmutableList.of(new EndpointLoad(EndpointLoad.keyOf(engine.endpoint()), 8, 75_000)),
@@ -207,6 +207,7 @@
       many.add(new Peer("box-" + i, "dc1", new HostPort("10.1.1." + i, 7340)));
     }
     peers = many.build();
+    engine.reserve(5000);
     exchange.start();
     advance(40 * 200);
     long membersTold = told.stream().distinct().count();
@@ -324,4 +325,39 @@
     advance(100);
     assertEquals(0, fleet.at("m", listed.address()).get().requestsOfAll(), 0.1);
   }
+
+  /** Nodes wait for traffic most of a night; each report costs them and their peers time. */
+  @Test
+  void nodeWithoutRequestsTellsAFifthAsOftenOnceAllWereTold() {
+    exchange.start();
+    advance(2000);
+    told.clear();
+    advance(10_000);
+    assertEquals(40, told.size(), 1);
+  }
+
+  @Test
+  void nodeTellsOftenAgainFromItsFirstRequestOn() {
+    exchange.start();
+    advance(2000);
+    engine.reserve(5000);
+    advance(250);
+    told.clear();
+    advance(1000);
+    assertEquals(25, told.size(), 1);
+  }
+
+  @Test
+  void peerThatToldOfNoRequestCountsUntilItsNextReportIsOverdue() {
+    exchange.start();
+    advance(2000);
+    engine.reserve(5000);
+    advance(250);
+    exchange.heard(LoadReport.ofNode("one", ImmutableList.of()));
+    exchange.heard(LoadReport.ofNode("two", ImmutableList.of()));
+    advance(1900);
+    assertEquals(1, engine.requestsOfAll(), 0.1);
+    advance(300);
+    assertEquals(3, engine.requestsOfAll(), 0.1);
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -41,6 +41,7 @@
   private final Duration relistGrace;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
 
+  private final List<Runnable> choiceListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> suspicionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> removalListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> leavingListeners = new ArrayList<>();
@@ -65,6 +66,14 @@
     return new Fleet(clock, counters, relistGrace);
   }
 
+  /**
+   * Calls back before endpoints are handed out to be chosen from, so that what is noted with them
+   * can be brought up to date.
+   */
+  public void onChoice(Runnable listener) {
+    choiceListeners.add(listener);
+  }
+
   /** Calls back when an endpoint becomes suspected. */
   public void onSuspicion(Consumer<TrackedEndpoint> listener) {
     suspicionListeners.add(listener);
@@ -330,6 +339,7 @@
 
   /** Returns the endpoints of a service that are listed. */
   public ImmutableList<TrackedEndpoint> of(String service) {
+    choiceListeners.forEach(Runnable::run);
     ImmutableList.Builder<TrackedEndpoint> found = ImmutableList.builder();
     for (TrackedEndpoint endpoint : byId.values()) {
       if (endpoint.endpoint().service().equals(service)) {
@@ -341,6 +351,7 @@
 
   /** Returns the endpoints of a service that may get new work now. */
   public ImmutableList<TrackedEndpoint> usable(String service) {
+    choiceListeners.forEach(Runnable::run);
     long now = now();
     ImmutableList.Builder<TrackedEndpoint> found = ImmutableList.builder();
     for (TrackedEndpoint endpoint : byId.values()) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/HeardLoads.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/HeardLoads.java
@@ -46,17 +46,22 @@
     }
   }
 
-  /** Forgets what was heard before that time. */
-  void forgetBefore(long time) {
-    forgetBefore(time, members);
-    forgetBefore(time, groups);
+  /**
+   * Forgets what was heard too long ago.
+   *
+   * @param time reports that were heard before are forgotten
+   * @param timeOfEmpty the same for reports that told of nothing, which come more rarely
+   */
+  void forgetBefore(long time, long timeOfEmpty) {
+    forgetBefore(time, timeOfEmpty, members);
+    forgetBefore(time, timeOfEmpty, groups);
   }
 
-  private void forgetBefore(long time, Map<String, Heard> kept) {
+  private void forgetBefore(long time, long timeOfEmpty, Map<String, Heard> kept) {
     Iterator<Heard> each = kept.values().iterator();
     while (each.hasNext()) {
       Heard heard = each.next();
-      if (heard.at() < time) {
+      if (heard.at() < (heard.report().isEmpty() ? timeOfEmpty : time)) {
         subtract(heard.report());
         each.remove();
       }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -24,12 +24,32 @@
  * members do so, each node hears of each group about as often as of each member. Slow engines that
  * a node knows at first hand are told with it: otherwise each of a hundred nodes finds out by a
  * late stream of its own. A node's bytes are bounded, whatever the number of peers and endpoints.
- * Confined to the node's event loop.
+ *
+ * <p>What is heard is noted with the endpoints when a choice among them is near, not at each
+ * report: a node begins a few requests a second and hears 25 reports, and noting them with a
+ * hundred endpoints each time took a third of an idle node's processor time. A group without
+ * requests tells its peers that a fifth as often. Confined to the node's event loop.
  */
 public final class LoadExchange {
   /** A small fleet needs no fresher reports: its nodes hear each other some times a second. */
   private static final Duration SHORTEST_PAUSE = Duration.ofMillis(40);
 
+  /**
+   * Between reports of a node whose group has no requests, once all were told: they say nothing
+   * new, and each costs as much processor time as any other.
+   */
+  private static final Duration QUIET_PAUSE = Duration.ofMillis(250);
+
+  /**
+   * A node wakes up for its reports this often at most, then sends those that are due and takes
+   * those that came: waking a process that has little to do costs more than a report. The age of
+   * what is known rises by half of it, beside half a second or more that a round takes.
+   */
+  private static final Duration SHORTEST_WAKE = Duration.ofMillis(100);
+
+  /** The same for a node whose group has no requests. */
+  private static final Duration QUIET_WAKE = Duration.ofMillis(500);
+
   /** What a node may send, in bytes a second: 5,000 are allowed for all control traffic. */
   private static final double BYTES_PER_SECOND = 4500;
 
@@ -57,7 +77,20 @@
   private PeerGroups peerGroups;
   private int turn;
   private int nextOutside;
-  private Duration pause = SHORTEST_PAUSE;
+
+  /**
+   * After the last report, if it was not for the quiet; peers with requests pause about as long.
+   */
+  private long pauseNanos = SHORTEST_PAUSE.toNanos();
+
+  /** Reports in a row that told of no request. */
+  private int emptyReports;
+
+  /** Own reports since the loads were noted with the endpoints. */
+  private int reportsSinceNoted;
+
+  private boolean outdated = true;
+  private long notedAt;
   private boolean stopped;
 
   private LoadExchange(
@@ -76,6 +109,7 @@
     this.liveNodes = checkNotNull(liveNodes);
     this.sender = checkNotNull(sender);
     peerGroups = PeerGroups.of(box, dataCentre, grouped);
+    fleet.onChoice(this::noteWithEndpoints);
     // Nodes begin with different ones, so that a group is told by its members in turn.
     nextOutside = box.hashCode();
     turn = box.hashCode();
@@ -102,7 +136,7 @@
 
   /** Begins to tell the peers. */
   public void start() {
-    tellLater();
+    tellAfter(SHORTEST_PAUSE.toNanos());
   }
 
   /** Tells nothing more; peers forget this node's load after a while. */
@@ -110,21 +144,38 @@
     stopped = true;
   }
 
-  private void tellLater() {
-    clock.schedule(this::tell, pause.toNanos(), NANOSECONDS);
+  private void tellAfter(long nanos) {
+    clock.schedule(this::tell, nanos, NANOSECONDS);
   }
 
   private void tell() {
     if (stopped) {
       return;
     }
+    sender.collect();
     regroup();
-    heardLoads.forgetBefore(now() - expiry().toNanos());
-    noteWithEndpoints();
-    if (peerGroups.round() > 0) {
-      pause = pauseAfter(tellNext());
+    tellAfter(tellThoseDue());
+  }
+
+  /** Tells one peer after the other until the next wake pays for them; returns the time to it. */
+  private long tellThoseDue() {
+    long paid = 0;
+    int told = 0;
+    while (told < peerGroups.round() && paid < shortestWakeNanos()) {
+      paid += pauseAfter(tellNext());
+      told++;
     }
-    tellLater();
+    reportsSinceNoted += told;
+    return Math.max(paid, SHORTEST_PAUSE.toNanos());
+  }
+
+  private long shortestWakeNanos() {
+    return (isQuiet() ? QUIET_WAKE : SHORTEST_WAKE).toNanos();
+  }
+
+  /** Returns whether all peers were told that this group has no requests. */
+  private boolean isQuiet() {
+    return emptyReports > peerGroups.round();
   }
 
   private void regroup() {
@@ -139,17 +190,22 @@
   private int tellNext() {
     turn = Math.floorMod(turn + 1, peerGroups.round());
     if (turn < peerGroups.members().size()) {
-      return sender.send(peerGroups.members().get(turn), ownReport());
+      return send(peerGroups.members().get(turn), ownReport());
     }
     ImmutableList<HostPort> outside = peerGroups.outside();
     nextOutside = Math.floorMod(nextOutside + 1, outside.size());
-    return sender.send(outside.get(nextOutside), groupReport());
+    return send(outside.get(nextOutside), groupReport());
+  }
+
+  private int send(HostPort peer, LoadReport report) {
+    emptyReports = report.isEmpty() ? emptyReports + 1 : 0;
+    return sender.send(peer, report);
   }
 
-  private static Duration pauseAfter(int bytes) {
+  private long pauseAfter(int bytes) {
     double seconds = (bytes + DATAGRAM_BYTES) / BYTES_PER_SECOND;
-    Duration paid = Duration.ofNanos((long) (seconds * 1e9));
-    return paid.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : paid;
+    pauseNanos = Math.max((long) (seconds * 1e9), SHORTEST_PAUSE.toNanos());
+    return isQuiet() ? Math.max(pauseNanos, QUIET_PAUSE.toNanos()) : pauseNanos;
   }
 
   private LoadReport ownReport() {
@@ -191,6 +247,7 @@
   }
 
   private LoadReport groupReport() {
+    forgetSilent();
     ImmutableList.Builder<EndpointLoad> loads = ImmutableList.builder();
     for (TrackedEndpoint endpoint : fleet.all()) {
       int key = keyOf(endpoint);
@@ -213,22 +270,41 @@
     boolean known = report.ofGroup() && report.group().equals(peerGroups.own());
     if (!known) {
       heardLoads.keep(report, now());
+      outdated = true;
     }
   }
 
-  private Duration expiry() {
-    Duration rounds = pause.multipliedBy((long) ROUNDS_TO_EXPIRY * Math.max(1, peerGroups.round()));
-    return rounds.compareTo(SHORTEST_EXPIRY) > 0 ? rounds : SHORTEST_EXPIRY;
+  private void forgetSilent() {
+    long now = now();
+    heardLoads.forgetBefore(now - expiryNanos(pauseNanos), now - expiryNanos(quietPauseNanos()));
+  }
+
+  private long quietPauseNanos() {
+    return Math.max(pauseNanos, QUIET_PAUSE.toNanos());
   }
 
+  private long expiryNanos(long pauseOfPeers) {
+    long rounds = pauseOfPeers * ROUNDS_TO_EXPIRY * Math.max(1, peerGroups.round());
+    return Math.max(rounds, SHORTEST_EXPIRY.toNanos());
+  }
+
+  /** Notes with the endpoints what is known of their load, before a choice among them. */
   private void noteWithEndpoints() {
+    long now = now();
+    if (!outdated && now - notedAt < SHORTEST_WAKE.toNanos()) {
+      return;
+    }
+    outdated = false;
+    notedAt = now;
+    forgetSilent();
     int known = 1 + heardLoads.nodes();
     int live = Math.max(known, liveNodes.getAsInt());
     // Nodes that were not heard are taken to be like the others.
     double factor = (double) live / known;
     // Their part of what this node begins is in that factor already.
     double peersAlike = live == 1 ? 0 : peerGroups.neighbours() * (known - 1.0) / (live - 1.0);
-    double kept = Math.exp(-1 / Math.max(1, MEAN_AGE * peerGroups.round()));
+    double kept = Math.exp(-reportsSinceNoted / Math.max(1, MEAN_AGE * peerGroups.round()));
+    reportsSinceNoted = 0;
     Map<Integer, Double> slow = heardLoads.slowOfAll();
     for (TrackedEndpoint endpoint : fleet.all()) {
       int key = keyOf(endpoint);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
@@ -30,6 +30,11 @@
     checkNotNull(slow);
   }
 
+  /** Returns whether it tells of no request and of no slow engine. */
+  public boolean isEmpty() {
+    return loads.isEmpty() && slow.isEmpty();
+  }
+
   /** Returns the report of one node that knows of no slow engine. */
   public static LoadReport ofNode(String sender, ImmutableList<EndpointLoad> loads) {
     return ofNode(sender, loads, ImmutableList.of());
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadSender.java
@@ -7,4 +7,7 @@
 public interface LoadSender {
   /** Sends without waiting; returns how many bytes the report takes. */
   int send(HostPort peer, LoadReport report);
+
+  /** Hands over the reports that have come since; one that hands over each at once does nothing. */
+  default void collect() {}
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Multimaps;
+import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.HashMap;
@@ -41,6 +42,12 @@
 public final class PlacementController {
   private static final Duration TICK = Duration.ofMillis(200);
 
+  /**
+   * The same on a node that is not the controller, for a lease that counts as held again after a
+   * late renewal; {@link #wake} tells of a new one. All nodes but one spend it for nothing.
+   */
+  private static final Duration IDLE_TICK = Duration.ofSeconds(2);
+
   /**
    * A look begins to plan no further data centre after this time; the next look does. Requests and
    * the controller's lease wait meanwhile: on a box of a third of a core, five data centres of 43
@@ -76,6 +83,7 @@
   private long fencedOff = -1;
   private int engineCount;
   private long engineCountChangedAt;
+  private Cancellable timer = () -> {};
   private boolean stopped;
 
   /** What a plan is made from, and nothing else; equal inputs give equal plans. */
@@ -129,11 +137,16 @@
         clock, fleet, control, configuration, fence, listPause, counters);
   }
 
-  /** Starts to look at the fleet at short intervals. */
+  /** Begins; looks at the fleet at short intervals while this node is the controller. */
   public void start() {
     fleet.onRemoval(assignments::remove);
     engineCountChangedAt = now();
-    tickLater();
+    wake();
+  }
+
+  /** Takes note that this node may have become the controller. */
+  public void wake() {
+    tickAfter(TICK);
   }
 
   /** Gives no further order. */
@@ -141,15 +154,15 @@
     stopped = true;
   }
 
-  private void tickLater() {
-    clock.schedule(this::tick, TICK.toNanos(), NANOSECONDS);
+  private void tickAfter(Duration wait) {
+    timer.cancel();
+    timer = clock.schedule(this::tick, wait.toNanos(), NANOSECONDS);
   }
 
   private void tick() {
     if (stopped) {
       return;
     }
-    tickLater();
     OptionalLong now = fence.get();
     if (now.isPresent() && now.getAsLong() == fencedOff) {
       now = OptionalLong.empty();
@@ -161,6 +174,7 @@
         EventLog.info(Event.PLACEMENT_CONTROLLER, "fence", now.getAsLong());
       }
     }
+    tickAfter(actingAs.isPresent() ? TICK : IDLE_TICK);
     if (actingAs.isPresent()) {
       configuration.get().ifPresent(this::look);
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -76,6 +77,7 @@
 
   private final HeldLease entry;
   private final HeldLease controller;
+  private final List<Runnable> wonListeners = new ArrayList<>();
   private OptionalLong fence = OptionalLong.empty();
   private OptionalLong entryCreatedAt = OptionalLong.empty();
   private int liveNodes = 1;
@@ -142,6 +144,11 @@
     return new NodeLease(clock, random, store, prefix, node, dataCentre, address);
   }
 
+  /** Calls back each time that this node has become the controller. */
+  public void onControllerWon(Runnable listener) {
+    wonListeners.add(listener);
+  }
+
   /** Writes the node's entry and keeps it. */
   public void start() {
     entry.keep();
@@ -262,10 +269,12 @@
 
   private void won(long createdAt) {
     controllerPresent = true;
-    if (fence.isEmpty()) {
+    boolean wasController = fence.isPresent();
+    fence = OptionalLong.of(createdAt);
+    if (!wasController) {
       EventLog.info(Event.LEASE_WON, "fence", createdAt);
+      wonListeners.forEach(Runnable::run);
     }
-    fence = OptionalLong.of(createdAt);
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/LoadDatagrams.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/LoadDatagrams.java
@@ -8,13 +8,17 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.BuilderUtils;
 import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutor;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.coordination.load.LoadSender;
@@ -29,12 +33,25 @@
  * Load reports as datagrams, one a report.
  *
  * <p>A lost datagram is made good by the next, so there is nothing to retry, and no connection that
- * could fall silent. Runs on the node's event loop.
+ * could fall silent. What has come waits in the socket until {@link #collect}: a wake of the
+ * process for each would cost more than its reading. Runs on the node's event loop.
  */
 public final class LoadDatagrams implements LoadSender {
+  /** A group's report of 2,400 endpoints is some 29 KB; what is longer is cut and not read. */
+  private static final int MOST_BYTES = 32 << 10;
+
+  /** Twice what a group of twenty and twenty other groups send between two collections. */
+  private static final int MOST_AT_ONCE = 64;
+
+  /** Some times the nodes of the largest fleet; beyond it, those of boxes that are gone. */
+  private static final int MOST_KEPT_ADDRESSES = 2000;
+
   private final Channel channel;
   private final Counters counters;
 
+  /** Kept, as a report goes out 25 times a second. */
+  private final Map<HostPort, InetSocketAddress> addresses = new HashMap<>();
+
   private LoadDatagrams(Channel channel, Counters counters) {
     this.channel = channel;
     this.counters = counters;
@@ -54,6 +71,10 @@
         new Bootstrap()
             .group(loop)
             .channel(BuilderUtils.datagramChannel(loop))
+            .option(ChannelOption.AUTO_READ, false)
+            .option(
+                ChannelOption.RCVBUF_ALLOCATOR,
+                new FixedRecvByteBufAllocator(MOST_BYTES).maxMessagesPerRead(MOST_AT_ONCE))
             .handler(new Handler(heard, counters))
             .bind(new InetSocketAddress(address.host(), address.port()))
             .syncUninterruptibly()
@@ -69,7 +90,10 @@
 
   @Override
   public int send(HostPort peer, LoadReport report) {
-    InetSocketAddress to = new InetSocketAddress(peer.host(), peer.port());
+    if (addresses.size() > MOST_KEPT_ADDRESSES) {
+      addresses.clear();
+    }
+    InetSocketAddress to = addresses.computeIfAbsent(peer, LoadDatagrams::socketAddress);
     byte[] bytes = LoadCodec.encode(report);
     DatagramPacket packet = new DatagramPacket(Unpooled.wrappedBuffer(bytes), to);
     // A peer that is gone answers with "unreachable"; its entry lapses on its own.
@@ -82,6 +106,16 @@
     return bytes.length;
   }
 
+  @Override
+  public void collect() {
+    // Without automatic reading the channel would take one datagram and leave the others.
+    channel.config().setAutoRead(true);
+  }
+
+  private static InetSocketAddress socketAddress(HostPort peer) {
+    return new InetSocketAddress(peer.host(), peer.port());
+  }
+
   /** Listens no longer. */
   public void close() {
     ChannelFuture unused = channel.close();
@@ -107,6 +141,12 @@
       }
     }
 
+    /** All that had come is read: what comes from now on waits for the next collection. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+      context.channel().config().setAutoRead(false);
+    }
+
     /** An unreachable peer shows as an error of the socket, which stays usable. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
