--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Incarnation.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Incarnation.java
@@ -24,6 +24,18 @@
     return new Incarnation(OptionalLong.of(unixMillis));
   }
 
+  // Written out: the generated ones are linked by method handles, which costs each start some ms.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Incarnation that && startedAt.equals(that.startedAt);
+  }
+
+  @Override
+  public int hashCode() {
+    return startedAt.hashCode();
+  }
+
   /** Returns whether the endpoint tells when it started. */
   public boolean isTold() {
     return startedAt.isPresent();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/Peer.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/Peer.java
@@ -18,4 +18,19 @@
     checkNotNull(dataCentre);
     checkNotNull(address);
   }
+
+  // Written out: the generated ones are linked by method handles, which costs each start some ms.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Peer that
+        && address.equals(that.address)
+        && box.equals(that.box)
+        && dataCentre.equals(that.dataCentre);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * box.hashCode() + address.hashCode();
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/state/HostPort.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/HostPort.java
@@ -25,6 +25,18 @@
     return new HostPort(parsed.getHost(), parsed.getPort());
   }
 
+  // Written out: the generated ones are linked by method handles, which costs each start some ms.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof HostPort that && port == that.port && host.equals(that.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + port;
+  }
+
   @Override
   public String toString() {
     return HostAndPort.fromParts(host, port).toString();
--- a/vaneworks/src/main/java/org/vaneworks/state/LayerRange.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/LayerRange.java
@@ -24,6 +24,18 @@
     return to - from;
   }
 
+  // Written out: the generated ones are linked by method handles, which costs each start some ms.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof LayerRange that && from == that.from && to == that.to;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * from + to;
+  }
+
   @Override
   public String toString() {
     return from + "-" + to;
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Counters.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Counters.java
@@ -35,7 +35,21 @@
     Duration.ofMillis(20_000)
   };
 
-  private record CounterKey(Metric metric, String reason) {}
+  private record CounterKey(Metric metric, String reason) {
+    // Written out: the generated ones are linked by method handles, which costs each start some ms.
+
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof CounterKey that
+          && metric == that.metric
+          && reason.equals(that.reason);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * metric.hashCode() + reason.hashCode();
+    }
+  }
 
   private final MeterRegistry registry;
   private final Map<CounterKey, Counter> counters = new ConcurrentHashMap<>();
