--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -295,8 +295,8 @@
     boolean misdirected = head.status() == MISDIRECTED;
     Duration pause = misdirected ? MISPLACED_PAUSE : FULL_PAUSE;
     obstacle.avoidUntil(now() + pause.toNanos());
-    if (misdirected && place.onEngines()) {
-      // It may have started again and hold nothing; it tells before the list does.
+    if (misdirected && obstacle.endpoint().incarnation().isTold()) {
+      // It may have started again and hold nothing; its report tells so before the list does.
       context.health().check(obstacle);
     }
     obstacle.noteShortage(now());
