The newest run told under an id is remembered when its endpoint is gone

Cause, found by reading the diff: after an endpoint had left, or had been withdrawn for an entry that told no start, the next such entry, or a late one of a former run, found the id unknown and was taken.

Change: Fleet keeps the newest start told under each id, of 10,000 ids at most. Tests: two of FleetTest.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -243,6 +243,18 @@
     fleet.put(run("a", 80, 1, Incarnation.startedAt(1000)));
     fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
     assertEquals(0, fleet.size());
+    fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
+    assertEquals(0, fleet.size());
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(1000)));
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void lateEntryOfAFormerRunIsNoEndpointAlsoAfterTheLaterOneLeft() {
+    fleet.put(run("a", 80, 1, Incarnation.startedAt(2000)));
+    fleet.remove("a");
+    fleet.put(run("a", 80, 3, Incarnation.startedAt(1000)));
+    assertEquals(0, fleet.size());
   }
 
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -36,11 +36,17 @@
  * Confined to the node's event loop.
  */
 public final class Fleet {
+  /** Four times the endpoints of the largest fleet that is planned for; some 1 MB. */
+  private static final int MOST_KNOWN_RUNS = 10_000;
+
   private final Executor clock;
   private final Counters counters;
   private final Duration relistGrace;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
 
+  /** The newest run that was told under each id, also of endpoints that are gone. */
+  private final Map<String, Incarnation> newestRuns = new LinkedHashMap<>();
+
   private final List<Runnable> choiceListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> suspicionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> removalListeners = new ArrayList<>();
@@ -123,25 +129,42 @@
 
   /** Takes one new or changed entry. */
   public void put(FleetEndpoint listed) {
+    String id = listed.id();
+    Incarnation newest = newestRuns.getOrDefault(id, Incarnation.UNTOLD);
+    if (newest.isAfter(listed.incarnation())) {
+      counters.count(Metric.ENDPOINT_ENTRIES, "former-run");
+    } else if (newest.isTold() && !listed.incarnation().isTold()) {
+      counters.count(Metric.ENDPOINT_ENTRIES, "no-start");
+      withdraw(id, "its entry tells no start, and one before did");
+    } else {
+      noteRun(id, listed.incarnation());
+      take(listed);
+    }
+  }
+
+  private void noteRun(String id, Incarnation run) {
+    if (run.isTold()) {
+      newestRuns.put(id, run);
+    }
+    if (newestRuns.size() > MOST_KNOWN_RUNS) {
+      newestRuns.remove(newestRuns.keySet().iterator().next());
+    }
+  }
+
+  private void take(FleetEndpoint listed) {
     TrackedEndpoint known = byId.get(listed.id());
     if (known == null) {
       find(listed);
-    } else if (known.endpoint().incarnation().isAfter(listed.incarnation())) {
-      counters.count(Metric.ENDPOINT_ENTRIES, "former-run");
-    } else if (isLaterRun(listed.incarnation(), known.endpoint().incarnation())) {
+    } else if (!listed.incarnation().equals(known.endpoint().incarnation())) {
       startAgain(known, listed);
     } else if (listed.canBeSameRun(known.endpoint())) {
       update(known, listed);
     } else {
+      counters.count(Metric.ENDPOINT_ENTRIES, "other-endpoint");
       withdraw(listed.id(), "its entry is not that of the run that is known");
     }
   }
 
-  /** An entry that begins to tell its start is of a later run: one run writes one kind of entry. */
-  private static boolean isLaterRun(Incarnation listed, Incarnation known) {
-    return listed.isAfter(known) || (listed.isTold() && !known.isTold());
-  }
-
   private void find(FleetEndpoint listed) {
     byId.put(listed.id(), new TrackedEndpoint(listed));
     EventLog.info(
@@ -192,6 +215,7 @@
     }
     Incarnation known = endpoint.endpoint().incarnation();
     if (told.isAfter(known) && !endpoint.delisted()) {
+      noteRun(endpoint.endpoint().id(), told);
       startAgain(endpoint, endpoint.endpoint().startedAgain(told));
       return false;
     }
