An engine that names its accelerator only with its model stays the same run

Cause, found by reading the diff: the protocol lets an engine tell its kind beside its model; with the comparison of whole entries such an engine would have been withdrawn at its first load.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -266,4 +266,14 @@
     fleet.put(run("a", 80, 1, Incarnation.UNTOLD));
     assertEquals(1, usable());
   }
+
+  @Test
+  void engineThatNamesItsAcceleratorOnlyWithItsModelStaysTheSameRun() {
+    HostPort address = new HostPort("10.0.0.3", 80);
+    Optional<LayerRange> layers = Optional.of(LayerRange.of(0, 10));
+    fleet.put(new FleetEndpoint("a", "s", address, "dc1", 6, false, Optional.empty(), "", 1));
+    TrackedEndpoint known = only();
+    fleet.put(new FleetEndpoint("a", "s", address, "dc1", 6, false, layers, "large", 1));
+    assertSame(known, only());
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FleetEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FleetEndpoint.java
@@ -80,13 +80,13 @@
   }
 
   /**
-   * Returns whether both entries can be those of one run: what it lists itself as never changes.
+   * Returns whether both entries can be those of one run. Its accelerator is left out: some engines
+   * name it with their model only.
    */
   boolean canBeSameRun(FleetEndpoint other) {
     return incarnation.equals(other.incarnation)
         && service.equals(other.service)
         && address.equals(other.address)
-        && dataCentre.equals(other.dataCentre)
-        && accelerator.equals(other.accelerator);
+        && dataCentre.equals(other.dataCentre);
   }
 }
