Lines of requests that lost their endpoint tell the request's content

Sight for the incident of endpoints that end under one request: a line names a request by its caller's id, which each repeat changes, so logs can't tell whether one request was at several ends. No change of logic.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -33,6 +33,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.Refusal;
+import org.vaneworks.state.RequestContent;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
@@ -160,6 +161,11 @@
     public Optional<RequestSize> size() {
       return Optional.of(new RequestSize(800, 200));
     }
+
+    @Override
+    public RequestContent content(Optional<String> workspace) {
+      return RequestContent.of(workspace, "POST", host, path, new byte[0]);
+    }
   }
 
   /** Engines that answer reports unless they are dead, and path changes as the test says. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerRequest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.RequestContent;
 
 /** A caller's request as decisions see it; its headers and body stay with the transport. */
 public interface CallerRequest {
@@ -23,4 +24,11 @@
 
   /** Returns how large it is expected to be, where it says so. */
   Optional<RequestSize> size();
+
+  /**
+   * Returns what it asks for.
+   *
+   * @param workspace whose request it is, where that is known
+   */
+  RequestContent content(Optional<String> workspace);
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
@@ -1,8 +1,12 @@
 package org.vaneworks.coordination.forwarding;
 
 import com.google.common.collect.ObjectArrays;
+import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.Refusal;
+import org.vaneworks.state.RequestContent;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -92,6 +96,32 @@
         cause);
   }
 
+  /**
+   * Notes that an endpoint was lost while it had a request.
+   *
+   * @param sinceSent since the request was sent there
+   * @param sincePart since the first part of its answer; empty if there was none
+   */
+  static void lostEndpoint(
+      CallerRequest request,
+      RequestContent content,
+      TrackedEndpoint endpoint,
+      Duration sinceSent,
+      Optional<Duration> sincePart) {
+    EventLog.info(
+        Event.REQUEST_LOST_ENDPOINT,
+        "request",
+        request.id(),
+        "content",
+        content,
+        "endpoint",
+        endpoint,
+        "sentMsAgo",
+        sinceSent.toMillis(),
+        "firstPartMsAgo",
+        sincePart.map(Duration::toMillis).orElse(-1L));
+  }
+
   static void pathChanged(CallerRequest request, String cause, Object outcome, String path) {
     EventLog.info(
         Event.PATH_REPLACED,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -5,12 +5,14 @@
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.EndpointCalls.EndpointCall;
 import org.vaneworks.coordination.relay.EnginePath;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
+import org.vaneworks.state.RequestContent;
 import org.vaneworks.state.Verdict;
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
@@ -66,6 +68,7 @@
   private int sends;
   private int runs;
   private long sentAt;
+  private OptionalLong firstPartAt = OptionalLong.empty();
   private boolean partCame;
   private boolean headPassed;
   private boolean done;
@@ -176,6 +179,7 @@
   private void send() {
     sends++;
     sentAt = now();
+    firstPartAt = OptionalLong.empty();
     lastSentTo = Optional.of(place.target());
     attemptNumber++;
     Attempt attempt =
@@ -244,6 +248,9 @@
   }
 
   private void notePart() {
+    if (firstPartAt.isEmpty()) {
+      firstPartAt = OptionalLong.of(now());
+    }
     if (!partCame && sends == 1) {
       line.firstPartTook(now() - sentAt);
     }
@@ -329,6 +336,9 @@
 
   private void failed(boolean neverSent, Throwable cause, TrackedEndpoint endpoint) {
     place.failedHere();
+    if (!neverSent) {
+      noteLost(endpoint);
+    }
     if (place.onEngines()) {
       context.health().check(endpoint);
     } else if (endpoint.noteFailure() > 1 || neverSent) {
@@ -520,10 +530,23 @@
   /** Breaks the attempt off; what follows is up to what may have run. */
   private void leaveEndpoint(String reason, String cause) {
     Verdict verdict = call.mayHaveArrived() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    if (verdict == Verdict.MAY_HAVE_RUN) {
+      noteLost(place.target());
+    }
     call.cancel();
     attemptOver(verdict, reason, cause);
   }
 
+  private void noteLost(TrackedEndpoint endpoint) {
+    RequestContent content = request.content(caller.map(Caller::workspace));
+    Duration sinceSent = Duration.ofNanos(now() - sentAt);
+    Optional<Duration> sincePart =
+        firstPartAt.isPresent()
+            ? Optional.of(Duration.ofNanos(now() - firstPartAt.getAsLong()))
+            : Optional.empty();
+    ForwardLog.lostEndpoint(request, content, endpoint, sinceSent, sincePart);
+  }
+
   private long now() {
     return context.clock().currentTime(NANOSECONDS);
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryRequest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.vaneworks.coordination.forwarding.CallerRequest;
 import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.RequestContent;
 
 /** A caller's request with its headers and its whole body. */
 final class EntryRequest implements CallerRequest {
@@ -63,4 +64,12 @@
   public Optional<RequestSize> size() {
     return dialect.size(head.headers());
   }
+
+  @Override
+  public RequestContent content(Optional<String> workspace) {
+    Buffer view = body();
+    byte[] bytes = new byte[view.readableBytes()];
+    view.readBytes(bytes);
+    return RequestContent.of(workspace, head.method().name(), host(), head.requestTarget(), bytes);
+  }
 }
