Quarantine: a request one end short waits for the cause of a loss; tests

Change: at one end short it waits 100 ms, in which the question after a lost connection is answered. ForwardRun's part of it stands in ContentGuard. A path is not replaced for a request that is held back.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.state.Reason;
+import org.vaneworks.state.Verdict;
 
 /**
  * Checks how often a request reaches engines that end when they run it.
@@ -57,6 +59,81 @@
     assertHeldBackAfterTheThirdEnd();
   }
 
+  @Test
+  void nodeThatStartsAfterwardsHoldsItBackToo() {
+    askAgainAndAgain(8, 500);
+    for (int node = 0; node < NODES; node++) {
+      fleet.restartNode(node);
+    }
+    fleet.advance(1000);
+    long before = fleet.crashingArrivalsFrom(0);
+    SharedEngines.Got got = fleet.ask(0, SharedEngines.CRASHING);
+    fleet.advance(1000);
+    assertEquals(before, fleet.crashingArrivalsFrom(0));
+    assertEquals(Reason.QUARANTINED, got.refusal.get().reason());
+    assertEquals(Verdict.NOT_RUN, got.refusal.get().verdict());
+  }
+
+  @Test
+  void endsThatWereSeenWhileTheStoreWasAwayAreToldOnceItIsBack() {
+    fleet.store.down = true;
+    for (int node = 0; node < NODES; node++) {
+      // Each node sees one end or two: none of them has seen three.
+      fleet.ask(node, SharedEngines.CRASHING);
+      fleet.advance(100);
+    }
+    fleet.advance(3000);
+    fleet.store.down = false;
+    fleet.advance(LEARNT_AFTER_MILLIS);
+    long known = fleet.nowMillis();
+    askAgainAndAgain(20, 300);
+    assertTrue(fleet.ends().size() >= 3, "engines ended: " + fleet.ends());
+    assertEquals(0, fleet.crashingArrivalsFrom(known));
+  }
+
+  @Test
+  void endsAreToldAlsoWhereTheStoreLosesAnswers() {
+    fleet.store.losesAnswers = true;
+    askAgainAndAgain(2, 500);
+    fleet.store.losesAnswers = false;
+    askAgainAndAgain(30, 500);
+    assertHeldBackAfterTheThirdEnd();
+  }
+
+  @Test
+  void fleetWhoseEnginesDoNotEndWritesNothing() {
+    for (int i = 0; i < 20; i++) {
+      fleet.ask(i, "letter " + i);
+      fleet.advance(200);
+    }
+    assertEquals(0, fleet.store.writes());
+  }
+
+  @Test
+  void entriesOfOthersUnderItsKeysAreOverlooked() {
+    fleet.store.put("quarantine/ends/x/1", "no list of ends");
+    fleet.store.put("quarantine/held/no-content", "");
+    fleet.store.put("quarantine/other", "");
+    askAgainAndAgain(30, 500);
+    assertHeldBackAfterTheThirdEnd();
+    SharedEngines.Got got = fleet.ask(0, "letter");
+    fleet.advance(2000);
+    assertTrue(got.whole);
+  }
+
+  @Test
+  void requestRunsAgainOnceItsKeyIsTakenOutOfTheStore() {
+    askAgainAndAgain(10, 500);
+    fleet.store.removeAll("quarantine/held/");
+    fleet.advance(1000);
+    long before = fleet.crashingArrivalsFrom(0);
+    fleet.ask(0, SharedEngines.CRASHING);
+    fleet.advance(1000);
+    assertEquals(before + 1, fleet.crashingArrivalsFrom(0));
+    askAgainAndAgain(10, 500);
+    assertEquals(before + 1, fleet.crashingArrivalsFrom(0));
+  }
+
   @Test
   void otherRequestsThatWereAtTheSameEnginesAreServed() {
     List<SharedEngines.Got> others = new ArrayList<>();
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
@@ -33,7 +33,7 @@
   private long revision;
   private long nextLease = 1;
   public boolean down;
-  boolean losesAnswers;
+  public boolean losesAnswers;
   private boolean forgot;
 
   public StoreInMemory(Executor clock) {
@@ -68,6 +68,17 @@
     history.add(new StoreChanges.Change(new StoredItem(key, "", revision, 0), true));
   }
 
+  /** Removes all keys under a prefix. */
+  public void removeAll(String prefix) {
+    List<String> keys = items.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+    keys.forEach(this::remove);
+  }
+
+  /** Returns how many calls asked for a change. */
+  public long writes() {
+    return calls.stream().filter(call -> !call.equals("list") && !call.equals("watch")).count();
+  }
+
   private void lapse() {
     long now = clock.currentTime(TimeUnit.NANOSECONDS);
     Set<Long> over = new HashSet<>();
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -1,6 +1,7 @@
 package org.vaneworks.transport.entry;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpServer;
@@ -24,6 +25,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.NobodyListensException;
 import org.vaneworks.coordination.forwarding.AnswerHead;
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.forwarding.EndpointCalls.EndpointCall;
@@ -78,6 +80,7 @@
       io.execute(() -> sent.complete(connections.send(attempt(address), outcome)));
       assertFalse(outcome.answered.get(SECONDS, TimeUnit.SECONDS));
       assertFalse(sent.get(SECONDS, TimeUnit.SECONDS).mayHaveArrived());
+      assertInstanceOf(NobodyListensException.class, outcome.cause);
     }
   }
 
@@ -112,6 +115,7 @@
   /** Whether the attempt was answered, once it is over. */
   private static final class Outcome implements Listener {
     private final CompletableFuture<Boolean> answered = new CompletableFuture<>();
+    private volatile Throwable cause;
 
     @Override
     public void head(AnswerHead head) {}
@@ -126,6 +130,7 @@
 
     @Override
     public void failed(boolean neverSent, Throwable cause) {
+      this.cause = cause;
       answered.complete(false);
     }
   }
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ContentGuard.java
@@ -0,0 +1,67 @@
+package org.vaneworks.coordination.forwarding;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.state.Reason;
+import org.vaneworks.state.Refusal;
+import org.vaneworks.state.RequestContent;
+
+/**
+ * One request as the quarantine sees it: whether it is held back, and what it did to endpoints.
+ *
+ * <p>The content is worked out only once an endpoint was lost under some request: a digest of a
+ * body costs some ten microseconds. Confined to the node's event loop.
+ */
+final class ContentGuard {
+  private final ForwardContext context;
+  private final CallerRequest request;
+  private final Optional<String> workspace;
+  private Optional<RequestContent> content = Optional.empty();
+
+  ContentGuard(ForwardContext context, CallerRequest request, Optional<String> workspace) {
+    this.context = context;
+    this.request = request;
+    this.workspace = workspace;
+  }
+
+  private RequestContent content() {
+    if (content.isEmpty()) {
+      content = Optional.of(request.content(workspace));
+    }
+    return content.get();
+  }
+
+  boolean asksFor(RequestContent other) {
+    return content().equals(other);
+  }
+
+  /** Returns whether the request must not be sent now. */
+  boolean isHeldBack() {
+    return !context.quarantine().isEmpty() && context.quarantine().holds(content());
+  }
+
+  /** Returns whether one more end of an endpoint would hold the request back. */
+  boolean isOneEndShort() {
+    return !context.quarantine().isEmpty() && context.quarantine().isOneEndShort(content());
+  }
+
+  /** Notes that an endpoint was lost that the request was sent to, or that ran part of its path. */
+  void lost(TrackedEndpoint endpoint, Duration sinceSent, Optional<Duration> sinceFirstPart) {
+    ForwardLog.lostEndpoint(request, content(), endpoint, sinceSent, sinceFirstPart);
+    context.endedEndpoints().lost(endpoint, content(), sinceFirstPart.orElse(sinceSent));
+  }
+
+  /** Notes that an endpoint answered the request whole. */
+  void answered() {
+    if (!context.quarantine().isEmpty()) {
+      context.quarantine().noteAnswered(content());
+    }
+  }
+
+  /** Returns the answer to a request that was never sent because it is held back. */
+  Refusal refusal() {
+    return Refusal.before(Reason.QUARANTINED, "content " + content())
+        .withRetryAfter(context.quarantine().remaining(content()));
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -40,6 +40,12 @@
   /** Callers give a stream up after two seconds without an event. */
   private static final Duration RESUME_PATIENCE = Duration.ofMillis(1500);
 
+  /**
+   * Whether an endpoint has ended or only a connection broke is known within this time; one
+   * endpoint less is lost under a request that ends endpoints.
+   */
+  private static final Duration CAUSE_KNOWN = Duration.ofMillis(100);
+
   /** Orders for another path after the loss of one engine. */
   private static final int MAX_REPATHS = 5;
 
@@ -62,8 +68,8 @@
   private final WaitingLine line;
   private final WaitingLine.Waiter waiter = new InLine();
   private final EventSplitter splitter = new EventSplitter();
+  private final ContentGuard guard;
 
-  private Optional<RequestContent> content = Optional.empty();
   private EndpointCall call;
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int attemptNumber;
@@ -97,6 +103,7 @@
             service,
             configuration.service(service).flatMap(ServiceProfile::model),
             request.size());
+    this.guard = new ContentGuard(context, request, caller.map(Caller::workspace));
     this.line = context.lines().of(service);
     this.progress = new ProgressWatch(context, place, route.pauseObjective());
     this.startedAt = now();
@@ -120,7 +127,7 @@
     limitTimer =
         context.clock().schedule(this::timeIsUp, Math.max(0, endsAt - startedAt), NANOSECONDS);
     context.budget().earn();
-    if (isHeldBack()) {
+    if (guard.isHeldBack()) {
       refuseHeldBack();
       return;
     }
@@ -331,9 +338,7 @@
   }
 
   private void finish() {
-    if (!context.quarantine().isEmpty()) {
-      context.quarantine().noteAnswered(content());
-    }
+    guard.answered();
     byte[] rest = splitter.rest();
     if (rest.length > 0) {
       answer.data(rest);
@@ -373,11 +378,11 @@
     call = null;
     byte[] dropped = splitter.rest();
     boolean canGoOn = !headPassed || (route.kind().idempotent() && route.kind().streamed());
-    if (canGoOn && !isHeldBack() && mayAgain(verdict, runs) && context.budget().spend()) {
+    if (canGoOn && !guard.isHeldBack() && mayAgain(verdict, runs) && context.budget().spend()) {
       String detail = dropped.length == 0 ? cause : cause + ", part of an event dropped";
       long millis = NANOSECONDS.toMillis(now() - startedAt);
       ForwardLog.sentAgain(request, reason, sends, triedAt, millis, detail, context.counters());
-      seekPlace();
+      goOn(verdict);
       return;
     }
     giveUp(
@@ -386,6 +391,22 @@
         reason + ": " + cause);
   }
 
+  /** Seeks another place, at once unless this very loss may hold the request back. */
+  private void goOn(Verdict verdict) {
+    if (verdict == Verdict.NOT_RUN || !guard.isOneEndShort()) {
+      seekPlace();
+      return;
+    }
+    context.clock().schedule(this::seekPlaceUnlessHeldBack, CAUSE_KNOWN.toNanos(), NANOSECONDS);
+  }
+
+  private void seekPlaceUnlessHeldBack() {
+    // If the endpoint has ended, the request was told meanwhile that it is held back.
+    if (!done && !place.isTaken()) {
+      seekPlace();
+    }
+  }
+
   private boolean mayAgain(Verdict verdict, int runsSoFar) {
     return ResendRule.maySendAgain(route.kind(), verdict, runsSoFar, route.attempts(), sends)
         && now() < endsAt;
@@ -405,8 +426,7 @@
       refusal = Refusal.mayHaveRun(Reason.ENDPOINT_LOST, detail);
     }
     close();
-    ForwardLog.refused(request, refusal, trail(), context.counters());
-    answer.refuse(refusal);
+    refuse(refusal);
   }
 
   private Trail trail() {
@@ -439,8 +459,7 @@
         runs == 0 && !mayRunNow
             ? Refusal.before(Reason.NOT_STARTED_IN_TIME, "no place").withRetryAfter(comeBack())
             : Refusal.mayHaveRun(Reason.DEADLINE, "the time limit passed");
-    ForwardLog.refused(request, refusal, trail(), context.counters());
-    answer.refuse(refusal);
+    refuse(refusal);
   }
 
   @Override
@@ -479,7 +498,7 @@
     Duration silence = Duration.ofNanos(now() - progress.lastProgress());
     context.counters().record(Metric.DETECTION_TIME, silence);
     if (place.target() != engine) {
-      noteLostOnPath(engine);
+      noteLost(engine);
       replacePath(engine, "lost " + engine);
     } else {
       beginElsewhere("engine-suspected", engine.toString());
@@ -495,7 +514,7 @@
       leaveEndpoint("endpoint-restarted", endpoint.toString());
     } else if (place.passes(endpoint) && !endpoint.suspected()) {
       // Of a suspected engine the path is being replaced already.
-      noteLostOnPath(endpoint);
+      noteLost(endpoint);
       replacePath(endpoint, "ended " + endpoint);
     }
   }
@@ -505,7 +524,7 @@
   }
 
   private void replacePath(TrackedEndpoint lost, String cause) {
-    if (isHeldBack()) {
+    if (guard.isHeldBack()) {
       leaveEndpoint("held-back", cause);
       return;
     }
@@ -548,58 +567,39 @@
   /** Breaks the attempt off; what follows is up to what may have run. */
   private void leaveEndpoint(String reason, String cause) {
     Verdict verdict = call.mayHaveArrived() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
-    if (verdict == Verdict.MAY_HAVE_RUN && place.target().processGone()) {
+    if (verdict == Verdict.MAY_HAVE_RUN) {
       noteLost(place.target());
     }
     call.cancel();
     attemptOver(verdict, reason, cause);
   }
 
-  /** Notes the end of an engine that ran a later part of the path. */
-  private void noteLostOnPath(TrackedEndpoint engine) {
-    if (engine.processGone()) {
-      noteLost(engine);
-    }
-  }
-
   private void noteLost(TrackedEndpoint endpoint) {
-    Duration sinceSent = Duration.ofNanos(now() - sentAt);
-    Optional<Duration> sincePart =
+    long now = now();
+    Optional<Duration> sinceFirstPart =
         firstPartAt.isPresent()
-            ? Optional.of(Duration.ofNanos(now() - firstPartAt.getAsLong()))
+            ? Optional.of(Duration.ofNanos(now - firstPartAt.getAsLong()))
             : Optional.empty();
-    ForwardLog.lostEndpoint(request, content(), endpoint, sinceSent, sincePart);
-    context.endedEndpoints().lost(endpoint, content(), sincePart.orElse(sinceSent));
-  }
-
-  private RequestContent content() {
-    if (content.isEmpty()) {
-      content = Optional.of(request.content(caller.map(Caller::workspace)));
-    }
-    return content.get();
-  }
-
-  private boolean isHeldBack() {
-    return !context.quarantine().isEmpty() && context.quarantine().holds(content());
+    guard.lost(endpoint, Duration.ofNanos(now - sentAt), sinceFirstPart);
   }
 
   /** Takes note that requests of a content are held back: one that waits is refused at once. */
-  void heldBack(RequestContent held) {
-    if (!done && !place.isTaken() && content().equals(held)) {
+  void heldBack(RequestContent content) {
+    if (!done && !place.isTaken() && guard.asksFor(content)) {
       refuseHeldBack();
     }
   }
 
   private void refuseHeldBack() {
-    String detail = "content " + content();
     if (headPassed || runs > 0) {
-      giveUp(Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_LOST, "held back, " + detail);
+      giveUp(Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_LOST, "held back");
       return;
     }
     close();
-    Refusal refusal =
-        Refusal.before(Reason.QUARANTINED, detail)
-            .withRetryAfter(context.quarantine().remaining(content()));
+    refuse(guard.refusal());
+  }
+
+  private void refuse(Refusal refusal) {
     ForwardLog.refused(request, refusal, trail(), context.counters());
     answer.refuse(refusal);
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/EndedEndpoints.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/EndedEndpoints.java
@@ -25,7 +25,7 @@
    * A request that has run for longer did not end the endpoint by being begun. The ends that were
    * seen came 40 to 120 ms after the first part of the answer.
    */
-  static final Duration JUST_BEGUN = Duration.ofSeconds(1);
+  public static final Duration JUST_BEGUN = Duration.ofSeconds(1);
 
   /** A refused connection is put down to connections that broke this lately. */
   private static final Duration KNOWN_WITHIN = Duration.ofSeconds(5);
@@ -44,7 +44,7 @@
   }
 
   /** Returns an observer of a fleet's endpoints that hands on each end that it puts down. */
-  static EndedEndpoints watch(Executor clock, Fleet fleet, Consumer<EndpointEnd> onEnd) {
+  public static EndedEndpoints watch(Executor clock, Fleet fleet, Consumer<EndpointEnd> onEnd) {
     return new EndedEndpoints(clock, fleet, onEnd);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/EndpointEnd.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/EndpointEnd.java
@@ -16,25 +16,26 @@
  * @param content what the request asked for
  * @param endpointRun names the run; no two runs share it
  */
-record EndpointEnd(RequestContent content, String endpointRun) {
+public record EndpointEnd(RequestContent content, String endpointRun) {
   private static final char BETWEEN_FIELDS = ' ';
   private static final char BETWEEN_ENDS = '\n';
 
-  EndpointEnd {
+  /** Checks that the run has a name of one line. */
+  public EndpointEnd {
     checkNotNull(content);
     checkArgument(!endpointRun.isEmpty(), "endpointRun is empty");
     checkArgument(endpointRun.indexOf(BETWEEN_ENDS) < 0, "endpointRun has lines: %s", endpointRun);
   }
 
   /** Returns ends as the value of one key. */
-  static String write(Collection<EndpointEnd> ends) {
+  public static String write(Collection<EndpointEnd> ends) {
     return ends.stream()
         .map(end -> end.content().digest() + BETWEEN_FIELDS + end.endpointRun())
         .collect(Collectors.joining(String.valueOf(BETWEEN_ENDS)));
   }
 
   /** Reads what {@link #write} returned; fails with {@link IllegalArgumentException} otherwise. */
-  static ImmutableList<EndpointEnd> read(String value) {
+  public static ImmutableList<EndpointEnd> read(String value) {
     return Splitter.on(BETWEEN_ENDS)
         .splitToStream(value)
         .map(EndpointEnd::readOne)
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
-import com.google.common.annotations.VisibleForTesting;
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
@@ -39,13 +38,13 @@
   static final int ENDS_THAT_HOLD = 3;
 
   /** The longest that the platform's store keeps what is written under a lease. */
-  static final Duration HELD_FOR = Duration.ofMinutes(10);
+  public static final Duration HELD_FOR = Duration.ofMinutes(10);
 
   /** Ends further apart than this are taken for chance. */
   private static final Duration REMEMBERED_FOR = Duration.ofMinutes(10);
 
   /** About 200 bytes each. A fleet that loses an endpoint a second suspects some ten a second. */
-  @VisibleForTesting static final int MOST_SUSPECTS = 5000;
+  public static final int MOST_SUSPECTS = 5000;
 
   /** What is known of one content. */
   private static final class Suspect {
@@ -85,6 +84,11 @@
     return suspects.isEmpty();
   }
 
+  /** Returns how many contents are suspected or held back. */
+  public int size() {
+    return suspects.size();
+  }
+
   /** Returns whether requests of that content are held back. */
   public boolean holds(RequestContent content) {
     Suspect suspect = suspects.get(content);
@@ -97,6 +101,12 @@
     return suspect.held;
   }
 
+  /** Returns whether a content is held back at the next end under it. */
+  public boolean isOneEndShort(RequestContent content) {
+    Suspect suspect = suspects.get(content);
+    return suspect != null && !suspect.held && suspect.ends() == ENDS_THAT_HOLD - 1;
+  }
+
   /** Returns how long a content is still held back; zero if it isn't. */
   public Duration remaining(RequestContent content) {
     return holds(content)
@@ -109,7 +119,7 @@
    *
    * @return whether the content is held back because of this end
    */
-  boolean noteEnd(EndpointEnd end) {
+  public boolean noteEnd(EndpointEnd end) {
     forgetOld();
     Suspect suspect = suspects.computeIfAbsent(end.content(), unknown -> new Suspect());
     if (!suspect.endedRuns.add(end.endpointRun())) {
