A box that was suspended confirms what it knew before it acts on it

After a suspension a key that was taken away meanwhile worked on, and a controller held its fence, for as long as the clock had left. Class: an age measured by a clock that may stand still; the same as a promise stretched on one's own loss of contact.

Change: SuspensionWatch compares the steady clock with the time of day just before each decision; any difference over 100 ms, either way, makes ages unknown: the view is confirmed by a call at once, the leases are renewed. A step of the time of day costs those calls.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -29,6 +29,7 @@
 import org.vaneworks.coordination.shared.PrefixFollower;
 import org.vaneworks.coordination.shared.PrefixRouter;
 import org.vaneworks.coordination.shared.SharedStore;
+import org.vaneworks.coordination.shared.SuspensionWatch;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryLimits;
@@ -105,11 +106,13 @@
     counters = Counters.in(meters);
     fleet = Fleet.create(io, counters, RELIST_GRACE);
     SharedStore store = MeasuredStore.of(io, adapters.store(), counters);
+    SuspensionWatch suspensions = SuspensionWatch.create(io, System::currentTimeMillis, counters);
     lease =
         NodeLease.create(
             io,
             random,
             store,
+            suspensions,
             OWN_PREFIX,
             settings.name(),
             settings.dataCentre(),
@@ -147,7 +150,8 @@
                     OWN_PREFIX,
                     lease,
                     QUARANTINE_PREFIX,
-                    quarantine)));
+                    quarantine)),
+            suspensions);
     placement =
         PlacementController.create(
             io,
@@ -171,7 +175,7 @@
             quarantine,
             limits(settings),
             configuration::newest,
-            follower::confirmedAt,
+            follower::isConfirmedWithin,
             lease::liveNodes,
             settings.dataCentre(),
             counters);
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListedFleet.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ListedFleet.java
@@ -13,6 +13,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
+import org.vaneworks.tests.shared.BoxTime;
 import org.vaneworks.tests.shared.StoreInMemory;
 import org.vaneworks.tests.shared.StoreLink;
 
@@ -38,7 +39,8 @@
             PREFIX,
             () -> Duration.ofMillis(1250),
             () -> Duration.ofMillis(500),
-            new EndpointListWatch(PREFIX, ListedFleet::endpoint, fleet, counters));
+            new EndpointListWatch(PREFIX, ListedFleet::endpoint, fleet, counters),
+            new BoxTime(clock).watch());
   }
 
   private static FleetEndpoint endpoint(StoredItem item) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -53,6 +53,7 @@
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 import org.vaneworks.tests.placement.Models;
+import org.vaneworks.tests.shared.BoxTime;
 import org.vaneworks.tests.shared.StoreInMemory;
 import org.vaneworks.tests.shared.StoreLink;
 
@@ -293,6 +294,7 @@
   /** One node. */
   private final class Node implements EngineControl {
     private final StoreLink link = new StoreLink(clock, store);
+    private final BoxTime time = new BoxTime(clock);
     private final Forwarder forwarder;
 
     Node(int number) {
@@ -315,7 +317,8 @@
                       ENTRIES,
                       new EndpointListWatch(ENTRIES, SharedEngines.this::listed, fleet, counters),
                       QUARANTINE,
-                      quarantine)));
+                      quarantine)),
+              time.watch());
       forwarder =
           Forwarder.create(
               clock,
@@ -327,7 +330,7 @@
               quarantine,
               new ForwardingLimits(Duration.ofMillis(4750), 0.2, 100),
               () -> Optional.of(CONFIGURATION),
-              follower::confirmedAt,
+              follower::isConfirmedWithin,
               nodes::size,
               "dc1",
               counters);
@@ -410,6 +413,11 @@
     nodes.set(node, new Node(node + nodes.size()));
   }
 
+  /** Suspends a node's box for a time, or steps its time of day; both look alike to it. */
+  void timeOfDayMoves(int node, int millis) {
+    nodes.get(node).time.step(millis);
+  }
+
   /** Cuts a node off from the store, or opens its way again. */
   void cutFromStore(int node, boolean cut) {
     nodes.get(node).link.cut(cut);
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -243,7 +243,7 @@
                 counters),
             new ForwardingLimits(Duration.ofMillis(4750), 0.2, reserve),
             () -> configuration,
-            () -> confirmedAt,
+            age -> now() - confirmedAt < age.toNanos(),
             () -> 1,
             "dc1",
             counters);
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -32,11 +32,16 @@
   private final List<NodeLease> nodes = new ArrayList<>();
 
   private NodeLease node(SharedStore reached, String box, String run) {
+    return node(reached, box, run, new BoxTime(clock));
+  }
+
+  private NodeLease node(SharedStore reached, String box, String run, BoxTime time) {
     NodeLease lease =
         NodeLease.create(
             clock,
             new Random(nodes.size()),
             reached,
+            time.watch(),
             PREFIX,
             box,
             "dc1",
@@ -50,7 +55,8 @@
             PREFIX,
             () -> Duration.ofMillis(1500),
             () -> Duration.ofMillis(100),
-            lease)
+            lease,
+            time.watch())
         .start();
     lease.start();
     nodes.add(lease);
@@ -293,4 +299,34 @@
   private int entriesOpened() {
     return Collections.frequency(store.calls, "create");
   }
+
+  @Test
+  void controllerThatWasSuspendedHoldsNoFenceUntilItsLeaseIsRenewed() {
+    BoxTime time = new BoxTime(clock);
+    NodeLease suspended = node(store, "a", "1", time);
+    advance(2000);
+    assertTrue(suspended.controllerFence().isPresent());
+    time.step(2500);
+    assertTrue(suspended.controllerFence().isEmpty());
+    advance(20);
+    assertTrue(suspended.controllerFence().isPresent());
+  }
+
+  @Test
+  void controllerWhoseLeaseEndedWhileItWasSuspendedIsNotTheControllerAnyMore() {
+    BoxTime time = new BoxTime(clock);
+    StoreLink link = new StoreLink(clock, store);
+    NodeLease suspended = node(link, "a", "1", time);
+    advance(2000);
+    NodeLease other = node(store, "b", "1");
+    // The steady clock of the suspended box stands still; what it sees of the store does too.
+    link.cut(true);
+    advance(2900);
+    time.step(5000);
+    assertTrue(suspended.controllerFence().isEmpty());
+    link.cut(false);
+    advance(5000);
+    assertTrue(other.controllerFence().isPresent());
+    assertTrue(suspended.controllerFence().isEmpty());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/PrefixFollowerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/PrefixFollowerTest.java
@@ -1,6 +1,7 @@
 package org.vaneworks.tests.shared;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -21,6 +22,7 @@
 final class PrefixFollowerTest {
   private final PausedExecutor clock = PausedExecutor.create();
   private final StoreInMemory store = new StoreInMemory(clock);
+  private final BoxTime time = new BoxTime(clock);
   private final Map<String, String> seen = new TreeMap<>();
   private int changesHeard;
   private final PrefixFollower follower =
@@ -48,7 +50,8 @@
                 seen.put(change.item().key(), change.item().value());
               }
             }
-          });
+          },
+          time.watch());
 
   private void advance(int millis) {
     clock.advance(Duration.ofMillis(millis));
@@ -133,4 +136,52 @@
     advance(10_000);
     assertTrue(store.calls.size() - before <= 45, "calls " + (store.calls.size() - before));
   }
+
+  @Test
+  void viewIsOfUnknownAgeAfterASuspensionUntilItIsConfirmedAnew() {
+    follower.start();
+    advance(500);
+    assertTrue(follower.isConfirmedWithin(Duration.ofSeconds(5)));
+    time.step(3000);
+    assertFalse(follower.isConfirmedWithin(Duration.ofSeconds(5)));
+    advance(20);
+    assertTrue(follower.isConfirmedWithin(Duration.ofSeconds(5)));
+  }
+
+  @Test
+  void callThatWasAskedBeforeASuspensionConfirmsNothing() {
+    follower.start();
+    advance(500);
+    time.step(3000);
+    store.put("a/1", "x");
+    // The watch that waited through the suspension is answered now.
+    advance(5);
+    assertFalse(follower.isConfirmedWithin(Duration.ofSeconds(60)));
+    advance(20);
+    assertTrue(follower.isConfirmedWithin(Duration.ofSeconds(60)));
+  }
+
+  @Test
+  void changeDuringASuspensionIsSeenAtOnce() {
+    follower.start();
+    advance(500);
+    time.step(3000);
+    store.put("a/1", "x");
+    boolean unused = follower.isConfirmedWithin(Duration.ofSeconds(5));
+    advance(20);
+    assertEquals(Map.of("a/1", "x"), seen);
+  }
+
+  @Test
+  void followerGoesOnAsBeforeAfterASuspension() {
+    follower.start();
+    advance(500);
+    time.step(3000);
+    boolean unused = follower.isConfirmedWithin(Duration.ofSeconds(5));
+    advance(20);
+    int calls = store.calls.size();
+    advance(16_000);
+    // One watch of 1.5 s and a pause of 0.1 s after the other.
+    assertEquals(calls + 10, store.calls.size(), 1);
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -11,7 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.IntSupplier;
-import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.Fleet;
@@ -43,7 +43,7 @@
   private final Executor clock;
   private final ForwardContext context;
   private final Supplier<Optional<EntryConfiguration>> configuration;
-  private final LongSupplier confirmedAt;
+  private final Predicate<Duration> confirmedWithin;
   private Duration keyFreshness;
   private final Set<ForwardRun> running = new LinkedHashSet<>();
   private boolean stopping;
@@ -51,12 +51,12 @@
   private Forwarder(
       ForwardContext context,
       Supplier<Optional<EntryConfiguration>> configuration,
-      LongSupplier confirmedAt,
+      Predicate<Duration> confirmedWithin,
       Duration keyFreshness) {
     this.clock = context.clock();
     this.context = context;
     this.configuration = checkNotNull(configuration);
-    this.confirmedAt = checkNotNull(confirmedAt);
+    this.confirmedWithin = checkNotNull(confirmedWithin);
     this.keyFreshness = checkNotNull(keyFreshness);
     context
         .fleet()
@@ -75,7 +75,7 @@
    *
    * @param quarantine requests that are held back because endpoints end under them
    * @param configuration the newest configuration that the node knows
-   * @param confirmedAt when the store was asked the question whose answer confirmed it
+   * @param confirmedWithin whether the store confirmed it in answer to a question of that age
    * @param liveNodes number of nodes that share the endpoints
    */
   public static Forwarder create(
@@ -88,7 +88,7 @@
       SharedQuarantine quarantine,
       ForwardingLimits limits,
       Supplier<Optional<EntryConfiguration>> configuration,
-      LongSupplier confirmedAt,
+      Predicate<Duration> confirmedWithin,
       IntSupplier liveNodes,
       String dataCentre,
       Counters counters) {
@@ -107,7 +107,7 @@
             quarantine.endpoints(),
             dataCentre,
             counters);
-    return new Forwarder(context, configuration, confirmedAt, limits.keyFreshness());
+    return new Forwarder(context, configuration, confirmedWithin, limits.keyFreshness());
   }
 
   /** Sets the bounds for requests from now on. */
@@ -189,8 +189,7 @@
 
   /** Returns whether the configuration was confirmed lately enough to serve. */
   public boolean fresh() {
-    long age = clock.currentTime(NANOSECONDS) - confirmedAt.getAsLong();
-    return configuration.get().isPresent() && age < keyFreshness.toNanos();
+    return configuration.get().isPresent() && confirmedWithin.test(keyFreshness);
   }
 
   /** Returns how many requests are in flight. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/HeldLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/HeldLease.java
@@ -19,12 +19,13 @@
 final class HeldLease {
   private final Executor clock;
   private final SharedStore store;
+  private final SuspensionWatch suspensions;
   private final Duration lifetime;
   private final Duration renewal;
   private final LongConsumer onOpened;
   private final Consumer<String> onLost;
   private OptionalLong id = OptionalLong.empty();
-  private long heldUntil = Long.MIN_VALUE / 2;
+  private long renewedAt = Long.MIN_VALUE / 2;
   private boolean wanted;
 
   /** Rises with each start and lease, so that calls of an earlier one change nothing. */
@@ -33,6 +34,7 @@
   /**
    * Makes a lease that is not open.
    *
+   * @param suspensions after one the lease is not known to be held before it is renewed
    * @param renewal how often it is renewed; well below the lifetime
    * @param onOpened is told the id of each lease that is opened
    * @param onLost is told why a lease is over that was not released
@@ -40,16 +42,19 @@
   HeldLease(
       Executor clock,
       SharedStore store,
+      SuspensionWatch suspensions,
       Duration lifetime,
       Duration renewal,
       LongConsumer onOpened,
       Consumer<String> onLost) {
     this.clock = checkNotNull(clock);
     this.store = checkNotNull(store);
+    this.suspensions = checkNotNull(suspensions);
     this.lifetime = checkNotNull(lifetime);
     this.renewal = checkNotNull(renewal);
     this.onOpened = checkNotNull(onOpened);
     this.onLost = checkNotNull(onLost);
+    suspensions.onWake(this::renewNow);
   }
 
   /** Opens the lease and keeps it, if that is not under way. */
@@ -80,7 +85,16 @@
 
   /** Returns whether the store still keeps the lease for sure. */
   boolean isHeld() {
-    return id.isPresent() && clock.currentTime(NANOSECONDS) < heldUntil;
+    long awakeSince = suspensions.awakeSince();
+    long age = clock.currentTime(NANOSECONDS) - renewedAt;
+    return id.isPresent() && renewedAt >= awakeSince && age < lifetime.toNanos();
+  }
+
+  private void renewNow() {
+    if (wanted && id.isPresent()) {
+      start++;
+      renewOrOpen(start);
+    }
   }
 
   /** Takes note that the store has ended the lease; another is opened after the wait. */
@@ -99,6 +113,8 @@
     if (!wanted || began != start) {
       return;
     }
+    // Before the time is read: what is asked after a suspension has to count as such.
+    suspensions.awakeSince();
     long askedAt = clock.currentTime(NANOSECONDS);
     if (id.isPresent()) {
       Async.onDone(
@@ -113,7 +129,7 @@
               return;
             }
             if (failure == null) {
-              heldUntil = askedAt + lifetime.toNanos();
+              renewedAt = askedAt;
             }
             later(began);
           });
@@ -135,7 +151,7 @@
 
   private void opened(long askedAt, long newId) {
     id = OptionalLong.of(newId);
-    heldUntil = askedAt + lifetime.toNanos();
+    renewedAt = askedAt;
     onOpened.accept(newId);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -93,6 +93,7 @@
       Executor clock,
       Random random,
       SharedStore store,
+      SuspensionWatch suspensions,
       String prefix,
       String node,
       String dataCentre,
@@ -108,6 +109,7 @@
         new HeldLease(
             clock,
             store,
+            suspensions,
             ENTRY_LIFETIME,
             ENTRY_RENEWAL,
             this::writeEntry,
@@ -116,6 +118,7 @@
         new HeldLease(
             clock,
             store,
+            suspensions,
             CONTROLLER_LIFETIME,
             CONTROLLER_RENEWAL,
             this::writeClaim,
@@ -125,6 +128,7 @@
   /**
    * Returns a lease that is opened by {@link #start}.
    *
+   * @param suspensions after one the leases are renewed at once
    * @param prefix of all keys of this product
    * @param box the box's name
    * @param dataCentre where it stands
@@ -135,13 +139,14 @@
       Executor clock,
       Random random,
       SharedStore store,
+      SuspensionWatch suspensions,
       String prefix,
       String box,
       String dataCentre,
       String run,
       Supplier<Optional<HostPort>> address) {
     String node = box + RUN_SEPARATOR + run;
-    return new NodeLease(clock, random, store, prefix, node, dataCentre, address);
+    return new NodeLease(clock, random, store, suspensions, prefix, node, dataCentre, address);
   }
 
   /** Calls back each time that this node has become the controller. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -53,12 +53,18 @@
   private final Supplier<Duration> wait;
   private final Supplier<Duration> pause;
   private final Listener listener;
+  private final SuspensionWatch suspensions;
   private long revision = -1;
   private long confirmedAt = Long.MIN_VALUE / 2;
   private long startedAt;
   private Duration backOff = FIRST_BACK_OFF;
   private Optional<StoreSilence> silence = Optional.empty();
+  private boolean started;
   private boolean stopped;
+  private boolean confirmAtOnce;
+
+  /** Calls begun; the answer to all but the last is ignored. */
+  private int asks;
 
   private PrefixFollower(
       Executor clock,
@@ -68,7 +74,8 @@
       String prefix,
       Supplier<Duration> wait,
       Supplier<Duration> pause,
-      Listener listener) {
+      Listener listener,
+      SuspensionWatch suspensions) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
     this.store = checkNotNull(store);
@@ -77,6 +84,8 @@
     this.wait = checkNotNull(wait);
     this.pause = checkNotNull(pause);
     this.listener = checkNotNull(listener);
+    this.suspensions = checkNotNull(suspensions);
+    suspensions.onWake(this::askAnew);
   }
 
   /**
@@ -84,6 +93,7 @@
    *
    * @param wait how long the next watch waits; bounds the age of the view while the store answers
    * @param pause between an answer and the next call, so that changes that come together cost one
+   * @param suspensions after one the view is confirmed at once
    */
   public static PrefixFollower create(
       Executor clock,
@@ -93,13 +103,16 @@
       String prefix,
       Supplier<Duration> wait,
       Supplier<Duration> pause,
-      Listener listener) {
-    return new PrefixFollower(clock, random, store, counters, prefix, wait, pause, listener);
+      Listener listener,
+      SuspensionWatch suspensions) {
+    return new PrefixFollower(
+        clock, random, store, counters, prefix, wait, pause, listener, suspensions);
   }
 
   /** Begins to follow. */
   public void start() {
     startedAt = clock.currentTime(NANOSECONDS);
+    started = true;
     ask();
   }
 
@@ -113,16 +126,49 @@
     return confirmedAt;
   }
 
+  /** Returns whether the view was confirmed by a call that was asked within that time. */
+  public boolean isConfirmedWithin(Duration age) {
+    long awakeSince = suspensions.awakeSince();
+    long now = clock.currentTime(NANOSECONDS);
+    return confirmedAt >= awakeSince && now - confirmedAt < age.toNanos();
+  }
+
+  /** Asks without a wait; the answer to what was asked before is not waited for any more. */
+  private void askAnew() {
+    if (!stopped && started) {
+      confirmAtOnce = true;
+      ask();
+    }
+  }
+
+  private void askLater(long nanos) {
+    int after = asks;
+    clock.schedule(
+        () -> {
+          if (asks == after) {
+            ask();
+          }
+        },
+        nanos,
+        NANOSECONDS);
+  }
+
   private void ask() {
     if (stopped) {
       return;
     }
+    int ask = ++asks;
+    // Before the time is read: what is asked after a suspension has to count as such.
+    suspensions.awakeSince();
     long askedAt = clock.currentTime(NANOSECONDS);
     if (revision < 0) {
       Async.onDone(
           store.list(prefix),
           clock,
           (view, failure) -> {
+            if (ask != asks) {
+              return;
+            }
             if (failure != null) {
               retry(askedAt, failure);
             } else {
@@ -134,9 +180,12 @@
       return;
     }
     Async.onDone(
-        store.watch(prefix, revision, silence.isPresent() ? NO_WAIT : wait.get()),
+        store.watch(prefix, revision, nextWait()),
         clock,
         (changes, failure) -> {
+          if (ask != asks) {
+            return;
+          }
           if (failure != null) {
             retry(askedAt, failure);
           } else {
@@ -147,6 +196,10 @@
         });
   }
 
+  private Duration nextWait() {
+    return silence.isPresent() || confirmAtOnce ? NO_WAIT : wait.get();
+  }
+
   private void answered(long askedAt, String read) {
     if (stopped) {
       return;
@@ -156,7 +209,8 @@
     silence = Optional.empty();
     confirmedAt = Math.max(confirmedAt, askedAt);
     backOff = FIRST_BACK_OFF;
-    clock.schedule(this::ask, pause.get().toNanos(), NANOSECONDS);
+    confirmAtOnce = false;
+    askLater(pause.get().toNanos());
   }
 
   private void tellRecovery(StoreSilence over, long askedAt, String read) {
@@ -187,7 +241,7 @@
     long jittered = (long) (backOff.toNanos() * (0.5 + random.nextDouble()));
     Duration doubled = backOff.multipliedBy(2);
     backOff = doubled.compareTo(LONGEST_BACK_OFF) > 0 ? LONGEST_BACK_OFF : doubled;
-    clock.schedule(this::ask, jittered, NANOSECONDS);
+    askLater(jittered);
   }
 
   private void noteFailure(long askedAt, Throwable failure) {
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -17,6 +17,7 @@
   SETTINGS_NOT_ACCEPTED(1009, "the changed settings file was not accepted"),
   LOG_LINES_DROPPED(1010, "log lines of an event were over a bound and not written"),
   SETTING_NEEDS_RESTART(1011, "a changed field holds for the life of a process; it was not taken"),
+  MAYBE_SUSPENDED(1012, "the time of day and the steady clock differ: the box may have slept"),
   CONFIGURATION_IN_FORCE(2001, "a newer configuration is in force"),
   CONFIGURATION_STALE_IGNORED(2002, "an older head was seen and ignored"),
   CONFIGURATION_UNREADABLE(2003, "a head or page could not be read"),
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -18,6 +18,7 @@
   PEER_BYTES("vaneworks.peer.bytes", "bytes to and from peers, by direction"),
   LOAD_REPORTS("vaneworks.load.reports", "reports of load between nodes, by outcome"),
   QUARANTINE("vaneworks.quarantine", "requests under which endpoints ended, by step"),
+  SUSPENSIONS("vaneworks.suspensions", "times that the box may have slept, by the time of day"),
   TICKETS("vaneworks.tickets", "ticketed requests, by outcome"),
   CLAIMS("vaneworks.claims", "keyed requests, by outcome"),
   FIRST_TOKEN("vaneworks.first.token", "time to the first token"),
