--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -85,10 +85,11 @@
   final StoreInMemory store = new StoreInMemory(clock);
   private final Map<HostPort, Engine> engines = new LinkedHashMap<>();
   private final List<Node> nodes = new ArrayList<>();
-  private final List<Long> crashingArrivals = new ArrayList<>();
+  private final List<Arrival> crashingArrivals = new ArrayList<>();
   private final List<Long> ends = new ArrayList<>();
   private final long seed;
   private int started;
+  private int runs;
   private int asked;
 
   SharedEngines(int nodes, int engines, long seed) {
@@ -128,7 +129,7 @@
         return;
       }
       if (request.crashes()) {
-        crashingArrivals.add(nowMillis());
+        crashingArrivals.add(new Arrival(request.node, nowMillis()));
       }
       running.add(request);
       later(BEGINS_AFTER_MILLIS, () -> begin(request));
@@ -194,12 +195,17 @@
     }
   }
 
+  /** A crashing request reached an engine from a node. */
+  record Arrival(int node, long atMillis) {}
+
   /** A request at an engine. */
   private final class Running implements EndpointCalls.EndpointCall {
+    private final int node;
     private final Attempt attempt;
     private final EndpointCalls.Listener listener;
 
-    Running(Attempt attempt, EndpointCalls.Listener listener) {
+    Running(int node, Attempt attempt, EndpointCalls.Listener listener) {
+      this.node = node;
       this.attempt = attempt;
       this.listener = listener;
     }
@@ -297,7 +303,9 @@
     private final BoxTime time = new BoxTime(clock);
     private final Forwarder forwarder;
 
-    Node(int number) {
+    /** Makes another run of the node at a place. */
+    Node(int place) {
+      int number = runs++;
       Random random = new Random(seed + number);
       Counters counters = Counters.in(new SimpleMeterRegistry());
       Fleet fleet = Fleet.create(clock, counters, EntryNode.RELIST_GRACE);
@@ -326,7 +334,7 @@
               fleet,
               HealthWatch.create(clock, fleet, this),
               this,
-              SharedEngines.this::send,
+              (attempt, listener) -> send(place, attempt, listener),
               quarantine,
               new ForwardingLimits(Duration.ofMillis(4750), 0.2, 100),
               () -> Optional.of(CONFIGURATION),
@@ -394,8 +402,9 @@
     return engines.get(HostPort.parse(item.value())).endpoint;
   }
 
-  private EndpointCalls.EndpointCall send(Attempt attempt, EndpointCalls.Listener listener) {
-    Running request = new Running(attempt, listener);
+  private EndpointCalls.EndpointCall send(
+      int node, Attempt attempt, EndpointCalls.Listener listener) {
+    Running request = new Running(node, attempt, listener);
     Engine engine = engines.get(attempt.endpoint().address());
     later(1, () -> engine.take(request));
     return request;
@@ -410,7 +419,7 @@
 
   /** Starts another run of a node, which knows nothing of before. */
   void restartNode(int node) {
-    nodes.set(node, new Node(node + nodes.size()));
+    nodes.set(node, new Node(node));
   }
 
   /** Suspends a node's box for a time, or steps its time of day; both look alike to it. */
@@ -430,7 +439,12 @@
 
   /** Returns how often crashing requests reached an engine from that time on. */
   long crashingArrivalsFrom(long millis) {
-    return crashingArrivals.stream().filter(at -> at >= millis).count();
+    return crashingArrivals.stream().filter(arrival -> arrival.atMillis() >= millis).count();
+  }
+
+  /** Returns all arrivals of crashing requests at engines. */
+  ImmutableList<Arrival> crashingArrivals() {
+    return ImmutableList.copyOf(crashingArrivals);
   }
 
   long nowMillis() {
