Quarantine: what is held back outlives an outage in which leases run out

Cause, by reading: leases may run out while the store is away; their keys' removal let what was held back run again. whatIsHeldBackOutlivesAnOutageInWhichItsLeaseRunsOut fails with the time after a silence set to nothing. Also: the time that is told to callers is counted from the first of several signs.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestTest.java
@@ -134,6 +134,25 @@
     assertEquals(before + 1, fleet.crashingArrivalsFrom(0));
   }
 
+  @Test
+  void whatIsHeldBackOutlivesAnOutageInWhichItsLeaseRunsOut() {
+    askAgainAndAgain(10, 500);
+    fleet.store.down = true;
+    fleet.advance(3000);
+    fleet.store.removeAll("quarantine/held/");
+    fleet.store.down = false;
+    fleet.advance(1500);
+    long before = fleet.crashingArrivalsFrom(0);
+    askAgainAndAgain(10, 500);
+    assertEquals(before, fleet.crashingArrivalsFrom(0));
+    for (int node = 0; node < NODES; node++) {
+      fleet.restartNode(node);
+    }
+    fleet.advance(1000);
+    askAgainAndAgain(4, 500);
+    assertEquals(before, fleet.crashingArrivalsFrom(0));
+  }
+
   @Test
   void otherRequestsThatWereAtTheSameEnginesAreServed() {
     List<SharedEngines.Got> others = new ArrayList<>();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -79,12 +79,16 @@
     Long last = askedAt.get(engine);
     boolean askedLately = last != null && now - last < FRESH.toNanos();
     if (!askedLately) {
-      checkAfterLoss(engine);
+      askUnlessUnderWay(engine);
     }
   }
 
   /** Asks an engine whose connection broke: what it answered before says nothing of that. */
   public void checkAfterLoss(TrackedEndpoint engine) {
+    askUnlessUnderWay(engine);
+  }
+
+  private void askUnlessUnderWay(TrackedEndpoint engine) {
     if (asked.contains(engine) || engine.suspected() || engine.delisted()) {
       return;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -138,11 +138,11 @@
   void hold(RequestContent content, String cause) {
     Suspect suspect = suspects.computeIfAbsent(content, unknown -> new Suspect());
     suspect.lastEndAt = now();
-    suspect.heldUntil = now() + HELD_FOR.toNanos();
     if (suspect.held) {
       return;
     }
     suspect.held = true;
+    suspect.heldUntil = now() + HELD_FOR.toNanos();
     counters.count(Metric.QUARANTINE, "held");
     EventLog.warn(Event.QUARANTINE_BEGAN, "content", content, "cause", cause);
     ImmutableList.copyOf(holdListeners).forEach(listener -> listener.accept(content));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
@@ -18,6 +18,7 @@
 import org.vaneworks.coordination.shared.SharedStore;
 import org.vaneworks.coordination.shared.SharedStoreException;
 import org.vaneworks.coordination.shared.StoreChanges;
+import org.vaneworks.coordination.shared.StoreSilence;
 import org.vaneworks.coordination.shared.StoredItem;
 import org.vaneworks.state.RequestContent;
 import org.vaneworks.telemetry.Counters;
@@ -49,6 +50,9 @@
   /** After this, others write what the node that saw the last end has not written. */
   private static final Duration WRITTEN_WITHIN = Duration.ofSeconds(2);
 
+  /** After an outage of the store, in which leases may run out, keys that go say nothing. */
+  private static final Duration AFTER_SILENCE = Duration.ofSeconds(5);
+
   /** Ends that wait to be written while the store is away; some 60 bytes each. */
   private static final int MOST_UNWRITTEN = 1000;
 
@@ -64,6 +68,7 @@
   private final Set<String> takenKeys = new HashSet<>();
   private OptionalLong lease = OptionalLong.empty();
   private long leaseOpenedAt;
+  private long storeSilentAt = Long.MIN_VALUE / 2;
   private boolean writing;
   private int written;
 
@@ -129,8 +134,7 @@
   }
 
   private void writeEnds() {
-    boolean young =
-        clock.currentTime(NANOSECONDS) - leaseOpenedAt < ENDS_KEPT.dividedBy(2).toNanos();
+    boolean young = now() - leaseOpenedAt < ENDS_KEPT.dividedBy(2).toNanos();
     if (lease.isPresent() && young) {
       writeEnds(lease.getAsLong());
       return;
@@ -144,7 +148,7 @@
             return;
           }
           lease = OptionalLong.of(opened);
-          leaseOpenedAt = clock.currentTime(NANOSECONDS);
+          leaseOpenedAt = now();
           writeEnds(opened);
         });
   }
@@ -213,9 +217,12 @@
       take(item);
     }
     takenKeys.retainAll(keys);
-    before.stream()
-        .filter(content -> !heldInStore.contains(content))
-        .forEach(content -> quarantine.release(content, "the store no longer holds it"));
+    before.stream().filter(content -> !heldInStore.contains(content)).forEach(this::gone);
+  }
+
+  @Override
+  public void silent(StoreSilence silence) {
+    storeSilentAt = now();
   }
 
   @Override
@@ -243,14 +250,12 @@
 
   private void takeHeld(RequestContent content) {
     heldInStore.add(content);
-    quarantine.hold(content, "another node found it");
+    quarantine.hold(content, "the store holds it");
   }
 
   private void heard(EndpointEnd end) {
     if (quarantine.noteEnd(end)) {
-      long spread = (long) (WRITTEN_WITHIN.toNanos() * random.nextDouble());
-      clock.schedule(
-          () -> writeHeld(end.content()), WRITTEN_WITHIN.toNanos() + spread, NANOSECONDS);
+      writeHeldLater(end.content());
     }
   }
 
@@ -263,9 +268,27 @@
     try {
       RequestContent content = new RequestContent(name.substring(HELD.length()));
       heldInStore.remove(content);
-      quarantine.release(content, "the store no longer holds it");
+      gone(content);
     } catch (IllegalArgumentException e) {
       EventLog.warn(Event.STORE_VALUE_UNREADABLE, "key", item.key(), "cause", e.getMessage());
     }
   }
+
+  private void gone(RequestContent content) {
+    if (now() - storeSilentAt < AFTER_SILENCE.toNanos()) {
+      writeHeldLater(content);
+    } else {
+      quarantine.release(content, "the store no longer holds it");
+    }
+  }
+
+  /** Writes that a content is held back, unless another node has done so by then. */
+  private void writeHeldLater(RequestContent content) {
+    long spread = (long) (WRITTEN_WITHIN.toNanos() * random.nextDouble());
+    clock.schedule(() -> writeHeld(content), WRITTEN_WITHIN.toNanos() + spread, NANOSECONDS);
+  }
+
+  private long now() {
+    return clock.currentTime(NANOSECONDS);
+  }
 }
