--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Verdict;
+import org.vaneworks.tests.forwarding.Got;
 
 /**
  * Checks how often a request reaches engines that end when they run it.
@@ -67,7 +68,7 @@
     }
     fleet.advance(1000);
     long before = fleet.crashingArrivalsFrom(0);
-    SharedEngines.Got got = fleet.ask(0, SharedEngines.CRASHING);
+    Got got = fleet.ask(0, SharedEngines.CRASHING);
     fleet.advance(1000);
     assertEquals(before, fleet.crashingArrivalsFrom(0));
     assertEquals(Reason.QUARANTINED, got.refusal.get().reason());
@@ -116,7 +117,7 @@
     fleet.store.put("quarantine/other", "");
     askAgainAndAgain(30, 500);
     assertHeldBackAfterTheThirdEnd();
-    SharedEngines.Got got = fleet.ask(0, "letter");
+    Got got = fleet.ask(0, "letter");
     fleet.advance(2000);
     assertTrue(got.whole);
   }
@@ -155,7 +156,7 @@
 
   @Test
   void otherRequestsThatWereAtTheSameEnginesAreServed() {
-    List<SharedEngines.Got> others = new ArrayList<>();
+    List<Got> others = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
       fleet.ask(i, SharedEngines.CRASHING);
       for (int j = 0; j < 10; j++) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -27,9 +27,7 @@
 import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.NobodyListensException;
 import org.vaneworks.coordination.fleet.RepathOutcome;
-import org.vaneworks.coordination.forwarding.AnswerHead;
 import org.vaneworks.coordination.forwarding.Attempt;
-import org.vaneworks.coordination.forwarding.CallerAnswer;
 import org.vaneworks.coordination.forwarding.CallerRequest;
 import org.vaneworks.coordination.forwarding.EndpointCalls;
 import org.vaneworks.coordination.forwarding.Forwarder;
@@ -41,7 +39,6 @@
 import org.vaneworks.coordination.shared.StoredItem;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
-import org.vaneworks.state.Refusal;
 import org.vaneworks.state.RequestContent;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
@@ -52,6 +49,8 @@
 import org.vaneworks.state.entry.WeightedService;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
+import org.vaneworks.tests.forwarding.Got;
+import org.vaneworks.tests.forwarding.Head;
 import org.vaneworks.tests.placement.Models;
 import org.vaneworks.tests.shared.BoxTime;
 import org.vaneworks.tests.shared.StoreInMemory;
@@ -139,7 +138,7 @@
       if (!running.contains(request)) {
         return;
       }
-      request.listener.head(new Head(200));
+      request.listener.head(Head.of(200));
       if (request.crashes()) {
         later(ENDS_AFTER_MILLIS, this::end);
       }
@@ -178,23 +177,6 @@
     }
   }
 
-  private record Head(int status) implements AnswerHead {
-    @Override
-    public boolean notRun() {
-      return false;
-    }
-
-    @Override
-    public boolean matches() {
-      return true;
-    }
-
-    @Override
-    public Optional<HostPort> obstacle() {
-      return Optional.empty();
-    }
-  }
-
   /** A crashing request reached an engine from a node. */
   record Arrival(int node, long atMillis) {}
 
@@ -267,36 +249,6 @@
     }
   }
 
-  /** What a caller got. */
-  static final class Got implements CallerAnswer {
-    boolean whole;
-    boolean cut;
-    Optional<Refusal> refusal = Optional.empty();
-
-    @Override
-    public void head(AnswerHead head) {}
-
-    @Override
-    public boolean data(byte[] bytes) {
-      return true;
-    }
-
-    @Override
-    public void end() {
-      whole = true;
-    }
-
-    @Override
-    public void cut() {
-      cut = true;
-    }
-
-    @Override
-    public void refuse(Refusal given) {
-      refusal = Optional.of(given);
-    }
-  }
-
   /** One node. */
   private final class Node implements EngineControl {
     private final StoreLink link = new StoreLink(clock, store);
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SuspendedBoxTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SuspendedBoxTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.vaneworks.state.Reason;
+import org.vaneworks.tests.forwarding.Got;
 
 /**
  * Checks what a node takes after its box was suspended.
@@ -15,8 +16,8 @@
 final class SuspendedBoxTest {
   private final SharedEngines fleet = new SharedEngines(1, 3, 5);
 
-  private SharedEngines.Got askAndWait() {
-    SharedEngines.Got got = fleet.ask(0, "letter");
+  private Got askAndWait() {
+    Got got = fleet.ask(0, "letter");
     fleet.advance(2000);
     return got;
   }
@@ -24,7 +25,7 @@
   @Test
   void requestRightAfterASuspensionIsNotTakenByWhatWasConfirmedBefore() {
     fleet.timeOfDayMoves(0, 6000);
-    SharedEngines.Got got = askAndWait();
+    Got got = askAndWait();
     assertEquals(Reason.CONFIGURATION_STALE, got.refusal.get().reason());
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -14,7 +14,6 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Verdict;
-import org.vaneworks.tests.forwarding.ForwardingFixture.Got;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
 
 /** Checks admission, what is sent again, and how a broken stream goes on. */
@@ -137,7 +136,7 @@
   void answerToAnotherRequestNeverReachesTheCaller() {
     node.replica(1);
     Got got = node.ask("/unsafe/x");
-    node.last().listener.head(new ForwardingFixture.Head(200, false, false, Optional.empty()));
+    node.last().listener.head(new Head(200, false, false, Optional.empty()));
     assertTrue(node.last().cancelled);
     assertTrue(got.status.isEmpty());
     assertEquals(Verdict.MAY_HAVE_RUN, got.refusal.get().verdict());
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -22,9 +22,7 @@
 import org.vaneworks.coordination.fleet.HealthWatch;
 import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.RepathOutcome;
-import org.vaneworks.coordination.forwarding.AnswerHead;
 import org.vaneworks.coordination.forwarding.Attempt;
-import org.vaneworks.coordination.forwarding.CallerAnswer;
 import org.vaneworks.coordination.forwarding.CallerRequest;
 import org.vaneworks.coordination.forwarding.EndpointCalls;
 import org.vaneworks.coordination.forwarding.Forwarder;
@@ -33,7 +31,6 @@
 import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
-import org.vaneworks.state.Refusal;
 import org.vaneworks.state.RequestContent;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
@@ -96,7 +93,7 @@
     }
 
     void head(int status) {
-      listener.head(new Head(status, false, true, Optional.empty()));
+      listener.head(Head.of(status));
     }
 
     void notRun(int status, Optional<HostPort> obstacle) {
@@ -112,46 +109,6 @@
     }
   }
 
-  record Head(int status, boolean notRun, boolean matches, Optional<HostPort> obstacle)
-      implements AnswerHead {}
-
-  /** What a caller got. */
-  static final class Got implements CallerAnswer {
-    Optional<Integer> status = Optional.empty();
-    Optional<Refusal> refusal = Optional.empty();
-    String body = "";
-    boolean whole;
-    boolean cut;
-    boolean keepsUp = true;
-    Flow flow;
-
-    @Override
-    public void head(AnswerHead head) {
-      status = Optional.of(head.status());
-    }
-
-    @Override
-    public boolean data(byte[] bytes) {
-      body += new String(bytes, UTF_8);
-      return keepsUp;
-    }
-
-    @Override
-    public void end() {
-      whole = true;
-    }
-
-    @Override
-    public void cut() {
-      cut = true;
-    }
-
-    @Override
-    public void refuse(Refusal given) {
-      refusal = Optional.of(given);
-    }
-  }
-
   record Asked(String id, String host, String path, Optional<String> key, Duration limit)
       implements CallerRequest {
     @Override
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PlainCrashTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PlainCrashTest.java
@@ -8,7 +8,6 @@
 import org.junit.jupiter.api.Test;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Verdict;
-import org.vaneworks.tests.forwarding.ForwardingFixture.Got;
 
 /** Checks what becomes of a request that ends the replicas of a plain service. */
 final class PlainCrashTest {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RestartedEndpointTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RestartedEndpointTest.java
@@ -9,7 +9,6 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.state.Verdict;
-import org.vaneworks.tests.forwarding.ForwardingFixture.Got;
 
 /** Checks what becomes of requests whose endpoint starts again under its id. */
 final class RestartedEndpointTest {
