Quarantine: one end at most is put down to one start of a request

Ruled out: contents that are alike; each was one request. What a request does to endpoints shows one start after the other, so a start has one end at most. PathCrashTest failed first (both).

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PathCrashTest.java
@@ -0,0 +1,69 @@
+package org.vaneworks.tests.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.channels.ClosedChannelException;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.state.Reason;
+
+/** Checks what the ends of engines on one path say of the request that passes them. */
+final class PathCrashTest {
+  private final ForwardingFixture node = new ForwardingFixture();
+
+  /** Lists three engines that hold the model together; their numbers begin at one. */
+  private FleetEndpoint[] path(int first) {
+    return new FleetEndpoint[] {
+      node.engine(first, 0, 30), node.engine(first + 1, 30, 60), node.engine(first + 2, 60, 80)
+    };
+  }
+
+  private TrackedEndpoint tracked(FleetEndpoint engine) {
+    return node.fleet.at(ForwardingFixture.MODEL, engine.address()).orElseThrow();
+  }
+
+  private void end(FleetEndpoint engine) {
+    TrackedEndpoint ended = tracked(engine);
+    node.fleet.noteNobodyListens(ended);
+    node.fleet.suspect(ended, "its box refuses connections");
+  }
+
+  private void delist(FleetEndpoint... engines) {
+    for (FleetEndpoint engine : engines) {
+      node.fleet.remove(engine.id());
+    }
+  }
+
+  @Test
+  void threeEnginesOfOnePathThatEndTogetherAreNoProofAgainstARequest() {
+    FleetEndpoint[] lost = path(1);
+    node.ask("/stream/x");
+    node.last().head(200);
+    node.last().event(1);
+    end(lost[2]);
+    end(lost[1]);
+    end(lost[0]);
+    delist(lost);
+    path(4);
+    Got again = node.ask("/stream/x");
+    assertEquals(Optional.empty(), again.refusal);
+  }
+
+  @Test
+  void requestThatEndsALaterEngineOfEachPathIsHeldBack() {
+    for (int first = 1; first <= 7; first += 3) {
+      FleetEndpoint[] engines = path(first);
+      Got got = node.ask("/once/x");
+      node.last().head(200);
+      end(engines[1]);
+      node.last().listener.failed(false, new ClosedChannelException());
+      assertTrue(got.cut);
+      delist(engines);
+    }
+    path(10);
+    assertEquals(Reason.QUARANTINED, node.ask("/once/x").refusal.orElseThrow().reason());
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/EndedEndpointsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/EndedEndpointsTest.java
@@ -14,6 +14,7 @@
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.quarantine.EndedEndpoints;
 import org.vaneworks.coordination.quarantine.EndpointEnd;
+import org.vaneworks.coordination.quarantine.RequestStart;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.RequestContent;
 import org.vaneworks.telemetry.Counters;
@@ -68,14 +69,14 @@
 
   @Test
   void brokenConnectionAloneShowsNoEnd() {
-    ended.lost(endpoint, CONTENT, JUST_NOW);
+    ended.lost(endpoint, RequestStart.of(CONTENT), JUST_NOW);
     clock.advance(Duration.ofSeconds(30));
     assertEquals(List.of(), ends);
   }
 
   @Test
   void refusedConnectionAfterABrokenOneShowsTheEnd() {
-    ended.lost(endpoint, CONTENT, JUST_NOW);
+    ended.lost(endpoint, RequestStart.of(CONTENT), JUST_NOW);
     fleet.noteNobodyListens(endpoint);
     assertPutDown();
   }
@@ -83,20 +84,20 @@
   @Test
   void requestThatIsLostAfterTheEndIsKnownIsSuspectedToo() {
     fleet.noteNobodyListens(endpoint);
-    ended.lost(endpoint, CONTENT, JUST_NOW);
+    ended.lost(endpoint, RequestStart.of(CONTENT), JUST_NOW);
     assertPutDown();
   }
 
   @Test
   void laterRunShowsTheEndOfTheFormer() {
-    ended.lost(endpoint, CONTENT, JUST_NOW);
+    ended.lost(endpoint, RequestStart.of(CONTENT), JUST_NOW);
     list(2000);
     assertPutDown();
   }
 
   @Test
   void endpointThatStopsListingItselfHasEnded() {
-    ended.lost(endpoint, CONTENT, JUST_NOW);
+    ended.lost(endpoint, RequestStart.of(CONTENT), JUST_NOW);
     clock.advance(Duration.ofSeconds(4));
     fleet.remove("e1");
     assertPutDown();
@@ -104,7 +105,7 @@
 
   @Test
   void endpointThatAnnouncedItsLeavingIsNotPutDownToARequest() {
-    ended.lost(endpoint, CONTENT, JUST_NOW);
+    ended.lost(endpoint, RequestStart.of(CONTENT), JUST_NOW);
     fleet.put(leaving(endpoint.endpoint()));
     fleet.remove("e1");
     assertEquals(List.of(), ends);
@@ -112,14 +113,14 @@
 
   @Test
   void requestThatHadRunForLongerIsNotSuspected() {
-    ended.lost(endpoint, CONTENT, EndedEndpoints.JUST_BEGUN.plusMillis(1));
+    ended.lost(endpoint, RequestStart.of(CONTENT), EndedEndpoints.JUST_BEGUN.plusMillis(1));
     fleet.noteNobodyListens(endpoint);
     assertEquals(List.of(), ends);
   }
 
   @Test
   void refusalLongAfterABrokenConnectionSaysNothingOfIt() {
-    ended.lost(endpoint, CONTENT, JUST_NOW);
+    ended.lost(endpoint, RequestStart.of(CONTENT), JUST_NOW);
     clock.advance(Duration.ofSeconds(8));
     fleet.noteNobodyListens(endpoint);
     assertEquals(List.of(), ends);
@@ -130,7 +131,7 @@
     fleet.suspect(endpoint, "test");
     fleet.noteNobodyListens(endpoint);
     fleet.clear(endpoint);
-    ended.lost(endpoint, CONTENT, JUST_NOW);
+    ended.lost(endpoint, RequestStart.of(CONTENT), JUST_NOW);
     assertEquals(List.of(), ends);
     fleet.noteNobodyListens(endpoint);
     assertPutDown();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ContentGuard.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ContentGuard.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.coordination.quarantine.RequestStart;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.RequestContent;
@@ -18,6 +19,7 @@
   private final CallerRequest request;
   private final Optional<String> workspace;
   private Optional<RequestContent> content = Optional.empty();
+  private Optional<RequestStart> start = Optional.empty();
 
   ContentGuard(ForwardContext context, CallerRequest request, Optional<String> workspace) {
     this.context = context;
@@ -46,10 +48,18 @@
     return !context.quarantine().isEmpty() && context.quarantine().isOneEndShort(content());
   }
 
+  /** Notes that the request is sent, or goes on over another path. */
+  void started() {
+    start = Optional.empty();
+  }
+
   /** Notes that an endpoint was lost that the request was sent to, or that ran part of its path. */
   void lost(TrackedEndpoint endpoint, Duration sinceSent, Optional<Duration> sinceFirstPart) {
     ForwardLog.lostEndpoint(request, content(), endpoint, sinceSent, sinceFirstPart);
-    context.endedEndpoints().lost(endpoint, content(), sinceFirstPart.orElse(sinceSent));
+    if (start.isEmpty()) {
+      start = Optional.of(RequestStart.of(content()));
+    }
+    context.endedEndpoints().lost(endpoint, start.get(), sinceFirstPart.orElse(sinceSent));
   }
 
   /** Notes that an endpoint answered the request whole. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -193,6 +193,7 @@
     sends++;
     sentAt = now();
     firstPartAt = OptionalLong.empty();
+    guard.started();
     lastSentTo = Optional.of(place.target());
     attemptNumber++;
     Attempt attempt =
@@ -535,6 +536,7 @@
           public void replaced(EnginePath next) {
             place.replace(next);
             progress.restarted();
+            guard.started();
           }
 
           @Override
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/EndedEndpoints.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/EndedEndpoints.java
@@ -12,7 +12,6 @@
 import java.util.function.Consumer;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
-import org.vaneworks.state.RequestContent;
 
 /**
  * Puts the end of an endpoint's process down to the requests that it had just begun.
@@ -34,7 +33,7 @@
    */
   private static final Duration KNOWN_WITHIN = Duration.ofSeconds(7);
 
-  private record Lost(RequestContent content, long at) {}
+  private record Lost(RequestStart start, long at) {}
 
   private final Executor clock;
   private final Consumer<EndpointEnd> onEnd;
@@ -55,18 +54,19 @@
   /**
    * Notes that an endpoint was lost while it had a request.
    *
+   * @param start the request's start at that endpoint or its path
    * @param ranFor since the request was sent there, or since the first part of its answer
    */
-  public void lost(TrackedEndpoint endpoint, RequestContent content, Duration ranFor) {
+  public void lost(TrackedEndpoint endpoint, RequestStart start, Duration ranFor) {
     if (ranFor.compareTo(JUST_BEGUN) > 0) {
       return;
     }
     if (endpoint.processGone()) {
-      tell(endpoint, content);
+      tell(endpoint, start);
     } else if (!endpoint.delisted()) {
       lostAt
           .computeIfAbsent(endpoint, unknown -> new ArrayList<>())
-          .add(new Lost(content, clock.currentTime(NANOSECONDS)));
+          .add(new Lost(start, clock.currentTime(NANOSECONDS)));
     }
   }
 
@@ -85,10 +85,12 @@
     long since = clock.currentTime(NANOSECONDS) - KNOWN_WITHIN.toNanos();
     lost.stream()
         .filter(request -> request.at() >= since)
-        .forEach(request -> tell(endpoint, request.content()));
+        .forEach(request -> tell(endpoint, request.start()));
   }
 
-  private void tell(TrackedEndpoint endpoint, RequestContent content) {
-    onEnd.accept(new EndpointEnd(content, endpoint.endpoint().run()));
+  private void tell(TrackedEndpoint endpoint, RequestStart start) {
+    if (start.takeEnd()) {
+      onEnd.accept(new EndpointEnd(start.content(), endpoint.endpoint().run()));
+    }
   }
 }
