Rooms: at-most-once records and membership of vaneworksd have packages of their own

Moves only: 14 classes to coordination.once, 9 to coordination.membership, which knows once and never the other way round; what the root's wiring calls became public. The root holds 12 classes instead of 35. Two rules of LayersTest name the arrows, and that the forwarding node uses none of the other daemon's. No class that a forwarding node loads is touched.

--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryPeers.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryPeers.java
@@ -9,10 +9,10 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.coordination.Node;
-import org.vaneworks.coordination.PeerException;
-import org.vaneworks.coordination.PeerLink;
-import org.vaneworks.coordination.PeerMessage;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.membership.PeerException;
+import org.vaneworks.coordination.membership.PeerLink;
+import org.vaneworks.coordination.membership.PeerMessage;
 import org.vaneworks.protocol.PeerCodec;
 import org.vaneworks.state.HostPort;
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/LayersTest.java
@@ -127,6 +127,30 @@
               "org.vaneworks.coordination.relay..",
               "org.vaneworks.coordination.shared..");
 
+  /** Records of requests know no peers; peers carry them. */
+  @ArchTest
+  static final ArchRule ONCE_DOES_NOT_USE_MEMBERSHIP =
+      noClasses()
+          .that()
+          .resideInAPackage("org.vaneworks.coordination.once..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.vaneworks.coordination.membership..");
+
+  /** The forwarding node and the product's own daemon share only what both are built on. */
+  @ArchTest
+  static final ArchRule FORWARDING_DOES_NOT_USE_THE_OTHER_DAEMON =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.vaneworks.coordination.forwarding..", "org.vaneworks.coordination.quarantine..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.vaneworks.coordination.once..",
+              "org.vaneworks.coordination.membership..",
+              "org.vaneworks.coordination.pipeline..");
+
   @ArchTest
   static final ArchRule NO_IO_IN_THE_CORE =
       noClasses()
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ClaimDesk.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ClaimDesk.java
@@ -13,9 +13,17 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import org.vaneworks.coordination.PeerMessage.AskClaims;
-import org.vaneworks.coordination.PeerMessage.Claims;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.membership.Member;
+import org.vaneworks.coordination.membership.MemberTable;
+import org.vaneworks.coordination.membership.PeerLink;
+import org.vaneworks.coordination.membership.PeerMessage;
+import org.vaneworks.coordination.membership.PeerMessage.AskClaims;
+import org.vaneworks.coordination.membership.PeerMessage.Claims;
+import org.vaneworks.coordination.once.Claim;
+import org.vaneworks.coordination.once.ClaimFormat;
+import org.vaneworks.coordination.once.ClaimShard;
+import org.vaneworks.coordination.once.OnceLimits;
 import org.vaneworks.coordination.store.PlatformStore;
 
 /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/NodeLimits.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/NodeLimits.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.vaneworks.coordination.endpoints.EndpointLimits;
+import org.vaneworks.coordination.once.OnceLimits;
 import org.vaneworks.coordination.pipeline.PipelineLimits;
 import org.vaneworks.coordination.routing.RoutingSettings;
 import org.vaneworks.coordination.store.StoreBudget;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/NodeOutside.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/NodeOutside.java
@@ -7,6 +7,8 @@
 import org.vaneworks.coordination.boxes.BoxList;
 import org.vaneworks.coordination.configuration.ConfigurationFormat;
 import org.vaneworks.coordination.endpoints.EndpointClient;
+import org.vaneworks.coordination.membership.PeerLink;
+import org.vaneworks.coordination.once.ClaimFormat;
 import org.vaneworks.coordination.store.PlatformStore;
 import org.vaneworks.telemetry.Counters;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Gossip.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/membership/Gossip.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.membership;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/MemberStatus.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/membership/MemberStatus.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.membership;
 
 /** Whether a member is thought alive; at equal sequence the later constant wins. */
 public enum MemberStatus {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/MemberTable.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/membership/MemberTable.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.membership;
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
@@ -222,14 +222,14 @@
   }
 
   /** Returns the identities that a task falls on first, this node's among them. */
-  List<String> pick(String task) {
+  public List<String> pick(String task) {
     Stream<String> identities =
         Stream.concat(Stream.of(self().identity()), present().stream().map(Member::identity));
     return Rendezvous.order(task, identities);
   }
 
   /** Returns whether a task of this data centre falls on this node, among the first few. */
-  boolean isPickedHere(String task, int among) {
+  public boolean isPickedHere(String task, int among) {
     Member own = self();
     Stream<String> identities =
         Stream.concat(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Membership.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/membership/Membership.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.membership;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
@@ -19,11 +19,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.vaneworks.coordination.PeerMessage.Ack;
-import org.vaneworks.coordination.PeerMessage.Ping;
-import org.vaneworks.coordination.PeerMessage.PingFor;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.endpoints.EndpointHint;
+import org.vaneworks.coordination.membership.PeerMessage.Ack;
+import org.vaneworks.coordination.membership.PeerMessage.Ping;
+import org.vaneworks.coordination.membership.PeerMessage.PingFor;
 import org.vaneworks.state.HostPort;
 
 /**
@@ -93,27 +93,27 @@
   }
 
   /** Sets who is told of a peer with a newer configuration. */
-  void onNewerVersion(Consumer<Gossip> listener) {
+  public void onNewerVersion(Consumer<Gossip> listener) {
     onNewerVersion = checkNotNull(listener);
   }
 
   /** Sets who is told of an endpoint that leaves. */
-  void onLeaving(Consumer<EndpointHint> listener) {
+  public void onLeaving(Consumer<EndpointHint> listener) {
     onLeaving = checkNotNull(listener);
   }
 
   /** Starts to ping. */
-  void start() {
+  public void start() {
     executor.execute(this::period);
   }
 
   /** Stops to ping. */
-  void stop() {
+  public void stop() {
     stopped = true;
   }
 
   /** Takes the addresses at which the platform lists nodes. */
-  synchronized void seeds(Set<HostPort> addresses) {
+  public synchronized void seeds(Set<HostPort> addresses) {
     seeds = new HashSet<>(addresses);
   }
 
@@ -203,7 +203,7 @@
   }
 
   /** Serves a membership message of a peer. */
-  CompletableFuture<PeerMessage> serve(PeerMessage message) {
+  public CompletableFuture<PeerMessage> serve(PeerMessage message) {
     if (message instanceof Ping ping) {
       take(ping.gossip());
       return CompletableFuture.completedFuture(new Ack(ping.joining() ? wholeList() : gossip()));
@@ -229,7 +229,7 @@
   }
 
   /** Passes on that an endpoint leaves. */
-  void tellLeaving(EndpointHint hint) {
+  public void tellLeaving(EndpointHint hint) {
     if (addHint(hint)) {
       tellSome();
     }
@@ -247,7 +247,7 @@
   }
 
   /** Tells a few members at once what is new here; they tell others in turn. */
-  void tellSome() {
+  public void tellSome() {
     List<Member> members = new ArrayList<>(table.present());
     Collections.shuffle(members, random);
     members.stream()
@@ -256,7 +256,7 @@
   }
 
   /** Tells that this node left, and who has its records. */
-  void tellLeft(Optional<String> successor) {
+  public void tellLeft(Optional<String> successor) {
     table.selfIs(MemberStatus.LEFT, successor);
     tellSome();
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PeerException.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/membership/PeerException.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.membership;
 
 /** A request to a peer that got no reply. */
 public final class PeerException extends RuntimeException {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PeerLink.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/membership/PeerLink.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.membership;
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/PeerMessage.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/membership/PeerMessage.java
@@ -1,10 +1,14 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.membership;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import org.vaneworks.coordination.once.Claim;
+import org.vaneworks.coordination.once.OnceOutcome;
+import org.vaneworks.coordination.once.OnceRequest;
+import org.vaneworks.coordination.once.RecordsPart;
 import org.vaneworks.state.HostPort;
 
 /** What nodes say to each other: requests and their replies. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/Rendezvous.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/membership/Rendezvous.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.membership;
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ClaimFormat.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/ClaimFormat.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.once;
 
 import com.google.common.collect.ImmutableList;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ClaimShard.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/ClaimShard.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.once;
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
@@ -30,7 +30,7 @@
  * grow with requests. The store's compare-and-swap decides; any number of nodes may believe that
  * they are the writer. Thread-safe; futures are completed with no lock held.
  */
-final class ClaimShard {
+public final class ClaimShard {
   /** Least time between two writes of one shard. */
   private static final Duration WRITE_EVERY = Duration.ofMillis(100);
 
@@ -63,7 +63,8 @@
   @GuardedBy("this")
   private long lastWrite;
 
-  ClaimShard(
+  /** Creates the writer of one shard; it writes nothing before the first claim. */
+  public ClaimShard(
       String key, Executor executor, PlatformStore store, ClaimFormat format, OnceLimits limits) {
     this.key = key;
     this.executor = executor;
@@ -79,7 +80,7 @@
    * @param limit how long to go on trying
    * @return the claim in force for the key, this one or an earlier one
    */
-  CompletableFuture<Claim> claim(Claim claim, Duration limit) {
+  public CompletableFuture<Claim> claim(Claim claim, Duration limit) {
     Wanted wanted = new Wanted(claim, now() + limit.toNanos(), new CompletableFuture<>());
     synchronized (this) {
       // A claim once seen stays in force until it is old, also while the store can't be asked.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceBook.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/OnceBook.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.once;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 import static com.google.common.base.Preconditions.checkState;
@@ -22,9 +22,9 @@
  * <p>A record is made before anything is sent and is never unmade while its ticket or claim could
  * still be used, so a second run can't start. Thread-safe; futures are completed with no lock held.
  */
-final class OnceBook {
+public final class OnceBook {
   /** What the book says to one who wants to run a request. */
-  sealed interface Opening {
+  public sealed interface Opening {
     /** Run it, and tell the book how it ended. */
     record Start() implements Opening {}
 
@@ -58,7 +58,8 @@
   @GuardedBy("this")
   private long bytes;
 
-  OnceBook(Executor clock, OnceLimits limits) {
+  /** Creates an empty book. */
+  public OnceBook(Executor clock, OnceLimits limits) {
     this.clock = checkNotNull(clock);
     this.limits = checkNotNull(limits);
   }
@@ -68,7 +69,7 @@
    *
    * @param mayCreate whether a missing record proves that the request never ran
    */
-  synchronized Opening open(String recordId, String bodyHash, boolean mayCreate) {
+  public synchronized Opening open(String recordId, String bodyHash, boolean mayCreate) {
     Entry entry = entries.get(recordId);
     if (entry == null) {
       return mayCreate ? create(recordId, bodyHash) : refuse(gone());
@@ -104,7 +105,7 @@
   }
 
   /** Takes the outcome of a request that was started; one that did not run may run later. */
-  void finish(String recordId, OnceOutcome outcome) {
+  public void finish(String recordId, OnceOutcome outcome) {
     CompletableFuture<OnceOutcome> waiting;
     synchronized (this) {
       Entry entry = entries.get(recordId);
@@ -121,7 +122,7 @@
   }
 
   /** Unmakes a record whose claim went to another; nobody else knows its name. */
-  synchronized void discard(String recordId) {
+  public synchronized void discard(String recordId) {
     entries.remove(recordId);
   }
 
@@ -142,7 +143,7 @@
   }
 
   /** Returns the records to hand over; to be called once nothing runs any more. */
-  synchronized ImmutableList<OnceRecord> records() {
+  public synchronized ImmutableList<OnceRecord> records() {
     ImmutableList.Builder<OnceRecord> records = ImmutableList.builder();
     entries.forEach(
         (id, entry) -> {
@@ -154,7 +155,7 @@
   }
 
   /** Takes another node's records in. */
-  synchronized void adopt(Iterable<OnceRecord> records) {
+  public synchronized void adopt(Iterable<OnceRecord> records) {
     for (OnceRecord record : records) {
       Entry entry = new Entry(record.bodyHash(), now());
       entry.running = false;
@@ -165,7 +166,7 @@
   }
 
   /** Returns how many records are held. */
-  synchronized int size() {
+  public synchronized int size() {
     return entries.size();
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceDelivery.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/OnceDelivery.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.once;
 
 import com.google.common.collect.ImmutableList;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
@@ -10,13 +10,14 @@
  * Gives a caller a completion's tokens: those that come live, then those of the outcome that are
  * still missing, then the end. Thread-safe.
  */
-final class OnceDelivery implements AnswerSink {
+public final class OnceDelivery implements AnswerSink {
   private final AnswerSink caller;
 
   @GuardedBy("this")
   private int given;
 
-  OnceDelivery(AnswerSink caller) {
+  /** Creates a delivery to a caller who is there. */
+  public OnceDelivery(AnswerSink caller) {
     this.caller = caller;
   }
 
@@ -35,7 +36,7 @@
   public void failed(Refusal refusal) {}
 
   /** Takes the outcome, once. */
-  synchronized void end(OnceOutcome outcome) {
+  public synchronized void end(OnceOutcome outcome) {
     if (outcome instanceof OnceOutcome.Tokens whole) {
       ImmutableList<String> tokens = whole.tokens();
       tokens.subList(Math.min(given, tokens.size()), tokens.size()).forEach(caller::token);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/OnceRequest.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.once;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceStarter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/OnceStarter.java
@@ -1,11 +1,11 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.once;
 
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.coordination.pipeline.AnswerSink;
 
 /** Runs a request whose record says that it may run now. */
 @FunctionalInterface
-interface OnceStarter {
+public interface OnceStarter {
   /**
    * Runs the request, once.
    *
--- a/vaneworks/src/main/java/org/vaneworks/coordination/TicketOffice.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/TicketOffice.java
@@ -1,4 +1,4 @@
-package org.vaneworks.coordination;
+package org.vaneworks.coordination.once;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -22,12 +22,12 @@
  * <p>A ticket names its home and is signed, so that issuing one takes no memory: only a used ticket
  * has a record. Thread-safe.
  */
-final class TicketOffice {
+public final class TicketOffice {
   private static final Pattern FORM = Pattern.compile("(.+)!(\\d+)!(\\d+)!([0-9a-f]{24})");
   private static final int SIGNATURE_DIGITS = 24;
 
   /** What a ticket is worth here. */
-  enum Worth {
+  public enum Worth {
     VALID,
     EXPIRED,
     FORGED
@@ -43,7 +43,8 @@
   @GuardedBy("this")
   private final Map<String, Held> authorities = new HashMap<>();
 
-  TicketOffice(Executor clock, OnceLimits limits, String identity, String secret) {
+  /** Creates an office that signs as this run of this node. */
+  public TicketOffice(Executor clock, OnceLimits limits, String identity, String secret) {
     this.clock = checkNotNull(clock);
     this.limits = checkNotNull(limits);
     this.identity = checkNotNull(identity);
@@ -51,7 +52,7 @@
   }
 
   /** Issues tickets. */
-  ImmutableList<String> issue(int count) {
+  public ImmutableList<String> issue(int count) {
     ImmutableList.Builder<String> tickets = ImmutableList.builder();
     for (int i = 0; i < count; i++) {
       String body = identity + "!" + sequence.incrementAndGet() + "!" + now();
@@ -65,7 +66,7 @@
    *
    * @throws IllegalArgumentException if the text has not the form of a ticket
    */
-  static String homeOf(String ticket) {
+  public static String homeOf(String ticket) {
     return parse(ticket).group(1);
   }
 
@@ -76,12 +77,12 @@
   }
 
   /** Returns whether this node answers for a node's tickets and claims. */
-  boolean answersFor(String node) {
+  public boolean answersFor(String node) {
     return held(node).isPresent();
   }
 
   /** Returns what a ticket is worth whose home this node answers for. */
-  Worth worth(String ticket) {
+  public Worth worth(String ticket) {
     Matcher parts = parse(ticket);
     Held held = held(parts.group(1)).orElseThrow();
     String body = ticket.substring(0, ticket.lastIndexOf('!'));
@@ -104,12 +105,12 @@
   }
 
   /** Takes another node's authority over; its clock goes on from where it was. */
-  synchronized void adopt(TicketAuthority authority) {
+  public synchronized void adopt(TicketAuthority authority) {
     authorities.put(authority.identity(), new Held(authority, now() - authority.clockMillis()));
   }
 
   /** Returns every authority held, as of now. */
-  synchronized ImmutableList<TicketAuthority> authorities() {
+  public synchronized ImmutableList<TicketAuthority> authorities() {
     ImmutableList.Builder<TicketAuthority> all = ImmutableList.builder();
     for (Held held : authorities.values()) {
       TicketAuthority authority = held.authority();
--- a/vaneworks/src/main/java/org/vaneworks/protocol/ClaimJson.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/ClaimJson.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.google.common.collect.ImmutableList;
-import org.vaneworks.coordination.Claim;
-import org.vaneworks.coordination.ClaimFormat;
+import org.vaneworks.coordination.once.Claim;
+import org.vaneworks.coordination.once.ClaimFormat;
 
 /** Claim shards as JSON; field names are short because a document holds thousands of claims. */
 public final class ClaimJson implements ClaimFormat {
--- a/vaneworks/src/main/java/org/vaneworks/transport/NodeStatusJson.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/NodeStatusJson.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.vaneworks.coordination.Member;
 import org.vaneworks.coordination.Node;
 import org.vaneworks.coordination.endpoints.EndpointState;
+import org.vaneworks.coordination.membership.Member;
 import org.vaneworks.protocol.Json;
 
 /** What a node tells operators of itself. */
