A request that is held back is given no other path either

Cause, by reading each way that sends a request again: a first send, a repeat, a send after waiting in line, a change of the path when an engine is lost or leaves, and the further orders of such a change each 150 ms. All but the last asked whether the request is held back; up to five orders could follow after it was. Ruled out: breaking each running request off at once; one that runs has begun and ends nothing more.

Change: each order of a path replacement asks first; if it is held back, the replacement is given up as refused. pathIsNotOrderedAgainOnceTheRequestIsHeldBack failed without it (7 orders instead of 3).

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PathCrashTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PathCrashTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.Reason;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
@@ -92,4 +93,22 @@
     attempt.listener.end();
     assertTrue(got.whole);
   }
+
+  @Test
+  void pathIsNotOrderedAgainOnceTheRequestIsHeldBack() {
+    FleetEndpoint[] running = path(20);
+    node.ask("/once/x");
+    node.last().head(200);
+    node.advance(1500);
+    tracked(running[0]).avoidUntil(Long.MAX_VALUE);
+    node.engine(30, 30, 60);
+    node.control.answer = new RepathOutcome(RepathOutcome.Kind.REFUSED, Optional.empty());
+    end(running[1]);
+    node.clock.runDue();
+    assertEquals(1, node.control.repaths.size());
+    holdBack();
+    int ordered = node.control.repaths.size();
+    node.advance(900);
+    assertEquals(ordered, node.control.repaths.size());
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -558,6 +558,7 @@
             lost,
             cause,
             () -> number == attemptNumber && passes(lost),
+            guard::isHeldBack,
             MAX_REPATHS,
             owner)
         .begin();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -41,6 +41,7 @@
   private final TrackedEndpoint lost;
   private final String cause;
   private final BooleanSupplier stillWanted;
+  private final BooleanSupplier heldBack;
   private final Owner owner;
   private int triesLeft;
 
@@ -50,6 +51,7 @@
    * @param lost the engine whose layers others are to run
    * @param cause for the log
    * @param stillWanted whether the same attempt still runs over that engine
+   * @param heldBack whether the request must not be begun anywhere else
    * @param tries orders that may be given
    */
   PathReplacement(
@@ -59,6 +61,7 @@
       TrackedEndpoint lost,
       String cause,
       BooleanSupplier stillWanted,
+      BooleanSupplier heldBack,
       int tries,
       Owner owner) {
     this.context = context;
@@ -67,6 +70,7 @@
     this.lost = lost;
     this.cause = cause;
     this.stillWanted = stillWanted;
+    this.heldBack = heldBack;
     this.triesLeft = tries;
     this.owner = owner;
   }
@@ -76,7 +80,7 @@
   }
 
   private void order(ImmutableList<TrackedEndpoint> without) {
-    if (triesLeft-- <= 0) {
+    if (triesLeft-- <= 0 || heldBack.getAsBoolean()) {
       owner.refused(lost);
       return;
     }
