Engines that name a limit get as much as before: reproduced, red

Eight nodes, three engines, 28 requests a second, paused time. 24 and 25 requests too many in the worst four seconds. The nodes' lines (VW3012) show that each of those that sent had the limit.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -106,6 +106,7 @@
   private final class Engine {
     private final FleetEndpoint endpoint;
     private final Set<Running> running = new LinkedHashSet<>();
+    private final EngineArrivals arrivals = new EngineArrivals();
     private boolean ended;
 
     Engine(int number) {
@@ -130,6 +131,7 @@
       if (request.crashes()) {
         crashingArrivals.add(new Arrival(request.node, nowMillis()));
       }
+      arrivals.arrived(request.node, nowMillis());
       running.add(request);
       later(BEGINS_AFTER_MILLIS, () -> begin(request));
     }
@@ -138,7 +140,8 @@
       if (!running.contains(request)) {
         return;
       }
-      request.listener.head(Head.of(200));
+      request.listener.head(Head.of(200, arrivals.limit()));
+      arrivals.answered(request.node, nowMillis());
       if (request.crashes()) {
         later(ENDS_AFTER_MILLIS, this::end);
       }
@@ -384,6 +387,11 @@
     nodes.get(node).link.cut(cut);
   }
 
+  /** Returns what reached the engine that was started at that place. */
+  EngineArrivals arrivalsAt(int place) {
+    return ImmutableList.copyOf(engines.values()).get(place).arrivals;
+  }
+
   /** Returns when engines ended, in milliseconds. */
   ImmutableList<Long> ends() {
     return ImmutableList.copyOf(ends);
