Limits that endpoints name are kept by all nodes together

Callers saw nothing yet; an engine in need got some nine requests a second where it had said in its answers that it takes 3.3 from all nodes together. Cause: nothing read what an endpoint says of itself on an answer; each node chose by load alone. Class: a bound that an endpoint states for all nodes together, with no one to divide it. Ruled out: that each node kept it alone (told nodes sent as before), and repeats (none logged).

Now the word is kept with the endpoint, a few nodes share it by a hash of its id over the live boxes of its data centre, starts are spaced, and load reports carry the word and its end. Why it holds: at most one start in hand at each sharing node, and no more such nodes than the endpoint takes in two seconds.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -22,6 +22,7 @@
 import org.vaneworks.coordination.load.LoadExchange;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.coordination.load.LoadSender;
+import org.vaneworks.coordination.load.StartShares;
 import org.vaneworks.coordination.placement.PlacementController;
 import org.vaneworks.coordination.quarantine.SharedQuarantine;
 import org.vaneworks.coordination.shared.MeasuredStore;
@@ -127,6 +128,7 @@
             lease::peers,
             lease::liveNodes,
             new Reports());
+    StartShares.keep(io, random, fleet, settings.name(), settings.dataCentre(), lease::peers);
     SharedQuarantine quarantine =
         SharedQuarantine.create(
             io, random, store, QUARANTINE_PREFIX, settings.name() + "/" + run, fleet, counters);
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EngineArrivals.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EngineArrivals.java
@@ -19,35 +19,38 @@
   private static final int TOLD_BEFORE_MILLIS = 500;
   private static final double MOST_TIMES_LIMIT = 1.5;
   private static final int SLACK = 5;
+  private static final int STEP_MILLIS = 100;
 
-  private record Arrival(int node, long atMillis) {}
+  private record Arrival(long atMillis, boolean fromNodeThatHadItsWord) {}
+
+  /** A limit in force from some time on. */
+  private record Word(long fromMillis, StatedLimit limit) {}
 
   private final List<Arrival> arrivals = new ArrayList<>();
+  private final List<Word> words = new ArrayList<>(List.of(new Word(0, StatedLimit.none())));
   private final Map<Integer, Long> toldAt = new HashMap<>();
-  private StatedLimit limit = StatedLimit.none();
-  private long namedAt;
 
   StatedLimit limit() {
-    return limit;
+    return words.get(words.size() - 1).limit();
   }
 
   /** Names a limit from now on, or none any more. */
   void limit(StatedLimit stated, long atMillis) {
-    if (!limit.isLimited()) {
-      namedAt = atMillis;
+    if (!stated.isLimited()) {
       toldAt.clear();
     }
-    limit = stated;
+    words.add(new Word(atMillis, stated));
   }
 
   /** Notes that a request came from a node. */
   void arrived(int node, long atMillis) {
-    arrivals.add(new Arrival(node, atMillis));
+    Long told = toldAt.get(node);
+    arrivals.add(new Arrival(atMillis, told != null && told + TOLD_BEFORE_MILLIS <= atMillis));
   }
 
   /** Notes that a node passed an answer on. */
   void answered(int node, long atMillis) {
-    if (limit.isLimited()) {
+    if (limit().isLimited()) {
       toldAt.putIfAbsent(node, atMillis);
     }
   }
@@ -67,22 +70,48 @@
   /** Returns how many requests were too many in the worst four seconds up to now; 0 if none. */
   long excess(long nowMillis) {
     long worst = 0;
-    for (long end = namedAt + LEARNT_AFTER_MILLIS; end <= nowMillis; end += 100) {
-      worst = Math.max(worst, counted(end) - allowed());
+    for (long end = 0; end <= nowMillis; end += STEP_MILLIS) {
+      if (isLearnt(end)) {
+        worst = Math.max(worst, counted(end) - allowed(end));
+      }
     }
     return worst;
   }
 
+  /** Returns whether a limit was in force all the time in which nodes could learn of it. */
+  private boolean isLearnt(long end) {
+    return inForce(end - LEARNT_AFTER_MILLIS, end).stream()
+        .allMatch(word -> word.limit().isLimited());
+  }
+
+  /** Returns the words that counted at any moment after the first time, up to the second. */
+  private List<Word> inForce(long from, long to) {
+    List<Word> found = new ArrayList<>();
+    for (int i = 0; i < words.size(); i++) {
+      boolean begun = words.get(i).fromMillis() <= to;
+      boolean over = i + 1 < words.size() && words.get(i + 1).fromMillis() <= from;
+      if (begun && !over) {
+        found.add(words.get(i));
+      }
+    }
+    return found;
+  }
+
   private long counted(long end) {
     return arrivals.stream()
         .filter(arrival -> arrival.atMillis() > end - WINDOW_MILLIS && arrival.atMillis() <= end)
-        .filter(arrival -> arrival.atMillis() > namedAt)
-        .filter(arrival -> toldAt.containsKey(arrival.node()))
-        .filter(arrival -> toldAt.get(arrival.node()) + TOLD_BEFORE_MILLIS <= arrival.atMillis())
+        .filter(Arrival::fromNodeThatHadItsWord)
         .count();
   }
 
-  private long allowed() {
-    return (long) (MOST_TIMES_LIMIT * limit.perSecond() * WINDOW_MILLIS / 1000) + SLACK;
+  /** By the largest limit of those that nodes may still have: a new one takes as long to learn. */
+  private long allowed(long end) {
+    double perSecond =
+        inForce(end - WINDOW_MILLIS - LEARNT_AFTER_MILLIS, end).stream()
+            .filter(word -> word.limit().isLimited())
+            .mapToDouble(word -> word.limit().perSecond())
+            .max()
+            .orElse(0);
+    return (long) (MOST_TIMES_LIMIT * perSecond * WINDOW_MILLIS / 1000) + SLACK;
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.EngineReport;
 import org.vaneworks.coordination.fleet.Fleet;
@@ -32,11 +33,16 @@
 import org.vaneworks.coordination.forwarding.EndpointCalls;
 import org.vaneworks.coordination.forwarding.Forwarder;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.coordination.load.LoadExchange;
+import org.vaneworks.coordination.load.LoadReport;
+import org.vaneworks.coordination.load.StartShares;
 import org.vaneworks.coordination.quarantine.SharedQuarantine;
 import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.coordination.shared.Peer;
 import org.vaneworks.coordination.shared.PrefixFollower;
 import org.vaneworks.coordination.shared.PrefixRouter;
 import org.vaneworks.coordination.shared.StoredItem;
+import org.vaneworks.protocol.LoadCodec;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.RequestContent;
@@ -71,6 +77,7 @@
   private static final String QUARANTINE = "quarantine/";
   private static final String KEY = "secret";
   private static final int LAYERS = 80;
+  private static final int PEER_PORT = 7000;
   private static final int EVENTS = 20;
 
   /** From arrival until an engine begins a request, and between its events. */
@@ -87,12 +94,23 @@
   private final List<Arrival> crashingArrivals = new ArrayList<>();
   private final List<Long> ends = new ArrayList<>();
   private final long seed;
+  private final int dataCentres;
+
+  /** Whether no node hears of another. */
+  boolean reportsAreLost;
+
   private int started;
   private int runs;
   private int asked;
 
   SharedEngines(int nodes, int engines, long seed) {
+    this(nodes, engines, 1, seed);
+  }
+
+  /** Makes nodes and engines that stand in the data centres in turn. */
+  SharedEngines(int nodes, int engines, int dataCentres, long seed) {
     this.seed = seed;
+    this.dataCentres = dataCentres;
     for (int i = 0; i < engines; i++) {
       startEngine();
     }
@@ -115,7 +133,7 @@
               "e" + number,
               SERVICE,
               new HostPort("10.0.0.1", number),
-              "dc1",
+              dataCentre(number),
               134,
               false,
               Optional.of(LayerRange.of(0, LAYERS)),
@@ -257,6 +275,7 @@
     private final StoreLink link = new StoreLink(clock, store);
     private final BoxTime time = new BoxTime(clock);
     private final Forwarder forwarder;
+    private final LoadExchange exchange;
 
     /** Makes another run of the node at a place. */
     Node(int place) {
@@ -264,6 +283,16 @@
       Random random = new Random(seed + number);
       Counters counters = Counters.in(new SimpleMeterRegistry());
       Fleet fleet = Fleet.create(clock, counters, EntryNode.RELIST_GRACE);
+      exchange =
+          LoadExchange.create(
+              clock,
+              fleet,
+              boxAt(place),
+              dataCentre(place),
+              () -> peersOf(place),
+              nodes::size,
+              this::tell);
+      StartShares.keep(clock, random, fleet, boxAt(place), dataCentre(place), () -> peersOf(place));
       SharedQuarantine quarantine =
           SharedQuarantine.create(clock, random, link, QUARANTINE, "n" + number, fleet, counters);
       PrefixFollower follower =
@@ -289,15 +318,25 @@
               fleet,
               HealthWatch.create(clock, fleet, this),
               this,
-              (attempt, listener) -> send(place, attempt, listener),
+              (attempt, listener) -> send(place, this, attempt, listener),
               quarantine,
               new ForwardingLimits(Duration.ofMillis(4750), 0.2, 100),
               () -> Optional.of(CONFIGURATION),
               follower::isConfirmedWithin,
               nodes::size,
-              "dc1",
+              dataCentre(place),
               counters);
       follower.start();
+      exchange.start();
+    }
+
+    private int tell(HostPort peer, LoadReport report) {
+      byte[] bytes = LoadCodec.encode(report);
+      if (reportsAreLost) {
+        return bytes.length;
+      }
+      later(1, () -> nodes.get(peer.port() - PEER_PORT).exchange.heard(LoadCodec.decode(bytes)));
+      return bytes.length;
     }
 
     @Override
@@ -343,6 +382,25 @@
           Map.of(KEY, new Caller("scheme", OptionalInt.empty())),
           new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
 
+  private static String boxAt(int place) {
+    return "box-" + place;
+  }
+
+  private String dataCentre(int place) {
+    return "dc" + (1 + place % dataCentres);
+  }
+
+  /** Returns the other nodes, as each would find them in the store. */
+  private ImmutableList<Peer> peersOf(int place) {
+    return IntStream.range(0, nodes.size())
+        .filter(other -> other != place)
+        .mapToObj(
+            other ->
+                new Peer(
+                    boxAt(other), dataCentre(other), new HostPort("127.0.0.1", PEER_PORT + other)))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   private static NobodyListensException refused() {
     return new NobodyListensException(new ConnectException("Connection refused"));
   }
@@ -358,10 +416,12 @@
   }
 
   private EndpointCalls.EndpointCall send(
-      int node, Attempt attempt, EndpointCalls.Listener listener) {
-    Running request = new Running(node, attempt, listener);
+      int place, Node run, Attempt attempt, EndpointCalls.Listener listener) {
+    Running request = new Running(place, attempt, listener);
     Engine engine = engines.get(attempt.endpoint().address());
-    later(1, () -> engine.take(request));
+    if (nodes.get(place) == run) { // What a run that has ended still sends goes nowhere.
+      later(1, () -> engine.take(request));
+    }
     return request;
   }
 
@@ -374,7 +434,9 @@
 
   /** Starts another run of a node, which knows nothing of before. */
   void restartNode(int node) {
+    nodes.get(node).exchange.stop();
     nodes.set(node, new Node(node));
+    engines.values().forEach(engine -> engine.arrivals.nodeStarted(node));
   }
 
   /** Suspends a node's box for a time, or steps its time of day; both look alike to it. */
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
@@ -8,16 +8,19 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.load.EndpointLimit;
 import org.vaneworks.coordination.load.EndpointLoad;
 import org.vaneworks.coordination.load.EnginePace;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.protocol.LoadCodec;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.StatedLimit;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.transport.entry.LoadDatagrams;
 
@@ -28,7 +31,10 @@
       LoadReport.ofNode(
           "box-1",
           ImmutableList.of(new EndpointLoad(-7, 3, 12_000), new EndpointLoad(9, 1, 0)),
-          ImmutableList.of(new EnginePace(9, 4.5)));
+          ImmutableList.of(new EnginePace(9, 4.5)),
+          ImmutableList.of(
+              new EndpointLimit(-7, StatedLimit.of(3.3), Duration.ofMillis(250)),
+              new EndpointLimit(9, StatedLimit.none(), Duration.ZERO)));
 
   private static final int REPORTS = 30;
   private static final int MAX_COLLECTIONS = 2000;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -245,7 +245,9 @@
 
   private void groupTells(String sender, String group, int requests) {
     EndpointLoad load = new EndpointLoad(EndpointLoad.keyOf(engine.endpoint()), requests, 0);
-    exchange.heard(new LoadReport(sender, group, 2, ImmutableList.of(load), ImmutableList.of()));
+    exchange.heard(
+        new LoadReport(
+            sender, group, 2, ImmutableList.of(load), ImmutableList.of(), ImmutableList.of()));
   }
 
   private ImmutableList<EnginePace> slow(double pace) {
@@ -253,7 +255,7 @@
   }
 
   private void peerKnowsSlow(String sender, ImmutableList<EnginePace> slow) {
-    exchange.heard(LoadReport.ofNode(sender, ImmutableList.of(), slow));
+    exchange.heard(LoadReport.ofNode(sender, ImmutableList.of(), slow, ImmutableList.of()));
   }
 
   /** The load of an engine that turned slow: each of many nodes would find out by a late stream. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -17,7 +17,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.vaneworks.state.HostPort;
-import org.vaneworks.state.StatedLimit;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -43,6 +42,7 @@
   private final Executor clock;
   private final Counters counters;
   private final Duration relistGrace;
+  private final EndpointLimits limits;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
 
   /** The newest run that was told under each id, also of endpoints that are gone. */
@@ -62,6 +62,8 @@
     this.clock = checkNotNull(clock);
     this.counters = checkNotNull(counters);
     this.relistGrace = checkNotNull(relistGrace);
+    limits = new EndpointLimits(clock, counters);
+    onRemoval(limits::forget);
   }
 
   /**
@@ -349,32 +351,9 @@
     }
   }
 
-  /** Takes what an endpoint's answer says about the requests a second that it takes. */
-  public void noteLimit(TrackedEndpoint endpoint, StatedLimit stated) {
-    if (stated.isUnreadable()) {
-      counters.count(Metric.ENDPOINT_LIMITS, "unreadable");
-      EventLog.warn(Event.ENDPOINT_LIMIT_UNREADABLE, "endpoint", endpoint.endpoint().id());
-    } else if (!stated.equals(endpoint.limit())) {
-      logLimit(endpoint, stated);
-      endpoint.limit(stated);
-    }
-  }
-
-  private void logLimit(TrackedEndpoint endpoint, StatedLimit stated) {
-    boolean wasLimited = endpoint.limit().isLimited();
-    if (wasLimited && stated.isLimited()) {
-      counters.count(Metric.ENDPOINT_LIMITS, "changed");
-      return;
-    }
-    counters.count(Metric.ENDPOINT_LIMITS, wasLimited ? "over" : "named");
-    EventLog.info(
-        Event.ENDPOINT_LIMIT,
-        "endpoint",
-        endpoint.endpoint().id(),
-        "limit",
-        stated,
-        "sentSinceLastChange",
-        endpoint.startsSinceLimitChanged());
+  /** Returns which endpoints say how many requests a second they take. */
+  public EndpointLimits limits() {
+    return limits;
   }
 
   /** Counts a report that is asked of an engine for a sign of life or its pace. */
@@ -447,9 +426,20 @@
         .findFirst();
   }
 
-  /** Returns whether any endpoint of a service gets new work, now or once it has room again. */
-  public boolean serves(String service) {
-    return of(service).stream().anyMatch(TrackedEndpoint::serving);
+  /** Returns when requests may begin at a plain service. */
+  public Openings openings(String service) {
+    return Openings.ofPlain(serving(service));
+  }
+
+  /** Returns when requests may begin at engines that hold every layer between them. */
+  public Openings openings(String service, int layers) {
+    return Openings.ofEngines(serving(service), layers);
+  }
+
+  private ImmutableList<TrackedEndpoint> serving(String service) {
+    return of(service).stream()
+        .filter(TrackedEndpoint::serving)
+        .collect(ImmutableList.toImmutableList());
   }
 
   /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -4,7 +4,6 @@
 
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
-import org.vaneworks.state.StatedLimit;
 
 /**
  * An endpoint with what this node knows of it beyond the list: own work in flight, suspicion.
@@ -47,8 +46,7 @@
   private double peersPace = 1;
   private double shortage = 1;
   private long shortageAt;
-  private StatedLimit limit = StatedLimit.none();
-  private int startsSinceLimitChanged;
+  private final StartLimit startLimit = new StartLimit();
 
   TrackedEndpoint(FleetEndpoint endpoint) {
     this.endpoint = checkNotNull(endpoint);
@@ -103,7 +101,7 @@
 
   /** Returns whether it may get new work at that time. */
   public boolean usable(long nowNanos) {
-    return serving() && nowNanos >= avoidedUntil;
+    return serving() && nowNanos >= avoidedUntil && nowNanos >= startLimit.opensAt();
   }
 
   /** Returns whether it gets new work, now or once it has room again. */
@@ -193,24 +191,14 @@
     failuresInARow = 0;
   }
 
-  /** Returns how many requests a second it said last that it takes from all nodes together. */
-  public StatedLimit limit() {
-    return limit;
+  /** Returns how many requests a second it takes, and this node's share of them. */
+  public StartLimit startLimit() {
+    return startLimit;
   }
 
-  void limit(StatedLimit stated) {
-    limit = stated;
-    startsSinceLimitChanged = 0;
-  }
-
-  /** Notes that a request of this node is sent to it. */
-  public void noteStart() {
-    startsSinceLimitChanged++;
-  }
-
-  /** Returns the requests that this node has sent to it since its limit last changed. */
-  int startsSinceLimitChanged() {
-    return startsSinceLimitChanged;
+  /** Notes that a request of this node begins there. */
+  public void noteStart(long nowNanos) {
+    startLimit.noteStart(nowNanos);
   }
 
   /** Returns this node's requests in flight there. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.fleet.NobodyListensException;
+import org.vaneworks.coordination.fleet.Openings;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.EndpointCalls.EndpointCall;
 import org.vaneworks.coordination.relay.EnginePath;
@@ -153,8 +154,8 @@
     }
 
     @Override
-    public boolean hasEndpoints() {
-      return place.exists();
+    public Openings openings() {
+      return place.openings();
     }
 
     @Override
@@ -204,7 +205,6 @@
             Duration.ofNanos(Math.max(0, endsAt - now())),
             caller.map(Caller::workspace),
             splitter.lastId());
-    place.target().noteStart();
     ForwardLog.sent(request, attempt, sends);
     progress.sent(headPassed);
     int number = attemptNumber;
@@ -277,7 +277,7 @@
   /** Takes the endpoint's word on what it takes, unless another may have answered in its place. */
   private void noteLimit(AnswerHead head, TrackedEndpoint endpoint) {
     if (head.matches() && head.status() != MISDIRECTED) {
-      context.fleet().noteLimit(endpoint, head.limit());
+      context.fleet().limits().heard(endpoint, head.limit());
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.vaneworks.coordination.fleet.Openings;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.relay.EnginePath;
 import org.vaneworks.coordination.relay.PathPart;
@@ -88,20 +89,30 @@
         path = context.planner().plan(query(), usable(ImmutableList.of()));
       }
       target = path.map(EnginePath::first);
-      path.ifPresent(chosen -> chosen.reserve(size.tokens()));
+      path.ifPresent(this::begin);
     } else {
       target = leastLoaded();
-      target.ifPresent(chosen -> chosen.reserve(0));
+      target.ifPresent(this::begin);
     }
     target.ifPresent(tried::add);
     return target.isPresent();
   }
 
-  /** Returns whether endpoints could run the request if they had room. */
-  boolean exists() {
+  private void begin(EnginePath chosen) {
+    chosen.parts().forEach(part -> part.engine().noteStart(now()));
+    chosen.reserve(size.tokens());
+  }
+
+  private void begin(TrackedEndpoint replica) {
+    replica.noteStart(now());
+    replica.reserve(0);
+  }
+
+  /** Returns when requests may begin at the service's endpoints if they have room. */
+  Openings openings() {
     return model
-        .map(profile -> context.fleet().holdsAll(service, profile.layers()))
-        .orElseGet(() -> context.fleet().serves(service));
+        .map(profile -> context.fleet().openings(service, profile.layers()))
+        .orElseGet(() -> context.fleet().openings(service));
   }
 
   /** Returns a path with the same first part that avoids some engines. */
@@ -117,8 +128,13 @@
 
   /** Goes on over another path with the same first engine. */
   void replace(EnginePath next) {
-    path.orElseThrow().release(size.tokens());
+    EnginePath former = path.orElseThrow();
+    former.release(size.tokens());
     next.reserve(size.tokens());
+    next.parts().stream()
+        .map(PathPart::engine)
+        .filter(engine -> !former.passes(engine))
+        .forEach(engine -> engine.noteStart(now()));
     path = Optional.of(next);
   }
 
@@ -140,8 +156,11 @@
   }
 
   private PathPlanner.Query query() {
-    return new PathPlanner.Query(
-        model.orElseThrow(), size, context.dataCentre(), context.clock().currentTime(NANOSECONDS));
+    return new PathPlanner.Query(model.orElseThrow(), size, context.dataCentre(), now());
+  }
+
+  private long now() {
+    return context.clock().currentTime(NANOSECONDS);
   }
 
   /** Returns the replica with the fewest requests, those not yet tried first. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/WaitingLine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/WaitingLine.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalLong;
+import org.vaneworks.coordination.fleet.Openings;
 
 /**
  * Requests of one service that wait for room at its endpoints.
@@ -54,8 +55,8 @@
     /** Takes a place and begins, or returns false if there is none. */
     boolean start();
 
-    /** Returns whether endpoints could run it if they had room. */
-    boolean hasEndpoints();
+    /** Returns when requests may begin at its endpoints if they have room. */
+    Openings openings();
 
     /** It won't be served: there is no room in time. */
     void refuse();
@@ -189,8 +190,12 @@
 
   private boolean cannotBeServed(Entry entry, int before) {
     Waiter waiter = entry.waiter();
-    boolean lost = !waiter.continues() && !waiter.hasEndpoints();
-    return lost || now() + waitBehind(before) > waiter.waitsUntil();
+    Openings openings = waiter.openings();
+    if (!openings.any()) {
+      return !waiter.continues() || now() + waitBehind(before) > waiter.waitsUntil();
+    }
+    double expected = Math.max(now() + waitBehind(before), openings.at(before, now()));
+    return expected > waiter.waitsUntil();
   }
 
   private double waitBehind(int requests) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -218,7 +218,7 @@
   }
 
   private LoadReport ownReport() {
-    return LoadReport.ofNode(box, ownLoads(), ownSlow());
+    return LoadReport.ofNode(box, ownLoads(), ownSlow(), ownLimits());
   }
 
   private ImmutableList<EnginePace> ownSlow() {
@@ -228,6 +228,30 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /** Returns the limits that endpoints named to this node itself, and those that ended. */
+  private ImmutableList<EndpointLimit> ownLimits() {
+    return limits(fleet.limits().ownNews());
+  }
+
+  private ImmutableList<EndpointLimit> limits(ImmutableList<TrackedEndpoint> endpoints) {
+    long now = now();
+    return endpoints.stream()
+        .map(
+            endpoint ->
+                new EndpointLimit(
+                    keyOf(endpoint),
+                    endpoint.startLimit().stated(),
+                    Duration.ofNanos(Math.max(0, now - endpoint.startLimit().heardAt()))))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private void take(EndpointLimit limit) {
+    long heardAt = now() - limit.age().toNanos();
+    fleet.all().stream()
+        .filter(endpoint -> keyOf(endpoint) == limit.endpointKey())
+        .forEach(endpoint -> fleet.limits().heardOfPeer(endpoint, limit.stated(), heardAt));
+  }
+
   /** Returns the slow engines that this node or members of its group know at first hand. */
   private ImmutableList<EnginePace> groupSlow() {
     Map<Integer, Double> paces = heardLoads.slowOfMembers();
@@ -268,7 +292,8 @@
       }
     }
     int nodes = 1 + heardLoads.members();
-    return new LoadReport(box, peerGroups.own(), nodes, loads.build(), groupSlow());
+    return new LoadReport(
+        box, peerGroups.own(), nodes, loads.build(), groupSlow(), limits(fleet.limits().news()));
   }
 
   /** Takes a peer's report. */
@@ -276,6 +301,7 @@
     if (report.sender().equals(box)) {
       return;
     }
+    report.limits().forEach(this::take);
     boolean known = report.ofGroup() && report.group().equals(peerGroups.own());
     if (!known) {
       heardLoads.keep(report, now());
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
@@ -14,13 +14,15 @@
  * @param nodes how many nodes' loads are summed
  * @param loads one entry an endpoint
  * @param slow the engines that these nodes know to be slow at first hand
+ * @param limits what endpoints said to these nodes about the requests that they take
  */
 public record LoadReport(
     String sender,
     String group,
     int nodes,
     ImmutableList<EndpointLoad> loads,
-    ImmutableList<EnginePace> slow) {
+    ImmutableList<EnginePace> slow,
+    ImmutableList<EndpointLimit> limits) {
   /** Checks that all parts are given. */
   public LoadReport {
     checkNotNull(sender);
@@ -28,22 +30,26 @@
     checkArgument(nodes > 0, "nodes must be positive: %s", nodes);
     checkNotNull(loads);
     checkNotNull(slow);
+    checkNotNull(limits);
   }
 
-  /** Returns whether it tells of no request and of no slow engine. */
+  /** Returns whether it tells of no request, of no slow engine and of no limit. */
   public boolean isEmpty() {
-    return loads.isEmpty() && slow.isEmpty();
+    return loads.isEmpty() && slow.isEmpty() && limits.isEmpty();
   }
 
-  /** Returns the report of one node that knows of no slow engine. */
+  /** Returns the report of one node that knows of no slow engine and of no limit. */
   public static LoadReport ofNode(String sender, ImmutableList<EndpointLoad> loads) {
-    return ofNode(sender, loads, ImmutableList.of());
+    return ofNode(sender, loads, ImmutableList.of(), ImmutableList.of());
   }
 
   /** Returns the report of one node. */
   public static LoadReport ofNode(
-      String sender, ImmutableList<EndpointLoad> loads, ImmutableList<EnginePace> slow) {
-    return new LoadReport(sender, "", 1, loads, slow);
+      String sender,
+      ImmutableList<EndpointLoad> loads,
+      ImmutableList<EnginePace> slow,
+      ImmutableList<EndpointLimit> limits) {
+    return new LoadReport(sender, "", 1, loads, slow, limits);
   }
 
   /** Returns whether it is the sum over a group. */
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/StartShares.java
@@ -0,0 +1,181 @@
+package org.vaneworks.coordination.load;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import io.servicetalk.concurrent.Executor;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.vaneworks.coordination.fleet.Fleet;
+import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.StartLimit;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.coordination.shared.Peer;
+
+/**
+ * This node's share of what endpoints take from all nodes together.
+ *
+ * <p>A limit of a few requests a second can't be dealt out to hundreds of nodes: each would send so
+ * rarely that its requests together come in bursts, or not at all. So a few nodes share an
+ * endpoint, as many as get {@link #LEAST_SHARE} each, and the others leave it alone. Which ones
+ * follows from the endpoint's id and the names of the live boxes, so nodes need not agree by
+ * messages, and a box that comes or goes changes one of them. They are of the endpoint's data
+ * centre, if it has nodes: those use it most. As each node has at most one start in hand, all
+ * together send at most the limit, and as many requests more as there are such nodes. Confined to
+ * the node's event loop.
+ */
+public final class StartShares {
+  /**
+   * Requests a second that a node's share is worth at least, unless one node has all. With it, the
+   * sharing nodes' starts in hand are at most what the endpoint takes in two seconds.
+   */
+  private static final double LEAST_SHARE = 0.5;
+
+  /**
+   * An endpoint that takes none is sent a request this often, by all nodes together: its answer is
+   * the only word that it takes more.
+   */
+  private static final double LEAST_PER_SECOND = 0.2;
+
+  /**
+   * After this long without a word to any node, those that share it may have no requests for it.
+   */
+  private static final Duration WORD_IS_OLD = Duration.ofSeconds(10);
+
+  /**
+   * Part of a limit that the other nodes then use between them: the sharing ones may send all the
+   * same, if only their word does not come through.
+   */
+  private static final double OTHERS_PART = 0.25;
+
+  /**
+   * A box counts for this long after its node's entry went: after an outage of the store in which
+   * all entries lapsed, each node would otherwise take itself for the only one.
+   */
+  private static final Duration UNLISTED_COUNTS = Duration.ofSeconds(10);
+
+  private static final HashFunction ORDER = Hashing.murmur3_32_fixed();
+
+  private final Executor clock;
+  private final Random random;
+  private final Fleet fleet;
+  private final String box;
+  private final String dataCentre;
+  private final Supplier<ImmutableList<Peer>> peers;
+  private ImmutableList<Peer> listed = ImmutableList.of();
+  private final Map<String, Unlisted> unlisted = new LinkedHashMap<>();
+
+  /** A box without an entry, in a data centre, and until when it counts. */
+  private record Unlisted(String dataCentre, long until) {}
+
+  private StartShares(
+      Executor clock,
+      Random random,
+      Fleet fleet,
+      String box,
+      String dataCentre,
+      Supplier<ImmutableList<Peer>> peers) {
+    this.clock = checkNotNull(clock);
+    this.random = checkNotNull(random);
+    this.fleet = checkNotNull(fleet);
+    this.box = checkNotNull(box);
+    this.dataCentre = checkNotNull(dataCentre);
+    this.peers = checkNotNull(peers);
+  }
+
+  /**
+   * Keeps the node's shares up to date, before each choice among endpoints.
+   *
+   * @param box this node's box
+   * @param dataCentre where it stands
+   * @param peers the other live nodes
+   */
+  public static void keep(
+      Executor clock,
+      Random random,
+      Fleet fleet,
+      String box,
+      String dataCentre,
+      Supplier<ImmutableList<Peer>> peers) {
+    StartShares shares = new StartShares(clock, random, fleet, box, dataCentre, peers);
+    fleet.onChoice(shares::update);
+  }
+
+  private void update() {
+    noteUnlisted(peers.get());
+    ImmutableList<TrackedEndpoint> limited = fleet.limits().inForce();
+    if (limited.isEmpty()) {
+      return;
+    }
+    Map<String, String> dataCentres = dataCentreByBox();
+    limited.forEach(endpoint -> update(endpoint, dataCentres));
+  }
+
+  private void noteUnlisted(ImmutableList<Peer> now) {
+    if (now.equals(listed)) {
+      return;
+    }
+    long until = clock.currentTime(NANOSECONDS) + UNLISTED_COUNTS.toNanos();
+    listed.forEach(peer -> unlisted.put(peer.box(), new Unlisted(peer.dataCentre(), until)));
+    now.forEach(peer -> unlisted.remove(peer.box()));
+    listed = now;
+  }
+
+  /** Returns where each box stands; one has several entries while those of former runs lapse. */
+  private Map<String, String> dataCentreByBox() {
+    long now = clock.currentTime(NANOSECONDS);
+    unlisted.values().removeIf(each -> each.until() <= now);
+    Map<String, String> dataCentres = new LinkedHashMap<>();
+    unlisted.forEach((name, each) -> dataCentres.put(name, each.dataCentre()));
+    listed.forEach(peer -> dataCentres.put(peer.box(), peer.dataCentre()));
+    dataCentres.put(box, dataCentre);
+    return dataCentres;
+  }
+
+  private void update(TrackedEndpoint endpoint, Map<String, String> dataCentres) {
+    StartLimit limit = endpoint.startLimit();
+    double perSecond = Math.max(LEAST_PER_SECOND, limit.stated().perSecond());
+    long now = clock.currentTime(NANOSECONDS);
+    double share = sharePerSecond(endpoint.endpoint(), perSecond, dataCentres);
+    if (share == 0 && now - limit.heardAt() > WORD_IS_OLD.toNanos()) {
+      share = perSecond * OTHERS_PART / dataCentres.size();
+    }
+    limit.share(share, random.nextDouble(), now);
+  }
+
+  private double sharePerSecond(
+      FleetEndpoint endpoint, double perSecond, Map<String, String> dataCentres) {
+    boolean anyNear = dataCentres.containsValue(endpoint.dataCentre());
+    if (anyNear && !dataCentre.equals(endpoint.dataCentre())) {
+      return 0;
+    }
+    int own = order(endpoint, box);
+    int before = 0;
+    int candidates = 0;
+    for (Map.Entry<String, String> other : dataCentres.entrySet()) {
+      if (anyNear && !other.getValue().equals(endpoint.dataCentre())) {
+        continue;
+      }
+      candidates++;
+      int order = order(endpoint, other.getKey());
+      if (order < own || (order == own && other.getKey().compareTo(box) < 0)) {
+        before++;
+      }
+    }
+    int most = (int) Math.min(candidates, perSecond / LEAST_SHARE);
+    int sharing = Math.max(1, most);
+    return before < sharing ? perSecond / sharing : 0;
+  }
+
+  /** Returns a box's place in the order of an endpoint, the same on all nodes. */
+  private static int order(FleetEndpoint endpoint, String box) {
+    return ORDER.hashString(endpoint.id() + '/' + box, StandardCharsets.UTF_8).asInt();
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
@@ -4,10 +4,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import org.vaneworks.coordination.load.EndpointLimit;
 import org.vaneworks.coordination.load.EndpointLoad;
 import org.vaneworks.coordination.load.EnginePace;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.protocol.generated.LoadProto;
+import org.vaneworks.state.StatedLimit;
 
 /** Load reports as bytes; memory is rounded to thousands of tokens times layers. */
 public final class LoadCodec {
@@ -15,6 +18,12 @@
 
   private static final double HUNDREDTHS = 100;
 
+  /** In place of a limit that is over. */
+  private static final int NO_LIMIT = -1;
+
+  /** Two million requests a second: no limit. */
+  private static final int MOST_THOUSANDTHS = Integer.MAX_VALUE;
+
   private LoadCodec() {}
 
   /** Encodes a report. */
@@ -33,6 +42,11 @@
       message.addSlowKey(engine.endpointKey());
       message.addSlowPaceHundredths((int) Math.round(engine.pace() * HUNDREDTHS));
     }
+    for (EndpointLimit limit : report.limits()) {
+      message.addLimitKey(limit.endpointKey());
+      message.addLimitThousandths(thousandths(limit.stated()));
+      message.addLimitAgeMillis((int) Math.min(Integer.MAX_VALUE, limit.age().toMillis()));
+    }
     return message.build().toByteArray();
   }
 
@@ -63,10 +77,36 @@
       double pace = message.getSlowPaceHundredths(i) / HUNDREDTHS;
       slow.add(new EnginePace(message.getSlowKey(i), pace));
     }
+    ImmutableList<EndpointLimit> limits = limits(message);
     // A report that names no number is of one node.
     int nodes = Math.max(1, message.getNodes());
     return new LoadReport(
-        message.getSender(), message.getGroup(), nodes, loads.build(), slow.build());
+        message.getSender(), message.getGroup(), nodes, loads.build(), slow.build(), limits);
+  }
+
+  private static int thousandths(StatedLimit stated) {
+    if (!stated.isLimited()) {
+      return NO_LIMIT;
+    }
+    return (int) Math.min(MOST_THOUSANDTHS, Math.round(stated.perSecond() * THOUSAND));
+  }
+
+  private static ImmutableList<EndpointLimit> limits(LoadProto.LoadReport message) {
+    int count = message.getLimitKeyCount();
+    boolean parallel =
+        message.getLimitThousandthsCount() == count && message.getLimitAgeMillisCount() == count;
+    checkArgument(parallel, "the lists of limits differ in length");
+    ImmutableList.Builder<EndpointLimit> limits = ImmutableList.builder();
+    for (int i = 0; i < count; i++) {
+      int thousandths = message.getLimitThousandths(i);
+      StatedLimit stated =
+          thousandths == NO_LIMIT
+              ? StatedLimit.none()
+              : StatedLimit.of((double) thousandths / THOUSAND);
+      Duration age = Duration.ofMillis(message.getLimitAgeMillis(i));
+      limits.add(new EndpointLimit(message.getLimitKey(i), stated, age));
+    }
+    return limits.build();
   }
 
   private static LoadProto.LoadReport parse(byte[] bytes) {
