--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/ConfigurationWatch.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/ConfigurationWatch.java
@@ -48,7 +48,7 @@
       if (newest.isEmpty() || newest.get().version() < read.version()) {
         newest = Optional.of(read);
         EventLog.info(
-            Event.CONFIGURATION_IN_FORCE, "version", read.version(), "revision", item.revision());
+            Event.CONFIGURATION_IN_FORCE, "version", read.version(), "storedAt", item.changedAt());
       } else if (newest.get().version() > read.version()) {
         EventLog.warn(
             Event.CONFIGURATION_STALE_IGNORED,
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EndpointListWatch.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EndpointListWatch.java
@@ -65,7 +65,7 @@
 
   @Override
   public void silent(StoreSilence silence) {
-    fleet.noteStoreSilent(silence.lastCallBegunAt(), silence.lastRevision());
+    fleet.noteStoreSilent(silence.lastCallBegunAt(), silence.lastPosition());
   }
 
   @Override
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/fleet/SharedEnginesModel.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/fleet/SharedEnginesModel.java
@@ -23,6 +23,7 @@
 import org.vaneworks.protocol.LoadCodec;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.entry.AcceleratorProfile;
 import org.vaneworks.state.entry.ModelProfile;
 import org.vaneworks.testlib.PausedExecutor;
@@ -137,7 +138,7 @@
                     false,
                     layers,
                     kind,
-                    0));
+                    StorePosition.START));
           });
     }
     return listed.build();
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EndpointListWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EndpointListWatchTest.java
@@ -13,6 +13,7 @@
 import org.vaneworks.coordination.shared.StoreChanges;
 import org.vaneworks.coordination.shared.StoredItem;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Metric;
 import org.vaneworks.testlib.PausedExecutor;
@@ -43,7 +44,7 @@
   }
 
   private static StoredItem item(String id, String value) {
-    return new StoredItem(PREFIX + id, value, 5, 5);
+    return new StoredItem(PREFIX + id, value, new StorePosition(0, 5), new StorePosition(0, 5), 0);
   }
 
   private ImmutableSet<String> usable() {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -46,6 +46,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.RequestContent;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
@@ -138,7 +139,7 @@
               false,
               Optional.of(LayerRange.of(0, LAYERS)),
               "large",
-              0);
+              StorePosition.START);
     }
 
     void take(Running request) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -18,6 +18,7 @@
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -36,11 +37,20 @@
 
   private static FleetEndpoint endpoint(String id, boolean leaving, long listedAt) {
     return new FleetEndpoint(
-        id, "s", new HostPort("10.0.0.1", 80), "dc1", 6, leaving, Optional.empty(), "", listedAt);
+        id,
+        "s",
+        new HostPort("10.0.0.1", 80),
+        "dc1",
+        6,
+        leaving,
+        Optional.empty(),
+        "",
+        new StorePosition(0, listedAt));
   }
 
   private void storeWasSilent() {
-    fleet.noteStoreSilent(clock.currentTime(TimeUnit.NANOSECONDS), BEFORE);
+    fleet.noteStoreSilent(
+        clock.currentTime(TimeUnit.NANOSECONDS), Optional.of(new StorePosition(0, BEFORE)));
   }
 
   private void unlist(String... ids) {
@@ -120,7 +130,7 @@
     fleet.put(endpoint("a", false));
     long begunAt = clock.currentTime(TimeUnit.NANOSECONDS);
     clock.advance(Duration.ofMillis(900));
-    fleet.noteStoreSilent(begunAt, BEFORE);
+    fleet.noteStoreSilent(begunAt, Optional.of(new StorePosition(0, BEFORE)));
     unlist("a");
     clock.advance(Duration.ofMillis(1500));
     assertEquals(1, usable());
@@ -170,7 +180,7 @@
         false,
         Optional.of(LayerRange.of(0, 10)),
         "large",
-        listedAt,
+        new StorePosition(0, listedAt),
         incarnation);
   }
 
@@ -271,9 +281,13 @@
   void engineThatNamesItsAcceleratorOnlyWithItsModelStaysTheSameRun() {
     HostPort address = new HostPort("10.0.0.3", 80);
     Optional<LayerRange> layers = Optional.of(LayerRange.of(0, 10));
-    fleet.put(new FleetEndpoint("a", "s", address, "dc1", 6, false, Optional.empty(), "", 1));
+    fleet.put(
+        new FleetEndpoint(
+            "a", "s", address, "dc1", 6, false, Optional.empty(), "", new StorePosition(0, 1)));
     TrackedEndpoint known = only();
-    fleet.put(new FleetEndpoint("a", "s", address, "dc1", 6, false, layers, "large", 1));
+    fleet.put(
+        new FleetEndpoint(
+            "a", "s", address, "dc1", 6, false, layers, "large", new StorePosition(0, 1)));
     assertSame(known, only());
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -26,6 +26,7 @@
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -100,7 +101,15 @@
   private void list(String id) {
     fleet.put(
         new FleetEndpoint(
-            id, "s", new HostPort("10.0.0.1", 80), "dc1", 6, false, Optional.empty(), "", 0));
+            id,
+            "s",
+            new HostPort("10.0.0.1", 80),
+            "dc1",
+            6,
+            false,
+            Optional.empty(),
+            "",
+            StorePosition.START));
   }
 
   private void check(Reply... inOrder) {
@@ -209,7 +218,9 @@
   private void listRun(long startedAt) {
     HostPort address = new HostPort("10.0.0.3", 80);
     Incarnation run = Incarnation.startedAt(startedAt);
-    fleet.put(new FleetEndpoint("c", "s", address, "dc1", 6, false, Optional.empty(), "", 0, run));
+    fleet.put(
+        new FleetEndpoint(
+            "c", "s", address, "dc1", 6, false, Optional.empty(), "", StorePosition.START, run));
     engine = fleet.at("s", address).get();
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -33,6 +33,7 @@
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.RequestContent;
 import org.vaneworks.state.StatedLimit;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
@@ -250,7 +251,7 @@
             false,
             Optional.of(LayerRange.of(from, to)),
             "large",
-            0,
+            StorePosition.START,
             FIRST_START);
     fleet.put(engine);
     return engine;
@@ -298,7 +299,7 @@
             false,
             Optional.empty(),
             "",
-            0,
+            StorePosition.START,
             FIRST_START);
     fleet.put(replica);
     return replica;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -23,6 +23,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.StatedLimit;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -67,7 +68,15 @@
     HostPort address = new HostPort("10.0.0.1", 80);
     fleet.put(
         new FleetEndpoint(
-            "e1", "m", address, "dc1", 134, false, Optional.of(LayerRange.of(0, 80)), "large", 0));
+            "e1",
+            "m",
+            address,
+            "dc1",
+            134,
+            false,
+            Optional.of(LayerRange.of(0, 80)),
+            "large",
+            StorePosition.START));
     return fleet.at("m", address).get();
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/StartSharesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/StartSharesTest.java
@@ -19,6 +19,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.StatedLimit;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -59,7 +60,7 @@
               false,
               Optional.of(LayerRange.of(0, 80)),
               "large",
-              0));
+              StorePosition.START));
       engine = fleet.at("m", address).orElseThrow();
       StartShares.keep(
           clock, new Random(box.hashCode()), fleet, box, dataCentre, () -> peersOf(box));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -25,6 +25,7 @@
 import org.vaneworks.coordination.placement.PlacementController;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryLimits;
 import org.vaneworks.state.entry.ServiceProfile;
@@ -134,7 +135,9 @@
   }
 
   private void list(String id, HostPort address, Optional<LayerRange> layers) {
-    fleet.put(new FleetEndpoint(id, "m", address, "dc1", 134, false, layers, "large", 0));
+    fleet.put(
+        new FleetEndpoint(
+            id, "m", address, "dc1", 134, false, layers, "large", StorePosition.START));
   }
 
   private void enlist(int count) {
@@ -349,7 +352,16 @@
     HostPort address = new HostPort("10.0.0.1", 80);
     fleet.put(
         new FleetEndpoint(
-            "e0", "m", address, "dc1", 134, false, Optional.empty(), "large", 0, first));
+            "e0",
+            "m",
+            address,
+            "dc1",
+            134,
+            false,
+            Optional.empty(),
+            "large",
+            StorePosition.START,
+            first));
     TrackedEndpoint former = fleet.at("m", address).get();
     engines.startedAt.put("e0", Incarnation.startedAt(2000));
     controller(() -> OptionalLong.of(5));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/EndedEndpointsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/EndedEndpointsTest.java
@@ -17,6 +17,7 @@
 import org.vaneworks.coordination.quarantine.RequestStart;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.RequestContent;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -44,7 +45,7 @@
             false,
             Optional.empty(),
             "",
-            0,
+            StorePosition.START,
             Incarnation.startedAt(startedAt)));
     return fleet.all().get(0);
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/relay/PathPlannerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/relay/PathPlannerTest.java
@@ -23,6 +23,7 @@
 import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.entry.AcceleratorProfile;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
@@ -52,7 +53,7 @@
             false,
             Optional.of(LayerRange.of(from, to)),
             kind,
-            0));
+            StorePosition.START));
     return fleet.at("m", address).get();
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -20,6 +20,7 @@
 import org.vaneworks.coordination.shared.StoreChanges;
 import org.vaneworks.coordination.shared.StoredItem;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -225,7 +226,10 @@
     advance(500);
     long fence = first.controllerFence().getAsLong();
     first.change(
-        new StoreChanges.Change(new StoredItem(PREFIX + "controller", "", fence - 1, 0), true));
+        new StoreChanges.Change(
+            new StoredItem(
+                PREFIX + "controller", "", new StorePosition(0, fence - 1), StorePosition.START, 0),
+            true));
     advance(5000);
     assertEquals(fence, first.controllerFence().getAsLong());
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
@@ -7,7 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +18,7 @@
 import org.vaneworks.coordination.shared.StoreChanges;
 import org.vaneworks.coordination.shared.StoreView;
 import org.vaneworks.coordination.shared.StoredItem;
+import org.vaneworks.state.StorePosition;
 
 /** The shared store under a paused clock, with outages, lost answers and forgotten history. */
 public final class StoreInMemory implements SharedStore {
@@ -56,8 +57,8 @@
   private void store(String key, String value, long lease) {
     revision++;
     Stored before = items.get(key);
-    long created = before == null ? revision : before.item().createdAt();
-    StoredItem item = new StoredItem(key, value, revision, created);
+    StorePosition created = before == null ? position() : before.item().createdAt();
+    StoredItem item = new StoredItem(key, value, position(), created, lease);
     items.put(key, new Stored(item, lease));
     history.add(new StoreChanges.Change(item, false));
   }
@@ -65,7 +66,8 @@
   public void remove(String key) {
     revision++;
     items.remove(key);
-    history.add(new StoreChanges.Change(new StoredItem(key, "", revision, 0), true));
+    history.add(
+        new StoreChanges.Change(new StoredItem(key, "", position(), StorePosition.START, 0), true));
   }
 
   /** Removes all keys under a prefix. */
@@ -79,6 +81,10 @@
     return calls.stream().filter(call -> !call.equals("list") && !call.equals("watch")).count();
   }
 
+  private StorePosition position() {
+    return new StorePosition(0, revision);
+  }
+
   private void lapse() {
     long now = clock.currentTime(TimeUnit.NANOSECONDS);
     Set<Long> over = new HashSet<>();
@@ -126,12 +132,12 @@
                   .map(Stored::item)
                   .filter(item -> item.key().startsWith(prefix))
                   .collect(ImmutableList.toImmutableList()),
-              revision);
+              position());
         });
   }
 
   @Override
-  public CompletableFuture<StoreChanges> watch(String prefix, long after, Duration wait) {
+  public CompletableFuture<StoreChanges> watch(String prefix, StorePosition after, Duration wait) {
     calls.add("watch");
     CompletableFuture<StoreChanges> answer = new CompletableFuture<>();
     long until = clock.currentTime(TimeUnit.NANOSECONDS) + wait.toNanos();
@@ -139,7 +145,8 @@
     return answer;
   }
 
-  private void look(String prefix, long after, long until, CompletableFuture<StoreChanges> answer) {
+  private void look(
+      String prefix, StorePosition after, long until, CompletableFuture<StoreChanges> answer) {
     lapse();
     if (down || forgot) {
       Kind kind = down ? Kind.WITHOUT_EFFECT : Kind.HISTORY_LOST;
@@ -148,26 +155,26 @@
     }
     ImmutableList<StoreChanges.Change> changes =
         history.stream()
-            .filter(change -> change.item().revision() > after)
+            .filter(change -> change.item().changedAt().isAfter(after))
             .filter(change -> change.item().key().startsWith(prefix))
             .collect(ImmutableList.toImmutableList());
     if (!changes.isEmpty() || clock.currentTime(TimeUnit.NANOSECONDS) >= until) {
-      answer.complete(new StoreChanges(changes, revision));
+      answer.complete(new StoreChanges(changes, position()));
       return;
     }
     clock.schedule(() -> look(prefix, after, until, answer), 5, TimeUnit.MILLISECONDS);
   }
 
   @Override
-  public CompletableFuture<OptionalLong> create(String key, String value, long lease) {
+  public CompletableFuture<Optional<StorePosition>> create(String key, String value, long lease) {
     return answer(
         "create",
         () -> {
           if (items.containsKey(key) || !leases.containsKey(lease)) {
-            return OptionalLong.empty();
+            return Optional.empty();
           }
           store(key, value, lease);
-          return OptionalLong.of(revision);
+          return Optional.of(position());
         });
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
@@ -2,7 +2,7 @@
 
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -12,6 +12,7 @@
 import org.vaneworks.coordination.shared.SharedStoreException.Kind;
 import org.vaneworks.coordination.shared.StoreChanges;
 import org.vaneworks.coordination.shared.StoreView;
+import org.vaneworks.state.StorePosition;
 
 /**
  * One node's way to the shared store. While it is cut the store goes on for everybody else; a call
@@ -64,12 +65,12 @@
   }
 
   @Override
-  public CompletableFuture<StoreChanges> watch(String prefix, long after, Duration wait) {
+  public CompletableFuture<StoreChanges> watch(String prefix, StorePosition after, Duration wait) {
     return unlessCut(() -> store.watch(prefix, after, wait));
   }
 
   @Override
-  public CompletableFuture<OptionalLong> create(String key, String value, long lease) {
+  public CompletableFuture<Optional<StorePosition>> create(String key, String value, long lease) {
     return unlessCut(() -> store.create(key, value, lease));
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -33,6 +33,7 @@
 import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.StatedLimit;
+import org.vaneworks.state.StorePosition;
 
 /** Checks what is known of an attempt while it is under way. */
 final class EndpointConnectionsTest {
@@ -103,7 +104,7 @@
             false,
             Optional.empty(),
             "",
-            0);
+            StorePosition.START);
     return new Attempt(
         new EntryRequest(head, body, new PlainHeaders(), "q1"),
         endpoint,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -56,7 +57,7 @@
   private final List<Consumer<TrackedEndpoint>> goneListeners = new ArrayList<>();
 
   private long storeSilentAt = Long.MIN_VALUE / 2;
-  private long revisionBeforeSilence = -1;
+  private Optional<StorePosition> positionBeforeSilence = Optional.empty();
 
   private Fleet(Executor clock, Counters counters, Duration relistGrace) {
     this.clock = checkNotNull(clock);
@@ -116,12 +117,12 @@
    * Notes that a read of the list failed.
    *
    * @param callBegunAt when the call was begun, on the clock: the store came back later than that
-   * @param lastRevision the store's counter up to which the list was known before
+   * @param lastPosition up to which the list was known before; empty if it was not
    */
-  public void noteStoreSilent(long callBegunAt, long lastRevision) {
+  public void noteStoreSilent(long callBegunAt, Optional<StorePosition> lastPosition) {
     storeSilentAt = callBegunAt;
     if (with(Listing.KEPT).isEmpty()) {
-      revisionBeforeSilence = lastRevision;
+      positionBeforeSilence = lastPosition;
     }
   }
 
@@ -293,8 +294,10 @@
   }
 
   private boolean anyOutlivedTheSilence() {
-    return with(Listing.LISTED).stream()
-        .anyMatch(endpoint -> endpoint.endpoint().listedAt() <= revisionBeforeSilence);
+    return positionBeforeSilence.isPresent()
+        && with(Listing.LISTED).stream()
+            .anyMatch(
+                endpoint -> !endpoint.endpoint().listedAt().isAfter(positionBeforeSilence.get()));
   }
 
   private void keep(TrackedEndpoint endpoint) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FleetEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FleetEndpoint.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StorePosition;
 
 /**
  * One run of an endpoint's process, as it lists itself.
@@ -17,8 +18,8 @@
  * @param leaving whether it announced that it will end
  * @param layers the layers that it holds, if any
  * @param accelerator its kind of accelerator; empty for a plain service
- * @param listedAt the store's counter when it was listed; a higher one later means that the entry
- *     lapsed in between
+ * @param listedAt when it was listed, by the store; a higher one later means that the entry lapsed
+ *     in between
  * @param incarnation which run of the process it is
  */
 public record FleetEndpoint(
@@ -30,13 +31,14 @@
     boolean leaving,
     Optional<LayerRange> layers,
     String accelerator,
-    long listedAt,
+    StorePosition listedAt,
     Incarnation incarnation) {
   /** Checks that every part is given. */
   public FleetEndpoint {
     checkNotNull(id);
     checkNotNull(address);
     checkNotNull(layers);
+    checkNotNull(listedAt);
     checkNotNull(incarnation);
   }
 
@@ -47,7 +49,7 @@
   public String run() {
     return incarnation.isTold()
         ? id + "@" + incarnation.startedAt().getAsLong()
-        : id + "#" + listedAt;
+        : id + "#" + listedAt.number();
   }
 
   /** Returns an endpoint that does not tell when it started. */
@@ -60,7 +62,7 @@
       boolean leaving,
       Optional<LayerRange> layers,
       String accelerator,
-      long listedAt) {
+      StorePosition listedAt) {
     this(
         id,
         service,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/MeasuredStore.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/MeasuredStore.java
@@ -5,8 +5,9 @@
 
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Metric;
 
@@ -38,13 +39,13 @@
   }
 
   @Override
-  public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, Duration wait) {
+  public CompletableFuture<StoreChanges> watch(String prefix, StorePosition after, Duration wait) {
     counters.count(Metric.STORE_CALLS, "watch");
-    return store.watch(prefix, afterRevision, wait);
+    return store.watch(prefix, after, wait);
   }
 
   @Override
-  public CompletableFuture<OptionalLong> create(String key, String value, long lease) {
+  public CompletableFuture<Optional<StorePosition>> create(String key, String value, long lease) {
     return measured("create", store.create(key, value, lease));
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -18,6 +18,7 @@
 import java.util.stream.Stream;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
@@ -91,7 +92,7 @@
   private final HeldLease controller;
   private final List<Runnable> wonListeners = new ArrayList<>();
   private OptionalLong fence = OptionalLong.empty();
-  private OptionalLong entryCreatedAt = OptionalLong.empty();
+  private Optional<StorePosition> entryCreatedAt = Optional.empty();
   private int liveNodes = 1;
 
   /** Counted before the store was silent: those that may have to write their entries again. */
@@ -249,7 +250,7 @@
         clock,
         (created, failure) -> {
           // No other run has this key: if it exists, an earlier try was done after all.
-          entryCreatedAt = failure == null ? created : OptionalLong.empty();
+          entryCreatedAt = failure == null ? created : Optional.empty();
           if (failure != null && entry.id().equals(OptionalLong.of(lease))) {
             clock.schedule(() -> writeEntryAgain(lease), ENTRY_RETRY.toNanos(), NANOSECONDS);
           }
@@ -293,7 +294,7 @@
             // It may have been written all the same; the watch then shows this node's name.
             clock.schedule(() -> giveUpUnlessWon(lease), CONTROLLER_RENEWAL.toNanos(), NANOSECONDS);
           } else if (created.isPresent()) {
-            won(created.getAsLong());
+            won(created.get());
           } else {
             controller.release();
           }
@@ -307,12 +308,12 @@
     }
   }
 
-  private void won(long createdAt) {
+  private void won(StorePosition createdAt) {
     controllerPresent = true;
     boolean wasController = fence.isPresent();
-    fence = OptionalLong.of(createdAt);
+    fence = OptionalLong.of(createdAt.number());
     if (!wasController) {
-      EventLog.info(Event.LEASE_WON, "fence", createdAt);
+      EventLog.info(Event.LEASE_WON, "fence", createdAt.number());
       wonListeners.forEach(Runnable::run);
     }
   }
@@ -351,7 +352,7 @@
       if (removed) {
         nodes.getOrDefault(name, Optional.empty()).ifPresent(this::noteUnlisted);
         nodes.remove(name);
-        takeOwnRemoval(name, item.revision());
+        takeOwnRemoval(name, item.changedAt());
       } else {
         nodes.put(name, peerIn(item));
       }
@@ -361,11 +362,11 @@
   }
 
   /** An entry that lapsed while this node was cut off need not wait for the next renewal. */
-  private void takeOwnRemoval(String name, long removedAt) {
+  private void takeOwnRemoval(String name, StorePosition removedAt) {
     boolean presentEntry =
         name.equals(NODES + node)
             && entryCreatedAt.isPresent()
-            && removedAt > entryCreatedAt.getAsLong();
+            && removedAt.isAfter(entryCreatedAt.get());
     if (presentEntry) {
       long spread = ENTRY_SPREAD_A_NODE.toNanos() * nodesBeforeSilence;
       long wait = (long) (random.nextDouble() * spread);
@@ -389,7 +390,7 @@
   }
 
   private void takeController(StoredItem item, boolean removed) {
-    if (fence.isPresent() && item.revision() < fence.getAsLong()) {
+    if (fence.isPresent() && item.changedAt().number() < fence.getAsLong()) {
       return; // It tells of an earlier controller.
     }
     controllerPresent = !removed;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -18,7 +19,7 @@
 /**
  * Keeps a listener up to date with all items under a prefix.
  *
- * <p>One whole read, then watches from its revision; a whole read again when the store has
+ * <p>One whole read, then watches from its position; a whole read again when the store has
  * forgotten what changed. {@link #confirmedAt} is the age of the view: the time at which the newest
  * answered call was asked, never that of its answer. Confined to the node's event loop.
  */
@@ -54,7 +55,7 @@
   private final Supplier<Duration> pause;
   private final Listener listener;
   private final SuspensionWatch suspensions;
-  private long revision = -1;
+  private Optional<StorePosition> position = Optional.empty();
   private long confirmedAt = Long.MIN_VALUE / 2;
   private long startedAt;
   private Duration backOff = FIRST_BACK_OFF;
@@ -161,7 +162,7 @@
     // Before the time is read: what is asked after a suspension has to count as such.
     suspensions.awakeSince();
     long askedAt = clock.currentTime(NANOSECONDS);
-    if (revision < 0) {
+    if (position.isEmpty()) {
       Async.onDone(
           store.list(prefix),
           clock,
@@ -172,7 +173,7 @@
             if (failure != null) {
               retry(askedAt, failure);
             } else {
-              revision = view.revision();
+              position = Optional.of(view.position());
               listener.replace(view.items());
               answered(askedAt, "whole");
             }
@@ -180,7 +181,7 @@
       return;
     }
     Async.onDone(
-        store.watch(prefix, revision, nextWait()),
+        store.watch(prefix, position.get(), nextWait()),
         clock,
         (changes, failure) -> {
           if (ask != asks) {
@@ -189,13 +190,17 @@
           if (failure != null) {
             retry(askedAt, failure);
           } else {
-            revision = Math.max(revision, changes.revision());
+            position = Optional.of(later(position.get(), changes.position()));
             changes.newestOfEachKey().forEach(listener::change);
             answered(askedAt, changes.changes().size() + " changes");
           }
         });
   }
 
+  private static StorePosition later(StorePosition one, StorePosition other) {
+    return other.isAfter(one) ? other : one;
+  }
+
   private Duration nextWait() {
     return silence.isPresent() || confirmAtOnce ? NO_WAIT : wait.get();
   }
@@ -233,7 +238,7 @@
   private void retry(long askedAt, Throwable failure) {
     noteFailure(askedAt, failure);
     if (historyLost(failure)) {
-      revision = -1;
+      position = Optional.empty();
       backOff = FIRST_BACK_OFF; // The store did answer.
     } else {
       silence.ifPresent(listener::silent);
@@ -250,7 +255,7 @@
       EventLog.warn(Event.STORE_FAILED, "prefix", prefix, "cause", failure.getMessage());
     }
     StoreSilence before =
-        silence.orElseGet(() -> StoreSilence.since(Math.max(confirmedAt, startedAt), revision));
+        silence.orElseGet(() -> StoreSilence.since(Math.max(confirmedAt, startedAt), position));
     silence = Optional.of(before.and(askedAt, String.valueOf(failure.getMessage())));
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/SharedStore.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/SharedStore.java
@@ -1,8 +1,9 @@
 package org.vaneworks.coordination.shared;
 
 import java.time.Duration;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.vaneworks.state.StorePosition;
 
 /**
  * The platform's key-value service as nodes use it together.
@@ -15,19 +16,19 @@
   CompletableFuture<StoreView> list(String prefix);
 
   /**
-   * Waits for changes after a revision.
+   * Waits for changes after a position.
    *
    * @return at the latest after the wait; fails with {@link SharedStoreException.Kind#HISTORY_LOST}
    *     if the store no longer knows what changed since then
    */
-  CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, Duration wait);
+  CompletableFuture<StoreChanges> watch(String prefix, StorePosition after, Duration wait);
 
   /**
    * Creates a key under a lease if it is absent.
    *
-   * @return the store's counter at its creation; empty if the key exists
+   * @return when it was created; empty if the key exists
    */
-  CompletableFuture<OptionalLong> create(String key, String value, long lease);
+  CompletableFuture<Optional<StorePosition>> create(String key, String value, long lease);
 
   /** Opens a lease; it lapses after that time without a renewal. */
   CompletableFuture<Long> openLease(Duration lifetime);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/StoreView.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/StoreView.java
@@ -1,11 +1,12 @@
 package org.vaneworks.coordination.shared;
 
 import com.google.common.collect.ImmutableList;
+import org.vaneworks.state.StorePosition;
 
 /**
  * All items under a prefix.
  *
  * @param items the items
- * @param revision the store's counter from which changes are to be followed
+ * @param position from which changes are to be followed
  */
-public record StoreView(ImmutableList<StoredItem> items, long revision) {}
+public record StoreView(ImmutableList<StoredItem> items, StorePosition position) {}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/StoredItem.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/StoredItem.java
@@ -1,11 +1,15 @@
 package org.vaneworks.coordination.shared;
 
+import org.vaneworks.state.StorePosition;
+
 /**
  * A key and its value.
  *
  * @param key the key
  * @param value the text
- * @param revision the store's counter at the last change
- * @param createdAt the store's counter at the creation
+ * @param changedAt when it was last changed
+ * @param createdAt when it was created
+ * @param lease the lease that it is under; 0 if none
  */
-public record StoredItem(String key, String value, long revision, long createdAt) {}
+public record StoredItem(
+    String key, String value, StorePosition changedAt, StorePosition createdAt, long lease) {}
