A store that comes back from an older copy: positions, leases and entries of before count no more

Callers would have seen: requests under changes of configuration and lists that nodes never heard of (a number given out again brings no 410), engines without a controller for ever (its fence lower than one they had taken), nodes that take each other's leases for their own, work sent to endpoints that had gone or had announced their end. Cause: what nodes remember was compared with the store's bare counter.

The era comes with each answer and is read once, at the edge. At a higher one the follower drops its position and reads all anew, every lease is taken anew under another name, a fence is higher whatever the counter, nodes write again what only they know (entries, ends), endpoints that the copy lacks are kept as after an outage, those that were seen to go stay gone until written again, an announced end holds for the run. Answers of a former era are refused. Ruled out: renewing a lease that may be in the copy (its id may be another's), and ending it (the same).

Red before, with the era read and not acted upon: eight of the new tests of follower, lease, fleet and quarantine.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EndpointListWatch.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EndpointListWatch.java
@@ -68,6 +68,11 @@
     fleet.noteStoreSilent(silence.lastCallBegunAt(), silence.lastPosition());
   }
 
+  @Override
+  public void newEra(long era) {
+    fleet.noteNewEra();
+  }
+
   @Override
   public void upToDate() {
     fleet.judgeUnlisted();
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestTest.java
@@ -171,4 +171,35 @@
     long refused = others.stream().filter(got -> got.refusal.isPresent()).count();
     assertEquals(0, refused);
   }
+
+  @Test
+  void whatIsHeldBackOutlivesAStoreThatComesBackFromACopyWithoutIt() {
+    fleet.store.takeCopy();
+    askAgainAndAgain(10, 500);
+    long before = fleet.crashingArrivalsFrom(0);
+    fleet.store.comeBackFromCopy();
+    askAgainAndAgain(20, 500);
+    assertEquals(before, fleet.crashingArrivalsFrom(0));
+    for (int node = 0; node < NODES; node++) {
+      fleet.restartNode(node);
+    }
+    fleet.advance(1000);
+    askAgainAndAgain(4, 500);
+    assertEquals(before, fleet.crashingArrivalsFrom(0));
+  }
+
+  @Test
+  void endsThatWereToldBeforeAStoreForgotThemStillCount() {
+    fleet.store.takeCopy();
+    fleet.ask(0, SharedEngines.CRASHING);
+    fleet.advance(3000);
+    fleet.store.comeBackFromCopy();
+    fleet.advance(3000);
+    for (int node = 1; node < NODES; node++) {
+      fleet.restartNode(node);
+    }
+    fleet.advance(1000);
+    askAgainAndAgain(30, 500);
+    assertHeldBackAfterTheThirdEnd();
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EndpointListWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EndpointListWatchTest.java
@@ -44,7 +44,7 @@
   }
 
   private static StoredItem item(String id, String value) {
-    return new StoredItem(PREFIX + id, value, new StorePosition(0, 5), new StorePosition(0, 5), 0);
+    return new StoredItem(PREFIX + id, value, new StorePosition(0, 5), new StorePosition(0, 5));
   }
 
   private ImmutableSet<String> usable() {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -290,4 +290,52 @@
             "a", "s", address, "dc1", 6, false, layers, "large", new StorePosition(0, 1)));
     assertSame(known, only());
   }
+
+  @Test
+  void endpointsThatAStoreForgotAreKeptForAWhile() {
+    fleet.put(endpoint("a", false));
+    fleet.put(endpoint("b", false));
+    fleet.noteNewEra();
+    FleetEndpoint again = endpointOfEra(1, "b");
+    fleet.replaceAll(List.of(again));
+    fleet.judgeUnlisted();
+    assertEquals(2, usable());
+    clock.advance(Duration.ofMillis(2600));
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void endpointThatWasSeenToGoIsNotThereAgainWithTheCopy() {
+    fleet.put(endpoint("a", false));
+    unlist("a");
+    assertEquals(0, usable());
+    fleet.noteNewEra();
+    fleet.replaceAll(List.of(endpointOfEra(1, "a")));
+    fleet.judgeUnlisted();
+    assertEquals(0, usable());
+    fleet.put(endpointOfEra(1, "a"));
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void announcementOfAnEndHoldsThoughTheCopyDoesNotKnowIt() {
+    fleet.put(endpoint("a", true));
+    fleet.noteNewEra();
+    fleet.replaceAll(List.of(endpointOfEra(1, "a")));
+    fleet.judgeUnlisted();
+    assertEquals(0, usable());
+  }
+
+  private static FleetEndpoint endpointOfEra(long era, String id) {
+    return new FleetEndpoint(
+        id,
+        "s",
+        new HostPort("10.0.0.1", 80),
+        "dc1",
+        6,
+        false,
+        Optional.empty(),
+        "",
+        new StorePosition(era, 3));
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -225,10 +225,14 @@
     NodeLease first = node(store, "box1", "1");
     advance(500);
     long fence = first.controllerFence().getAsLong();
+    long revision = fence - new StorePosition(store.era(), 0).number();
     first.change(
         new StoreChanges.Change(
             new StoredItem(
-                PREFIX + "controller", "", new StorePosition(0, fence - 1), StorePosition.START, 0),
+                PREFIX + "controller",
+                "",
+                new StorePosition(store.era(), revision - 1),
+                StorePosition.START),
             true));
     advance(5000);
     assertEquals(fence, first.controllerFence().getAsLong());
@@ -374,4 +378,91 @@
     assertTrue(other.controllerFence().isPresent());
     assertTrue(suspended.controllerFence().isEmpty());
   }
+
+  private void start(int count) {
+    for (int i = 0; i < count; i++) {
+      node(new StoreLink(clock, store), "box" + i, "1");
+    }
+  }
+
+  private long highestFence() {
+    return nodes.stream()
+        .flatMapToLong(node -> node.controllerFence().stream())
+        .max()
+        .orElseThrow();
+  }
+
+  @Test
+  void nodesWhoseEntriesAStoreForgotAreListedAgainSoon() {
+    store.takeCopy();
+    start(8);
+    advance(3000);
+    store.comeBackFromCopy();
+    advance(2500);
+    for (NodeLease node : nodes) {
+      assertEquals(8, node.liveNodes());
+    }
+  }
+
+  @Test
+  void nodesWhoseEntriesAreInTheCopyStayListed() {
+    start(8);
+    advance(3000);
+    store.takeCopy();
+    advance(3000);
+    store.comeBackFromCopy();
+    for (int i = 0; i < 40; i++) {
+      advance(500);
+      if (i > 4) {
+        assertEquals(8, nodes.get(0).liveNodes(), "after " + (i + 1) * 500 + " ms");
+      }
+    }
+  }
+
+  @Test
+  void controllerAfterAStoreForgotItsLeaseHasAHigherFence() {
+    store.takeCopy();
+    start(4);
+    advance(3000);
+    long before = highestFence();
+    store.comeBackFromCopy();
+    advance(6000);
+    assertEquals(1, controllers());
+    assertTrue(highestFence() > before, highestFence() + " after " + before);
+  }
+
+  @Test
+  void leaseWhoseNumberIsGivenToAnotherNodeIsNotHeldByBoth() {
+    store.takeCopy();
+    start(1);
+    advance(3000);
+    NodeLease former = nodes.get(0);
+    long before = highestFence();
+    store.comeBackFromCopy();
+    // Its leases take the numbers that the former's had.
+    NodeLease other = node(store, "other", "1");
+    advance(1500);
+    assertTrue(controllers() <= 1, controllers() + " controllers");
+    advance(6000);
+    assertEquals(1, controllers());
+    assertTrue(highestFence() > before);
+    assertEquals(2, former.liveNodes());
+    assertEquals(2, other.liveNodes());
+  }
+
+  @Test
+  void controllerThatEndedIsNotThereAgainWithTheCopy() {
+    start(2);
+    advance(1000);
+    store.takeCopy();
+    NodeLease first = controller();
+    long before = highestFence();
+    first.stop();
+    advance(2000);
+    store.comeBackFromCopy();
+    advance(8000);
+    assertTrue(first.controllerFence().isEmpty());
+    assertEquals(1, controllers());
+    assertTrue(highestFence() > before);
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/PrefixFollowerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/PrefixFollowerTest.java
@@ -184,4 +184,50 @@
     // One watch of 1.5 s and a pause of 0.1 s after the other.
     assertEquals(calls + 10, store.calls.size(), 1);
   }
+
+  private void comeBackWithout(String key) {
+    store.takeCopy();
+    store.put(key, "lost");
+    advance(300);
+    assertTrue(seen.containsKey(key));
+    store.down = true;
+    advance(200);
+    store.down = false;
+    store.comeBackFromCopy();
+  }
+
+  @Test
+  void changeUnderANumberThatIsGivenOutAgainIsSeen() {
+    store.put("a/1", "x");
+    follower.start();
+    advance(300);
+    comeBackWithout("a/2");
+    store.put("a/3", "y");
+    advance(3000);
+    assertEquals(Map.of("a/1", "x", "a/3", "y"), seen);
+  }
+
+  @Test
+  void sameWhereTheHistoryIsGoneToo() {
+    store.put("a/1", "x");
+    follower.start();
+    advance(300);
+    store.copiesHaveNoHistory = true;
+    comeBackWithout("a/2");
+    store.put("a/3", "y");
+    advance(3000);
+    assertEquals(Map.of("a/1", "x", "a/3", "y"), seen);
+  }
+
+  @Test
+  void storeThatComesBackAgainAndAgainIsFollowed() {
+    follower.start();
+    for (int i = 0; i < 5; i++) {
+      advance(300);
+      comeBackWithout("a/lost" + i);
+      store.put("a/" + i, "y");
+    }
+    advance(3000);
+    assertEquals(5, seen.size());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
@@ -8,14 +8,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.vaneworks.coordination.shared.SharedStore;
 import org.vaneworks.coordination.shared.SharedStoreException;
 import org.vaneworks.coordination.shared.SharedStoreException.Kind;
 import org.vaneworks.coordination.shared.StoreChanges;
+import org.vaneworks.coordination.shared.StoreEras;
 import org.vaneworks.coordination.shared.StoreView;
 import org.vaneworks.coordination.shared.StoredItem;
 import org.vaneworks.state.StorePosition;
@@ -26,6 +29,14 @@
 
   private record Stored(StoredItem item, long lease) {}
 
+  /** All that the store keeps. */
+  private record Copy(
+      Map<String, Stored> items,
+      List<StoreChanges.Change> history,
+      Map<Long, Lease> leases,
+      long revision,
+      long nextLease) {}
+
   private final Executor clock;
   private final Map<String, Stored> items = new TreeMap<>();
   private final List<StoreChanges.Change> history = new ArrayList<>();
@@ -36,6 +47,14 @@
   public boolean down;
   public boolean losesAnswers;
   private boolean forgot;
+  private long era = 1;
+  private long historyFrom;
+
+  /** Whether the history before the newest return is gone too, as told to watches. */
+  public boolean copiesHaveNoHistory;
+
+  private final StoreEras eras = StoreEras.create();
+  private Copy copy;
 
   public StoreInMemory(Executor clock) {
     this.clock = clock;
@@ -58,7 +77,7 @@
     revision++;
     Stored before = items.get(key);
     StorePosition created = before == null ? position() : before.item().createdAt();
-    StoredItem item = new StoredItem(key, value, position(), created, lease);
+    StoredItem item = new StoredItem(key, value, position(), created);
     items.put(key, new Stored(item, lease));
     history.add(new StoreChanges.Change(item, false));
   }
@@ -67,7 +86,7 @@
     revision++;
     items.remove(key);
     history.add(
-        new StoreChanges.Change(new StoredItem(key, "", position(), StorePosition.START, 0), true));
+        new StoreChanges.Change(new StoredItem(key, "", position(), StorePosition.START), true));
   }
 
   /** Removes all keys under a prefix. */
@@ -81,10 +100,56 @@
     return calls.stream().filter(call -> !call.equals("list") && !call.equals("watch")).count();
   }
 
+  /** Keeps all that is there now for {@link #comeBackFromCopy}. */
+  public void takeCopy() {
+    lapse();
+    copy =
+        new Copy(
+            new TreeMap<>(items),
+            new ArrayList<>(history),
+            new TreeMap<>(leases),
+            revision,
+            nextLease);
+  }
+
+  /**
+   * Goes back to the copy: what was written since is gone, and its numbers are given out again.
+   * Leases of the copy are renewed by that, as their time counts anew.
+   */
+  public void comeBackFromCopy() {
+    long now = clock.currentTime(TimeUnit.NANOSECONDS);
+    items.clear();
+    items.putAll(copy.items());
+    history.clear();
+    if (!copiesHaveNoHistory) {
+      history.addAll(copy.history());
+    }
+    leases.clear();
+    copy.leases().forEach((id, lease) -> leases.put(id, new Lease(lease.lifetime(), now)));
+    revision = copy.revision();
+    nextLease = copy.nextLease();
+    historyFrom = copiesHaveNoHistory ? revision : 0;
+    era++;
+  }
+
+  /** Returns how often it came back from a copy, and one. */
+  public long era() {
+    return era;
+  }
+
+  /** The store itself numbers without an era; whoever reads adds that of the answer. */
   private StorePosition position() {
     return new StorePosition(0, revision);
   }
 
+  private StorePosition told(StorePosition position) {
+    return new StorePosition(era, position.revision());
+  }
+
+  private StoredItem told(StoredItem item) {
+    return new StoredItem(item.key(), item.value(), told(item.changedAt()), told(item.createdAt()));
+  }
+
   private void lapse() {
     long now = clock.currentTime(TimeUnit.NANOSECONDS);
     Set<Long> over = new HashSet<>();
@@ -113,6 +178,7 @@
     if (down) {
       return failed(Kind.WITHOUT_EFFECT);
     }
+    eras.accepts(OptionalLong.of(era));
     T result = work.get();
     return losesAnswers ? failed(Kind.UNKNOWN_EFFECT) : CompletableFuture.completedFuture(result);
   }
@@ -121,6 +187,11 @@
     return CompletableFuture.failedFuture(SharedStoreException.of(kind, kind.name()));
   }
 
+  @Override
+  public void onNewEra(LongConsumer listener) {
+    eras.onChange(listener);
+  }
+
   @Override
   public CompletableFuture<StoreView> list(String prefix) {
     return answer(
@@ -129,10 +200,10 @@
           forgot = false;
           return new StoreView(
               items.values().stream()
-                  .map(Stored::item)
+                  .map(stored -> told(stored.item()))
                   .filter(item -> item.key().startsWith(prefix))
                   .collect(ImmutableList.toImmutableList()),
-              position());
+              told(position()));
         });
   }
 
@@ -148,18 +219,23 @@
   private void look(
       String prefix, StorePosition after, long until, CompletableFuture<StoreChanges> answer) {
     lapse();
-    if (down || forgot) {
+    boolean unknown = after.revision() > revision || after.revision() < historyFrom;
+    if (!down) {
+      eras.accepts(OptionalLong.of(era));
+    }
+    if (down || forgot || unknown) {
       Kind kind = down ? Kind.WITHOUT_EFFECT : Kind.HISTORY_LOST;
       answer.completeExceptionally(SharedStoreException.of(kind, kind.name()));
       return;
     }
     ImmutableList<StoreChanges.Change> changes =
         history.stream()
-            .filter(change -> change.item().changedAt().isAfter(after))
+            .filter(change -> change.item().changedAt().revision() > after.revision())
             .filter(change -> change.item().key().startsWith(prefix))
+            .map(change -> new StoreChanges.Change(told(change.item()), change.removed()))
             .collect(ImmutableList.toImmutableList());
     if (!changes.isEmpty() || clock.currentTime(TimeUnit.NANOSECONDS) >= until) {
-      answer.complete(new StoreChanges(changes, position()));
+      answer.complete(new StoreChanges(changes, told(position())));
       return;
     }
     clock.schedule(() -> look(prefix, after, until, answer), 5, TimeUnit.MILLISECONDS);
@@ -174,7 +250,7 @@
             return Optional.empty();
           }
           store(key, value, lease);
-          return Optional.of(position());
+          return Optional.of(told(position()));
         });
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
@@ -3,14 +3,17 @@
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.shared.SharedStore;
 import org.vaneworks.coordination.shared.SharedStoreException;
 import org.vaneworks.coordination.shared.SharedStoreException.Kind;
 import org.vaneworks.coordination.shared.StoreChanges;
+import org.vaneworks.coordination.shared.StoreEras;
 import org.vaneworks.coordination.shared.StoreView;
 import org.vaneworks.state.StorePosition;
 
@@ -23,11 +26,12 @@
   private static final long CALL_LIMIT_MILLIS = 900;
 
   private final Executor clock;
-  private final SharedStore store;
+  private final StoreInMemory store;
+  private final StoreEras eras = StoreEras.create();
   private boolean cut;
 
   /** Creates an open way. */
-  public StoreLink(Executor clock, SharedStore store) {
+  public StoreLink(Executor clock, StoreInMemory store) {
     this.clock = clock;
     this.store = store;
   }
@@ -41,10 +45,14 @@
     return cut ? unanswered() : Async.compose(call.get(), this::answerUnlessCut);
   }
 
+  /** Hands an answer on; like a client of the store, it takes the answer's era first. */
   private <T> CompletableFuture<T> answerUnlessCut(T answer, Throwable failure) {
     if (cut) {
       return unanswered();
     }
+    if (!store.down) {
+      eras.accepts(OptionalLong.of(store.era()));
+    }
     return failure == null
         ? CompletableFuture.completedFuture(answer)
         : CompletableFuture.failedFuture(failure);
@@ -59,6 +67,11 @@
     return unanswered;
   }
 
+  @Override
+  public void onNewEra(LongConsumer listener) {
+    eras.onChange(listener);
+  }
+
   @Override
   public CompletableFuture<StoreView> list(String prefix) {
     return unlessCut(() -> store.list(prefix));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -40,6 +40,9 @@
   /** Four times the endpoints of the largest fleet that is planned for; some 1 MB. */
   private static final int MOST_KNOWN_RUNS = 10_000;
 
+  /** A store comes back from a copy that is some seconds old; generous. */
+  private static final Duration OLDEST_COPY = Duration.ofMinutes(2);
+
   private final Executor clock;
   private final Counters counters;
   private final Duration relistGrace;
@@ -49,6 +52,12 @@
   /** The newest run that was told under each id, also of endpoints that are gone. */
   private final Map<String, Incarnation> newestRuns = new LinkedHashMap<>();
 
+  /** When endpoints were dropped, by id. */
+  private final Map<String, Long> droppedAt = new LinkedHashMap<>();
+
+  /** Endpoints that were dropped before the store's newest copy was read, and not listed since. */
+  private final Set<String> namedByCopyOnly = new HashSet<>();
+
   private final List<Runnable> choiceListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> suspicionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> removalListeners = new ArrayList<>();
@@ -126,12 +135,28 @@
     }
   }
 
+  /**
+   * Takes note that the store has come back from an older copy; a whole list of the copy follows.
+   *
+   * <p>Endpoints that it does not name may only not have written their entries again, and one that
+   * it names may have gone since, as this node saw.
+   */
+  public void noteNewEra() {
+    storeSilentAt = now();
+    positionBeforeSilence = Optional.empty();
+    long oldest = now() - OLDEST_COPY.toNanos();
+    droppedAt.values().removeIf(at -> at < oldest);
+    namedByCopyOnly.addAll(droppedAt.keySet());
+  }
+
   /** Takes a whole list; {@link #judgeUnlisted} is to follow. */
   public void replaceAll(Collection<FleetEndpoint> listed) {
     Set<String> ids = new HashSet<>();
     for (FleetEndpoint endpoint : listed) {
       ids.add(endpoint.id());
-      put(endpoint);
+      if (!namedByCopyOnly.contains(endpoint.id())) {
+        takeEntry(endpoint);
+      }
     }
     for (String id : ImmutableList.copyOf(byId.keySet())) {
       if (!ids.contains(id)) {
@@ -142,6 +167,11 @@
 
   /** Takes one new or changed entry. */
   public void put(FleetEndpoint listed) {
+    namedByCopyOnly.remove(listed.id());
+    takeEntry(listed);
+  }
+
+  private void takeEntry(FleetEndpoint listed) {
     String id = listed.id();
     Incarnation newest = newestRuns.getOrDefault(id, Incarnation.UNTOLD);
     if (newest.isAfter(listed.incarnation())) {
@@ -159,8 +189,12 @@
     if (run.isTold()) {
       newestRuns.put(id, run);
     }
-    if (newestRuns.size() > MOST_KNOWN_RUNS) {
-      newestRuns.remove(newestRuns.keySet().iterator().next());
+    forgetOldest(newestRuns);
+  }
+
+  private static void forgetOldest(Map<String, ?> byId) {
+    if (byId.size() > MOST_KNOWN_RUNS) {
+      byId.remove(byId.keySet().iterator().next());
     }
   }
 
@@ -238,7 +272,8 @@
 
   private void update(TrackedEndpoint known, FleetEndpoint listed) {
     FleetEndpoint before = known.endpoint();
-    known.update(listed);
+    // An announced end holds for the run: an older copy of the store may not know of it.
+    known.update(before.leaving() ? listed.thatLeaves() : listed);
     if (listed.leaving() && !before.leaving()) {
       EventLog.info(Event.ENDPOINT_LEAVING, "endpoint", listed.id());
       leavingListeners.forEach(listener -> listener.accept(known));
@@ -342,6 +377,8 @@
   private void drop(TrackedEndpoint endpoint, String cause) {
     endpoint.listing(Listing.GONE);
     byId.remove(endpoint.endpoint().id());
+    droppedAt.put(endpoint.endpoint().id(), now());
+    forgetOldest(droppedAt);
     EventLog.info(Event.ENDPOINT_GONE, "endpoint", endpoint.endpoint().id(), "cause", cause);
     removalListeners.forEach(listener -> listener.accept(endpoint));
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FleetEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FleetEndpoint.java
@@ -91,6 +91,12 @@
         later);
   }
 
+  /** Returns this entry as one of a run that has announced its end. */
+  FleetEndpoint thatLeaves() {
+    return new FleetEndpoint(
+        id, service, address, dataCentre, slots, true, layers, accelerator, listedAt, incarnation);
+  }
+
   /**
    * Returns whether both entries can be those of one run. Its accelerator is left out: some engines
    * name it with their model only.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
@@ -7,7 +7,9 @@
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -64,6 +66,10 @@
   private final Quarantine quarantine;
   private final EndedEndpoints endpoints;
   private final Set<EndpointEnd> unwritten = new LinkedHashSet<>();
+
+  /** What this node wrote, and when: it alone can write it again. */
+  private final Map<EndpointEnd, Long> writtenAt = new LinkedHashMap<>();
+
   private final Set<RequestContent> heldInStore = new HashSet<>();
   private final Set<String> takenKeys = new HashSet<>();
   private OptionalLong lease = OptionalLong.empty();
@@ -168,6 +174,7 @@
             return;
           }
           unwritten.removeAll(ends);
+          noteWritten(ends);
           writing = false;
           if (!unwritten.isEmpty()) {
             writeLater(GATHER);
@@ -175,6 +182,13 @@
         });
   }
 
+  private void noteWritten(ImmutableList<EndpointEnd> ends) {
+    ends.forEach(end -> writtenAt.put(end, now()));
+    while (writtenAt.size() > MOST_UNWRITTEN) {
+      writtenAt.remove(writtenAt.keySet().iterator().next());
+    }
+  }
+
   private void dropLeaseIfOver(Throwable failure) {
     if (failure instanceof SharedStoreException e
         && e.kind() == SharedStoreException.Kind.LEASE_OVER) {
@@ -220,6 +234,19 @@
     before.stream().filter(content -> !heldInStore.contains(content)).forEach(this::gone);
   }
 
+  /** Tells again what a store that has come back from a copy may have forgotten. */
+  @Override
+  public void newEra(long era) {
+    storeSilentAt = now();
+    lease = OptionalLong.empty();
+    long oldest = now() - ENDS_KEPT.toNanos();
+    writtenAt.values().removeIf(at -> at < oldest);
+    unwritten.addAll(writtenAt.keySet());
+    if (!unwritten.isEmpty()) {
+      writeLater(GATHER);
+    }
+  }
+
   @Override
   public void silent(StoreSilence silence) {
     storeSilentAt = now();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/MeasuredStore.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/MeasuredStore.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Metric;
@@ -26,6 +27,7 @@
     this.clock = checkNotNull(clock);
     this.store = checkNotNull(store);
     this.counters = checkNotNull(counters);
+    store.onNewEra(era -> counters.count(Metric.STORE_ERAS, "changed"));
   }
 
   /** Returns a store that passes all calls on. */
@@ -64,6 +66,11 @@
     return measured("end-lease", store.endLease(lease));
   }
 
+  @Override
+  public void onNewEra(LongConsumer listener) {
+    store.onNewEra(listener);
+  }
+
   private <T> CompletableFuture<T> measured(String purpose, CompletableFuture<T> call) {
     counters.count(Metric.STORE_CALLS, purpose);
     long askedAt = clock.currentTime(NANOSECONDS);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -63,6 +63,7 @@
 
   private static final String NODES = "nodes/";
   private static final char RUN_SEPARATOR = '/';
+  private static final char ERA_SEPARATOR = '.';
 
   /** In a node's entry, between its address and its data centre. */
   private static final char FIELD_SEPARATOR = ' ';
@@ -73,8 +74,12 @@
   private final Random random;
   private final SharedStore store;
   private final String prefix;
-  private final String node;
+  private final String run;
   private final String dataCentre;
+
+  /** Names this run in the store; another in each era, so that a copy names it no more. */
+  private String node;
+
   private final Supplier<Optional<HostPort>> address;
 
   /** The live nodes by name, with where each listens for its peers, if it does. */
@@ -108,14 +113,15 @@
       SharedStore store,
       SuspensionWatch suspensions,
       String prefix,
-      String node,
+      String run,
       String dataCentre,
       Supplier<Optional<HostPort>> address) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
     this.store = checkNotNull(store);
     this.prefix = checkNotNull(prefix);
-    this.node = checkNotNull(node);
+    this.run = checkNotNull(run);
+    node = run;
     this.dataCentre = checkNotNull(dataCentre);
     this.address = checkNotNull(address);
     entry =
@@ -325,6 +331,24 @@
     }
   }
 
+  /**
+   * Drops the leases: in a store that has come back from a copy their ids may be given to others. A
+   * former entry or claim that the copy still has lapses unused.
+   */
+  @Override
+  public void newEra(long era) {
+    String cause = "the store came back from an older copy";
+    node = run + ERA_SEPARATOR + era;
+    entryCreatedAt = Optional.empty();
+    nodesBeforeSilence = liveNodes;
+    entry.over(cause, entrySpread());
+    if (controller.id().isPresent() || fence.isPresent()) {
+      EventLog.warn(Event.LEASE_LOST, "cause", cause, "controller", fence.isPresent());
+    }
+    fence = OptionalLong.empty();
+    controller.release();
+  }
+
   @Override
   public void replace(ImmutableList<StoredItem> items) {
     followed = true;
@@ -368,12 +392,15 @@
             && entryCreatedAt.isPresent()
             && removedAt.isAfter(entryCreatedAt.get());
     if (presentEntry) {
-      long spread = ENTRY_SPREAD_A_NODE.toNanos() * nodesBeforeSilence;
-      long wait = (long) (random.nextDouble() * spread);
-      entry.over("this node's entry lapsed", Duration.ofNanos(wait));
+      entry.over("this node's entry lapsed", entrySpread());
     }
   }
 
+  private Duration entrySpread() {
+    long spread = ENTRY_SPREAD_A_NODE.toNanos() * nodesBeforeSilence;
+    return Duration.ofNanos((long) (random.nextDouble() * spread));
+  }
+
   private Optional<Peer> peerIn(StoredItem entry) {
     if (entry.value().isEmpty()) {
       return Optional.empty();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -7,6 +7,7 @@
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.concurrent.Async;
@@ -42,6 +43,12 @@
     /** Takes note that the store is silent; called at each failed call. */
     default void silent(StoreSilence silence) {}
 
+    /**
+     * Takes note that the store has come back from an older copy, with leases of then; a whole read
+     * follows.
+     */
+    default void newEra(long era) {}
+
     /** Takes note that everything up to an answered call has been handed over. */
     default void upToDate() {}
   }
@@ -56,6 +63,7 @@
   private final Listener listener;
   private final SuspensionWatch suspensions;
   private Optional<StorePosition> position = Optional.empty();
+  private OptionalLong newEraSince = OptionalLong.empty();
   private long confirmedAt = Long.MIN_VALUE / 2;
   private long startedAt;
   private Duration backOff = FIRST_BACK_OFF;
@@ -87,6 +95,7 @@
     this.listener = checkNotNull(listener);
     this.suspensions = checkNotNull(suspensions);
     suspensions.onWake(this::askAnew);
+    store.onNewEra(this::newEra);
   }
 
   /**
@@ -134,6 +143,17 @@
     return confirmedAt >= awakeSince && now - confirmedAt < age.toNanos();
   }
 
+  /**
+   * Reads all anew: the store gives out numbers again that were seen already, so that changes since
+   * would not be told.
+   */
+  private void newEra(long era) {
+    position = Optional.empty();
+    newEraSince = OptionalLong.of(clock.currentTime(NANOSECONDS));
+    listener.newEra(era);
+    askAnew();
+  }
+
   /** Asks without a wait; the answer to what was asked before is not waited for any more. */
   private void askAnew() {
     if (!stopped && started) {
@@ -175,6 +195,8 @@
             } else {
               position = Optional.of(view.position());
               listener.replace(view.items());
+              newEraSince.ifPresent(since -> tellReadAnew(since, view));
+              newEraSince = OptionalLong.empty();
               answered(askedAt, "whole");
             }
           });
@@ -197,6 +219,19 @@
         });
   }
 
+  private void tellReadAnew(long since, StoreView view) {
+    EventLog.info(
+        Event.STORE_READ_ANEW,
+        "prefix",
+        prefix,
+        "items",
+        view.items().size(),
+        "position",
+        view.position(),
+        "afterMs",
+        NANOSECONDS.toMillis(clock.currentTime(NANOSECONDS) - since));
+  }
+
   private static StorePosition later(StorePosition one, StorePosition other) {
     return other.isAfter(one) ? other : one;
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixRouter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixRouter.java
@@ -47,6 +47,11 @@
     listeners.values().forEach(listener -> listener.silent(silence));
   }
 
+  @Override
+  public void newEra(long era) {
+    listeners.values().forEach(listener -> listener.newEra(era));
+  }
+
   @Override
   public void upToDate() {
     listeners.values().forEach(PrefixFollower.Listener::upToDate);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/SharedStore.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/SharedStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import org.vaneworks.state.StorePosition;
 
 /**
@@ -38,4 +39,11 @@
 
   /** Ends a lease and removes its keys. */
   CompletableFuture<Void> endLease(long lease);
+
+  /**
+   * Calls back when an answer shows that the store has come back from an older copy, before that
+   * answer is handed over: positions and leases of before mean nothing any more. Answers from
+   * before that come later fail.
+   */
+  void onNewEra(LongConsumer listener);
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/StoredItem.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/StoredItem.java
@@ -9,7 +9,6 @@
  * @param value the text
  * @param changedAt when it was last changed
  * @param createdAt when it was created
- * @param lease the lease that it is under; 0 if none
  */
 public record StoredItem(
-    String key, String value, StorePosition changedAt, StorePosition createdAt, long lease) {}
+    String key, String value, StorePosition changedAt, StorePosition createdAt) {}
--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
@@ -9,6 +9,7 @@
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.HttpResponse;
@@ -63,8 +64,14 @@
     return new HttpSender(io, Optional.of(io));
   }
 
-  /** An answer: status, body, media type and the endpoint's refusal header, empty if absent. */
-  public record Answer(int status, String body, String contentType, String refused) {
+  /**
+   * An answer.
+   *
+   * @param refused the endpoint's refusal header, empty if absent
+   * @param headers all of its headers
+   */
+  public record Answer(
+      int status, String body, String contentType, String refused, HttpHeaders headers) {
     /** Returns whether the status is one of success. */
     public boolean isSuccess() {
       return status >= 200 && status < 300;
@@ -106,7 +113,8 @@
         response.status().code(),
         response.payloadBody().toString(UTF_8),
         type.toString(),
-        refused.toString());
+        refused.toString(),
+        response.headers());
   }
 
   private HttpClient connect(HostPort to) {
