--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
@@ -0,0 +1,23 @@
+package org.vaneworks.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.vaneworks.tests.Schedules;
+
+/** Checks over random courses that nothing rests on what a store has forgotten. */
+final class ReturningStoreSchedulesTest {
+  /** More of them are played by hand. */
+  private static final int COURSES_A_TRY =
+      Math.max(1, Integer.getInteger("vaneworks.schedules", Schedules.TRIES) / Schedules.TRIES);
+
+  @Property(tries = Schedules.TRIES, seed = "20261203")
+  void nodesGoOnWhateverTheStoreForgets(@ForAll long seed) {
+    for (int i = 0; i < COURSES_A_TRY; i++) {
+      assertEquals(
+          ImmutableList.of(), new ReturningStoreCourse(seed + i).play(), "course " + (seed + i));
+    }
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
@@ -73,6 +73,18 @@
     return items.containsKey(key);
   }
 
+  /** Returns what a key holds. */
+  public Optional<String> valueOf(String key) {
+    lapse();
+    return Optional.ofNullable(items.get(key)).map(stored -> stored.item().value());
+  }
+
+  /** Returns all keys. */
+  public ImmutableList<String> keys() {
+    lapse();
+    return ImmutableList.copyOf(items.keySet());
+  }
+
   private void store(String key, String value, long lease) {
     revision++;
     Stored before = items.get(key);
