--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -190,7 +190,7 @@
   }
 
   private FollowTimes followTimes() {
-    return FollowTimes.within(settings.keyRevocation(), lease.liveNodes());
+    return FollowTimes.within(settings.keyRevocation(), lease.sharingNodes());
   }
 
   private static ForwardingLimits limits(EntrySettings settings) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestSchedulesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingRequestSchedulesTest.java
@@ -35,7 +35,11 @@
     /** Times at which a node was in trouble, or the store was, which is trouble for all. */
     private final List<List<Long>> troubles = new ArrayList<>();
 
-    Course(long seed) {
+    /** Whether the store comes back from older copies meanwhile. */
+    private final boolean forgetful;
+
+    Course(long seed, boolean forgetful) {
+      this.forgetful = forgetful;
       random = new Random(seed);
       fleet = new SharedEngines(NODES, ENGINES, seed);
       for (int node = 0; node < NODES; node++) {
@@ -71,7 +75,18 @@
       fleet.advance(IN_TOUCH_AFTER_MILLIS);
     }
 
+    private void forget() {
+      switch (random.nextInt(12)) {
+        case 0, 1 -> fleet.store.takeCopy();
+        case 2 -> fleet.storeComesBack();
+        default -> {}
+      }
+    }
+
     private void act() {
+      if (forgetful) {
+        forget();
+      }
       int node = random.nextInt(NODES);
       switch (random.nextInt(14)) {
         case 0 -> cut(node, true);
@@ -135,7 +150,15 @@
 
   @Property(tries = 200, seed = "20261203")
   void crashingRequestIsHeldBackWhateverHappensMeanwhile(@ForAll long seed) {
-    Course course = new Course(seed);
+    assertHeldBack(new Course(seed, false));
+  }
+
+  @Property(tries = 200, seed = "20261203")
+  void sameBeforeAStoreThatComesBackFromOlderCopies(@ForAll long seed) {
+    assertHeldBack(new Course(seed, true));
+  }
+
+  private static void assertHeldBack(Course course) {
     course.play();
     List<Arrival> later = course.later();
     assertTrue(later.size() <= MOST_LATER, later + ", ends " + course.fleet.ends());
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreCourse.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreCourse.java
@@ -70,7 +70,6 @@
   private int version;
   private int endpoints;
   private int runs;
-  private boolean copied;
 
   ReturningStoreCourse(long seed) {
     random = new Random(seed);
@@ -249,10 +248,7 @@
         node.end(random.nextBoolean());
         nodes.set(place, new Node(place));
       }
-      case 10, 11 -> {
-        store.takeCopy();
-        copied = true;
-      }
+      case 10, 11 -> store.takeCopy();
       case 12, 13 -> comeBack();
       case 14 -> store.copiesHaveNoHistory = random.nextBoolean();
       default -> {}
@@ -276,9 +272,6 @@
 
   /** The store is away for a moment, perhaps, and is then as it was when it was copied last. */
   private void comeBack() {
-    if (!copied) {
-      return;
-    }
     store.down = random.nextBoolean();
     advance(1 + random.nextInt(LONGEST_STEP_MILLIS));
     store.down = false;
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -87,6 +87,7 @@
   private static final int STEP_MILLIS = 20;
   private static final int ENDS_AFTER_MILLIS = 60;
   private static final int BACK_AFTER_MILLIS = 3000;
+  private static final int RELISTED_AFTER_MILLIS = 800;
 
   final PausedExecutor clock = PausedExecutor.create();
   final StoreInMemory store = new StoreInMemory(clock);
@@ -127,6 +128,7 @@
     private final Set<Running> running = new LinkedHashSet<>();
     private final EngineArrivals arrivals = new EngineArrivals();
     private boolean ended;
+    private boolean replaced;
 
     Engine(int number) {
       endpoint =
@@ -194,6 +196,7 @@
           BACK_AFTER_MILLIS,
           () -> {
             store.remove(ENTRIES + endpoint.id());
+            replaced = true;
             startEngine();
           });
     }
@@ -440,6 +443,23 @@
     engines.values().forEach(engine -> engine.arrivals.nodeStarted(node));
   }
 
+  /** The store is as it was when it was copied; engines list themselves again a moment later. */
+  void storeComesBack() {
+    store.comeBackFromCopy();
+    later(RELISTED_AFTER_MILLIS, this::listEngines);
+  }
+
+  private void listEngines() {
+    for (Engine engine : engines.values()) {
+      String key = ENTRIES + engine.endpoint.id();
+      if (engine.replaced && store.has(key)) {
+        store.remove(key);
+      } else if (!engine.replaced && !store.has(key)) {
+        store.put(key, engine.endpoint.address().toString());
+      }
+    }
+  }
+
   /** Suspends a node's box for a time, or steps its time of day; both look alike to it. */
   void timeOfDayMoves(int node, int millis) {
     nodes.get(node).time.step(millis);
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreReturnCostTest.java
@@ -0,0 +1,89 @@
+package org.vaneworks.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.vaneworks.coordination.shared.NodeLease;
+import org.vaneworks.coordination.shared.PrefixFollower;
+import org.vaneworks.state.HostPort;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.testlib.PausedExecutor;
+import org.vaneworks.tests.shared.BoxTime;
+import org.vaneworks.tests.shared.StoreInMemory;
+import org.vaneworks.tests.shared.StoreLink;
+
+/** Checks how often nodes call a store that has just come back from an older copy. */
+final class StoreReturnCostTest {
+  private static final String PREFIX = "vaneworks/";
+  private static final Duration KEY_REVOCATION = Duration.ofSeconds(5);
+  private static final int COUNTED_MILLIS = 2000;
+
+  private final PausedExecutor clock = PausedExecutor.create();
+  private final StoreInMemory store = new StoreInMemory(clock);
+  private final List<NodeLease> nodes = new ArrayList<>();
+
+  private void startNode(int place) {
+    StoreLink link = new StoreLink(clock, store);
+    BoxTime time = new BoxTime(clock);
+    NodeLease lease =
+        NodeLease.create(
+            clock,
+            new Random(place),
+            link,
+            time.watch(),
+            PREFIX,
+            "box" + place,
+            "dc1",
+            "run",
+            () -> Optional.of(new HostPort("10.1.0.1", 7000 + place)));
+    PrefixFollower.create(
+            clock,
+            new Random(place),
+            link,
+            Counters.in(new SimpleMeterRegistry()),
+            "",
+            () -> FollowTimes.within(KEY_REVOCATION, lease.sharingNodes()).watchWait(),
+            () -> FollowTimes.within(KEY_REVOCATION, lease.sharingNodes()).pause(),
+            lease,
+            time.watch())
+        .start();
+    lease.start();
+    nodes.add(lease);
+  }
+
+  private void advance(int millis) {
+    clock.advance(Duration.ofMillis(millis));
+  }
+
+  private int callsWithin(int millis) {
+    int before = store.calls();
+    advance(millis);
+    return store.calls() - before;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {8, 95, 350})
+  void callsAreAtMostTwiceThoseOfAColdStart(int count) {
+    store.takeCopy();
+    int before = store.calls();
+    for (int place = 0; place < count; place++) {
+      startNode(place);
+    }
+    advance(COUNTED_MILLIS);
+    int coldStart = store.calls() - before;
+    advance(10_000);
+    store.comeBackFromCopy();
+    int afterReturn = callsWithin(COUNTED_MILLIS);
+    assertTrue(afterReturn <= 2 * coldStart, afterReturn + " calls, cold start " + coldStart);
+    advance(10_000);
+    assertEquals(count, nodes.get(0).liveNodes());
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreInMemory.java
@@ -107,6 +107,11 @@
     keys.forEach(this::remove);
   }
 
+  /** Returns how many calls came. */
+  public int calls() {
+    return calls.size();
+  }
+
   /** Returns how many calls asked for a change. */
   public long writes() {
     return calls.stream().filter(call -> !call.equals("list") && !call.equals("watch")).count();
@@ -124,11 +129,19 @@
             nextLease);
   }
 
+  /** Keeps an empty store for {@link #comeBackFromCopy}. */
+  public void copyNothing() {
+    copy = new Copy(new TreeMap<>(), new ArrayList<>(), new TreeMap<>(), 0, 1);
+  }
+
   /**
    * Goes back to the copy: what was written since is gone, and its numbers are given out again.
    * Leases of the copy are renewed by that, as their time counts anew.
    */
   public void comeBackFromCopy() {
+    if (copy == null) {
+      return;
+    }
     long now = clock.currentTime(TimeUnit.NANOSECONDS);
     items.clear();
     items.putAll(copy.items());
