Endpoints that a node saw go and that a copy of the store names are used after ten seconds, if nobody unlists them

Found by 3,000 random courses (course, kept as a test): a live endpoint was missing in one copy for longer than it is kept and named again by the next, unchanged, so that it had nothing to write; the node that had dropped it never used it again. What is remembered of gone endpoints has a class of its own now.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 import org.vaneworks.tests.Schedules;
 
 /** Checks over random courses that nothing rests on what a store has forgotten. */
@@ -20,4 +21,13 @@
           ImmutableList.of(), new ReturningStoreCourse(seed + i).play(), "course " + (seed + i));
     }
   }
+
+  /**
+   * A live endpoint was missing in a copy for longer than it is kept, and was named again by the
+   * next copy, so that it had nothing to write: the node that had dropped it never used it again.
+   */
+  @Test
+  void endpointThatTheNextCopyNamesAgainIsUsed() {
+    assertEquals(ImmutableList.of(), new ReturningStoreCourse(677694018).play());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -317,6 +317,31 @@
     assertEquals(1, usable());
   }
 
+  @Test
+  void endpointThatTheCopyNamesAndNobodyUnlistsIsUsedInTheEnd() {
+    fleet.put(endpoint("a", false));
+    unlist("a");
+    fleet.noteNewEra();
+    fleet.replaceAll(List.of(endpointOfEra(1, "a")));
+    fleet.judgeUnlisted();
+    clock.advance(Duration.ofSeconds(9));
+    assertEquals(0, usable());
+    clock.advance(Duration.ofSeconds(2));
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void endpointThatTheCopyNamesAndThatIsUnlistedAgainStaysGone() {
+    fleet.put(endpoint("a", false));
+    unlist("a");
+    fleet.noteNewEra();
+    fleet.replaceAll(List.of(endpointOfEra(1, "a")));
+    fleet.judgeUnlisted();
+    unlist("a");
+    clock.advance(Duration.ofSeconds(20));
+    assertEquals(0, usable());
+  }
+
   @Test
   void announcementOfAnEndHoldsThoughTheCopyDoesNotKnowIt() {
     fleet.put(endpoint("a", true));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointLimits.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointLimits.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import org.vaneworks.state.StatedLimit;
@@ -32,6 +33,9 @@
   /** Endpoints with a limit in force, and those whose limit ended a moment ago. */
   private final Set<TrackedEndpoint> known = new LinkedHashSet<>();
 
+  /** Endpoints that named a limit that can't be read; each is logged once. */
+  private final Set<TrackedEndpoint> unreadable = new HashSet<>();
+
   EndpointLimits(Executor clock, Counters counters) {
     this.clock = checkNotNull(clock);
     this.counters = checkNotNull(counters);
@@ -40,14 +44,20 @@
   /** Takes what an endpoint's answer to this node says. */
   public void heard(TrackedEndpoint endpoint, StatedLimit stated) {
     if (stated.isUnreadable()) {
-      counters.count(Metric.ENDPOINT_LIMITS, "unreadable");
-      EventLog.warn(Event.ENDPOINT_LIMIT_UNREADABLE, "endpoint", endpoint.endpoint().id());
+      noteUnreadable(endpoint);
     } else if (stated.isLimited() || known.contains(endpoint)) {
       endpoint.startLimit().toldThisNode(now());
       take(endpoint, stated, now(), "endpoint");
     }
   }
 
+  private void noteUnreadable(TrackedEndpoint endpoint) {
+    counters.count(Metric.ENDPOINT_LIMITS, "unreadable");
+    if (unreadable.add(endpoint)) {
+      EventLog.warn(Event.ENDPOINT_LIMIT_UNREADABLE, "endpoint", endpoint.endpoint().id());
+    }
+  }
+
   /**
    * Takes what an endpoint's answer to a peer said, unless a newer word is known.
    *
@@ -85,6 +95,7 @@
 
   void forget(TrackedEndpoint endpoint) {
     known.remove(endpoint);
+    unreadable.remove(endpoint);
   }
 
   /** Returns the endpoints whose limit is in force. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -37,27 +37,19 @@
  * Confined to the node's event loop.
  */
 public final class Fleet {
-  /** Four times the endpoints of the largest fleet that is planned for; some 1 MB. */
-  private static final int MOST_KNOWN_RUNS = 10_000;
-
-  /** A store comes back from a copy that is some seconds old; generous. */
-  private static final Duration OLDEST_COPY = Duration.ofMinutes(2);
+  /**
+   * An entry that only a copy of the store names goes within this time if its endpoint is gone:
+   * some missed check-ins, or the removal that is written again.
+   */
+  private static final Duration COPY_SETTLED = Duration.ofSeconds(10);
 
   private final Executor clock;
   private final Counters counters;
   private final Duration relistGrace;
   private final EndpointLimits limits;
+  private final FormerEndpoints former;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
 
-  /** The newest run that was told under each id, also of endpoints that are gone. */
-  private final Map<String, Incarnation> newestRuns = new LinkedHashMap<>();
-
-  /** When endpoints were dropped, by id. */
-  private final Map<String, Long> droppedAt = new LinkedHashMap<>();
-
-  /** Endpoints that were dropped before the store's newest copy was read, and not listed since. */
-  private final Set<String> namedByCopyOnly = new HashSet<>();
-
   private final List<Runnable> choiceListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> suspicionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> removalListeners = new ArrayList<>();
@@ -65,6 +57,7 @@
   private final List<Consumer<TrackedEndpoint>> endListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> goneListeners = new ArrayList<>();
 
+  private int erasSeen;
   private long storeSilentAt = Long.MIN_VALUE / 2;
   private Optional<StorePosition> positionBeforeSilence = Optional.empty();
 
@@ -73,6 +66,7 @@
     this.counters = checkNotNull(counters);
     this.relistGrace = checkNotNull(relistGrace);
     limits = new EndpointLimits(clock, counters);
+    former = new FormerEndpoints(clock);
     onRemoval(limits::forget);
   }
 
@@ -144,9 +138,16 @@
   public void noteNewEra() {
     storeSilentAt = now();
     positionBeforeSilence = Optional.empty();
-    long oldest = now() - OLDEST_COPY.toNanos();
-    droppedAt.values().removeIf(at -> at < oldest);
-    namedByCopyOnly.addAll(droppedAt.keySet());
+    former.noteNewEra();
+    int era = ++erasSeen;
+    clock.schedule(() -> takeStillNamed(era), COPY_SETTLED.toNanos(), NANOSECONDS);
+  }
+
+  /** Takes endpoints that had gone, by this node's view, but that nobody has unlisted since. */
+  private void takeStillNamed(int era) {
+    if (era == erasSeen) {
+      former.stillNamed().forEach(this::put);
+    }
   }
 
   /** Takes a whole list; {@link #judgeUnlisted} is to follow. */
@@ -154,8 +155,10 @@
     Set<String> ids = new HashSet<>();
     for (FleetEndpoint endpoint : listed) {
       ids.add(endpoint.id());
-      if (!namedByCopyOnly.contains(endpoint.id())) {
-        takeEntry(endpoint);
+      if (former.wentBeforeCopy(endpoint.id())) {
+        former.keep(endpoint);
+      } else {
+        put(endpoint);
       }
     }
     for (String id : ImmutableList.copyOf(byId.keySet())) {
@@ -167,37 +170,24 @@
 
   /** Takes one new or changed entry. */
   public void put(FleetEndpoint listed) {
-    namedByCopyOnly.remove(listed.id());
+    former.noteListed(listed.id());
     takeEntry(listed);
   }
 
   private void takeEntry(FleetEndpoint listed) {
     String id = listed.id();
-    Incarnation newest = newestRuns.getOrDefault(id, Incarnation.UNTOLD);
+    Incarnation newest = former.newestRun(id);
     if (newest.isAfter(listed.incarnation())) {
       counters.count(Metric.ENDPOINT_ENTRIES, "former-run");
     } else if (newest.isTold() && !listed.incarnation().isTold()) {
       counters.count(Metric.ENDPOINT_ENTRIES, "no-start");
       withdraw(id, "its entry tells no start, and one before did");
     } else {
-      noteRun(id, listed.incarnation());
+      former.noteRun(id, listed.incarnation());
       take(listed);
     }
   }
 
-  private void noteRun(String id, Incarnation run) {
-    if (run.isTold()) {
-      newestRuns.put(id, run);
-    }
-    forgetOldest(newestRuns);
-  }
-
-  private static void forgetOldest(Map<String, ?> byId) {
-    if (byId.size() > MOST_KNOWN_RUNS) {
-      byId.remove(byId.keySet().iterator().next());
-    }
-  }
-
   private void take(FleetEndpoint listed) {
     TrackedEndpoint known = byId.get(listed.id());
     if (known == null) {
@@ -263,7 +253,7 @@
     }
     Incarnation known = endpoint.endpoint().incarnation();
     if (told.isAfter(known) && !endpoint.delisted()) {
-      noteRun(endpoint.endpoint().id(), told);
+      former.noteRun(endpoint.endpoint().id(), told);
       startAgain(endpoint, endpoint.endpoint().startedAgain(told));
       return false;
     }
@@ -299,6 +289,7 @@
 
   /** Takes the removal of an entry; {@link #judgeUnlisted} is to follow. */
   public void remove(String id) {
+    former.noteUnlisted(id);
     TrackedEndpoint known = byId.get(id);
     if (known == null || known.listing() != Listing.LISTED) {
       return;
@@ -377,8 +368,7 @@
   private void drop(TrackedEndpoint endpoint, String cause) {
     endpoint.listing(Listing.GONE);
     byId.remove(endpoint.endpoint().id());
-    droppedAt.put(endpoint.endpoint().id(), now());
-    forgetOldest(droppedAt);
+    former.noteGone(endpoint.endpoint().id());
     EventLog.info(Event.ENDPOINT_GONE, "endpoint", endpoint.endpoint().id(), "cause", cause);
     removalListeners.forEach(listener -> listener.accept(endpoint));
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -22,9 +22,10 @@
  * streams last one to two seconds, so a report has to be younger. Hence two levels. A node tells
  * its own load to each node of its group, those of its data centre, whose engines it uses most. To
  * each other group it tells the sum of its group, once a round and to one node there; as all
- * members do so, each node hears of each group about as often as of each member. Slow engines that
- * a node knows at first hand are told with it: otherwise each of a hundred nodes finds out by a
- * late stream of its own. A node's bytes are bounded, whatever the number of peers and endpoints.
+ * members do so, each node hears of each group about as often as of each member. Told with it is
+ * what others would find out late or not at all: engines that a node knows at first hand to be
+ * slow, limits that endpoints named to it, and the newest version of the configuration that it has
+ * seen. A node's bytes are bounded, whatever the number of peers and endpoints.
  *
  * <p>What is heard is noted with the endpoints when a choice among them is near, not at each
  * report: a node begins a few requests a second and hears 25 reports. A group without requests
