--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
@@ -30,4 +30,10 @@
   void endpointThatTheNextCopyNamesAgainIsUsed() {
     assertEquals(ImmutableList.of(), new ReturningStoreCourse(677694018).play());
   }
+
+  /** A node that was cut off did not see that an endpoint of the copy was unlisted again. */
+  @Test
+  void endpointThatTheCopyNamesIsNotUsedByANodeThatIsCutOff() {
+    assertEquals(ImmutableList.of(), new ReturningStoreCourse(-27).play());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -325,8 +325,11 @@
     fleet.replaceAll(List.of(endpointOfEra(1, "a")));
     fleet.judgeUnlisted();
     clock.advance(Duration.ofSeconds(9));
+    fleet.judgeUnlisted();
     assertEquals(0, usable());
     clock.advance(Duration.ofSeconds(2));
+    assertEquals(0, usable());
+    fleet.judgeUnlisted();
     assertEquals(1, usable());
   }
 
@@ -339,6 +342,7 @@
     fleet.judgeUnlisted();
     unlist("a");
     clock.advance(Duration.ofSeconds(20));
+    fleet.judgeUnlisted();
     assertEquals(0, usable());
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -57,7 +57,7 @@
   private final List<Consumer<TrackedEndpoint>> endListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> goneListeners = new ArrayList<>();
 
-  private int erasSeen;
+  private long copySettledAt = Long.MAX_VALUE;
   private long storeSilentAt = Long.MIN_VALUE / 2;
   private Optional<StorePosition> positionBeforeSilence = Optional.empty();
 
@@ -139,15 +139,7 @@
     storeSilentAt = now();
     positionBeforeSilence = Optional.empty();
     former.noteNewEra();
-    int era = ++erasSeen;
-    clock.schedule(() -> takeStillNamed(era), COPY_SETTLED.toNanos(), NANOSECONDS);
-  }
-
-  /** Takes endpoints that had gone, by this node's view, but that nobody has unlisted since. */
-  private void takeStillNamed(int era) {
-    if (era == erasSeen) {
-      former.stillNamed().forEach(this::put);
-    }
+    copySettledAt = now() + COPY_SETTLED.toNanos();
   }
 
   /** Takes a whole list; {@link #judgeUnlisted} is to follow. */
@@ -302,10 +294,14 @@
   }
 
   /**
-   * Decides on endpoints that went missing after the store was silent, once all changes up to now
-   * are taken.
+   * Decides on endpoints that went missing after the store was silent, and on those that only a
+   * copy of it names, once all changes up to now are taken.
    */
   public void judgeUnlisted() {
+    if (now() >= copySettledAt) {
+      // They had gone, by this node's view, but nobody has unlisted them since.
+      former.stillNamed().forEach(this::put);
+    }
     ImmutableList<TrackedEndpoint> missing = with(Listing.MISSING);
     if (missing.isEmpty()) {
       return;
