--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EngineArrivals.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EngineArrivals.java
@@ -7,7 +7,7 @@
 import org.vaneworks.state.StatedLimit;
 
 /**
- * The requests that reached one engine, and which nodes had its word on how many it takes.
+ * The requests that reached one engine, and which nodes were told how many it takes.
  *
  * <p>What the engine is promised: from {@link #LEARNT_AFTER_MILLIS} after it first named its limit
  * on, at most one and a half times what that allows in any four seconds, and five requests more,
@@ -21,17 +21,18 @@
   private static final int SLACK = 5;
   private static final int STEP_MILLIS = 100;
 
-  private record Arrival(long atMillis, boolean fromNodeThatHadItsWord) {}
+  private record Arrival(long atMillis, boolean fromNodeThatWasTold) {}
 
-  /** A limit in force from some time on. */
-  private record Word(long fromMillis, StatedLimit limit) {}
+  /** What the engine says from some time on. */
+  private record Statement(long fromMillis, StatedLimit limit) {}
 
   private final List<Arrival> arrivals = new ArrayList<>();
-  private final List<Word> words = new ArrayList<>(List.of(new Word(0, StatedLimit.none())));
+  private final List<Statement> statements =
+      new ArrayList<>(List.of(new Statement(0, StatedLimit.none())));
   private final Map<Integer, Long> toldAt = new HashMap<>();
 
   StatedLimit limit() {
-    return words.get(words.size() - 1).limit();
+    return statements.get(statements.size() - 1).limit();
   }
 
   /** Names a limit from now on, or none any more. */
@@ -39,7 +40,7 @@
     if (!stated.isLimited()) {
       toldAt.clear();
     }
-    words.add(new Word(atMillis, stated));
+    statements.add(new Statement(atMillis, stated));
   }
 
   /** Notes that a request came from a node. */
@@ -81,17 +82,17 @@
   /** Returns whether a limit was in force all the time in which nodes could learn of it. */
   private boolean isLearnt(long end) {
     return inForce(end - LEARNT_AFTER_MILLIS, end).stream()
-        .allMatch(word -> word.limit().isLimited());
+        .allMatch(stated -> stated.limit().isLimited());
   }
 
-  /** Returns the words that counted at any moment after the first time, up to the second. */
-  private List<Word> inForce(long from, long to) {
-    List<Word> found = new ArrayList<>();
-    for (int i = 0; i < words.size(); i++) {
-      boolean begun = words.get(i).fromMillis() <= to;
-      boolean over = i + 1 < words.size() && words.get(i + 1).fromMillis() <= from;
+  /** Returns the statements that counted at any moment after the first time, up to the second. */
+  private List<Statement> inForce(long from, long to) {
+    List<Statement> found = new ArrayList<>();
+    for (int i = 0; i < statements.size(); i++) {
+      boolean begun = statements.get(i).fromMillis() <= to;
+      boolean over = i + 1 < statements.size() && statements.get(i + 1).fromMillis() <= from;
       if (begun && !over) {
-        found.add(words.get(i));
+        found.add(statements.get(i));
       }
     }
     return found;
@@ -100,7 +101,7 @@
   private long counted(long end) {
     return arrivals.stream()
         .filter(arrival -> arrival.atMillis() > end - WINDOW_MILLIS && arrival.atMillis() <= end)
-        .filter(Arrival::fromNodeThatHadItsWord)
+        .filter(Arrival::fromNodeThatWasTold)
         .count();
   }
 
@@ -108,8 +109,8 @@
   private long allowed(long end) {
     double perSecond =
         inForce(end - WINDOW_MILLIS - LEARNT_AFTER_MILLIS, end).stream()
-            .filter(word -> word.limit().isLimited())
-            .mapToDouble(word -> word.limit().perSecond())
+            .filter(stated -> stated.limit().isLimited())
+            .mapToDouble(stated -> stated.limit().perSecond())
             .max()
             .orElse(0);
     return (long) (MOST_TIMES_LIMIT * perSecond * WINDOW_MILLIS / 1000) + SLACK;
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/LimitedEngineTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/LimitedEngineTest.java
@@ -17,11 +17,11 @@
  * Checks that an engine gets no more requests a second, from all nodes together, than it says.
  *
  * <p>The incident behind it. Seen: an engine that began to say in its answers that it takes 3.3
- * requests a second got some nine a second as before, from eight nodes that had all passed its word
- * on. How it came about: every answer named the limit, and every node chose engines by load alone.
- * Cause: no node read what an engine says of itself on an answer. Proof: by the line that a node
- * writes at the first answer with a limit, the nodes that had it sent 24 requests too many in four
- * seconds, all of them first sends.
+ * requests a second got some nine a second as before, from eight nodes that had all passed such
+ * answers on. How it came about: every answer named the limit, and every node chose engines by load
+ * alone. Cause: no node read what an engine says of itself on an answer. Proof: by the line that a
+ * node writes at the first answer with a limit, the nodes that had it sent 24 requests too many in
+ * four seconds, all of them first sends.
  */
 final class LimitedEngineTest {
   private static final int NODES = 8;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointLimits.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointLimits.java
@@ -18,10 +18,11 @@
 /**
  * Which endpoints say how many requests a second they take from all nodes together.
  *
- * <p>The newest word counts, whoever heard it. Confined to the node's event loop.
+ * <p>The newest statement of an endpoint counts, whichever node it was made to. Confined to the
+ * node's event loop.
  */
 public final class EndpointLimits {
-  /** A word is told to peers for this long: several of their rounds, also at 350 nodes. */
+  /** A statement is told to peers for this long: several of their rounds, also at 350 nodes. */
   private static final Duration TOLD_FOR = Duration.ofSeconds(5);
 
   /** So that a report of loads stays one datagram; some 10 bytes each. */
@@ -59,7 +60,7 @@
   }
 
   /**
-   * Takes what an endpoint's answer to a peer said, unless a newer word is known.
+   * Takes what an endpoint's answer to a peer said, unless a newer statement is known.
    *
    * @param heardAt when the peer had it, on this node's clock in nanoseconds
    */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/StartLimit.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/StartLimit.java
@@ -47,14 +47,14 @@
     return toldThisNodeAt;
   }
 
-  void take(StatedLimit word, long wordHeardAt) {
-    if (word.isLimited() != stated.isLimited()) {
+  void take(StatedLimit newest, long newestHeardAt) {
+    if (newest.isLimited() != stated.isLimited()) {
       startsSinceChange = 0;
       share = 0;
-      changedAt = wordHeardAt;
+      changedAt = newestHeardAt;
     }
-    stated = word;
-    heardAt = wordHeardAt;
+    stated = newest;
+    heardAt = newestHeardAt;
   }
 
   void toldThisNode(long nowNanos) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -274,7 +274,7 @@
     times.part(now());
   }
 
-  /** Takes the endpoint's word on what it takes, unless another may have answered in its place. */
+  /** Takes what the endpoint says of its limit, unless another may have answered in its place. */
   private void noteLimit(AnswerHead head, TrackedEndpoint endpoint) {
     if (head.matches() && head.status() != MISDIRECTED) {
       context.fleet().limits().heard(endpoint, head.limit());
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/StartShares.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/StartShares.java
@@ -40,18 +40,18 @@
 
   /**
    * An endpoint that takes none is sent a request this often, by all nodes together: its answer is
-   * the only word that it takes more.
+   * the only sign that it takes more.
    */
   private static final double LEAST_PER_SECOND = 0.2;
 
   /**
-   * After this long without a word to any node, those that share it may have no requests for it.
+   * After this long without an answer to any node, those that share it may have no requests for it.
    */
-  private static final Duration WORD_IS_OLD = Duration.ofSeconds(10);
+  private static final Duration STATEMENT_IS_OLD = Duration.ofSeconds(10);
 
   /**
    * Part of a limit that the other nodes then use between them: the sharing ones may send all the
-   * same, if only their word does not come through.
+   * same, if only their reports are lost.
    */
   private static final double OTHERS_PART = 0.25;
 
@@ -119,7 +119,7 @@
     double perSecond = Math.max(LEAST_PER_SECOND, limit.stated().perSecond());
     long now = clock.currentTime(NANOSECONDS);
     double share = sharePerSecond(endpoint.endpoint(), perSecond, dataCentres);
-    if (share == 0 && now - limit.heardAt() > WORD_IS_OLD.toNanos()) {
+    if (share == 0 && now - limit.heardAt() > STATEMENT_IS_OLD.toNanos()) {
       share = perSecond * OTHERS_PART / dataCentres.size();
     }
     limit.share(share, random.nextDouble(), now);
@@ -127,28 +127,33 @@
 
   private double sharePerSecond(
       FleetEndpoint endpoint, double perSecond, Map<String, String> dataCentres) {
-    boolean anyNear = dataCentres.containsValue(endpoint.dataCentre());
-    if (anyNear && !dataCentre.equals(endpoint.dataCentre())) {
+    ImmutableList<String> near = boxesNear(endpoint, dataCentres);
+    if (!near.contains(box)) {
       return 0;
     }
-    int own = order(endpoint, box);
-    int before = 0;
-    int candidates = 0;
-    for (Map.Entry<String, String> other : dataCentres.entrySet()) {
-      if (anyNear && !other.getValue().equals(endpoint.dataCentre())) {
-        continue;
-      }
-      candidates++;
-      int order = order(endpoint, other.getKey());
-      if (order < own || (order == own && other.getKey().compareTo(box) < 0)) {
-        before++;
-      }
-    }
-    int most = (int) Math.min(candidates, perSecond / LEAST_SHARE);
+    int most = (int) Math.min(near.size(), perSecond / LEAST_SHARE);
     int sharing = Math.max(1, most);
+    long before = near.stream().filter(other -> isBefore(endpoint, other)).count();
     return before < sharing ? perSecond / sharing : 0;
   }
 
+  /** Returns the boxes of the endpoint's data centre, or all if it has none. */
+  private static ImmutableList<String> boxesNear(
+      FleetEndpoint endpoint, Map<String, String> dataCentres) {
+    boolean any = dataCentres.containsValue(endpoint.dataCentre());
+    return dataCentres.entrySet().stream()
+        .filter(each -> !any || each.getValue().equals(endpoint.dataCentre()))
+        .map(Map.Entry::getKey)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns whether another box comes before this one in the order of an endpoint. */
+  private boolean isBefore(FleetEndpoint endpoint, String other) {
+    int own = order(endpoint, box);
+    int others = order(endpoint, other);
+    return others < own || (others == own && other.compareTo(box) < 0);
+  }
+
   /** Returns a box's place in the order of an endpoint, the same on all nodes. */
   private static int order(FleetEndpoint endpoint, String box) {
     return ORDER.hashString(endpoint.id() + '/' + box, StandardCharsets.UTF_8).asInt();
