--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -459,6 +459,10 @@
 
   /** Returns when requests may begin at engines that hold every layer between them. */
   public Openings openings(String service, int layers) {
+    if (limits.inForce().isEmpty()) {
+      // Asked for each request that waits, many times a second.
+      return holdsAll(service, layers) ? Openings.ALWAYS : Openings.NEVER;
+    }
     return Openings.ofEngines(serving(service), layers);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Openings.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Openings.java
@@ -13,6 +13,12 @@
  * @param perSecond how many may begin a second from then on; 0 if none, infinite without a limit
  */
 public record Openings(long firstAt, double perSecond) {
+  /** Requests may begin at any time. */
+  static final Openings ALWAYS = new Openings(Long.MIN_VALUE, Double.POSITIVE_INFINITY);
+
+  /** No request may begin. */
+  static final Openings NEVER = new Openings(Long.MAX_VALUE, 0);
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** Returns those of plain endpoints, any of which serves a request. */
--- a/vaneworks/src/main/java/org/vaneworks/state/StorePosition.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/StorePosition.java
@@ -20,12 +20,15 @@
   /** Revisions below this are numbered apart: a year of 2,000 changes a second. */
   private static final int REVISION_BITS = 36;
 
-  /** With the revisions, numbers that any reader of JSON keeps exactly. */
-  private static final int ERA_BITS = 16;
+  /** Eras below this are numbered; those below 2^17 as any reader of JSON keeps them. */
+  private static final int ERA_BITS = 26;
+
+  /** The highest era that there can be. */
+  public static final long HIGHEST_ERA = (1L << ERA_BITS) - 1;
 
   /** Checks that it can be numbered. */
   public StorePosition {
-    checkArgument(era >= 0 && era < 1L << ERA_BITS, "era is out of bounds: %s", era);
+    checkArgument(era >= 0 && era <= HIGHEST_ERA, "era is out of bounds: %s", era);
     checkArgument(
         revision >= 0 && revision < 1L << REVISION_BITS, "revision is out of bounds: %s", revision);
   }
