--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreCourse.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreCourse.java
@@ -51,6 +51,7 @@
   private static final int STEPS = 60;
   private static final int LONGEST_STEP_MILLIS = 800;
   private static final int LOOK_MILLIS = 100;
+  private static final int LONGEST_ANSWER_MILLIS = 700;
   private static final int WRITTEN_AGAIN_WITHIN_MILLIS = 1500;
 
   /** A node's entry that nobody renews lapses within twelve seconds; some more for the rest. */
@@ -59,6 +60,7 @@
   private final PausedExecutor clock = PausedExecutor.create();
   private final StoreInMemory store = new StoreInMemory(clock);
   private final Random random;
+  private Optional<Random> lateness = Optional.empty();
   private final List<Node> nodes = new ArrayList<>();
   private final Set<String> problems = new LinkedHashSet<>();
 
@@ -75,6 +77,16 @@
     random = new Random(seed);
   }
 
+  /**
+   * Makes a course in which some nodes get the store's answers late, also across its returns; what
+   * else happens is that of the seed.
+   */
+  static ReturningStoreCourse withLateAnswers(long seed) {
+    ReturningStoreCourse course = new ReturningStoreCourse(seed);
+    course.lateness = Optional.of(new Random(~seed));
+    return course;
+  }
+
   /** One run of a node. */
   private final class Node {
     private final int place;
@@ -221,6 +233,7 @@
     }
     store.down = false;
     nodes.forEach(node -> node.link.cut(false));
+    nodes.forEach(node -> node.link.late(0));
     advance(CALM_MILLIS);
     judgeCalm();
     return ImmutableList.copyOf(problems);
@@ -233,7 +246,18 @@
     }
   }
 
+  /** Lets answers to a node take a time from now on, or come at once. */
+  private void makeLate(Random chance) {
+    Node node = nodes.get(chance.nextInt(nodes.size()));
+    switch (chance.nextInt(8)) {
+      case 0, 1 -> node.link.late(chance.nextInt(LONGEST_ANSWER_MILLIS));
+      case 2 -> node.link.late(0);
+      default -> {}
+    }
+  }
+
   private void act() {
+    lateness.ifPresent(this::makeLate);
     int place = random.nextInt(nodes.size());
     Node node = nodes.get(place);
     switch (random.nextInt(16)) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
@@ -22,6 +22,16 @@
     }
   }
 
+  @Property(tries = Schedules.TRIES, seed = "20261203")
+  void sameWhereAnswersComeLate(@ForAll long seed) {
+    for (int i = 0; i < COURSES_A_TRY; i++) {
+      assertEquals(
+          ImmutableList.of(),
+          ReturningStoreCourse.withLateAnswers(seed + i).play(),
+          "course " + (seed + i));
+    }
+  }
+
   /**
    * A live endpoint was missing in a copy for longer than it is kept, and was named again by the
    * next copy, so that it had nothing to write: the node that had dropped it never used it again.
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
@@ -29,6 +29,7 @@
   private final StoreInMemory store;
   private final StoreEras eras = StoreEras.create();
   private boolean cut;
+  private int lateMillis;
 
   /** Creates an open way. */
   public StoreLink(Executor clock, StoreInMemory store) {
@@ -45,13 +46,28 @@
     return cut ? unanswered() : Async.compose(call.get(), this::answerUnlessCut);
   }
 
-  /** Hands an answer on; like a client of the store, it takes the answer's era first. */
+  /** Lets answers take that long from now on, also those under way when the store comes back. */
+  public void late(int millis) {
+    lateMillis = millis;
+  }
+
   private <T> CompletableFuture<T> answerUnlessCut(T answer, Throwable failure) {
+    OptionalLong told = store.down ? OptionalLong.empty() : OptionalLong.of(store.era());
+    if (lateMillis == 0) {
+      return handOn(told, answer, failure);
+    }
+    CompletableFuture<Void> wait = Async.delay(clock, Duration.ofMillis(lateMillis));
+    return wait.thenCompose(over -> handOn(told, answer, failure));
+  }
+
+  /** Hands an answer on; like a client of the store, it takes the answer's era first. */
+  private <T> CompletableFuture<T> handOn(OptionalLong told, T answer, Throwable failure) {
     if (cut) {
       return unanswered();
     }
-    if (!store.down) {
-      eras.accepts(OptionalLong.of(store.era()));
+    if (told.isPresent() && !eras.accepts(told)) {
+      return CompletableFuture.failedFuture(
+          SharedStoreException.of(Kind.UNKNOWN_EFFECT, "an answer of a former era"));
     }
     return failure == null
         ? CompletableFuture.completedFuture(answer)
