A node's entry that stands under a former lease is written again once it goes with it

Its peers then took too much of what all share. An answer to a write under a former lease changes nothing now.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ReturningStoreSchedulesTest.java
@@ -46,4 +46,13 @@
   void endpointThatTheCopyNamesIsNotUsedByANodeThatIsCutOff() {
     assertEquals(ImmutableList.of(), new ReturningStoreCourse(-27).play());
   }
+
+  /**
+   * A node whose entry had lapsed opened two leases, as answers came late: its entry was there
+   * under the first, which nobody renewed, and was not written again once it had gone with it.
+   */
+  @Test
+  void entryUnderAFormerLeaseIsWrittenAgainOnceItGoes() {
+    assertEquals(ImmutableList.of(), ReturningStoreCourse.withLateAnswers(7560).play());
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -98,6 +98,7 @@
   private final List<Runnable> wonListeners = new ArrayList<>();
   private OptionalLong fence = OptionalLong.empty();
   private Optional<StorePosition> entryCreatedAt = Optional.empty();
+  private boolean entryWasThere;
   private int liveNodes = 1;
 
   /** Counted before the store was silent: those that may have to write their entries again. */
@@ -255,9 +256,14 @@
         store.create(prefix + NODES + node, value, lease),
         clock,
         (created, failure) -> {
-          // No other run has this key: if it exists, an earlier try was done after all.
+          if (!entry.id().equals(OptionalLong.of(lease))) {
+            return;
+          }
           entryCreatedAt = failure == null ? created : Optional.empty();
-          if (failure != null && entry.id().equals(OptionalLong.of(lease))) {
+          // No other run has this key: if it exists, an earlier try was done after all. If that was
+          // under a former lease, it goes with that one.
+          entryWasThere = failure == null && created.isEmpty();
+          if (failure != null) {
             clock.schedule(() -> writeEntryAgain(lease), ENTRY_RETRY.toNanos(), NANOSECONDS);
           }
         });
@@ -340,6 +346,7 @@
     String cause = "the store came back from an older copy";
     node = run + ERA_SEPARATOR + era;
     entryCreatedAt = Optional.empty();
+    entryWasThere = false;
     nodesBeforeSilence = liveNodes;
     entry.over(cause, entrySpread());
     if (controller.id().isPresent() || fence.isPresent()) {
@@ -387,11 +394,10 @@
 
   /** An entry that lapsed while this node was cut off need not wait for the next renewal. */
   private void takeOwnRemoval(String name, StorePosition removedAt) {
-    boolean presentEntry =
-        name.equals(NODES + node)
-            && entryCreatedAt.isPresent()
-            && removedAt.isAfter(entryCreatedAt.get());
-    if (presentEntry) {
+    boolean own = name.equals(NODES + node);
+    boolean removedSince = entryCreatedAt.isPresent() && removedAt.isAfter(entryCreatedAt.get());
+    if (own && (entryWasThere || removedSince)) {
+      entryWasThere = false;
       entry.over("this node's entry lapsed", entrySpread());
     }
   }
