Questions for an engine's report count against what it takes

A sign of life is asked as before, as requests may hang on it, but puts the next request off; a slow engine's pace, asked each second by each node, is asked only within the node's share. Changes nothing while no limit is in force. Two tests, red without it.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -1,5 +1,6 @@
 package org.vaneworks.tests.fleet;
 
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -26,6 +27,7 @@
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StatedLimit;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
@@ -244,4 +246,28 @@
     clock.advance(Duration.ofSeconds(1));
     assertEquals(1.0, engine.pace());
   }
+
+  @Test
+  void slowEngineThatTakesNothingOfThisNodeIsAskedForItsPaceOnceItDoes() {
+    pace = 3;
+    health.checkPace(engine);
+    clock.advance(Duration.ofMillis(100));
+    fleet.limits().heard(engine, StatedLimit.of(2));
+    int before = asked;
+    clock.advance(Duration.ofSeconds(5));
+    assertEquals(before, asked);
+    fleet.limits().heard(engine, StatedLimit.none());
+    clock.advance(Duration.ofSeconds(2));
+    assertTrue(asked > before, asked + " questions");
+  }
+
+  @Test
+  void questionCountsAgainstWhatAnEngineTakes() {
+    fleet.limits().heard(engine, StatedLimit.of(2));
+    engine.startLimit().share(2, 1, clock.currentTime(NANOSECONDS));
+    clock.advance(Duration.ofMillis(600));
+    assertTrue(engine.usable(clock.currentTime(NANOSECONDS)));
+    health.check(engine);
+    assertFalse(engine.usable(clock.currentTime(NANOSECONDS)));
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -104,6 +104,9 @@
     long begun = now();
     askedAt.put(engine, begun);
     asked.add(engine);
+    // Asked whatever the engine takes, as requests may hang on its answer; but it counts.
+    engine.noteStart(begun);
+    engine.noteStart(now());
     fleet.noteAsked();
     Async.onDone(
         control.report(engine.endpoint(), limit()),
@@ -162,14 +165,34 @@
     return clock.currentTime(NANOSECONDS);
   }
 
-  /** Asks an engine for its pace, unless it was asked within the last second. */
+  /**
+   * Asks an engine for its pace, unless it was asked within the last second or takes nothing of
+   * this node now.
+   */
   public void checkPace(TrackedEndpoint engine) {
     Long last = askedAt.get(engine);
-    if (last == null || now() - last >= PACE_RETRY.toNanos()) {
+    boolean askedLately = last != null && now() - last < PACE_RETRY.toNanos();
+    if (!askedLately && takesSomething(engine)) {
       check(engine);
     }
   }
 
+  private boolean takesSomething(TrackedEndpoint engine) {
+    return now() >= engine.startLimit().opensAt();
+  }
+
+  private void checkPaceLater(TrackedEndpoint engine) {
+    clock.schedule(() -> checkPaceAgain(engine), PACE_RETRY.toNanos(), NANOSECONDS);
+  }
+
+  private void checkPaceAgain(TrackedEndpoint engine) {
+    if (takesSomething(engine)) {
+      checkPace(engine);
+    } else if (!engine.delisted()) {
+      checkPaceLater(engine);
+    }
+  }
+
   private void takePace(TrackedEndpoint engine, EngineReport report) {
     boolean wasSlow = engine.slowAtFirstHand();
     engine.pace(report.pace());
@@ -178,7 +201,7 @@
       EventLog.info(Event.ENDPOINT_PACE, "endpoint", engine.endpoint().id(), "pace", report.pace());
     }
     if (slow) {
-      clock.schedule(() -> checkPace(engine), PACE_RETRY.toNanos(), NANOSECONDS);
+      checkPaceLater(engine);
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -196,7 +196,7 @@
     return startLimit;
   }
 
-  /** Notes that a request of this node begins there. */
+  /** Notes that a request of this node begins there, or a question for its report. */
   public void noteStart(long nowNanos) {
     startLimit.noteStart(nowNanos);
   }
