What endpoints say of themselves is decoded; calls to those that asked for none are counted by purpose

What callers saw: nothing.

- EndpointStatement holds what one answer says (limit, backoff, leaving); it takes the place of AnswerHead.limit.
- Every call to an endpoint goes through Fleet.noteCall with its purpose: first and repeated sends, later parts of paths, signs of life, pace, placement, path changes.
- VW3014 names each backoff that is asked for, with the calls that this node made during the last one; VW3015 one that can't be read, once an endpoint. vaneworks.endpoint.backoffs and vaneworks.backoff.calls count them.

Two small differences against limits: a question was noted twice as a start, and one to a suspected engine not at all; each is noted once now, as docs/design/0017 says.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -11,9 +11,9 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.Reason;
-import org.vaneworks.state.StatedLimit;
 import org.vaneworks.state.Verdict;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
 
@@ -137,7 +137,9 @@
   void answerToAnotherRequestNeverReachesTheCaller() {
     node.replica(1);
     Got got = node.ask("/unsafe/x");
-    node.last().listener.head(new Head(200, false, false, Optional.empty(), StatedLimit.none()));
+    node.last()
+        .listener
+        .head(new Head(200, false, false, Optional.empty(), EndpointStatement.NONE));
     assertTrue(node.last().cancelled);
     assertTrue(got.status.isEmpty());
     assertEquals(Verdict.MAY_HAVE_RUN, got.refusal.get().verdict());
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -29,10 +29,10 @@
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.quarantine.SharedQuarantine;
 import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.RequestContent;
-import org.vaneworks.state.StatedLimit;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
@@ -99,7 +99,7 @@
     }
 
     void notRun(int status, Optional<HostPort> obstacle) {
-      listener.head(new Head(status, true, true, obstacle, StatedLimit.none()));
+      listener.head(new Head(status, true, true, obstacle, EndpointStatement.NONE));
     }
 
     void event(int id) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/StartSharesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/StartSharesTest.java
@@ -1,6 +1,5 @@
 package org.vaneworks.tests.load;
 
-import static java.util.concurrent.TimeUnit.NANOSECONDS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,6 +10,7 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.fleet.CallPurpose;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
@@ -83,7 +83,7 @@
     boolean begin() {
       boolean open = !fleet.usable("m").isEmpty();
       if (open) {
-        engine.noteStart(clock.currentTime(NANOSECONDS));
+        fleet.noteCall(engine, CallPurpose.FIRST_SEND);
       }
       return open;
     }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -31,8 +31,8 @@
 import org.vaneworks.coordination.forwarding.EndpointCalls.EndpointCall;
 import org.vaneworks.coordination.forwarding.EndpointCalls.Listener;
 import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
-import org.vaneworks.state.StatedLimit;
 import org.vaneworks.state.StorePosition;
 
 /** Checks what is known of an attempt while it is under way. */
@@ -173,8 +173,8 @@
     }
 
     @Override
-    public StatedLimit limit(HttpHeaders headers) {
-      return StatedLimit.none();
+    public EndpointStatement statement(int status, HttpHeaders headers) {
+      return EndpointStatement.NONE;
     }
 
     @Override
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EngineControl.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EngineControl.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 
@@ -48,6 +50,9 @@
    */
   CompletableFuture<RepathOutcome> repath(FleetEndpoint first, String requestId, String path);
 
+  /** Calls back with what an engine says of itself on an answer, before the answer is taken. */
+  default void onStatement(BiConsumer<FleetEndpoint, EndpointStatement> listener) {}
+
   /** Closes what connects to an address whose process is gone. */
   default void forget(HostPort address) {}
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
@@ -47,6 +48,7 @@
   private final Counters counters;
   private final Duration relistGrace;
   private final EndpointLimits limits;
+  private final EndpointBackoffs backoffs;
   private final FormerEndpoints former;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
 
@@ -66,8 +68,10 @@
     this.counters = checkNotNull(counters);
     this.relistGrace = checkNotNull(relistGrace);
     limits = new EndpointLimits(clock, counters);
+    backoffs = new EndpointBackoffs(clock, counters);
     former = new FormerEndpoints(clock);
     onRemoval(limits::forget);
+    onRemoval(backoffs::forget);
   }
 
   /**
@@ -382,11 +386,33 @@
     return limits;
   }
 
+  /** Takes what an endpoint says of itself on its answer to a request. */
+  public void answered(TrackedEndpoint endpoint, EndpointStatement said) {
+    limits.heard(endpoint, said.limit());
+    backoffs.heard(endpoint, said.backoff());
+  }
+
+  /** Takes what an engine says of itself on its answer to a question or an order. */
+  public void answeredCall(FleetEndpoint engine, EndpointStatement said) {
+    TrackedEndpoint known = byId.get(engine.id());
+    if (known != null && known.endpoint().incarnation().equals(engine.incarnation())) {
+      backoffs.heard(known, said.backoff());
+    }
+  }
+
   /** Counts a report that is asked of an engine for a sign of life or its pace. */
   void noteAsked() {
     counters.count(Metric.ENGINE_QUESTIONS, "health");
   }
 
+  /** Notes that this node calls an endpoint; every call is noted. */
+  public void noteCall(TrackedEndpoint endpoint, CallPurpose purpose) {
+    if (purpose.countsAgainstLimit()) {
+      endpoint.startLimit().noteStart(now());
+    }
+    backoffs.noteCall(endpoint, purpose);
+  }
+
   /** Believes an endpoint dead or unreachable until {@link #clear}. */
   public void suspect(TrackedEndpoint endpoint, String cause) {
     if (endpoint.suspected()) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -75,24 +75,28 @@
 
   /** Asks an engine, unless it was asked a moment ago; suspects it if it doesn't answer. */
   public void check(TrackedEndpoint engine) {
+    check(engine, CallPurpose.SIGN_OF_LIFE);
+  }
+
+  private void check(TrackedEndpoint engine, CallPurpose purpose) {
     long now = now();
     Long last = askedAt.get(engine);
     boolean askedLately = last != null && now - last < FRESH.toNanos();
     if (!askedLately) {
-      askUnlessUnderWay(engine);
+      askUnlessUnderWay(engine, purpose);
     }
   }
 
   /** Asks an engine whose connection broke: what it answered before says nothing of that. */
   public void checkAfterLoss(TrackedEndpoint engine) {
-    askUnlessUnderWay(engine);
+    askUnlessUnderWay(engine, CallPurpose.SIGN_OF_LIFE);
   }
 
-  private void askUnlessUnderWay(TrackedEndpoint engine) {
+  private void askUnlessUnderWay(TrackedEndpoint engine, CallPurpose purpose) {
     if (asked.contains(engine) || engine.suspected() || engine.delisted()) {
       return;
     }
-    ask(engine, 1);
+    ask(engine, purpose, 1);
   }
 
   /**
@@ -100,13 +104,12 @@
    *
    * @param question counts from 1, and rises while the engine is silent
    */
-  private void ask(TrackedEndpoint engine, int question) {
+  private void ask(TrackedEndpoint engine, CallPurpose purpose, int question) {
     long begun = now();
     askedAt.put(engine, begun);
     asked.add(engine);
     // Asked whatever the engine takes, as requests may hang on its answer; but it counts.
-    engine.noteStart(begun);
-    engine.noteStart(now());
+    fleet.noteCall(engine, purpose);
     fleet.noteAsked();
     Async.onDone(
         control.report(engine.endpoint(), limit()),
@@ -117,7 +120,7 @@
             noteAnswer(Duration.ofNanos(now() - begun));
             take(engine, report);
           } else if (!engine.delisted()) {
-            unanswered(engine, question, failure);
+            unanswered(engine, purpose, question, failure);
           }
         });
   }
@@ -129,10 +132,11 @@
     }
   }
 
-  private void unanswered(TrackedEndpoint engine, int question, Throwable failure) {
+  private void unanswered(
+      TrackedEndpoint engine, CallPurpose purpose, int question, Throwable failure) {
     noteRefusal(engine, failure);
     if (failure instanceof TimeoutException && question < SILENCES) {
-      ask(engine, question + 1);
+      ask(engine, purpose, question + 1);
     } else {
       fleet.suspect(engine, "no sign of life, asked " + question + " times: " + failure);
     }
@@ -173,7 +177,7 @@
     Long last = askedAt.get(engine);
     boolean askedLately = last != null && now() - last < PACE_RETRY.toNanos();
     if (!askedLately && takesSomething(engine)) {
-      check(engine);
+      check(engine, CallPurpose.PACE);
     }
   }
 
@@ -227,6 +231,7 @@
     if (!engine.suspected() || engine.delisted()) {
       return;
     }
+    fleet.noteCall(engine, CallPurpose.SIGN_OF_LIFE);
     fleet.noteAsked();
     Async.onDone(
         control.report(engine.endpoint(), limit()),
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -47,6 +47,7 @@
   private double shortage = 1;
   private long shortageAt;
   private final StartLimit startLimit = new StartLimit();
+  private final Backoff backoff = new Backoff();
 
   TrackedEndpoint(FleetEndpoint endpoint) {
     this.endpoint = checkNotNull(endpoint);
@@ -196,9 +197,9 @@
     return startLimit;
   }
 
-  /** Notes that a request of this node begins there, or a question for its report. */
-  public void noteStart(long nowNanos) {
-    startLimit.noteStart(nowNanos);
+  /** Returns for how long it wants no calls from this node. */
+  public Backoff backoff() {
+    return backoff;
   }
 
   /** Returns this node's requests in flight there. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AnswerHead.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AnswerHead.java
@@ -1,8 +1,8 @@
 package org.vaneworks.coordination.forwarding;
 
 import java.util.Optional;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
-import org.vaneworks.state.StatedLimit;
 
 /** The head of an endpoint's answer as decisions see it; its headers stay with the transport. */
 public interface AnswerHead {
@@ -18,8 +18,8 @@
   /** Returns the engine of the path because of which the request was not run, if it is named. */
   Optional<HostPort> obstacle();
 
-  /** Returns what the endpoint says about the requests a second that it takes. */
-  StatedLimit limit();
+  /** Returns what the endpoint says of itself. */
+  EndpointStatement statement();
 
   /** Returns whether this is an answer of success. */
   default boolean success() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -231,7 +231,7 @@
 
     @Override
     public void head(AnswerHead head) {
-      noteLimit(head, endpoint);
+      noteStatement(head, endpoint);
       if (counts()) {
         progress.head();
         ForwardRun.this.head(head, endpoint);
@@ -274,10 +274,10 @@
     times.part(now());
   }
 
-  /** Takes what the endpoint says of its limit, unless another may have answered in its place. */
-  private void noteLimit(AnswerHead head, TrackedEndpoint endpoint) {
+  /** Takes what the endpoint says of itself, unless another may have answered in its place. */
+  private void noteStatement(AnswerHead head, TrackedEndpoint endpoint) {
     if (head.matches() && head.status() != MISDIRECTED) {
-      context.fleet().limits().heard(endpoint, head.limit());
+      context.fleet().answered(endpoint, head.statement());
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.fleet.CallPurpose;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.relay.EnginePath;
@@ -91,6 +92,7 @@
       return;
     }
     String text = next.get().text();
+    context.fleet().noteCall(place.target(), CallPurpose.PATH_CHANGE);
     Async.onDone(
         context.control().repath(place.target().endpoint(), request.id(), text),
         context.clock(),
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.vaneworks.coordination.fleet.CallPurpose;
 import org.vaneworks.coordination.fleet.Openings;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.relay.EnginePath;
@@ -99,15 +100,28 @@
   }
 
   private void begin(EnginePath chosen) {
-    chosen.parts().forEach(part -> part.engine().noteStart(now()));
+    noteSend(chosen.first());
+    chosen.parts().stream()
+        .map(PathPart::engine)
+        .filter(engine -> engine != chosen.first())
+        .forEach(this::noteLaterPart);
     chosen.reserve(size.tokens());
   }
 
   private void begin(TrackedEndpoint replica) {
-    replica.noteStart(now());
+    noteSend(replica);
     replica.reserve(0);
   }
 
+  private void noteSend(TrackedEndpoint endpoint) {
+    CallPurpose purpose = tried.isEmpty() ? CallPurpose.FIRST_SEND : CallPurpose.REPEATED_SEND;
+    context.fleet().noteCall(endpoint, purpose);
+  }
+
+  private void noteLaterPart(TrackedEndpoint engine) {
+    context.fleet().noteCall(engine, CallPurpose.LATER_PART);
+  }
+
   /** Returns when requests may begin at the service's endpoints if they have room. */
   Openings openings() {
     return model
@@ -134,7 +148,7 @@
     next.parts().stream()
         .map(PathPart::engine)
         .filter(engine -> !former.passes(engine))
-        .forEach(engine -> engine.noteStart(now()));
+        .forEach(this::noteLaterPart);
     path = Optional.of(next);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -15,6 +15,7 @@
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.fleet.CallPurpose;
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.EngineControl.OrderGuard;
 import org.vaneworks.coordination.fleet.EngineControl.OrderOutcome;
@@ -289,6 +290,7 @@
     }
     assignment.callOpen = true;
     counters.count(Metric.ENGINE_QUESTIONS, "placement");
+    fleet.noteCall(engine, CallPurpose.PLACEMENT);
     Async.onDone(
         control.report(engine.endpoint(), CALL_LIMIT),
         clock,
@@ -318,6 +320,7 @@
     }
     OrderGuard guard = new OrderGuard(actingAs.getAsLong(), report.ordersTaken());
     long orderedAt = now();
+    fleet.noteCall(engine, CallPurpose.PLACEMENT);
     Async.onDone(
         control.hold(engine.endpoint(), assignment.layers, guard),
         clock,
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -43,6 +43,8 @@
   ENDPOINT_RUN_ENDED(3011, "a later run of an endpoint showed: the former is over"),
   ENDPOINT_LIMIT(3012, "an endpoint named how many requests a second it takes, or does no more"),
   ENDPOINT_LIMIT_UNREADABLE(3013, "an endpoint named a limit that could not be read"),
+  ENDPOINT_BACKOFF(3014, "an endpoint asked for no calls of this node for a time"),
+  ENDPOINT_BACKOFF_UNREADABLE(3015, "an endpoint asked for a time that could not be read"),
   PLACEMENT_CONTROLLER(3101, "this node decides which engine holds which layers"),
   PLACEMENT_DECIDED(3102, "an engine is to hold other layers"),
   ORDER_ANSWERED(3103, "an engine answered an order"),
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -17,6 +17,9 @@
   ENDPOINT_ENTRIES("vaneworks.endpoint.entries", "entries of endpoints not taken, by cause"),
   ENDPOINT_LIMITS(
       "vaneworks.endpoint.limits", "limits of requests that endpoints named, by what changed"),
+  ENDPOINT_BACKOFFS("vaneworks.endpoint.backoffs", "times that endpoints asked for no calls"),
+  BACKOFF_CALLS(
+      "vaneworks.backoff.calls", "calls to endpoints that had asked for none, by purpose"),
   ENGINE_QUESTIONS("vaneworks.engine.questions", "reports asked of engines, by purpose"),
   PEER_MESSAGES("vaneworks.peer.messages", "messages to peers, by type"),
   PEER_BYTES("vaneworks.peer.bytes", "bytes to and from peers, by direction"),
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointAnswerHead.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointAnswerHead.java
@@ -3,8 +3,8 @@
 import io.servicetalk.http.api.HttpResponseMetaData;
 import java.util.Optional;
 import org.vaneworks.coordination.forwarding.AnswerHead;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
-import org.vaneworks.state.StatedLimit;
 
 /**
  * An endpoint's head with its headers.
@@ -13,14 +13,14 @@
  * @param notRun whether the endpoint states that it did not run the request
  * @param matches whether it answers the request that was sent
  * @param obstacle the engine that it names as the reason
- * @param limit what it says about the requests a second that it takes
+ * @param statement what it says of itself
  */
 record EndpointAnswerHead(
     HttpResponseMetaData response,
     boolean notRun,
     boolean matches,
     Optional<HostPort> obstacle,
-    StatedLimit limit)
+    EndpointStatement statement)
     implements AnswerHead {
   @Override
   public int status() {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -160,13 +160,14 @@
         return;
       }
       HttpHeaders headers = response.headers();
+      int status = response.status().code();
       listener.head(
           new EndpointAnswerHead(
               response,
-              dialect.notRun(response.status().code(), headers),
+              dialect.notRun(status, headers),
               dialect.matches(headers, requestId),
               dialect.obstacle(headers),
-              dialect.limit(headers)));
+              dialect.statement(status, headers)));
       SourceAdapters.toSource(response.payloadBody()).subscribe(this);
     }
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/HeaderDialect.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/HeaderDialect.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
-import org.vaneworks.state.StatedLimit;
 
 /** Which headers of callers and endpoints carry what. An implementation keeps no state. */
 public interface HeaderDialect {
@@ -35,8 +35,8 @@
   /** Returns the engine that an answer names as the reason. */
   Optional<HostPort> obstacle(HttpHeaders headers);
 
-  /** Returns what an answer says about the requests a second that its endpoint takes. */
-  StatedLimit limit(HttpHeaders headers);
+  /** Returns what an answer says of its endpoint. */
+  EndpointStatement statement(int status, HttpHeaders headers);
 
   /** Returns whether an answer belongs to the request of that id. */
   boolean matches(HttpHeaders headers, String requestId);
