An endpoint that asks for a time without calls gets none of this node until it is over

What callers saw: each request that the engine turned away was sent to another engine, 2 to 8 ms later; the engine, which had asked each node for three seconds, got as many requests as before.

Cause: no node read how long an endpoint wanted.

The change: each run of an endpoint's process has a Backoff. Fleet.usable, and with it every first send, repeat, later part of a path and resumed stream, leaves the endpoint out until it ends; so do questions for its pace, and reports and orders about its layers. Calls on which a request there hangs (a sign of life, another path) may be made once a backoff; a stream whose first engine takes no such order goes on at another engine, or waits for the end. Openings counts the end in, so a request that no endpoint takes in time is refused at once, and one that has the time waits.

It holds for the run, not for the entry: EndpointBackoffs keeps it while the entry lapses, also if it is heard meanwhile.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/BackoffTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/BackoffTest.java
@@ -3,7 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.state.Reason;
+import org.vaneworks.state.Refusal;
+import org.vaneworks.state.Verdict;
+import org.vaneworks.tests.forwarding.Got;
 
 /**
  * Checks that an engine that turns a node away and asks for a time without calls gets none of that
@@ -22,18 +28,23 @@
   private static final int BACKOFF_MILLIS = 3000;
   private static final int A_SECOND = 28;
 
-  private final SharedEngines fleet = new SharedEngines(NODES, ENGINES, 7);
+  private SharedEngines fleet = new SharedEngines(NODES, ENGINES, 7);
   private int asked;
+  private final List<Got> answers = new ArrayList<>();
 
   /** Asks nodes in turn. */
   private void ask(int seconds) {
     for (int i = 0; i < seconds * A_SECOND; i++) {
-      fleet.ask(asked % NODES, "letter " + asked);
+      answers.add(fleet.ask(asked % NODES, "letter " + asked));
       asked++;
       fleet.advance(1000 / A_SECOND);
     }
   }
 
+  private long refusals() {
+    return answers.stream().filter(got -> got.refusal.isPresent()).count();
+  }
+
   @Test
   void fullEngineGetsNoRequestsOfANodeWhileItWantsNone() {
     ask(6);
@@ -43,6 +54,14 @@
     assertEquals(0, fleet.backoffsAt(FULL).excess(), fleet.callsDuringBackoffs().toString());
   }
 
+  @Test
+  void noRequestIsRefusedWhileOtherEnginesHaveRoom() {
+    ask(6);
+    fleet.turnsAway(FULL, BACKOFF_MILLIS);
+    ask(9);
+    assertEquals(0, refusals());
+  }
+
   @Test
   void engineIsUsedAsBeforeOnceItsTimeIsOver() {
     ask(6);
@@ -75,4 +94,17 @@
     ask(9);
     assertEquals(0, fleet.backoffsAt(FULL).excess());
   }
+
+  @Test
+  void requestIsRefusedAtOnceWhileAllEnginesWantNoneForLongerThanItsCallerWaits() {
+    ask(2);
+    for (int engine = 0; engine < ENGINES; engine++) {
+      fleet.turnsAway(engine, 10_000);
+    }
+    ask(2);
+    Got got = fleet.ask(0, "now");
+    Refusal refusal = got.refusal.orElseThrow();
+    assertEquals(Reason.NO_ENDPOINT, refusal.reason());
+    assertEquals(Verdict.NOT_RUN, refusal.verdict());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -384,6 +384,9 @@
 
     /** Notes that a question or an order reaches an engine; returns whether it turns it away. */
     private boolean isTurnedAway(FleetEndpoint endpoint) {
+      if (nodes.get(place) != this) { // What a run that has ended still asks goes nowhere.
+        return true;
+      }
       Engine engine = engines.get(endpoint.address());
       engine.backoffs.called(place, nowMillis());
       if (engine.turnsAwayForMillis.isPresent()) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -25,8 +25,10 @@
 import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StatedBackoff;
 import org.vaneworks.state.StatedLimit;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
@@ -35,13 +37,17 @@
 /** Checks what makes a node believe that an engine is dead. */
 final class HealthWatchTest {
   /** What an engine does when it is asked: it answers after a time, or refuses the connection. */
-  private record Reply(Duration after, boolean refuses) {
-    static final Reply ANSWERS = new Reply(Duration.ZERO, false);
-    static final Reply REFUSES = new Reply(Duration.ZERO, true);
+  private record Reply(Duration after, Optional<Exception> failure) {
+    static final Reply ANSWERS = answersAfter(0);
+    static final Reply REFUSES = fails(new ConnectException("refused"));
     static final Reply IS_SILENT = answersAfter(60_000);
 
     static Reply answersAfter(int millis) {
-      return new Reply(Duration.ofMillis(millis), false);
+      return new Reply(Duration.ofMillis(millis), Optional.empty());
+    }
+
+    private static Reply fails(Exception failure) {
+      return new Reply(Duration.ZERO, Optional.of(failure));
     }
   }
 
@@ -62,8 +68,8 @@
     public CompletableFuture<EngineReport> report(FleetEndpoint endpoint, Duration limit) {
       asked++;
       Reply reply = replies.isEmpty() ? Reply.ANSWERS : replies.remove();
-      if (reply.refuses()) {
-        return CompletableFuture.failedFuture(new ConnectException("refused"));
+      if (reply.failure().isPresent()) {
+        return CompletableFuture.failedFuture(reply.failure().get());
       }
       CompletableFuture<EngineReport> report = new CompletableFuture<>();
       if (reply.after().compareTo(limit) > 0) {
@@ -261,6 +267,50 @@
     assertTrue(asked > before, asked + " questions");
   }
 
+  private void wantsNoCalls(int seconds) {
+    StatedBackoff backoff = StatedBackoff.of(Duration.ofSeconds(seconds));
+    fleet.answeredCall(engine.endpoint(), EndpointStatement.NONE.withBackoff(backoff));
+  }
+
+  @Test
+  void engineThatWantsNoCallsIsAskedOnceForASignOfLife() {
+    wantsNoCalls(3);
+    for (int i = 0; i < 29; i++) {
+      health.check(engine);
+      clock.advance(Duration.ofMillis(100));
+    }
+    assertEquals(1, asked);
+  }
+
+  @Test
+  void engineThatWantsNoCallsAndIsSilentIsAskedTwiceAndSuspected() {
+    wantsNoCalls(3);
+    check(Reply.IS_SILENT, Reply.IS_SILENT);
+    clock.advance(Duration.ofSeconds(2));
+    assertTrue(engine.suspected());
+    assertEquals(2, asked);
+  }
+
+  @Test
+  void suspectedEngineThatWantsNoCallsIsAskedAgainOnceItsTimeIsOver() {
+    check(Reply.REFUSES);
+    clock.runDue();
+    wantsNoCalls(3);
+    replies.add(Reply.REFUSES);
+    clock.advance(Duration.ofMillis(2900));
+    assertEquals(2, asked);
+    clock.advance(Duration.ofSeconds(2));
+    assertFalse(engine.suspected());
+  }
+
+  @Test
+  void engineThatWantsNoCallsIsNotAskedForItsPace() {
+    wantsNoCalls(3);
+    health.checkPace(engine);
+    clock.advance(Duration.ofMillis(2900));
+    assertEquals(0, asked);
+  }
+
   @Test
   void questionCountsAgainstWhatAnEngineTakes() {
     fleet.limits().heard(engine, StatedLimit.of(2));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -23,8 +23,10 @@
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.placement.PlacementController;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
+import org.vaneworks.state.StatedBackoff;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryLimits;
@@ -45,11 +47,20 @@
     Duration load = Duration.ofMillis(500);
     boolean checksFences = true;
     boolean silent;
+    boolean wantsNoCalls;
+    int reports;
     int refusals;
     Duration late = Duration.ZERO;
 
     @Override
     public CompletableFuture<EngineReport> report(FleetEndpoint engine, Duration limit) {
+      reports++;
+      if (wantsNoCalls) {
+        EndpointStatement said =
+            EndpointStatement.NONE.withBackoff(StatedBackoff.of(Duration.ofSeconds(3)));
+        fleet.answeredCall(engine, said);
+        return CompletableFuture.failedFuture(new IllegalStateException("turned away"));
+      }
       FleetEndpoint now = fleet.at("m", engine.address()).get().endpoint();
       return CompletableFuture.completedFuture(
           new EngineReport(
@@ -172,6 +183,19 @@
     assertEquals(5, engines.loads.size());
   }
 
+  @Test
+  void enginesThatWantNoCallsAreNeitherReadNorOrderedUntilTheirTimeIsOver() {
+    enlist(5);
+    engines.wantsNoCalls = true;
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(4000);
+    assertEquals(5, engines.reports);
+    engines.wantsNoCalls = false;
+    advance(10_000);
+    assertEquals(5, engines.loads.size());
+  }
+
   @Test
   void firstPlacementWaitsForTheNextReadOfTheList() {
     listPause = Duration.ofMillis(1750);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Backoff.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Backoff.java
@@ -7,7 +7,10 @@
  *
  * <p>Other nodes may have none, or another one. Confined to the node's event loop.
  */
-public final class Backoff {
+final class Backoff {
+  /** Calls that requests already at the endpoint may need meanwhile. */
+  private static final int MOST_URGENT_CALLS = 1;
+
   private long endsAt = Long.MIN_VALUE;
   private int calls;
 
@@ -26,6 +29,11 @@
     return nowNanos < endsAt;
   }
 
+  /** Returns whether a call on which a request at the endpoint hangs may be made at that time. */
+  boolean admitsUrgentCall(long nowNanos) {
+    return !isInForce(nowNanos) || calls < MOST_URGENT_CALLS;
+  }
+
   /** Returns when it ends, on the node's clock in nanoseconds; the smallest value if none began. */
   long endsAt() {
     return endsAt;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/CallPurpose.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/CallPurpose.java
@@ -28,6 +28,11 @@
     return this != PLACEMENT && this != PATH_CHANGE;
   }
 
+  /** Returns whether a request that is already at an endpoint hangs on the call. */
+  boolean isUrgent() {
+    return this == SIGN_OF_LIFE || this == PATH_CHANGE;
+  }
+
   /** Returns its name in meters and logs. */
   public String label() {
     return label;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -71,7 +71,6 @@
     backoffs = new EndpointBackoffs(clock, counters);
     former = new FormerEndpoints(clock);
     onRemoval(limits::forget);
-    onRemoval(backoffs::forget);
   }
 
   /**
@@ -199,7 +198,7 @@
   }
 
   private void find(FleetEndpoint listed) {
-    byId.put(listed.id(), new TrackedEndpoint(listed));
+    byId.put(listed.id(), new TrackedEndpoint(listed, backoffs.of(listed)));
     EventLog.info(
         Event.ENDPOINT_FOUND,
         "endpoint",
@@ -213,7 +212,7 @@
   }
 
   private void startAgain(TrackedEndpoint former, FleetEndpoint next) {
-    byId.put(next.id(), new TrackedEndpoint(next));
+    byId.put(next.id(), new TrackedEndpoint(next, backoffs.of(next)));
     end(former, "it started again");
   }
 
@@ -389,15 +388,29 @@
   /** Takes what an endpoint says of itself on its answer to a request. */
   public void answered(TrackedEndpoint endpoint, EndpointStatement said) {
     limits.heard(endpoint, said.limit());
-    backoffs.heard(endpoint, said.backoff());
+    // If its entry has lapsed and come back meanwhile, it is known as another one by now.
+    TrackedEndpoint known = sameRun(endpoint.endpoint()).orElse(endpoint);
+    backoffs.heard(known.endpoint(), known.backoff(), said.backoff());
   }
 
   /** Takes what an engine says of itself on its answer to a question or an order. */
   public void answeredCall(FleetEndpoint engine, EndpointStatement said) {
-    TrackedEndpoint known = byId.get(engine.id());
-    if (known != null && known.endpoint().incarnation().equals(engine.incarnation())) {
-      backoffs.heard(known, said.backoff());
-    }
+    Backoff backoff =
+        sameRun(engine).map(TrackedEndpoint::backoff).orElseGet(() -> backoffs.of(engine));
+    backoffs.heard(engine, backoff, said.backoff());
+  }
+
+  private Optional<TrackedEndpoint> sameRun(FleetEndpoint endpoint) {
+    return Optional.ofNullable(byId.get(endpoint.id()))
+        .filter(known -> known.endpoint().incarnation().equals(endpoint.incarnation()));
+  }
+
+  /**
+   * Returns whether an endpoint takes a call for a purpose now, by what it said of itself. Requests
+   * go to {@link #usable} endpoints only.
+   */
+  public boolean admits(TrackedEndpoint endpoint, CallPurpose purpose) {
+    return backoffs.admits(endpoint, purpose);
   }
 
   /** Counts a report that is asked of an engine for a sign of life or its pace. */
@@ -485,7 +498,7 @@
 
   /** Returns when requests may begin at engines that hold every layer between them. */
   public Openings openings(String service, int layers) {
-    if (limits.inForce().isEmpty()) {
+    if (limits.inForce().isEmpty() && !backoffs.anyInForce()) {
       // Asked for each request that waits, many times a second.
       return holdsAll(service, layers) ? Openings.ALWAYS : Openings.NEVER;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -96,6 +96,9 @@
     if (asked.contains(engine) || engine.suspected() || engine.delisted()) {
       return;
     }
+    if (!fleet.admits(engine, purpose)) {
+      return;
+    }
     ask(engine, purpose, 1);
   }
 
@@ -182,7 +185,7 @@
   }
 
   private boolean takesSomething(TrackedEndpoint engine) {
-    return now() >= engine.startLimit().opensAt();
+    return now() >= engine.opensAt();
   }
 
   private void checkPaceLater(TrackedEndpoint engine) {
@@ -231,6 +234,10 @@
     if (!engine.suspected() || engine.delisted()) {
       return;
     }
+    if (!fleet.admits(engine, CallPurpose.SIGN_OF_LIFE)) {
+      retryLater(engine, waited);
+      return;
+    }
     fleet.noteCall(engine, CallPurpose.SIGN_OF_LIFE);
     fleet.noteAsked();
     Async.onDone(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Openings.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Openings.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * When this node may begin requests at endpoints that say how many they take.
+ * When this node may begin requests at endpoints, by what those say of themselves.
  *
  * <p>An estimate: it takes all endpoints for empty, and looks at each layer by itself.
  *
@@ -24,7 +24,7 @@
   /** Returns those of plain endpoints, any of which serves a request. */
   public static Openings ofPlain(List<TrackedEndpoint> endpoints) {
     Collector collector = new Collector(1);
-    endpoints.forEach(endpoint -> collector.add(endpoint.startLimit(), 0, 1));
+    endpoints.forEach(endpoint -> collector.add(endpoint, 0, 1));
     return collector.openings();
   }
 
@@ -35,8 +35,7 @@
       engine
           .endpoint()
           .layers()
-          .ifPresent(
-              held -> collector.add(engine.startLimit(), held.from(), Math.min(held.to(), layers)));
+          .ifPresent(held -> collector.add(engine, held.from(), Math.min(held.to(), layers)));
     }
     return collector.openings();
   }
@@ -63,9 +62,9 @@
       Arrays.fill(firstAt, Long.MAX_VALUE);
     }
 
-    void add(StartLimit limit, int from, int to) {
-      long opensAt = limit.opensAt();
-      double startsPerSecond = limit.startsPerSecond();
+    void add(TrackedEndpoint endpoint, int from, int to) {
+      long opensAt = endpoint.opensAt();
+      double startsPerSecond = endpoint.startLimit().startsPerSecond();
       for (int layer = from; layer < to; layer++) {
         firstAt[layer] = Math.min(firstAt[layer], opensAt);
         perSecond[layer] += startsPerSecond;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -47,10 +47,11 @@
   private double shortage = 1;
   private long shortageAt;
   private final StartLimit startLimit = new StartLimit();
-  private final Backoff backoff = new Backoff();
+  private final Backoff backoff;
 
-  TrackedEndpoint(FleetEndpoint endpoint) {
+  TrackedEndpoint(FleetEndpoint endpoint, Backoff backoff) {
     this.endpoint = checkNotNull(endpoint);
+    this.backoff = checkNotNull(backoff);
   }
 
   /** Returns the endpoint as it was last listed. */
@@ -102,7 +103,15 @@
 
   /** Returns whether it may get new work at that time. */
   public boolean usable(long nowNanos) {
-    return serving() && nowNanos >= avoidedUntil && nowNanos >= startLimit.opensAt();
+    return serving() && nowNanos >= avoidedUntil && nowNanos >= opensAt();
+  }
+
+  /**
+   * Returns when it takes the next request of this node by what it said of itself, on the node's
+   * clock in nanoseconds; the largest value is never.
+   */
+  long opensAt() {
+    return Math.max(startLimit.opensAt(), backoff.endsAt());
   }
 
   /** Returns whether it gets new work, now or once it has room again. */
@@ -198,7 +207,7 @@
   }
 
   /** Returns for how long it wants no calls from this node. */
-  public Backoff backoff() {
+  Backoff backoff() {
     return backoff;
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -553,11 +553,15 @@
           }
 
           @Override
-          public void refused(TrackedEndpoint engine) {
+          public boolean mayBeginElsewhere(TrackedEndpoint engine) {
             // An engine that is only leaving still works; its end will show.
-            if (engine.suspected() || engine.hasEnded()) {
-              beginElsewhere("path-lost", "no other path was accepted");
-            }
+            boolean lost = engine.suspected() || engine.hasEnded();
+            return lost && (route.kind().idempotent() || !call.mayHaveArrived());
+          }
+
+          @Override
+          public void beginElsewhere() {
+            leaveEndpoint("path-lost", "no other path was accepted");
           }
         };
     new PathReplacement(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -32,8 +32,11 @@
     /** The first engine accepted the path. */
     void replaced(EnginePath next);
 
-    /** No other path was accepted. */
-    void refused(TrackedEndpoint lost);
+    /** Returns whether the request may be begun at other engines instead. */
+    boolean mayBeginElsewhere(TrackedEndpoint lost);
+
+    /** Begins the request at other engines. */
+    void beginElsewhere();
   }
 
   private final ForwardContext context;
@@ -81,10 +84,16 @@
   }
 
   private void order(ImmutableList<TrackedEndpoint> without) {
-    if (triesLeft-- <= 0 || heldBack.getAsBoolean()) {
-      owner.refused(lost);
+    if (triesLeft <= 0 || heldBack.getAsBoolean()) {
+      refused();
+      return;
+    }
+    if (!context.fleet().admits(place.target(), CallPurpose.PATH_CHANGE)) {
+      ForwardLog.pathChanged(request, cause, "the first engine wants no calls", "");
+      beginElsewhereOrRetry();
       return;
     }
+    triesLeft--;
     Optional<EnginePath> next = place.another(without);
     if (next.isEmpty()) {
       ForwardLog.pathChanged(request, cause, "no other path", "");
@@ -113,7 +122,7 @@
     if (outcome.kind() == RepathOutcome.Kind.ACCEPTED) {
       owner.replaced(next);
     } else if (outcome.kind() == RepathOutcome.Kind.UNKNOWN_REQUEST) {
-      owner.refused(lost);
+      refused();
     } else if (obstacle.isPresent()) {
       long now = context.clock().currentTime(NANOSECONDS);
       obstacle.get().avoidUntil(now + OBSTACLE_PAUSE.toNanos());
@@ -124,6 +133,20 @@
     }
   }
 
+  private void refused() {
+    if (owner.mayBeginElsewhere(lost)) {
+      owner.beginElsewhere();
+    }
+  }
+
+  private void beginElsewhereOrRetry() {
+    if (owner.mayBeginElsewhere(lost)) {
+      owner.beginElsewhere();
+    } else {
+      retryLater();
+    }
+  }
+
   private void retryLater() {
     context
         .clock()
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -288,6 +288,9 @@
     if (assignment.callOpen || assignment.accepted || engine.suspected()) {
       return;
     }
+    if (!fleet.admits(engine, CallPurpose.PLACEMENT)) {
+      return;
+    }
     assignment.callOpen = true;
     counters.count(Metric.ENGINE_QUESTIONS, "placement");
     fleet.noteCall(engine, CallPurpose.PLACEMENT);
@@ -312,6 +315,10 @@
       assignment.callOpen = false;
       return;
     }
+    if (!fleet.admits(engine, CallPurpose.PLACEMENT)) {
+      assignment.callOpen = false;
+      return;
+    }
     if (report.orderInProgress() || !report.layers().equals(engine.endpoint().layers())) {
       // Another controller's order is under way or done; the list will show it.
       accepted(assignment);
