An engine that turns a question away and asks for a time is not taken for dead

What callers saw: streams moved off an engine that was only busy, or cut.

Cause: a report that was not given counted as no sign of life, whatever the answer. Class: a refusal of a call is read as the caller's word for death.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -29,6 +29,7 @@
 import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.NobodyListensException;
 import org.vaneworks.coordination.fleet.RepathOutcome;
+import org.vaneworks.coordination.fleet.TurnedAwayException;
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.forwarding.CallerRequest;
 import org.vaneworks.coordination.forwarding.EndpointCalls;
@@ -401,7 +402,7 @@
         return CompletableFuture.failedFuture(refused());
       }
       if (isTurnedAway(engine)) {
-        return CompletableFuture.failedFuture(new IllegalStateException("turned away"));
+        return CompletableFuture.failedFuture(new TurnedAwayException());
       }
       return CompletableFuture.completedFuture(
           new EngineReport(1, false, engine.layers(), 1, ImmutableMap.of(), Incarnation.UNTOLD));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -25,6 +25,7 @@
 import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.coordination.fleet.TurnedAwayException;
 import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
@@ -40,6 +41,7 @@
   private record Reply(Duration after, Optional<Exception> failure) {
     static final Reply ANSWERS = answersAfter(0);
     static final Reply REFUSES = fails(new ConnectException("refused"));
+    static final Reply TURNS_AWAY = fails(new TurnedAwayException());
     static final Reply IS_SILENT = answersAfter(60_000);
 
     static Reply answersAfter(int millis) {
@@ -311,6 +313,20 @@
     assertEquals(0, asked);
   }
 
+  @Test
+  void engineThatTurnsAQuestionAwayIsAlive() {
+    check(Reply.TURNS_AWAY);
+    clock.advance(Duration.ofSeconds(1));
+    assertFalse(engine.suspected());
+  }
+
+  @Test
+  void suspectedEngineThatTurnsAQuestionAwayIsAlive() {
+    check(Reply.REFUSES, Reply.TURNS_AWAY);
+    clock.advance(Duration.ofMillis(500));
+    assertFalse(engine.suspected());
+  }
+
   @Test
   void questionCountsAgainstWhatAnEngineTakes() {
     fleet.limits().heard(engine, StatedLimit.of(2));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -22,6 +22,7 @@
 import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.coordination.fleet.TurnedAwayException;
 import org.vaneworks.coordination.placement.PlacementController;
 import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
@@ -59,7 +60,7 @@
         EndpointStatement said =
             EndpointStatement.NONE.withBackoff(StatedBackoff.of(Duration.ofSeconds(3)));
         fleet.answeredCall(engine, said);
-        return CompletableFuture.failedFuture(new IllegalStateException("turned away"));
+        return CompletableFuture.failedFuture(new TurnedAwayException());
       }
       FleetEndpoint now = fleet.at("m", engine.address()).get().endpoint();
       return CompletableFuture.completedFuture(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -138,6 +138,9 @@
   private void unanswered(
       TrackedEndpoint engine, CallPurpose purpose, int question, Throwable failure) {
     noteRefusal(engine, failure);
+    if (failure instanceof TurnedAwayException) {
+      return;
+    }
     if (failure instanceof TimeoutException && question < SILENCES) {
       ask(engine, purpose, question + 1);
     } else {
@@ -250,6 +253,10 @@
             }
             return;
           }
+          if (failure instanceof TurnedAwayException) {
+            fleet.clear(engine);
+            return;
+          }
           noteRefusal(engine, failure);
           EventLog.debug(
               Event.ENDPOINT_STILL_SILENT, "endpoint", engine.endpoint().id(), "cause", failure);
