A refused caller is not asked back before an endpoint takes its request

What callers saw: with all endpoints of a service asking for seconds without calls, a 503 that asked them back after 75 ms to 1.9 s, to be refused again.

Cause: Retry-After came from the waiting line alone, which knows of no time that endpoints named; it was cut to a third of what the caller had left. Class: a bound that decides a refusal is missing in what the refusal says.

The change: it is at least the time until the first endpoint may begin a request, by backoffs and by limits, and up to a quarter more, so that callers don't return at once. Only what is expected of room is cut to what callers honour: the rest is known.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/BackoffTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/BackoffTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -107,4 +108,22 @@
     assertEquals(Reason.NO_ENDPOINT, refusal.reason());
     assertEquals(Verdict.NOT_RUN, refusal.verdict());
   }
+
+  @Test
+  void refusedCallerIsNotAskedBackBeforeAnEngineTakesItsRequest() {
+    ask(2);
+    for (int engine = 0; engine < ENGINES; engine++) {
+      fleet.turnsAway(engine, 10_000);
+    }
+    ask(2);
+    long refusedAt = fleet.nowMillis();
+    Duration comeBack = fleet.ask(0, "now").refusal.orElseThrow().retryAfter().orElseThrow();
+    for (int engine = 0; engine < ENGINES; engine++) {
+      fleet.takesAgain(engine);
+    }
+    fleet.advance((int) comeBack.toMillis());
+    Got again = fleet.ask(0, "again");
+    fleet.advance(1000);
+    assertTrue(again.whole, "asked back after " + comeBack + " at " + refusedAt + " ms");
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingBackoffTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingBackoffTest.java
@@ -6,6 +6,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.state.EndpointStatement;
@@ -74,6 +76,26 @@
     assertEquals(0, node.sent.size());
   }
 
+  @Test
+  void callerIsAskedBackOnceTheFirstEndpointTakesRequestsAgain() {
+    wantsNoCalls(node.replica(1), Duration.ofSeconds(9));
+    wantsNoCalls(node.replica(2), BACKOFF);
+    Duration comeBack = node.ask("/safe/x").refusal.orElseThrow().retryAfter().orElseThrow();
+    assertTrue(comeBack.compareTo(BACKOFF) >= 0, comeBack.toString());
+    assertTrue(comeBack.compareTo(BACKOFF.multipliedBy(2)) < 0, comeBack.toString());
+  }
+
+  @Test
+  void callersAreNotAskedBackAllAtOnce() {
+    wantsNoCalls(node.replica(1), BACKOFF);
+    long different =
+        IntStream.range(0, 10)
+            .mapToObj(i -> node.ask("/safe/x").refusal.orElseThrow().retryAfter())
+            .collect(Collectors.toSet())
+            .size();
+    assertTrue(different >= 9, different + " times");
+  }
+
   @Test
   void requestDoesNotPassAnEngineThatWantsNoCallsAsALaterPart() {
     node.engine(1, 0, 40);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Openings.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Openings.java
@@ -1,5 +1,6 @@
 package org.vaneworks.coordination.fleet;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 
@@ -45,6 +46,12 @@
     return perSecond > 0;
   }
 
+  /** Returns how long it is until the first request may begin; zero if it may now, or never. */
+  public Duration untilFirst(long nowNanos) {
+    boolean later = firstAt > nowNanos && firstAt < Long.MAX_VALUE;
+    return later ? Duration.ofNanos(firstAt - nowNanos) : Duration.ZERO;
+  }
+
   /** Returns when a request with that many before it may begin. */
   public long at(int before, long nowNanos) {
     double after = before / perSecond * NANOS_PER_SECOND;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerPatience.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerPatience.java
@@ -33,6 +33,9 @@
   /** A time to come back lies between this part of the expected time and as much beyond it. */
   private static final double EARLIEST_SHARE = 0.75;
 
+  /** Callers return over this part of the time until an endpoint takes requests, after it. */
+  private static final double SPREAD_SHARE = 0.25;
+
   private final EntryRoute route;
   private final long startedAt;
   private final Duration limit;
@@ -91,12 +94,15 @@
    * in one wave.
    *
    * @param expected when room is expected
+   * @param untilOpen how long no endpoint takes a request; the caller is not asked back before
    * @param draw a number in [0, 1)
    */
-  Duration comeBack(Duration expected, long now, double draw) {
+  Duration comeBack(Duration expected, Duration untilOpen, long now, double draw) {
     Duration soonest = Ordering.<Duration>natural().max(expected, SOONEST_RETURN);
     long latest = Math.max(0, endsAt() - now) / LATEST_RETURN_PART;
     double share = EARLIEST_SHARE + 2 * (1 - EARLIEST_SHARE) * draw;
-    return Duration.ofNanos(Math.min(latest, (long) (soonest.toNanos() * share)));
+    long whenRoom = Math.min(latest, (long) (soonest.toNanos() * share));
+    long whenOpen = (long) (untilOpen.toNanos() * (1 + SPREAD_SHARE * draw));
+    return Duration.ofNanos(Math.max(whenRoom, whenOpen));
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -449,7 +449,8 @@
   }
 
   private Duration comeBack() {
-    return patience.comeBack(line.expectedWait(), now(), context.random().nextDouble());
+    Duration untilOpen = place.openings().untilFirst(now());
+    return patience.comeBack(line.expectedWait(), untilOpen, now(), context.random().nextDouble());
   }
 
   private void timeIsUp() {
