An endpoint that says in an answer that it leaves gets no more requests

What callers saw: nothing yet.

Cause: that an endpoint leaves was learnt from its entry alone, which may come late, or not at all while the store is away; and it was forgotten with the entry, so that one that lapsed and came back without it was used again.

The change: Fleet takes the word of any answer, to requests, questions and orders alike, as it takes that of an entry: no new requests or paths, running streams move off later engines, its layers are placed elsewhere. FormerEndpoints remembers announced ends by run, whatever the list says meanwhile; a later run under the same id starts anew. VW3002 names who told.

The random courses of backoffs hold this too (StatementSchedulesTest, renamed: engines leave by answers alone, end, lapse).

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -139,6 +139,7 @@
     private final EngineBackoffs backoffs = new EngineBackoffs();
     private OptionalInt turnsAwayForMillis = OptionalInt.empty();
     private long standsStillUntil;
+    private final EngineDrain drain = new EngineDrain();
     private boolean ended;
     private boolean replaced;
 
@@ -162,6 +163,7 @@
         return;
       }
       backoffs.called(request.node, nowMillis());
+      drain.arrived(request.node, nowMillis());
       if (turnsAwayForMillis.isPresent()) {
         request.listener.head(turnedAway(request.node));
         return;
@@ -180,14 +182,24 @@
         backoffs.asked(node, nowMillis(), turnsAwayForMillis.getAsInt());
         stated = StatedBackoff.of(Duration.ofMillis(turnsAwayForMillis.getAsInt()));
       }
-      return Head.turnedAway(stated);
+      return Head.turnedAway(answer(node).withBackoff(stated));
+    }
+
+    /** Returns what the engine says of itself on each answer to a node, beside a backoff. */
+    private EndpointStatement answer(int node) {
+      EndpointStatement said = EndpointStatement.NONE.withLimit(arrivals.limit());
+      if (!drain.isLeaving()) {
+        return said;
+      }
+      drain.answered(node, nowMillis());
+      return said.thatLeaves();
     }
 
     private void begin(Running request) {
       if (!running.contains(request)) {
         return;
       }
-      request.listener.head(Head.of(200, arrivals.limit()));
+      request.listener.head(Head.of(200, answer(request.node)));
       arrivals.answered(request.node, nowMillis());
       if (request.crashes()) {
         later(ENDS_AFTER_MILLIS, this::end);
@@ -390,10 +402,11 @@
       }
       Engine engine = engines.get(endpoint.address());
       engine.backoffs.called(place, nowMillis());
-      if (engine.turnsAwayForMillis.isPresent()) {
-        statements.accept(endpoint, engine.turnedAway(place).statement());
-      }
-      return engine.turnsAwayForMillis.isPresent();
+      boolean turnedAway = engine.turnsAwayForMillis.isPresent();
+      EndpointStatement said =
+          turnedAway ? engine.turnedAway(place).statement() : engine.answer(place);
+      statements.accept(endpoint, said);
+      return turnedAway;
     }
 
     @Override
@@ -503,6 +516,7 @@
     for (Engine engine : engines.values()) {
       engine.arrivals.nodeStarted(node);
       engine.backoffs.nodeStarted(node, nowMillis());
+      engine.drain.nodeStarted(node);
     }
   }
 
@@ -547,6 +561,20 @@
     engineAt(place).turnsAwayForMillis = OptionalInt.empty();
   }
 
+  /**
+   * An engine says in its answers that it leaves, but not in its entry, and ends some time later.
+   */
+  void leaves(int place, int endsAfterMillis) {
+    Engine engine = engineAt(place);
+    engine.drain.leaves();
+    later(endsAfterMillis, engine::end);
+  }
+
+  /** Returns the requests that reached an engine from nodes that it had told that it leaves. */
+  int arrivalsAfterLeaving(int place) {
+    return engineAt(place).drain.late();
+  }
+
   /** What runs at an engine makes no progress for a time. */
   void standsStill(int place, int millis) {
     engineAt(place).standsStillUntil = nowMillis() + millis;
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/BackoffSchedulesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StatementSchedulesTest.java
@@ -8,11 +8,12 @@
 import org.vaneworks.tests.Schedules;
 
 /**
- * Checks over random courses that engines get no calls of nodes that they asked for none: engines
- * turn calls away for times that differ, take them again, stand still, end, and lapse from the
- * list; nodes start again, are cut off from the store, are suspended and don't hear of each other.
+ * Checks over random courses that engines get no calls of nodes that they asked for none, and no
+ * requests of nodes that they told that they leave: engines turn calls away for times that differ,
+ * take them again, leave, stand still, and lapse from the list; nodes start again, are cut off from
+ * the store, are suspended and don't hear of each other.
  */
-final class BackoffSchedulesTest {
+final class StatementSchedulesTest {
   private static final int STEPS = 60;
   private static final int MOST_NODES = 20;
   private static final int MOST_ENGINES = 6;
@@ -67,6 +68,7 @@
         case 10 -> fleet.timeOfDayMoves(node, 500 + random.nextInt(5000));
         case 11 -> fleet.cutFromStore(node, true);
         case 12 -> fleet.cutFromStore(node, false);
+        case 14 -> fleet.leaves(engine, 2000 + random.nextInt(6000));
         case 13 -> fleet.listsItselfAgain(engine, 1 + random.nextInt(2000));
         default -> {}
       }
@@ -79,14 +81,23 @@
       }
       return worst;
     }
+
+    int arrivalsAfterLeaving() {
+      int sum = 0;
+      for (int engine = 0; engine < engines; engine++) {
+        sum += fleet.arrivalsAfterLeaving(engine);
+      }
+      return sum;
+    }
   }
 
   @Property(tries = Schedules.TRIES, seed = "20261203")
-  void enginesGetNoCallsThatTheyAskedToBeSparedWhateverHappensMeanwhile(@ForAll long seed) {
+  void whatEnginesSayOfThemselvesIsHeededWhateverHappensMeanwhile(@ForAll long seed) {
     for (int i = 0; i < COURSES_A_TRY; i++) {
       Course course = new Course(seed + i);
       course.play();
       assertEquals(0, course.excess(), "course " + (seed + i));
+      assertEquals(0, course.arrivalsAfterLeaving(), "course " + (seed + i));
     }
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -16,6 +16,7 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.StorePosition;
@@ -75,6 +76,70 @@
     assertEquals(0, usable());
   }
 
+  private static EndpointStatement saysThatItLeaves() {
+    return EndpointStatement.NONE.thatLeaves();
+  }
+
+  @Test
+  void endpointThatSaysInAnAnswerThatItLeavesGetsNothingNew() {
+    fleet.put(endpoint("a", false));
+    fleet.answered(fleet.all().get(0), saysThatItLeaves());
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void engineThatSaysSoOfACallGetsNothingNew() {
+    fleet.put(endpoint("a", false));
+    fleet.answeredCall(endpoint("a", false), saysThatItLeaves());
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void leavingIsToldOnceHoweverOftenItIsSaid() {
+    List<TrackedEndpoint> told = new ArrayList<>();
+    fleet.onLeaving(told::add);
+    fleet.put(endpoint("a", false));
+    TrackedEndpoint known = fleet.all().get(0);
+    fleet.answered(known, saysThatItLeaves());
+    fleet.answered(known, saysThatItLeaves());
+    fleet.put(endpoint("a", true));
+    assertEquals(List.of(known), told);
+  }
+
+  @Test
+  void endpointThatLeavesByAnswerIsNotUsedForItsEntry() {
+    fleet.put(endpoint("a", false));
+    fleet.answered(fleet.all().get(0), saysThatItLeaves());
+    fleet.put(endpoint("a", false));
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void endpointThatLeavesIsNotUsedIfItsEntryLapsesAndComesBack() {
+    fleet.put(endpoint("a", true));
+    unlist("a");
+    fleet.put(endpoint("a", false));
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void answerThatComesAfterTheEntryWentCountsOnceItIsBack() {
+    fleet.put(endpoint("a", false));
+    TrackedEndpoint former = fleet.all().get(0);
+    unlist("a");
+    fleet.answered(former, saysThatItLeaves());
+    fleet.put(endpoint("a", false));
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void answerWithoutTheWordEndsNoAnnouncement() {
+    fleet.put(endpoint("a", false));
+    fleet.answered(fleet.all().get(0), saysThatItLeaves());
+    fleet.answered(fleet.all().get(0), EndpointStatement.NONE);
+    assertEquals(0, usable());
+  }
+
   @Test
   void unlistedEndpointIsGoneAtOnce() {
     fleet.put(endpoint("a", false));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingBackoffTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingBackoffTest.java
@@ -140,6 +140,15 @@
     assertTrue(sentTo(only) >= 2);
   }
 
+  @Test
+  void laterRunOfAnEndpointThatLeftTakesRequests() {
+    FleetEndpoint only = node.replica(1);
+    node.fleet.answeredCall(only, EndpointStatement.NONE.thatLeaves());
+    node.startsAgain(only);
+    node.ask("/safe/x");
+    assertEquals(1, node.sent.size());
+  }
+
   @Test
   void laterRunOfAnEndpointAsksForNothingOfWhatTheFormerDid() {
     FleetEndpoint only = node.replica(1);
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/Head.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/Head.java
@@ -32,7 +32,11 @@
 
   /** Returns the head of an answer that turns a request away, and may ask for no more. */
   public static Head turnedAway(StatedBackoff backoff) {
-    EndpointStatement statement = EndpointStatement.NONE.withBackoff(backoff);
+    return turnedAway(EndpointStatement.NONE.withBackoff(backoff));
+  }
+
+  /** The same of an endpoint that says more of itself. */
+  public static Head turnedAway(EndpointStatement statement) {
     return new Head(503, true, true, Optional.empty(), statement);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -166,7 +166,11 @@
   /** Takes one new or changed entry. */
   public void put(FleetEndpoint listed) {
     former.noteListed(listed.id());
-    takeEntry(listed);
+    if (listed.leaving()) {
+      former.noteLeaving(listed);
+    }
+    // An announced end holds for the run: the entry may be an older one, or not tell of it.
+    takeEntry(former.hasAnnouncedItsEnd(listed) ? listed.thatLeaves() : listed);
   }
 
   private void takeEntry(FleetEndpoint listed) {
@@ -257,16 +261,20 @@
 
   private void update(TrackedEndpoint known, FleetEndpoint listed) {
     FleetEndpoint before = known.endpoint();
-    // An announced end holds for the run: an older copy of the store may not know of it.
-    known.update(before.leaving() ? listed.thatLeaves() : listed);
+    known.update(listed);
     if (listed.leaving() && !before.leaving()) {
-      EventLog.info(Event.ENDPOINT_LEAVING, "endpoint", listed.id());
-      leavingListeners.forEach(listener -> listener.accept(known));
+      tellLeaving(known, "entry");
     } else if (!listed.layers().equals(before.layers())) {
       EventLog.info(Event.ENDPOINT_LAYERS, "endpoint", listed.id(), "layers", text(listed));
     }
   }
 
+  private void tellLeaving(TrackedEndpoint endpoint, String toldBy) {
+    String id = endpoint.endpoint().id();
+    EventLog.info(Event.ENDPOINT_LEAVING, "endpoint", id, "toldBy", toldBy);
+    leavingListeners.forEach(listener -> listener.accept(endpoint));
+  }
+
   /**
    * Takes an entry that names no endpoint to use: the one that it named before gets no new work,
    * also while the store is silent, until it lists itself again.
@@ -391,6 +399,7 @@
     // If its entry has lapsed and come back meanwhile, it is known as another one by now.
     TrackedEndpoint known = sameRun(endpoint.endpoint()).orElse(endpoint);
     backoffs.heard(known.endpoint(), known.backoff(), said.backoff());
+    noteLeaving(endpoint.endpoint(), said);
   }
 
   /** Takes what an engine says of itself on its answer to a question or an order. */
@@ -398,6 +407,20 @@
     Backoff backoff =
         sameRun(engine).map(TrackedEndpoint::backoff).orElseGet(() -> backoffs.of(engine));
     backoffs.heard(engine, backoff, said.backoff());
+    noteLeaving(engine, said);
+  }
+
+  private void noteLeaving(FleetEndpoint endpoint, EndpointStatement said) {
+    if (!said.leaving() || former.hasAnnouncedItsEnd(endpoint)) {
+      return;
+    }
+    former.noteLeaving(endpoint);
+    sameRun(endpoint)
+        .ifPresent(
+            known -> {
+              known.announcesItsEnd();
+              tellLeaving(known, "answer");
+            });
   }
 
   private Optional<TrackedEndpoint> sameRun(FleetEndpoint endpoint) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -69,6 +69,10 @@
     listing = Listing.LISTED;
   }
 
+  void announcesItsEnd() {
+    endpoint = endpoint.thatLeaves();
+  }
+
   Listing listing() {
     return listing;
   }
