What a run of an endpoint's process said of itself outlives its entry, limits too

What callers saw: nothing. An engine that named a limit got up to ten requests too many in four seconds each time its entry lapsed and came back, until it had answered once more.

Cause: limits were kept with the entry's record, which is made anew. Class: as with backoffs and announced ends before: what holds for a run of a process was kept with what the list says of it.

Evidence, failing before: LimitedEngineTest. boundHoldsIfTheEntryOfTheEngineLapsesAndComesBack, 10 too many.

The change: one place for all of it. RunStatements holds what one run said (limit, backoff, announced end); FormerEndpoints keeps it by run, and a late word of a former run changes nothing for the later one. The maps of their own that backoffs and announced ends had go.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/LimitedEngineTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/LimitedEngineTest.java
@@ -133,6 +133,20 @@
     assertEquals(0, limited().excess(fleet.nowMillis()));
   }
 
+  /** Guards against a limit that is forgotten with the entry of the engine that named it. */
+  @Test
+  void boundHoldsIfTheEntryOfTheEngineLapsesAndComesBack() {
+    fleet.reportsAreLost = true;
+    ask(3);
+    engineSays(StatedLimit.of(0.5));
+    ask(6);
+    for (int i = 0; i < 6; i++) {
+      fleet.listsItselfAgain(LIMITED, 300);
+      ask(1);
+    }
+    assertEquals(0, limited().excess(fleet.nowMillis()));
+  }
+
   @Test
   void boundHoldsAtEighteenNodesInThreeDataCentres() {
     nodes = 18;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -132,6 +132,40 @@
     assertEquals(0, usable());
   }
 
+  private static FleetEndpoint run(long startedAt) {
+    return new FleetEndpoint(
+        "a",
+        "s",
+        new HostPort("10.0.0.1", 80),
+        "dc1",
+        6,
+        false,
+        Optional.empty(),
+        "",
+        new StorePosition(0, BEFORE),
+        Incarnation.startedAt(startedAt));
+  }
+
+  @Test
+  void lateAnswerOfAFormerRunChangesNothingForTheLaterOne() {
+    fleet.put(run(1000));
+    TrackedEndpoint former = fleet.all().get(0);
+    fleet.put(run(2000));
+    fleet.answered(former, saysThatItLeaves());
+    fleet.answeredCall(run(1000), saysThatItLeaves());
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void lateEntryOfAFormerRunTakesNothingThatTheLaterOneSaid() {
+    fleet.put(run(2000));
+    fleet.answeredCall(run(2000), saysThatItLeaves());
+    fleet.put(run(1000));
+    unlist("a");
+    fleet.put(run(2000));
+    assertEquals(0, usable());
+  }
+
   @Test
   void answerWithoutTheWordEndsNoAnnouncement() {
     fleet.put(endpoint("a", false));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointBackoffs.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointBackoffs.java
@@ -4,8 +4,6 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import io.servicetalk.concurrent.Executor;
-import java.util.HashMap;
-import java.util.Map;
 import org.vaneworks.state.StatedBackoff;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
@@ -15,18 +13,11 @@
 /**
  * Which endpoints want no calls from this node for a time.
  *
- * <p>It holds for the run of an endpoint's process, also if its entry lapses meanwhile and the
- * endpoint is found anew. Confined to the node's event loop.
+ * <p>Confined to the node's event loop.
  */
 final class EndpointBackoffs {
-  private record Kept(Incarnation run, Backoff backoff) {}
-
   private final Executor clock;
   private final Counters counters;
-
-  /** Those in force, by the endpoint's id. */
-  private final Map<String, Kept> kept = new HashMap<>();
-
   private long lastEndsAt = Long.MIN_VALUE;
 
   EndpointBackoffs(Executor clock, Counters counters) {
@@ -34,13 +25,6 @@
     this.counters = checkNotNull(counters);
   }
 
-  /** Returns the backoff of a run that is found, for the first time or anew. */
-  Backoff of(FleetEndpoint found) {
-    Kept known = kept.get(found.id());
-    boolean sameRun = known != null && known.run().equals(found.incarnation());
-    return sameRun ? known.backoff() : new Backoff();
-  }
-
   /**
    * Takes what an endpoint's answer to this node says.
    *
@@ -67,13 +51,6 @@
         backoff.calls());
     backoff.extend(stated.length(), now());
     lastEndsAt = Math.max(lastEndsAt, backoff.endsAt());
-    keep(endpoint, backoff);
-  }
-
-  private void keep(FleetEndpoint endpoint, Backoff backoff) {
-    long now = now();
-    kept.values().removeIf(other -> !other.backoff().isInForce(now));
-    kept.put(endpoint.id(), new Kept(endpoint.incarnation(), backoff));
   }
 
   /** Returns whether any endpoint may want no calls. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointLimits.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointLimits.java
@@ -94,6 +94,13 @@
         before.startsSinceChange());
   }
 
+  /** Takes note of an endpoint that is found: its run may have named a limit before. */
+  void found(TrackedEndpoint endpoint) {
+    if (endpoint.startLimit().inForce()) {
+      known.add(endpoint);
+    }
+  }
+
   void forget(TrackedEndpoint endpoint) {
     known.remove(endpoint);
     unreadable.remove(endpoint);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -166,11 +166,12 @@
   /** Takes one new or changed entry. */
   public void put(FleetEndpoint listed) {
     former.noteListed(listed.id());
+    RunStatements said = former.statementsOf(listed);
     if (listed.leaving()) {
-      former.noteLeaving(listed);
+      said.announceEnd();
     }
     // An announced end holds for the run: the entry may be an older one, or not tell of it.
-    takeEntry(former.hasAnnouncedItsEnd(listed) ? listed.thatLeaves() : listed);
+    takeEntry(said.isLeaving() ? listed.thatLeaves() : listed);
   }
 
   private void takeEntry(FleetEndpoint listed) {
@@ -202,7 +203,7 @@
   }
 
   private void find(FleetEndpoint listed) {
-    byId.put(listed.id(), new TrackedEndpoint(listed, backoffs.of(listed)));
+    track(listed);
     EventLog.info(
         Event.ENDPOINT_FOUND,
         "endpoint",
@@ -215,8 +216,14 @@
         text(listed));
   }
 
+  private void track(FleetEndpoint listed) {
+    TrackedEndpoint endpoint = new TrackedEndpoint(listed, former.statementsOf(listed));
+    byId.put(listed.id(), endpoint);
+    limits.found(endpoint);
+  }
+
   private void startAgain(TrackedEndpoint former, FleetEndpoint next) {
-    byId.put(next.id(), new TrackedEndpoint(next, backoffs.of(next)));
+    track(next);
     end(former, "it started again");
   }
 
@@ -395,26 +402,25 @@
 
   /** Takes what an endpoint says of itself on its answer to a request. */
   public void answered(TrackedEndpoint endpoint, EndpointStatement said) {
-    limits.heard(endpoint, said.limit());
     // If its entry has lapsed and come back meanwhile, it is known as another one by now.
-    TrackedEndpoint known = sameRun(endpoint.endpoint()).orElse(endpoint);
-    backoffs.heard(known.endpoint(), known.backoff(), said.backoff());
-    noteLeaving(endpoint.endpoint(), said);
+    limits.heard(sameRun(endpoint.endpoint()).orElse(endpoint), said.limit());
+    take(endpoint.endpoint(), endpoint.statements(), said);
   }
 
   /** Takes what an engine says of itself on its answer to a question or an order. */
   public void answeredCall(FleetEndpoint engine, EndpointStatement said) {
-    Backoff backoff =
-        sameRun(engine).map(TrackedEndpoint::backoff).orElseGet(() -> backoffs.of(engine));
-    backoffs.heard(engine, backoff, said.backoff());
-    noteLeaving(engine, said);
+    take(engine, former.statementsOf(engine), said);
   }
 
-  private void noteLeaving(FleetEndpoint endpoint, EndpointStatement said) {
-    if (!said.leaving() || former.hasAnnouncedItsEnd(endpoint)) {
-      return;
+  private void take(FleetEndpoint endpoint, RunStatements before, EndpointStatement said) {
+    backoffs.heard(endpoint, before.backoff(), said.backoff());
+    if (said.leaving() && !before.isLeaving()) {
+      before.announceEnd();
+      noteLeaving(endpoint);
     }
-    former.noteLeaving(endpoint);
+  }
+
+  private void noteLeaving(FleetEndpoint endpoint) {
     sameRun(endpoint)
         .ifPresent(
             known -> {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -46,12 +46,11 @@
   private double peersPace = 1;
   private double shortage = 1;
   private long shortageAt;
-  private final StartLimit startLimit = new StartLimit();
-  private final Backoff backoff;
+  private final RunStatements said;
 
-  TrackedEndpoint(FleetEndpoint endpoint, Backoff backoff) {
+  TrackedEndpoint(FleetEndpoint endpoint, RunStatements said) {
     this.endpoint = checkNotNull(endpoint);
-    this.backoff = checkNotNull(backoff);
+    this.said = checkNotNull(said);
   }
 
   /** Returns the endpoint as it was last listed. */
@@ -115,7 +114,7 @@
    * clock in nanoseconds; the largest value is never.
    */
   long opensAt() {
-    return Math.max(startLimit.opensAt(), backoff.endsAt());
+    return Math.max(startLimit().opensAt(), backoff().endsAt());
   }
 
   /** Returns whether it gets new work, now or once it has room again. */
@@ -207,12 +206,17 @@
 
   /** Returns how many requests a second it takes, and this node's share of them. */
   public StartLimit startLimit() {
-    return startLimit;
+    return said.startLimit();
+  }
+
+  /** Returns what it said of itself. */
+  RunStatements statements() {
+    return said;
   }
 
   /** Returns for how long it wants no calls from this node. */
   Backoff backoff() {
-    return backoff;
+    return said.backoff();
   }
 
   /** Returns this node's requests in flight there. */
