--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointBackoffs.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointBackoffs.java
@@ -41,14 +41,16 @@
 
   private void take(FleetEndpoint endpoint, Backoff backoff, StatedBackoff stated) {
     counters.count(Metric.ENDPOINT_BACKOFFS, "asked");
-    EventLog.info(
-        Event.ENDPOINT_BACKOFF,
-        "endpoint",
-        endpoint.id(),
-        "asked",
-        stated,
-        "callsDuringLast",
-        backoff.calls());
+    if (!backoff.isInForce(now())) {
+      EventLog.info(
+          Event.ENDPOINT_BACKOFF,
+          "endpoint",
+          endpoint.id(),
+          "asked",
+          stated,
+          "callsDuringLast",
+          backoff.calls());
+    }
     backoff.extend(stated.length(), now());
     lastEndsAt = Math.max(lastEndsAt, backoff.endsAt());
   }
