What endpoints say has a room of its own; the grace after an outage leaves Fleet

No behaviour changes. EndpointStatements is the one place that takes what endpoints say of themselves and answers which calls they take; OutageGrace knows how long an entry may only have lapsed.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -107,7 +107,7 @@
     this.io = io;
     counters = Counters.in(meters);
     fleet = Fleet.create(io, counters, RELIST_GRACE);
-    adapters.engines().onStatement(fleet::answeredCall);
+    adapters.engines().onStatement(fleet.statements()::answeredCall);
     peerVersions = new PeerVersions(io);
     SharedStore store = MeasuredStore.of(io, adapters.store(), counters);
     SuspensionWatch suspensions = SuspensionWatch.create(io, System::currentTimeMillis, counters);
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SharedEngines.java
@@ -332,7 +332,7 @@
       Random random = new Random(seed + number);
       Counters counters = Counters.in(meters);
       Fleet fleet = Fleet.create(clock, counters, EntryNode.RELIST_GRACE);
-      onStatement(fleet::answeredCall);
+      onStatement(fleet.statements()::answeredCall);
       exchange =
           LoadExchange.create(
               clock,
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -83,14 +83,14 @@
   @Test
   void endpointThatSaysInAnAnswerThatItLeavesGetsNothingNew() {
     fleet.put(endpoint("a", false));
-    fleet.answered(fleet.all().get(0), saysThatItLeaves());
+    fleet.statements().answered(fleet.all().get(0), saysThatItLeaves());
     assertEquals(0, usable());
   }
 
   @Test
   void engineThatSaysSoOfACallGetsNothingNew() {
     fleet.put(endpoint("a", false));
-    fleet.answeredCall(endpoint("a", false), saysThatItLeaves());
+    fleet.statements().answeredCall(endpoint("a", false), saysThatItLeaves());
     assertEquals(0, usable());
   }
 
@@ -100,8 +100,8 @@
     fleet.onLeaving(told::add);
     fleet.put(endpoint("a", false));
     TrackedEndpoint known = fleet.all().get(0);
-    fleet.answered(known, saysThatItLeaves());
-    fleet.answered(known, saysThatItLeaves());
+    fleet.statements().answered(known, saysThatItLeaves());
+    fleet.statements().answered(known, saysThatItLeaves());
     fleet.put(endpoint("a", true));
     assertEquals(List.of(known), told);
   }
@@ -109,7 +109,7 @@
   @Test
   void endpointThatLeavesByAnswerIsNotUsedForItsEntry() {
     fleet.put(endpoint("a", false));
-    fleet.answered(fleet.all().get(0), saysThatItLeaves());
+    fleet.statements().answered(fleet.all().get(0), saysThatItLeaves());
     fleet.put(endpoint("a", false));
     assertEquals(0, usable());
   }
@@ -127,7 +127,7 @@
     fleet.put(endpoint("a", false));
     TrackedEndpoint former = fleet.all().get(0);
     unlist("a");
-    fleet.answered(former, saysThatItLeaves());
+    fleet.statements().answered(former, saysThatItLeaves());
     fleet.put(endpoint("a", false));
     assertEquals(0, usable());
   }
@@ -151,15 +151,15 @@
     fleet.put(run(1000));
     TrackedEndpoint former = fleet.all().get(0);
     fleet.put(run(2000));
-    fleet.answered(former, saysThatItLeaves());
-    fleet.answeredCall(run(1000), saysThatItLeaves());
+    fleet.statements().answered(former, saysThatItLeaves());
+    fleet.statements().answeredCall(run(1000), saysThatItLeaves());
     assertEquals(1, usable());
   }
 
   @Test
   void lateEntryOfAFormerRunTakesNothingThatTheLaterOneSaid() {
     fleet.put(run(2000));
-    fleet.answeredCall(run(2000), saysThatItLeaves());
+    fleet.statements().answeredCall(run(2000), saysThatItLeaves());
     fleet.put(run(1000));
     unlist("a");
     fleet.put(run(2000));
@@ -169,8 +169,8 @@
   @Test
   void answerWithoutTheWordEndsNoAnnouncement() {
     fleet.put(endpoint("a", false));
-    fleet.answered(fleet.all().get(0), saysThatItLeaves());
-    fleet.answered(fleet.all().get(0), EndpointStatement.NONE);
+    fleet.statements().answered(fleet.all().get(0), saysThatItLeaves());
+    fleet.statements().answered(fleet.all().get(0), EndpointStatement.NONE);
     assertEquals(0, usable());
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -260,18 +260,18 @@
     pace = 3;
     health.checkPace(engine);
     clock.advance(Duration.ofMillis(100));
-    fleet.limits().heard(engine, StatedLimit.of(2));
+    fleet.statements().limits().heard(engine, StatedLimit.of(2));
     int before = asked;
     clock.advance(Duration.ofSeconds(5));
     assertEquals(before, asked);
-    fleet.limits().heard(engine, StatedLimit.none());
+    fleet.statements().limits().heard(engine, StatedLimit.none());
     clock.advance(Duration.ofSeconds(2));
     assertTrue(asked > before, asked + " questions");
   }
 
   private void wantsNoCalls(int seconds) {
     StatedBackoff backoff = StatedBackoff.of(Duration.ofSeconds(seconds));
-    fleet.answeredCall(engine.endpoint(), EndpointStatement.NONE.withBackoff(backoff));
+    fleet.statements().answeredCall(engine.endpoint(), EndpointStatement.NONE.withBackoff(backoff));
   }
 
   @Test
@@ -329,7 +329,7 @@
 
   @Test
   void questionCountsAgainstWhatAnEngineTakes() {
-    fleet.limits().heard(engine, StatedLimit.of(2));
+    fleet.statements().limits().heard(engine, StatedLimit.of(2));
     engine.startLimit().share(2, 1, clock.currentTime(NANOSECONDS));
     clock.advance(Duration.ofMillis(600));
     assertTrue(engine.usable(clock.currentTime(NANOSECONDS)));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingBackoffTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingBackoffTest.java
@@ -23,7 +23,9 @@
 
   /** Says so on an answer to a question, which is no request. */
   private void wantsNoCalls(FleetEndpoint endpoint, Duration length) {
-    node.fleet.answeredCall(endpoint, EndpointStatement.NONE.withBackoff(StatedBackoff.of(length)));
+    node.fleet
+        .statements()
+        .answeredCall(endpoint, EndpointStatement.NONE.withBackoff(StatedBackoff.of(length)));
   }
 
   private void turnAway(Duration length) {
@@ -143,7 +145,7 @@
   @Test
   void laterRunOfAnEndpointThatLeftTakesRequests() {
     FleetEndpoint only = node.replica(1);
-    node.fleet.answeredCall(only, EndpointStatement.NONE.thatLeaves());
+    node.fleet.statements().answeredCall(only, EndpointStatement.NONE.thatLeaves());
     node.startsAgain(only);
     node.ask("/safe/x");
     assertEquals(1, node.sent.size());
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -389,7 +389,7 @@
   }
 
   private void engineSays(StatedLimit limit) {
-    fleet.limits().heard(engine, limit);
+    fleet.statements().limits().heard(engine, limit);
   }
 
   @Test
@@ -418,7 +418,7 @@
     exchange.start();
     peerTellsLimit(StatedLimit.of(3), 0);
     advance(200);
-    assertEquals(ImmutableList.of(engine), fleet.limits().inForce());
+    assertEquals(ImmutableList.of(engine), fleet.statements().limits().inForce());
     assertEquals(ImmutableList.of(), last.limits());
   }
 
@@ -440,18 +440,18 @@
     engineSays(StatedLimit.of(3));
     advance(1000);
     peerTellsLimit(StatedLimit.none(), 2000);
-    assertEquals(ImmutableList.of(engine), fleet.limits().inForce());
+    assertEquals(ImmutableList.of(engine), fleet.statements().limits().inForce());
     peerTellsLimit(StatedLimit.none(), 100);
-    assertEquals(ImmutableList.of(), fleet.limits().inForce());
+    assertEquals(ImmutableList.of(), fleet.statements().limits().inForce());
     peerTellsLimit(StatedLimit.of(3), 500);
-    assertEquals(ImmutableList.of(), fleet.limits().inForce());
+    assertEquals(ImmutableList.of(), fleet.statements().limits().inForce());
   }
 
   @Test
   void unreadableWordChangesNothing() {
     engineSays(StatedLimit.of(3));
     engineSays(StatedLimit.unreadable());
-    assertEquals(ImmutableList.of(engine), fleet.limits().inForce());
+    assertEquals(ImmutableList.of(engine), fleet.statements().limits().inForce());
   }
 
   @Test
@@ -459,7 +459,7 @@
     engineSays(StatedLimit.of(3));
     engineStartsAgain();
     peerTellsLimit(StatedLimit.of(3), 0);
-    assertEquals(ImmutableList.of(), fleet.limits().inForce());
+    assertEquals(ImmutableList.of(), fleet.statements().limits().inForce());
   }
 
   @Test
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/StartSharesTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/StartSharesTest.java
@@ -68,13 +68,13 @@
 
     /** Returns how many requests it may begin in a while, each as soon as it may. */
     int startsInAWhile(double limit) {
-      fleet.limits().heard(engine, StatedLimit.of(limit));
+      fleet.statements().limits().heard(engine, StatedLimit.of(limit));
       int starts = 0;
       for (int tick = 0; tick < SECONDS * 1000 / TICK_MILLIS; tick++) {
         clock.advance(Duration.ofMillis(TICK_MILLIS));
         starts += begin() ? 1 : 0;
         if (tick % 100 == 0) {
-          fleet.limits().heard(engine, StatedLimit.of(limit));
+          fleet.statements().limits().heard(engine, StatedLimit.of(limit));
         }
       }
       return starts;
@@ -83,7 +83,7 @@
     boolean begin() {
       boolean open = !fleet.usable("m").isEmpty();
       if (open) {
-        fleet.noteCall(engine, CallPurpose.FIRST_SEND);
+        fleet.statements().noteCall(engine, CallPurpose.FIRST_SEND);
       }
       return open;
     }
@@ -140,7 +140,7 @@
   void startsAreNotSavedUp() {
     boxes = ImmutableList.of("box-0");
     Node node = new Node("box-0", "dc1");
-    node.fleet.limits().heard(node.engine, StatedLimit.of(LIMIT));
+    node.fleet.statements().limits().heard(node.engine, StatedLimit.of(LIMIT));
     node.begin();
     clock.advance(Duration.ofSeconds(8));
     assertTrue(node.begin());
@@ -150,7 +150,7 @@
   @Test
   void nodeWithoutAShareTriesTheEndpointOnceItsWordIsOld() {
     Node node = new Node("box-1", "dc2");
-    node.fleet.limits().heard(node.engine, StatedLimit.of(LIMIT));
+    node.fleet.statements().limits().heard(node.engine, StatedLimit.of(LIMIT));
     int starts = 0;
     for (int tick = 0; tick < 3 * SECONDS * 1000 / TICK_MILLIS; tick++) {
       clock.advance(Duration.ofMillis(TICK_MILLIS));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -59,7 +59,7 @@
       if (wantsNoCalls) {
         EndpointStatement said =
             EndpointStatement.NONE.withBackoff(StatedBackoff.of(Duration.ofSeconds(3)));
-        fleet.answeredCall(engine, said);
+        fleet.statements().answeredCall(engine, said);
         return CompletableFuture.failedFuture(new TurnedAwayException());
       }
       FleetEndpoint now = fleet.at("m", engine.address()).get().endpoint();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -16,7 +16,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.telemetry.Counters;
@@ -46,9 +45,8 @@
 
   private final Executor clock;
   private final Counters counters;
-  private final Duration relistGrace;
-  private final EndpointLimits limits;
-  private final EndpointBackoffs backoffs;
+  private final OutageGrace outage;
+  private final EndpointStatements statements;
   private final FormerEndpoints former;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
 
@@ -60,17 +58,14 @@
   private final List<Consumer<TrackedEndpoint>> goneListeners = new ArrayList<>();
 
   private long copySettledAt = Long.MAX_VALUE;
-  private long storeSilentAt = Long.MIN_VALUE / 2;
-  private Optional<StorePosition> positionBeforeSilence = Optional.empty();
 
   private Fleet(Executor clock, Counters counters, Duration relistGrace) {
     this.clock = checkNotNull(clock);
     this.counters = checkNotNull(counters);
-    this.relistGrace = checkNotNull(relistGrace);
-    limits = new EndpointLimits(clock, counters);
-    backoffs = new EndpointBackoffs(clock, counters);
+    outage = new OutageGrace(clock, relistGrace);
+    statements = new EndpointStatements(clock, counters, this::sameRun, this::announcesItsEnd);
     former = new FormerEndpoints(clock);
-    onRemoval(limits::forget);
+    onRemoval(statements::forget);
   }
 
   /**
@@ -126,9 +121,9 @@
    * @param lastPosition up to which the list was known before; empty if it was not
    */
   public void noteStoreSilent(long callBegunAt, Optional<StorePosition> lastPosition) {
-    storeSilentAt = callBegunAt;
+    outage.noteSilent(callBegunAt);
     if (with(Listing.KEPT).isEmpty()) {
-      positionBeforeSilence = lastPosition;
+      outage.positionBefore(lastPosition);
     }
   }
 
@@ -139,8 +134,8 @@
    * it names may have gone since, as this node saw.
    */
   public void noteNewEra() {
-    storeSilentAt = now();
-    positionBeforeSilence = Optional.empty();
+    outage.noteSilent(now());
+    outage.positionBefore(Optional.empty());
     former.noteNewEra();
     copySettledAt = now() + COPY_SETTLED.toNanos();
   }
@@ -166,7 +161,7 @@
   /** Takes one new or changed entry. */
   public void put(FleetEndpoint listed) {
     former.noteListed(listed.id());
-    RunStatements said = former.statementsOf(listed);
+    RunStatements said = statements.of(listed);
     if (listed.leaving()) {
       said.announceEnd();
     }
@@ -217,9 +212,9 @@
   }
 
   private void track(FleetEndpoint listed) {
-    TrackedEndpoint endpoint = new TrackedEndpoint(listed, former.statementsOf(listed));
+    TrackedEndpoint endpoint = new TrackedEndpoint(listed, statements.of(listed));
     byId.put(listed.id(), endpoint);
-    limits.found(endpoint);
+    statements.found(endpoint);
   }
 
   private void startAgain(TrackedEndpoint former, FleetEndpoint next) {
@@ -276,6 +271,16 @@
     }
   }
 
+  private Optional<TrackedEndpoint> sameRun(FleetEndpoint endpoint) {
+    return Optional.ofNullable(byId.get(endpoint.id()))
+        .filter(known -> known.endpoint().incarnation().equals(endpoint.incarnation()));
+  }
+
+  private void announcesItsEnd(TrackedEndpoint endpoint) {
+    endpoint.announcesItsEnd();
+    tellLeaving(endpoint, "answer");
+  }
+
   private void tellLeaving(TrackedEndpoint endpoint, String toldBy) {
     String id = endpoint.endpoint().id();
     EventLog.info(Event.ENDPOINT_LEAVING, "endpoint", id, "toldBy", toldBy);
@@ -304,7 +309,7 @@
     if (known == null || known.listing() != Listing.LISTED) {
       return;
     }
-    if (graceLeft() > 0) {
+    if (outage.left() > 0) {
       known.listing(Listing.MISSING);
     } else {
       drop(known, "unlisted");
@@ -334,14 +339,13 @@
   }
 
   private boolean anyOutlivedTheSilence() {
-    return positionBeforeSilence.isPresent()
-        && with(Listing.LISTED).stream()
-            .anyMatch(
-                endpoint -> !endpoint.endpoint().listedAt().isAfter(positionBeforeSilence.get()));
+    return with(Listing.LISTED).stream()
+        .map(TrackedEndpoint::endpoint)
+        .anyMatch(outage::outlivedBy);
   }
 
   private void keep(TrackedEndpoint endpoint) {
-    long wait = graceLeft();
+    long wait = outage.left();
     endpoint.listing(Listing.KEPT);
     EventLog.info(
         Event.ENDPOINT_KEPT,
@@ -358,7 +362,7 @@
           if (endpoint.listing() != Listing.KEPT) {
             return;
           }
-          long left = graceLeft();
+          long left = outage.left();
           if (left > 0) {
             dropUnlessListed(endpoint, left);
           } else {
@@ -369,10 +373,6 @@
         NANOSECONDS);
   }
 
-  private long graceLeft() {
-    return storeSilentAt + relistGrace.toNanos() - now();
-  }
-
   private ImmutableList<TrackedEndpoint> with(Listing listing) {
     return byId.values().stream()
         .filter(endpoint -> endpoint.listing() == listing)
@@ -395,64 +395,9 @@
     }
   }
 
-  /** Returns which endpoints say how many requests a second they take. */
-  public EndpointLimits limits() {
-    return limits;
-  }
-
-  /** Takes what an endpoint says of itself on its answer to a request. */
-  public void answered(TrackedEndpoint endpoint, EndpointStatement said) {
-    // If its entry has lapsed and come back meanwhile, it is known as another one by now.
-    limits.heard(sameRun(endpoint.endpoint()).orElse(endpoint), said.limit());
-    take(endpoint.endpoint(), endpoint.statements(), said);
-  }
-
-  /** Takes what an engine says of itself on its answer to a question or an order. */
-  public void answeredCall(FleetEndpoint engine, EndpointStatement said) {
-    take(engine, former.statementsOf(engine), said);
-  }
-
-  private void take(FleetEndpoint endpoint, RunStatements before, EndpointStatement said) {
-    backoffs.heard(endpoint, before.backoff(), said.backoff());
-    if (said.leaving() && !before.isLeaving()) {
-      before.announceEnd();
-      noteLeaving(endpoint);
-    }
-  }
-
-  private void noteLeaving(FleetEndpoint endpoint) {
-    sameRun(endpoint)
-        .ifPresent(
-            known -> {
-              known.announcesItsEnd();
-              tellLeaving(known, "answer");
-            });
-  }
-
-  private Optional<TrackedEndpoint> sameRun(FleetEndpoint endpoint) {
-    return Optional.ofNullable(byId.get(endpoint.id()))
-        .filter(known -> known.endpoint().incarnation().equals(endpoint.incarnation()));
-  }
-
-  /**
-   * Returns whether an endpoint takes a call for a purpose now, by what it said of itself. Requests
-   * go to {@link #usable} endpoints only.
-   */
-  public boolean admits(TrackedEndpoint endpoint, CallPurpose purpose) {
-    return backoffs.admits(endpoint, purpose);
-  }
-
-  /** Counts a report that is asked of an engine for a sign of life or its pace. */
-  void noteAsked() {
-    counters.count(Metric.ENGINE_QUESTIONS, "health");
-  }
-
-  /** Notes that this node calls an endpoint; every call is noted. */
-  public void noteCall(TrackedEndpoint endpoint, CallPurpose purpose) {
-    if (purpose.countsAgainstLimit()) {
-      endpoint.startLimit().noteStart(now());
-    }
-    backoffs.noteCall(endpoint, purpose);
+  /** Returns what endpoints say of themselves. */
+  public EndpointStatements statements() {
+    return statements;
   }
 
   /** Believes an endpoint dead or unreachable until {@link #clear}. */
@@ -527,7 +472,7 @@
 
   /** Returns when requests may begin at engines that hold every layer between them. */
   public Openings openings(String service, int layers) {
-    if (limits.inForce().isEmpty() && !backoffs.anyInForce()) {
+    if (!statements.anyBinds()) {
       // Asked for each request that waits, many times a second.
       return holdsAll(service, layers) ? Openings.ALWAYS : Openings.NEVER;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FormerEndpoints.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/FormerEndpoints.java
@@ -12,8 +12,7 @@
 import java.util.Set;
 
 /**
- * What is remembered of endpoints beyond the list: the newest run of each, what it said of itself,
- * and which went lately.
+ * What is remembered of endpoints beyond the list: the newest run of each, and which went lately.
  *
  * <p>News of a former run may come late, and a store that comes back from an older copy names
  * endpoints that have gone since. Confined to the node's event loop.
@@ -27,7 +26,6 @@
 
   private final Executor clock;
   private final Map<String, Incarnation> newestRuns = new LinkedHashMap<>();
-  private final Map<String, RunStatements> statements = new LinkedHashMap<>();
   private final Map<String, Long> goneAt = new LinkedHashMap<>();
 
   /** Went before the newest copy of the store was read, and have not been listed since. */
@@ -53,21 +51,6 @@
     }
   }
 
-  /** Returns what a run has said of itself: the same object each time, unless the run is over. */
-  RunStatements statementsOf(FleetEndpoint endpoint) {
-    Incarnation run = endpoint.incarnation();
-    RunStatements known = statements.get(endpoint.id());
-    if (known != null && known.areOf(run)) {
-      return known;
-    }
-    RunStatements made = new RunStatements(run);
-    if (known == null || !known.outdate(run)) {
-      statements.put(endpoint.id(), made);
-      forgetOldest(statements);
-    }
-    return made;
-  }
-
   /** Notes that an endpoint went. */
   void noteGone(String id) {
     goneAt.put(id, clock.currentTime(NANOSECONDS));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -96,7 +96,7 @@
     if (asked.contains(engine) || engine.suspected() || engine.delisted()) {
       return;
     }
-    if (!fleet.admits(engine, purpose)) {
+    if (!fleet.statements().admits(engine, purpose)) {
       return;
     }
     ask(engine, purpose, 1);
@@ -112,8 +112,8 @@
     askedAt.put(engine, begun);
     asked.add(engine);
     // Asked whatever the engine takes, as requests may hang on its answer; but it counts.
-    fleet.noteCall(engine, purpose);
-    fleet.noteAsked();
+    fleet.statements().noteCall(engine, purpose);
+    fleet.statements().noteAsked();
     Async.onDone(
         control.report(engine.endpoint(), limit()),
         clock,
@@ -237,12 +237,12 @@
     if (!engine.suspected() || engine.delisted()) {
       return;
     }
-    if (!fleet.admits(engine, CallPurpose.SIGN_OF_LIFE)) {
+    if (!fleet.statements().admits(engine, CallPurpose.SIGN_OF_LIFE)) {
       retryLater(engine, waited);
       return;
     }
-    fleet.noteCall(engine, CallPurpose.SIGN_OF_LIFE);
-    fleet.noteAsked();
+    fleet.statements().noteCall(engine, CallPurpose.SIGN_OF_LIFE);
+    fleet.statements().noteAsked();
     Async.onDone(
         control.report(engine.endpoint(), limit()),
         clock,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -277,7 +277,7 @@
   /** Takes what the endpoint says of itself, unless another may have answered in its place. */
   private void noteStatement(AnswerHead head, TrackedEndpoint endpoint) {
     if (head.matches() && head.status() != MISDIRECTED) {
-      context.fleet().answered(endpoint, head.statement());
+      context.fleet().statements().answered(endpoint, head.statement());
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -88,7 +88,7 @@
       refused();
       return;
     }
-    if (!context.fleet().admits(place.target(), CallPurpose.PATH_CHANGE)) {
+    if (!context.fleet().statements().admits(place.target(), CallPurpose.PATH_CHANGE)) {
       ForwardLog.pathChanged(request, cause, "the first engine wants no calls", "");
       beginElsewhereOrRetry();
       return;
@@ -101,7 +101,7 @@
       return;
     }
     String text = next.get().text();
-    context.fleet().noteCall(place.target(), CallPurpose.PATH_CHANGE);
+    context.fleet().statements().noteCall(place.target(), CallPurpose.PATH_CHANGE);
     Async.onDone(
         context.control().repath(place.target().endpoint(), request.id(), text),
         context.clock(),
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -115,11 +115,11 @@
 
   private void noteSend(TrackedEndpoint endpoint) {
     CallPurpose purpose = tried.isEmpty() ? CallPurpose.FIRST_SEND : CallPurpose.REPEATED_SEND;
-    context.fleet().noteCall(endpoint, purpose);
+    context.fleet().statements().noteCall(endpoint, purpose);
   }
 
   private void noteLaterPart(TrackedEndpoint engine) {
-    context.fleet().noteCall(engine, CallPurpose.LATER_PART);
+    context.fleet().statements().noteCall(engine, CallPurpose.LATER_PART);
   }
 
   /** Returns when requests may begin at the service's endpoints if they have room. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -237,7 +237,7 @@
 
   /** Returns the limits that endpoints named to this node itself, and those that ended. */
   private ImmutableList<EndpointLimit> ownLimits() {
-    return limits(fleet.limits().ownNews());
+    return limits(fleet.statements().limits().ownNews());
   }
 
   private ImmutableList<EndpointLimit> limits(ImmutableList<TrackedEndpoint> endpoints) {
@@ -256,7 +256,8 @@
     long heardAt = now() - limit.age().toNanos();
     fleet.all().stream()
         .filter(endpoint -> keyOf(endpoint) == limit.endpointKey())
-        .forEach(endpoint -> fleet.limits().heardOfPeer(endpoint, limit.stated(), heardAt));
+        .forEach(
+            endpoint -> fleet.statements().limits().heardOfPeer(endpoint, limit.stated(), heardAt));
   }
 
   /** Returns the slow engines that this node or members of its group know at first hand. */
@@ -300,7 +301,13 @@
     }
     int nodes = 1 + heardLoads.members();
     return new LoadReport(
-        box, peerGroups.own(), nodes, loads.build(), groupSlow(), limits(fleet.limits().news()), 0);
+        box,
+        peerGroups.own(),
+        nodes,
+        loads.build(),
+        groupSlow(),
+        limits(fleet.statements().limits().news()),
+        0);
   }
 
   /** Takes a peer's report. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/StartShares.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/StartShares.java
@@ -98,7 +98,7 @@
   }
 
   private void update() {
-    ImmutableList<TrackedEndpoint> limited = fleet.limits().inForce();
+    ImmutableList<TrackedEndpoint> limited = fleet.statements().limits().inForce();
     if (limited.isEmpty()) {
       return;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -288,12 +288,12 @@
     if (assignment.callOpen || assignment.accepted || engine.suspected()) {
       return;
     }
-    if (!fleet.admits(engine, CallPurpose.PLACEMENT)) {
+    if (!fleet.statements().admits(engine, CallPurpose.PLACEMENT)) {
       return;
     }
     assignment.callOpen = true;
     counters.count(Metric.ENGINE_QUESTIONS, "placement");
-    fleet.noteCall(engine, CallPurpose.PLACEMENT);
+    fleet.statements().noteCall(engine, CallPurpose.PLACEMENT);
     Async.onDone(
         control.report(engine.endpoint(), CALL_LIMIT),
         clock,
@@ -315,7 +315,7 @@
       assignment.callOpen = false;
       return;
     }
-    if (!fleet.admits(engine, CallPurpose.PLACEMENT)) {
+    if (!fleet.statements().admits(engine, CallPurpose.PLACEMENT)) {
       assignment.callOpen = false;
       return;
     }
@@ -327,7 +327,7 @@
     }
     OrderGuard guard = new OrderGuard(actingAs.getAsLong(), report.ordersTaken());
     long orderedAt = now();
-    fleet.noteCall(engine, CallPurpose.PLACEMENT);
+    fleet.statements().noteCall(engine, CallPurpose.PLACEMENT);
     Async.onDone(
         control.hold(engine.endpoint(), assignment.layers, guard),
         clock,
