--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -247,8 +247,7 @@
    * here as this node since its last report.
    *
    * <p>Without this, nodes that hear that an engine has room fill it together before they hear of
-   * each other. In a model of 95 nodes engines reject 0.3% of what reaches them instead of 2.8%
-   * (means of two seeds); the fewer streams a node has, the less its own tell of its peers'.
+   * each other. The fewer streams a node has, the less its own tell of its peers'.
    *
    * @param peers nodes that prefer the same engines and are heard
    * @param kept part of what this node began before that peers have still not told of their like; 0
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/WaitingLine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/WaitingLine.java
@@ -20,9 +20,7 @@
  * requests late instead of all, and a late one is served while its caller waits if room is left. A
  * request waits only as long as it is expected to be served before its caller gives up, by how many
  * are before it and how many this node has lately started; otherwise, and while no endpoint could
- * run it at all, it is refused at once. Measured on three played days, waiting serves no more than
- * a refusal after a quarter of the objective does while no path passes a full engine and callers
- * come back late enough; those two carry the gain. Confined to the node's event loop.
+ * run it at all, it is refused at once. Confined to the node's event loop.
  */
 final class WaitingLine {
   /** Between two looks for room; a look costs a few searches for a path. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/FirstPlacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/FirstPlacement.java
@@ -13,12 +13,7 @@
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.entry.ModelProfile;
 
-/**
- * Places the model on the engines of a data centre of which none holds anything yet.
- *
- * <p>Searching the rooms serves 0.06 more of what callers' requests are worth than the best pair
- * for another fleet did (mean of three played days with losses, 38 engines of three kinds).
- */
+/** Places the model on the engines of a data centre of which none holds anything yet. */
 final class FirstPlacement {
   /**
    * Rooms that are tried for copies and for spares, in requests of the usual size. Steps of a
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -62,9 +62,7 @@
   /**
    * Pauses between reads of the list without a new engine, after which the first placement is made:
    * one read may bring none between others. Engines come into the list over some seconds; a
-   * placement of a part of them cuts the model unlike the rest, and is never undone. With one and a
-   * half, half of 38 engines were placed first in some plays of a day, which then served 0.50 of
-   * what was asked instead of 0.97.
+   * placement of a part of them cuts the model unlike the rest, and is never undone.
    */
   private static final double SETTLED_PAUSES = 2.5;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/EndedEndpoints.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/EndedEndpoints.java
@@ -21,10 +21,7 @@
  * without having announced that it leaves. Confined to the node's event loop.
  */
 public final class EndedEndpoints {
-  /**
-   * A request that has run for longer did not end the endpoint by being begun. The ends that were
-   * seen came 40 to 120 ms after the first part of the answer.
-   */
+  /** A request that has run for longer did not end the endpoint by being begun. */
   public static final Duration JUST_BEGUN = Duration.ofSeconds(1);
 
   /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -32,9 +32,7 @@
   /**
    * Paid once a path changes the data centre: as much as for an engine without room. The pipe
    * between two data centres is shared by all and can't be seen to fill; each token passes it. A
-   * data centre that lacks room or layers sends its requests whole to another one instead. Taken as
-   * 300 ms it served 0.09 less of what requests are worth than as 1,500, and that 0.03 less than
-   * this (means of seven played days).
+   * data centre that lacks room or layers sends its requests whole to another one instead.
    */
   private static final double CROSSING_MILLIS = 20_000;
 
@@ -65,10 +63,7 @@
 
   /**
    * Part by which a node takes an engine for faster or slower than its kind, always the same way.
-   * What it knows at first hand, its own requests, is so more of what an engine has. In a model of
-   * 350 nodes engines reject 4% of what reaches them instead of 7%, of 95 nodes under 1.6 times the
-   * usual traffic 3.4% instead of 7.4% (means of two seeds); within a half, a fleet of eight
-   * spreads its load by 60% worse.
+   * What it knows at first hand, its own requests, is so more of what an engine has.
    */
   private static final double PREFERENCE = 0.3;
 
