--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/SuspensionWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/SuspensionWatch.java
@@ -21,8 +21,8 @@
  * The time of day goes on; it also jumps now and then, so a difference between the two proves no
  * suspension. What is lost by believing one is a call to the store; what is lost by not believing
  * one is a promise: a key that was taken away works on, or two nodes take themselves for the
- * controller. Hence any difference, either way, counts. (Java reaches the clock of Linux that counts
- * suspensions by a native library only.)
+ * controller. Hence any difference, either way, counts. (Java reaches the clock of Linux that
+ * counts suspensions by a native library only.)
  *
  * <p>Confined to the node's event loop.
  */
