--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/BackoffTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/BackoffTest.java
@@ -12,16 +12,7 @@
 import org.vaneworks.state.Verdict;
 import org.vaneworks.tests.forwarding.Got;
 
-/**
- * Checks that an engine that turns a node away and asks for a time without calls gets none of that
- * node.
- *
- * <p>The incident behind it. Seen: an engine asked each of eight nodes for three seconds and got as
- * many requests as before, nine to fifteen a second, all of which it turned away. How it came
- * about: a node left a full engine alone for a fixed 200 ms, after which it was the emptiest one.
- * Cause: no node read how long the engine wanted. Proof: by the counter of calls during such times,
- * all of them were first sends.
- */
+/** Guards against calls to an engine that asked the node for a time without any. */
 final class BackoffTest {
   private static final int NODES = 8;
   private static final int ENGINES = 3;
@@ -29,7 +20,7 @@
   private static final int BACKOFF_MILLIS = 3000;
   private static final int A_SECOND = 28;
 
-  private SharedEngines fleet = new SharedEngines(NODES, ENGINES, 7);
+  private final SharedEngines fleet = new SharedEngines(NODES, ENGINES, 7);
   private int asked;
   private final List<Got> answers = new ArrayList<>();
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -80,6 +80,7 @@
     return EndpointStatement.NONE.thatLeaves();
   }
 
+  /** Guards against an announced end that only the list is believed to tell. */
   @Test
   void endpointThatSaysInAnAnswerThatItLeavesGetsNothingNew() {
     fleet.put(endpoint("a", false));
@@ -114,6 +115,7 @@
     assertEquals(0, usable());
   }
 
+  /** Guards against an announced end that is forgotten with the entry. */
   @Test
   void endpointThatLeavesIsNotUsedIfItsEntryLapsesAndComesBack() {
     fleet.put(endpoint("a", true));
@@ -146,6 +148,7 @@
         Incarnation.startedAt(startedAt));
   }
 
+  /** Guards against what a former run said being held against the next. */
   @Test
   void lateAnswerOfAFormerRunChangesNothingForTheLaterOne() {
     fleet.put(run(1000));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthWatchTest.java
@@ -313,6 +313,7 @@
     assertEquals(0, asked);
   }
 
+  /** Guards against an engine that is only busy being taken for dead. */
   @Test
   void engineThatTurnsAQuestionAwayIsAlive() {
     check(Reply.TURNS_AWAY);
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingBackoffTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingBackoffTest.java
@@ -78,6 +78,7 @@
     assertEquals(0, node.sent.size());
   }
 
+  /** Guards against callers that are asked back only to be refused again. */
   @Test
   void callerIsAskedBackOnceTheFirstEndpointTakesRequestsAgain() {
     wantsNoCalls(node.replica(1), Duration.ofSeconds(9));
