Cuts are counted by the end of the attempt and by what forbade another

VW4003 now names the end of the attempt (an enum in place of texts), whether node or endpoint ended it, and the denial; vaneworks.cuts counts the pairs. vaneworks.late.checks records by how much looks at progress come late, which tells a silent engine from a node that stood still, and a suspicion's line says how long ago its last question was asked. No decision changes: ResendRule gives the reason instead of yes or no.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -123,7 +123,7 @@
             noteAnswer(Duration.ofNanos(now() - begun));
             take(engine, report);
           } else if (!engine.delisted()) {
-            unanswered(engine, purpose, question, failure);
+            unanswered(engine, purpose, question, begun, failure);
           }
         });
   }
@@ -136,7 +136,7 @@
   }
 
   private void unanswered(
-      TrackedEndpoint engine, CallPurpose purpose, int question, Throwable failure) {
+      TrackedEndpoint engine, CallPurpose purpose, int question, long begun, Throwable failure) {
     noteRefusal(engine, failure);
     if (failure instanceof TurnedAwayException) {
       return;
@@ -144,7 +144,9 @@
     if (failure instanceof TimeoutException && question < SILENCES) {
       ask(engine, purpose, question + 1);
     } else {
-      fleet.suspect(engine, "no sign of life, asked " + question + " times: " + failure);
+      long millis = NANOSECONDS.toMillis(now() - begun);
+      String asked = "asked " + question + " times, the last " + millis + " ms ago";
+      fleet.suspect(engine, "no sign of life, " + asked + ": " + failure);
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
@@ -73,19 +73,19 @@
    */
   static void sentAgain(
       CallerRequest request,
-      String reason,
+      AttemptEnd end,
       int sends,
       String triedAt,
       long afterMillis,
       Object cause,
       Counters counters) {
-    counters.count(Metric.RETRIES, reason);
+    counters.count(Metric.RETRIES, end.code());
     EventLog.info(
         Event.REQUEST_SENT_AGAIN,
         "request",
         request.id(),
         "reason",
-        reason,
+        end.code(),
         "sends",
         sends,
         "triedAt",
@@ -135,8 +135,33 @@
         path);
   }
 
-  static void cut(CallerRequest request, String cause, Trail trail, Counters counters) {
+  /**
+   * Notes that an answer was broken off after its head had reached the caller.
+   *
+   * @param end of the last attempt
+   * @param denial why there is no other attempt
+   */
+  static void cut(
+      CallerRequest request,
+      AttemptEnd end,
+      Denial denial,
+      String cause,
+      Trail trail,
+      Counters counters) {
     counters.count(Metric.REFUSALS, "cut");
-    failed(Event.STREAM_FAILED, trail, "request", request.id(), "cause", cause);
+    counters.count(Metric.CUTS, end.code() + "/" + denial.code());
+    failed(
+        Event.STREAM_FAILED,
+        trail,
+        "request",
+        request.id(),
+        "reason",
+        end.code(),
+        "endedBy",
+        end.endedByNode() ? "node" : "endpoint",
+        "noOther",
+        denial.code(),
+        "cause",
+        cause);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -77,6 +77,7 @@
   private int sends;
   private int runs;
   private long sentAt;
+  private AttemptEnd lastEnd = AttemptEnd.NOT_CONNECTED;
   private OptionalLong firstPartAt = OptionalLong.empty();
   private boolean partCame;
   private boolean headPassed;
@@ -161,7 +162,10 @@
     @Override
     public void refuse() {
       giveUp(
-          Verdict.NOT_RUN, Reason.NO_ENDPOINT, "no endpoint of " + service + " has room in time");
+          Verdict.NOT_RUN,
+          Reason.NO_ENDPOINT,
+          Denial.NO_ROOM,
+          "no endpoint of " + service + " has room in time");
     }
 
     @Override
@@ -284,12 +288,12 @@
   private void head(AnswerHead head, TrackedEndpoint endpoint) {
     if (!head.matches()) {
       call.cancel();
-      attemptOver(Verdict.MAY_HAVE_RUN, "foreign-answer", "an answer to another request");
+      attemptOver(Verdict.MAY_HAVE_RUN, AttemptEnd.FOREIGN_ANSWER, "an answer to another request");
     } else if (head.notRun()) {
       call.discard();
       TrackedEndpoint obstacle = noteObstacle(head, endpoint);
       String cause = "status " + head.status() + " for want of " + obstacle;
-      attemptOver(Verdict.NOT_RUN, "endpoint-refused", cause);
+      attemptOver(Verdict.NOT_RUN, AttemptEnd.ENDPOINT_REFUSED, cause);
     } else if (head.status() >= SERVER_ERROR && (headPassed || route.kind().idempotent())) {
       serverError(head);
     } else if (headPassed) {
@@ -301,10 +305,10 @@
   }
 
   private void serverError(AnswerHead head) {
-    boolean again = !headPassed && mayAgain(Verdict.RAN, runs + 1);
+    boolean again = !headPassed && resendDenial(Verdict.RAN, runs + 1).isEmpty();
     if (again || headPassed) {
       call.discard();
-      attemptOver(Verdict.RAN, "endpoint-error", "status " + head.status());
+      attemptOver(Verdict.RAN, AttemptEnd.ENDPOINT_ERROR, "status " + head.status());
     } else {
       headPassed = true;
       answer.head(head);
@@ -315,7 +319,7 @@
   private void resumed(AnswerHead head) {
     if (!head.success()) {
       call.discard();
-      attemptOver(Verdict.RAN, "resume-refused", "status " + head.status());
+      attemptOver(Verdict.RAN, AttemptEnd.RESUME_REFUSED, "status " + head.status());
     }
   }
 
@@ -373,32 +377,37 @@
     }
     attemptOver(
         neverSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
-        neverSent ? "not-connected" : "connection-lost",
+        neverSent ? AttemptEnd.NOT_CONNECTED : AttemptEnd.CONNECTION_LOST,
         String.valueOf(cause));
   }
 
   /** Decides what follows an attempt that brought no whole answer. */
-  private void attemptOver(Verdict verdict, String reason, String cause) {
+  private void attemptOver(Verdict verdict, AttemptEnd end, String cause) {
     if (verdict != Verdict.NOT_RUN) {
       runs++;
     }
     attemptNumber++;
+    lastEnd = end;
     String triedAt = place.target().toString();
     place.release();
     call = null;
     byte[] dropped = splitter.rest();
-    boolean canGoOn = !headPassed || (route.kind().idempotent() && route.kind().streamed());
-    if (canGoOn && !guard.isHeldBack() && mayAgain(verdict, runs) && context.budget().spend()) {
+    Optional<Denial> denial = denial(verdict, runs);
+    if (denial.isEmpty() && !context.budget().spend()) {
+      denial = Optional.of(Denial.BUDGET_SPENT);
+    }
+    if (denial.isEmpty()) {
       String detail = dropped.length == 0 ? cause : cause + ", part of an event dropped";
       long millis = NANOSECONDS.toMillis(now() - startedAt);
-      ForwardLog.sentAgain(request, reason, sends, triedAt, millis, detail, context.counters());
+      ForwardLog.sentAgain(request, end, sends, triedAt, millis, detail, context.counters());
       goOn(verdict);
       return;
     }
     giveUp(
         verdict,
         verdict == Verdict.NOT_RUN ? Reason.ENDPOINT_OVERLOADED : Reason.ENDPOINT_LOST,
-        reason + ": " + cause);
+        denial.get(),
+        end.code() + ": " + cause);
   }
 
   /** Seeks another place, at once unless this very loss may hold the request back. */
@@ -417,15 +426,28 @@
     }
   }
 
-  private boolean mayAgain(Verdict verdict, int runsSoFar) {
-    return ResendRule.maySendAgain(route.kind(), verdict, runsSoFar, route.attempts(), sends)
-        && now() < endsAt;
+  /** Returns why the request may not be sent again, its budget and room aside. */
+  private Optional<Denial> denial(Verdict verdict, int runsSoFar) {
+    if (headPassed && !(route.kind().idempotent() && route.kind().streamed())) {
+      return Optional.of(Denial.NOT_RESUMABLE);
+    }
+    if (guard.isHeldBack()) {
+      return Optional.of(Denial.QUARANTINED);
+    }
+    return resendDenial(verdict, runsSoFar);
+  }
+
+  private Optional<Denial> resendDenial(Verdict verdict, int runsSoFar) {
+    if (now() >= endsAt) {
+      return Optional.of(Denial.TIME_USED);
+    }
+    return ResendRule.denial(route.kind(), verdict, runsSoFar, route.attempts(), sends);
   }
 
-  private void giveUp(Verdict lastVerdict, Reason reason, String detail) {
+  private void giveUp(Verdict lastVerdict, Reason reason, Denial denial, String detail) {
     if (headPassed) {
       close();
-      ForwardLog.cut(request, detail, trail(), context.counters());
+      ForwardLog.cut(request, lastEnd, denial, detail, trail(), context.counters());
       answer.cut();
       return;
     }
@@ -462,7 +484,8 @@
       call.cancel();
     }
     if (headPassed) {
-      giveUp(Verdict.RAN, Reason.DEADLINE, "the time limit passed");
+      lastEnd = AttemptEnd.TIME_UP;
+      giveUp(Verdict.RAN, Reason.DEADLINE, Denial.TIME_USED, "the time limit passed");
       return;
     }
     close();
@@ -512,7 +535,7 @@
     if (place.target() != engine) {
       replaceLost(engine, "lost " + engine);
     } else {
-      beginElsewhere("engine-suspected", engine.toString());
+      beginElsewhere(AttemptEnd.ENGINE_SUSPECTED, engine.toString());
     }
   }
 
@@ -522,7 +545,7 @@
       return;
     }
     if (place.target() == endpoint) {
-      leaveEndpoint("endpoint-restarted", endpoint.toString());
+      leaveEndpoint(AttemptEnd.ENDPOINT_RESTARTED, endpoint.toString());
     } else if (place.passes(endpoint) && !endpoint.suspected()) {
       // Of a suspected engine the path is being replaced already.
       replaceLost(endpoint, "ended " + endpoint);
@@ -532,7 +555,7 @@
   private void replaceLost(TrackedEndpoint lost, String cause) {
     noteLost(lost);
     if (guard.isHeldBack()) {
-      leaveEndpoint("held-back", cause);
+      leaveEndpoint(AttemptEnd.HELD_BACK, cause);
     } else {
       replacePath(lost, cause);
     }
@@ -562,7 +585,7 @@
 
           @Override
           public void beginElsewhere() {
-            leaveEndpoint("path-lost", "no other path was accepted");
+            leaveEndpoint(AttemptEnd.PATH_LOST, "no other path was accepted");
           }
         };
     new PathReplacement(
@@ -578,21 +601,21 @@
         .begin();
   }
 
-  private void beginElsewhere(String reason, String cause) {
+  private void beginElsewhere(AttemptEnd end, String cause) {
     // An engine is often known to be dead before the connection to it is given up.
     if (route.kind().idempotent() || !call.mayHaveArrived()) {
-      leaveEndpoint(reason, cause);
+      leaveEndpoint(end, cause);
     }
   }
 
   /** Breaks the attempt off; what follows is up to what may have run. */
-  private void leaveEndpoint(String reason, String cause) {
+  private void leaveEndpoint(AttemptEnd end, String cause) {
     Verdict verdict = call.mayHaveArrived() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
     if (verdict == Verdict.MAY_HAVE_RUN) {
       noteLost(place.target());
     }
     call.cancel();
-    attemptOver(verdict, reason, cause);
+    attemptOver(verdict, end, cause);
   }
 
   private void noteLost(TrackedEndpoint endpoint) {
@@ -613,7 +636,7 @@
 
   private void refuseHeldBack() {
     if (headPassed || runs > 0) {
-      giveUp(Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_LOST, "held back");
+      giveUp(Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_LOST, Denial.QUARANTINED, "held back");
       return;
     }
     close();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
@@ -5,6 +5,7 @@
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
 import org.vaneworks.coordination.relay.PathPart;
+import org.vaneworks.telemetry.Metric;
 
 /**
  * Watches whether a request on engines makes progress, and asks for signs of life when it doesn't.
@@ -29,6 +30,7 @@
   private boolean awaitsHead;
   private boolean shortPauseBefore;
   private long lastProgress;
+  private long checkDueAt;
 
   /**
    * Makes a watch that does nothing before {@link #sent}.
@@ -104,6 +106,7 @@
     }
     long wait = stallLimit().toNanos() - (now() - lastProgress);
     long atLeast = STALL.toNanos() / 2;
+    checkDueAt = now() + Math.max(wait, atLeast);
     timer = context.clock().schedule(this::check, Math.max(wait, atLeast), NANOSECONDS);
   }
 
@@ -112,6 +115,7 @@
   }
 
   private void check() {
+    context.counters().record(Metric.LATE_CHECKS, Duration.ofNanos(now() - checkDueAt));
     if (place.path().isEmpty()) {
       return;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendRule.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendRule.java
@@ -1,5 +1,6 @@
 package org.vaneworks.coordination.forwarding;
 
+import java.util.Optional;
 import org.vaneworks.state.Verdict;
 import org.vaneworks.state.entry.CallKind;
 
@@ -24,20 +25,21 @@
   private ResendRule() {}
 
   /**
-   * Returns whether a request may be sent again.
+   * Returns why a request may not be sent again, empty if it may.
    *
    * @param verdict what is known of the last send
    * @param runs endpoints on which it ran or may have run
    * @param attempts the greatest number of endpoints on which it may run
    * @param sends sends so far
    */
-  static boolean maySendAgain(CallKind kind, Verdict verdict, int runs, int attempts, int sends) {
+  static Optional<Denial> denial(
+      CallKind kind, Verdict verdict, int runs, int attempts, int sends) {
     if (sends >= MAX_SENDS) {
-      return false;
+      return Optional.of(Denial.SENDS_USED);
     }
-    if (verdict == Verdict.NOT_RUN) {
-      return runs < attempts;
+    if (verdict != Verdict.NOT_RUN && !kind.idempotent()) {
+      return Optional.of(Denial.NOT_REPEATABLE);
     }
-    return kind.idempotent() && runs < attempts;
+    return runs < attempts ? Optional.empty() : Optional.of(Denial.ATTEMPTS_USED);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -4,6 +4,9 @@
 public enum Metric {
   REFUSALS("vaneworks.refusals", "final answers other than success, by reason"),
   VERDICTS("vaneworks.verdicts", "final answers other than success, by verdict"),
+  CUTS(
+      "vaneworks.cuts",
+      "answers broken off after their head, by the end of the attempt and what forbade another"),
   RETRIES("vaneworks.retries", "parts sent again to another endpoint, by reason"),
   DROPPED_ANSWERS("vaneworks.dropped.answers", "endpoint answers not used, by reason"),
   REQUESTS("vaneworks.requests", "requests taken in, by kind"),
@@ -34,6 +37,8 @@
   REQUEST_TIME("vaneworks.request.time", "time from a request to the end of its whole answer"),
   DETECTION_TIME(
       "vaneworks.detection.time", "time from a request's last progress to its engine's suspicion"),
+  LATE_CHECKS(
+      "vaneworks.late.checks", "by how much looks at a request's progress came later than due"),
   STORE_TIME("vaneworks.store.time", "time of a call to the platform's store that does not wait"),
   ORDER_TIME("vaneworks.order.time", "time from an order to its answer"),
   PLACEMENT_TIME(
