Tests of a stream whose engine pauses and lives: the node cuts it (red)

An engine is silent for a second and then goes on, while no repeated send is left, no other engine has room, or the attempts are used. Each time the caller's stream is cut: 'cancelled: expected false but was true' in all three on the code as it is.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAnswerTest.java
@@ -0,0 +1,91 @@
+package org.vaneworks.tests.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
+
+/** Checks that an answer is not broken off before the request has a place elsewhere. */
+final class RunningAnswerTest {
+  private final ForwardingFixture node = new ForwardingFixture();
+  private FleetEndpoint engine;
+  private Got got;
+  private SentAttempt running;
+
+  /** Begins a stream at an engine that falls silent after the first event. */
+  @BeforeEach
+  void beginStream() {
+    engine = node.engine(1, 0, 80);
+    got = node.ask("/stream/x");
+    running = node.last();
+    running.head(200);
+    running.event(1);
+    node.control.dead.add(engine.address());
+  }
+
+  // Guards against a stream that the node cut while its engine lived: no repeated send was left.
+  @Test
+  void streamOfASilentEngineGoesOnWhileNoRepeatedSendIsLeft() {
+    node.engine(2, 0, 80);
+    spendBudget();
+    node.advance(1000);
+    engineGoesOn();
+    assertDeliveredWhole();
+  }
+
+  // Guards against a stream that the node cut while its engine lived: no other engine had room.
+  @Test
+  void streamOfASilentEngineGoesOnWhileNoOtherHasRoom() {
+    full(node.engine(2, 0, 27));
+    full(node.engine(3, 27, 54));
+    full(node.engine(4, 54, 80));
+    node.advance(1000);
+    engineGoesOn();
+    assertDeliveredWhole();
+  }
+
+  // Guards against a stream that the node cut while its engine lived: it had no attempt left.
+  @Test
+  void streamOfASilentEngineGoesOnOnceItsAttemptsAreUsed() {
+    node.engine(2, 0, 80);
+    node.advance(1000);
+    assertEquals(2, node.sent.size());
+    running = node.last();
+    running.head(200);
+    running.event(2);
+    node.control.dead.add(running.attempt.endpoint().address());
+    node.advance(1000);
+    running.event(3);
+    running.listener.end();
+    assertDeliveredWhole();
+  }
+
+  /** Lets other nodes' requests take all memory of an engine. */
+  private void full(FleetEndpoint other) {
+    node.fleet.at(ForwardingFixture.MODEL, other.address()).orElseThrow().peersLoad(100, 1e9, 1);
+  }
+
+  private void spendBudget() {
+    node.forwarder.limits(new ForwardingLimits(Duration.ofMillis(4750), 0, 0));
+  }
+
+  private void engineGoesOn() {
+    node.control.dead.clear();
+    running.event(2);
+    running.event(3);
+    running.listener.end();
+  }
+
+  private void assertDeliveredWhole() {
+    assertFalse(running.cancelled);
+    assertFalse(got.cut);
+    assertTrue(got.whole);
+    assertEquals("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n", got.body);
+  }
+}
