A request leaves a silent endpoint only once it has a place elsewhere

Cause: ForwardRun broke the attempt off first, and only then asked whether another send is allowed (attempts, budget, quarantine) and whether another endpoint has room. If one said no, an answer was cut whose engine may have been at work; two unanswered questions prove no death.

Why this works: silence only begins a search. The attempt goes on, its events are passed on, and it is cancelled in the step that takes the other place; if that is denied the request stays, and looks again each time it stalls. Progress ends the search. What proves the end of an attempt (a broken connection, a later run of the process, a foreign answer, the time limit) is treated as before. A caller without any part of an answer is still told at once, as it may ask again itself. The same order holds for a path whose later engine is lost, and for requests that are held back. VW4016 and vaneworks.stays tell of requests that stay.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAnswerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAnswerTest.java
@@ -5,10 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.state.Verdict;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
 
 /** Checks that an answer is not broken off before the request has a place elsewhere. */
@@ -66,6 +69,95 @@
     assertDeliveredWhole();
   }
 
+  // Guards against a stream that the node cut while its later engine lived: no repeat was left.
+  @Test
+  void streamWhoseLaterEngineIsSilentGoesOnWhenNoOtherPathIsAccepted() {
+    node.fleet.remove(engine.id());
+    node.engine(5, 0, 40);
+    FleetEndpoint later = node.engine(6, 40, 80);
+    got = node.ask("/stream/x");
+    running = node.last();
+    running.head(200);
+    running.event(1);
+    node.control.answer = new RepathOutcome(RepathOutcome.Kind.UNKNOWN_REQUEST, Optional.empty());
+    node.control.dead.add(later.address());
+    node.engine(7, 40, 80);
+    spendBudget();
+    node.advance(1000);
+    engineGoesOn();
+    assertDeliveredWhole();
+  }
+
+  @Test
+  void streamOfASilentEngineMovesOnceARepeatedSendIsEarned() {
+    FleetEndpoint other = node.engine(2, 0, 80);
+    spendBudget();
+    node.advance(1000);
+    assertEquals(1, node.sent.size());
+    earnBudget();
+    node.advance(300);
+    assertTrue(running.cancelled);
+    assertEquals(other, node.last().attempt.endpoint());
+    assertEquals(Optional.of("1"), node.last().attempt.resumeAfter());
+  }
+
+  @Test
+  void streamOfASilentEngineMovesOnceAnotherHasRoom() {
+    full(node.engine(2, 0, 40));
+    full(node.engine(3, 40, 80));
+    node.advance(1000);
+    assertEquals(1, node.sent.size());
+    node.fleet.all().forEach(any -> any.peersLoad(0, 0, 1));
+    node.advance(300);
+    assertTrue(running.cancelled);
+    assertEquals("e2", node.last().attempt.endpoint().id());
+  }
+
+  @Test
+  void streamWaitsNoLongerForAnotherPlaceOnceItMakesProgress() {
+    FleetEndpoint other = node.engine(2, 0, 40);
+    full(other);
+    full(node.engine(3, 40, 80));
+    node.advance(400);
+    running.event(2);
+    node.fleet.all().forEach(any -> any.peersLoad(0, 0, 1));
+    node.advance(100);
+    assertEquals(1, node.sent.size());
+    running.event(3);
+    running.listener.end();
+    assertDeliveredWhole();
+  }
+
+  @Test
+  void streamThatStallsAgainOnASuspectedEngineMoves() {
+    node.advance(1000);
+    running.event(2);
+    node.engine(2, 0, 80);
+    node.advance(600);
+    assertTrue(running.cancelled);
+    assertEquals("e2", node.last().attempt.endpoint().id());
+    assertEquals(Optional.of("2"), node.last().attempt.resumeAfter());
+  }
+
+  @Test
+  void streamThatStaysIsCutWhenItsEngineBreaksOff() {
+    spendBudget();
+    node.advance(1000);
+    running.listener.failed(false, new IllegalStateException("reset"));
+    assertTrue(got.cut);
+    assertEquals(0, node.forwarder.inFlight());
+  }
+
+  /** It has no part of an answer that could be lost, and may ask again itself. */
+  @Test
+  void callerWithoutAnAnswerIsToldAtOnceThatItsEngineIsLost() {
+    spendBudget();
+    Got unanswered = node.ask("/stream/y");
+    node.advance(600);
+    assertEquals(Verdict.MAY_HAVE_RUN, unanswered.refusal.orElseThrow().verdict());
+    assertTrue(node.last().cancelled);
+  }
+
   /** Lets other nodes' requests take all memory of an engine. */
   private void full(FleetEndpoint other) {
     node.fleet.at(ForwardingFixture.MODEL, other.address()).orElseThrow().peersLoad(100, 1e9, 1);
@@ -75,6 +167,10 @@
     node.forwarder.limits(new ForwardingLimits(Duration.ofMillis(4750), 0, 0));
   }
 
+  private void earnBudget() {
+    node.forwarder.limits(new ForwardingLimits(Duration.ofMillis(4750), 0.2, 100));
+  }
+
   private void engineGoesOn() {
     node.control.dead.clear();
     running.event(2);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
@@ -19,7 +19,7 @@
   static void refused(CallerRequest request, Refusal refusal, Trail trail, Counters counters) {
     counters.count(Metric.REFUSALS, refusal.reason().code());
     counters.count(Metric.VERDICTS, refusal.verdict().name().toLowerCase(Locale.ROOT));
-    failed(
+    withTrail(
         Event.REQUEST_REFUSED,
         trail,
         "request",
@@ -32,8 +32,8 @@
         refusal.detail());
   }
 
-  /** Writes the line of a request's end, with how far it came. */
-  private static void failed(Event event, Trail trail, Object... pairs) {
+  /** Writes a line of a request with how far it came. */
+  private static void withTrail(Event event, Trail trail, Object... pairs) {
     Object[] way = {
       "lastSentTo",
       trail.lastSentTo().map(Object::toString).orElse(""),
@@ -135,6 +135,26 @@
         path);
   }
 
+  /**
+   * Notes that a request remains at an endpoint that gives no sign of life.
+   *
+   * @param end what would have ended the attempt
+   * @param denial why there is no other attempt
+   */
+  static void stays(
+      CallerRequest request, AttemptEnd end, Denial denial, Trail trail, Counters counters) {
+    counters.count(Metric.STAYS, end.code() + "/" + denial.code());
+    withTrail(
+        Event.REQUEST_STAYS,
+        trail,
+        "request",
+        request.id(),
+        "reason",
+        end.code(),
+        "noOther",
+        denial.code());
+  }
+
   /**
    * Notes that an answer was broken off after its head had reached the caller.
    *
@@ -150,7 +170,7 @@
       Counters counters) {
     counters.count(Metric.REFUSALS, "cut");
     counters.count(Metric.CUTS, end.code() + "/" + denial.code());
-    failed(
+    withTrail(
         Event.STREAM_FAILED,
         trail,
         "request",
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -71,6 +71,9 @@
   private final EventSplitter splitter = new EventSplitter();
   private final ContentGuard guard;
 
+  /** Why the present attempt is to be left for another, once there is a place for that. */
+  private Optional<Departure> departure = Optional.empty();
+
   private EndpointCall call;
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int attemptNumber;
@@ -81,6 +84,8 @@
   private OptionalLong firstPartAt = OptionalLong.empty();
   private boolean partCame;
   private boolean headPassed;
+  private boolean inLine;
+  private boolean toldStaying;
   private boolean done;
   private Cancellable limitTimer = () -> {};
 
@@ -107,7 +112,7 @@
             request.size());
     this.guard = new ContentGuard(context, request, caller.map(Caller::workspace));
     this.line = context.lines().of(service);
-    this.progress = new ProgressWatch(context, place, route.pauseObjective());
+    this.progress = new ProgressWatch(context, place, route.pauseObjective(), this::stalled);
     this.startedAt = now();
     this.patience = CallerPatience.of(route, request.patience(), startedAt);
     this.endsAt = patience.endsAt();
@@ -136,22 +141,36 @@
     seekPlace();
   }
 
+  /**
+   * An attempt that is to be left.
+   *
+   * @param notBefore when another place may be sought, on the node's clock in nanoseconds
+   */
+  private record Departure(AttemptEnd end, String cause, long notBefore) {}
+
   /** Begins at an endpoint, or waits for room at one while that has a prospect. */
   private void seekPlace() {
     if (!done) {
+      inLine = true;
       line.join(waiter);
     }
   }
 
+  private void leaveLine() {
+    inLine = false;
+    line.leave(waiter);
+  }
+
   /** This request while it waits for room. */
   private final class InLine implements WaitingLine.Waiter {
     @Override
     public boolean start() {
-      if (!place.take()) {
-        return false;
+      inLine = false;
+      if (departure.isPresent() ? moveElsewhere() : begin()) {
+        return true;
       }
-      send();
-      return true;
+      inLine = true;
+      return false;
     }
 
     @Override
@@ -161,11 +180,12 @@
 
     @Override
     public void refuse() {
-      giveUp(
-          Verdict.NOT_RUN,
-          Reason.NO_ENDPOINT,
-          Denial.NO_ROOM,
-          "no endpoint of " + service + " has room in time");
+      inLine = false;
+      if (departure.isPresent()) {
+        stay(Denial.NO_ROOM);
+        return;
+      }
+      giveUp(Verdict.NOT_RUN, Denial.NO_ROOM, "no endpoint of " + service + " has room in time");
     }
 
     @Override
@@ -194,6 +214,14 @@
     }
   }
 
+  private boolean begin() {
+    if (!place.take()) {
+      return false;
+    }
+    send();
+    return true;
+  }
+
   private void send() {
     sends++;
     sentAt = now();
@@ -238,6 +266,7 @@
       noteStatement(head, endpoint);
       if (counts()) {
         progress.head();
+        withdrawDeparture();
         ForwardRun.this.head(head, endpoint);
       }
     }
@@ -246,6 +275,7 @@
     public void data(byte[] bytes) {
       if (counts()) {
         progress.data();
+        withdrawDeparture();
         notePart();
         passOn(bytes);
       }
@@ -383,31 +413,36 @@
 
   /** Decides what follows an attempt that brought no whole answer. */
   private void attemptOver(Verdict verdict, AttemptEnd end, String cause) {
-    if (verdict != Verdict.NOT_RUN) {
-      runs++;
-    }
-    attemptNumber++;
-    lastEnd = end;
     String triedAt = place.target().toString();
+    String detail = closeAttempt(verdict, end, cause);
     place.release();
-    call = null;
-    byte[] dropped = splitter.rest();
     Optional<Denial> denial = denial(verdict, runs);
     if (denial.isEmpty() && !context.budget().spend()) {
       denial = Optional.of(Denial.BUDGET_SPENT);
     }
-    if (denial.isEmpty()) {
-      String detail = dropped.length == 0 ? cause : cause + ", part of an event dropped";
-      long millis = NANOSECONDS.toMillis(now() - startedAt);
-      ForwardLog.sentAgain(request, end, sends, triedAt, millis, detail, context.counters());
-      goOn(verdict);
+    if (denial.isPresent()) {
+      giveUp(verdict, denial.get(), end.code() + ": " + cause);
       return;
     }
-    giveUp(
-        verdict,
-        verdict == Verdict.NOT_RUN ? Reason.ENDPOINT_OVERLOADED : Reason.ENDPOINT_LOST,
-        denial.get(),
-        end.code() + ": " + cause);
+    logSentAgain(triedAt, end, detail);
+    goOn(verdict);
+  }
+
+  /** Takes note that an attempt is over; returns the cause with what was dropped. */
+  private String closeAttempt(Verdict verdict, AttemptEnd end, String cause) {
+    if (verdict != Verdict.NOT_RUN) {
+      runs++;
+    }
+    attemptNumber++;
+    lastEnd = end;
+    call = null;
+    withdrawDeparture();
+    return splitter.rest().length == 0 ? cause : cause + ", part of an event dropped";
+  }
+
+  private void logSentAgain(String triedAt, AttemptEnd end, String detail) {
+    long millis = NANOSECONDS.toMillis(now() - startedAt);
+    ForwardLog.sentAgain(request, end, sends, triedAt, millis, detail, context.counters());
   }
 
   /** Seeks another place, at once unless this very loss may hold the request back. */
@@ -444,7 +479,7 @@
     return ResendRule.denial(route.kind(), verdict, runsSoFar, route.attempts(), sends);
   }
 
-  private void giveUp(Verdict lastVerdict, Reason reason, Denial denial, String detail) {
+  private void giveUp(Verdict lastVerdict, Denial denial, String detail) {
     if (headPassed) {
       close();
       ForwardLog.cut(request, lastEnd, denial, detail, trail(), context.counters());
@@ -453,6 +488,7 @@
     }
     Refusal refusal;
     if (runs == 0 && lastVerdict == Verdict.NOT_RUN) {
+      Reason reason = denial == Denial.NO_ROOM ? Reason.NO_ENDPOINT : Reason.ENDPOINT_OVERLOADED;
       refusal = Refusal.before(reason, detail).withRetryAfter(comeBack());
     } else {
       refusal = Refusal.mayHaveRun(Reason.ENDPOINT_LOST, detail);
@@ -485,7 +521,7 @@
     }
     if (headPassed) {
       lastEnd = AttemptEnd.TIME_UP;
-      giveUp(Verdict.RAN, Reason.DEADLINE, Denial.TIME_USED, "the time limit passed");
+      giveUp(Verdict.RAN, Denial.TIME_USED, "the time limit passed");
       return;
     }
     close();
@@ -513,7 +549,7 @@
     place.release();
     limitTimer.cancel();
     progress.stop();
-    line.leave(waiter);
+    leaveLine();
     onDone.accept(this);
   }
 
@@ -555,7 +591,7 @@
   private void replaceLost(TrackedEndpoint lost, String cause) {
     noteLost(lost);
     if (guard.isHeldBack()) {
-      leaveEndpoint(AttemptEnd.HELD_BACK, cause);
+      seekElsewhere(AttemptEnd.HELD_BACK, cause);
     } else {
       replacePath(lost, cause);
     }
@@ -573,6 +609,7 @@
           public void replaced(EnginePath next) {
             place.replace(next);
             progress.restarted();
+            withdrawDeparture();
             guard.started();
           }
 
@@ -585,7 +622,7 @@
 
           @Override
           public void beginElsewhere() {
-            leaveEndpoint(AttemptEnd.PATH_LOST, "no other path was accepted");
+            seekElsewhere(AttemptEnd.PATH_LOST, "no other path was accepted");
           }
         };
     new PathReplacement(
@@ -604,13 +641,126 @@
   private void beginElsewhere(AttemptEnd end, String cause) {
     // An engine is often known to be dead before the connection to it is given up.
     if (route.kind().idempotent() || !call.mayHaveArrived()) {
-      leaveEndpoint(end, cause);
+      seekElsewhere(end, cause);
+    }
+  }
+
+  /**
+   * Seeks another place for a request whose endpoint gives no sign of life.
+   *
+   * <p>Silence proves nothing, so the attempt goes on until the other place is taken, and for good
+   * if there is none: whatever the endpoint still says is passed on.
+   */
+  private void seekElsewhere(AttemptEnd end, String cause) {
+    if (departure.isPresent()) {
+      return;
+    }
+    boolean mayHaveRun = verdictIfLeft() != Verdict.NOT_RUN;
+    if (mayHaveRun) {
+      noteLost(place.target());
+    }
+    Duration wait = mayHaveRun && guard.isOneEndShort() ? CAUSE_KNOWN : Duration.ZERO;
+    departure = Optional.of(new Departure(end, cause, now() + wait.toNanos()));
+    if (wait.isZero()) {
+      tryElsewhere();
+    } else {
+      context.clock().schedule(this::tryElsewhere, wait.toNanos(), NANOSECONDS);
+    }
+  }
+
+  private Verdict verdictIfLeft() {
+    return call.mayHaveArrived() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+  }
+
+  private void tryElsewhere() {
+    if (done || inLine || departure.isEmpty() || now() < departure.get().notBefore()) {
+      return;
+    }
+    boolean suspected = departure.get().end() == AttemptEnd.ENGINE_SUSPECTED;
+    if (suspected && !place.target().suspected()) {
+      withdrawDeparture();
+      return;
+    }
+    Optional<Denial> denial = denialIfLeft();
+    if (denial.isPresent()) {
+      stay(denial.get());
+    } else {
+      seekPlace();
+    }
+  }
+
+  private Optional<Denial> denialIfLeft() {
+    Verdict verdict = verdictIfLeft();
+    Optional<Denial> denial = denial(verdict, verdict == Verdict.NOT_RUN ? runs : runs + 1);
+    boolean spent = denial.isEmpty() && !context.budget().canSpend();
+    return spent ? Optional.of(Denial.BUDGET_SPENT) : denial;
+  }
+
+  /** Leaves the attempt for one at another place, if there is one now. */
+  private boolean moveElsewhere() {
+    Departure left = departure.orElseThrow();
+    TrackedEndpoint former = place.target();
+    if (denialIfLeft().isPresent() || !place.take()) {
+      return false;
+    }
+    context.budget().spend();
+    Verdict verdict = verdictIfLeft();
+    call.cancel();
+    String detail = closeAttempt(verdict, left.end(), left.cause());
+    logSentAgain(former.toString(), left.end(), detail);
+    send();
+    return true;
+  }
+
+  /**
+   * Remains at an endpoint that gives no sign of life.
+   *
+   * <p>A caller that has no part of the answer yet is told at once, as it may ask again itself.
+   */
+  private void stay(Denial denial) {
+    Departure wanted = departure.orElseThrow();
+    if (headPassed) {
+      tellStaying(wanted.end(), denial);
+      return;
+    }
+    Verdict verdict = verdictIfLeft();
+    call.cancel();
+    closeAttempt(verdict, wanted.end(), wanted.cause());
+    place.release();
+    giveUp(verdict, denial, wanted.end().code() + ": " + wanted.cause());
+  }
+
+  private void tellStaying(AttemptEnd end, Denial denial) {
+    if (!toldStaying) {
+      toldStaying = true;
+      ForwardLog.stays(request, end, denial, trail(), context.counters());
+    }
+  }
+
+  /** Stays after all: the endpoint makes progress, or its attempt is over. */
+  private void withdrawDeparture() {
+    if (departure.isPresent()) {
+      departure = Optional.empty();
+      toldStaying = false;
+      leaveLine();
+    }
+  }
+
+  /** Looks again whether the request can go on elsewhere, as it stands still. */
+  private void stalled() {
+    if (done || !place.isTaken()) {
+      return;
+    }
+    if (departure.isPresent()) {
+      tryElsewhere();
+    } else if (place.target().suspected()) {
+      beginElsewhere(AttemptEnd.ENGINE_SUSPECTED, place.target().toString());
     }
   }
 
   /** Breaks the attempt off; what follows is up to what may have run. */
   private void leaveEndpoint(AttemptEnd end, String cause) {
-    Verdict verdict = call.mayHaveArrived() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    Verdict verdict = verdictIfLeft();
     if (verdict == Verdict.MAY_HAVE_RUN) {
       noteLost(place.target());
     }
@@ -636,7 +786,7 @@
 
   private void refuseHeldBack() {
     if (headPassed || runs > 0) {
-      giveUp(Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_LOST, Denial.QUARANTINED, "held back");
+      giveUp(Verdict.MAY_HAVE_RUN, Denial.QUARANTINED, "held back");
       return;
     }
     close();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -82,21 +82,41 @@
     target.ifPresent(failed::add);
   }
 
-  /** Takes a place; returns false if there is none now. */
+  /**
+   * Takes a place, and leaves the one that the request has; returns false if there is none now, and
+   * then changes nothing.
+   */
   boolean take() {
-    if (model.isPresent()) {
-      path = context.planner().plan(query(), usable(ImmutableList.copyOf(failed)));
-      if (path.isEmpty() && !failed.isEmpty()) {
-        path = context.planner().plan(query(), usable(ImmutableList.of()));
-      }
-      target = path.map(EnginePath::first);
-      path.ifPresent(this::begin);
-    } else {
-      target = leastLoaded();
-      target.ifPresent(this::begin);
+    return model.isPresent() ? takePath() : takeReplica();
+  }
+
+  private boolean takePath() {
+    Optional<EnginePath> next =
+        context.planner().plan(query(), usable(ImmutableList.copyOf(failed)));
+    if (next.isEmpty() && !failed.isEmpty()) {
+      next = context.planner().plan(query(), usable(ImmutableList.of()));
     }
-    target.ifPresent(tried::add);
-    return target.isPresent();
+    if (next.isEmpty()) {
+      return false;
+    }
+    release();
+    path = next;
+    target = Optional.of(next.get().first());
+    begin(next.get());
+    tried.add(target());
+    return true;
+  }
+
+  private boolean takeReplica() {
+    Optional<TrackedEndpoint> next = leastLoaded();
+    if (next.isEmpty()) {
+      return false;
+    }
+    release();
+    target = next;
+    begin(next.get());
+    tried.add(target());
+    return true;
   }
 
   private void begin(EnginePath chosen) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
@@ -26,6 +26,7 @@
   private final ForwardContext context;
   private final Place place;
   private final long longPauseNanos;
+  private final Runnable onStall;
   private Cancellable timer = () -> {};
   private boolean awaitsHead;
   private boolean shortPauseBefore;
@@ -36,8 +37,10 @@
    * Makes a watch that does nothing before {@link #sent}.
    *
    * @param pauseObjective the longest pause between events that is aimed at
+   * @param onStall called now and then while the request stands still
    */
-  ProgressWatch(ForwardContext context, Place place, Duration pauseObjective) {
+  ProgressWatch(ForwardContext context, Place place, Duration pauseObjective, Runnable onStall) {
+    this.onStall = onStall;
     this.context = context;
     this.place = place;
     // Two thirds: a pause that long comes close to being late.
@@ -125,6 +128,7 @@
           context.health().check(part.engine());
         }
       }
+      onStall.run();
     }
     watch();
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
@@ -46,10 +46,14 @@
     spentBeyondShare = Math.max(0, spentBeyondShare - share);
   }
 
+  /** Returns whether there is a repeated send to take out. */
+  boolean canSpend() {
+    return spentBeyondShare + 1 <= fleetReserve / liveNodes.getAsInt();
+  }
+
   /** Takes one repeated send out; returns false if the budget is spent. */
   boolean spend() {
-    double reserve = fleetReserve / liveNodes.getAsInt();
-    if (spentBeyondShare + 1 > reserve) {
+    if (!canSpend()) {
       return false;
     }
     spentBeyondShare += 1;
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -64,6 +64,7 @@
   QUARANTINE_BEGAN(4013, "requests of one content are held back: endpoints ended under them"),
   QUARANTINE_ENDED(4014, "requests of one content may run again"),
   QUARANTINE_TOLD_AGAIN(4015, "ends that the store may have forgotten are written to it again"),
+  REQUEST_STAYS(4016, "a request remains at a silent endpoint: no other can take it"),
   MEMBER_JOINED(5001, "a node joined"),
   MEMBER_SUSPECTED(5002, "a node does not answer"),
   MEMBER_LEFT(5003, "a node left or was declared dead"),
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -7,6 +7,10 @@
   CUTS(
       "vaneworks.cuts",
       "answers broken off after their head, by the end of the attempt and what forbade another"),
+  STAYS(
+      "vaneworks.stays",
+      "requests that remain at a silent endpoint, by what would have ended the attempt and what"
+          + " forbade another"),
   RETRIES("vaneworks.retries", "parts sent again to another endpoint, by reason"),
   DROPPED_ANSWERS("vaneworks.dropped.answers", "endpoint answers not used, by reason"),
   REQUESTS("vaneworks.requests", "requests taken in, by kind"),
