A question whose connection broke is asked again before its engine is suspected

Cause: only a question without an answer in time was asked twice; any other failure suspected the engine at once. The connection for questions rests between them, so it is often one that has been closed or reset meanwhile: that says nothing of the engine.

Why this works: a second question opens a connection of its own, and a dead engine refuses that or is silent. Only a refused connection still suspects at once.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -9,7 +9,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeoutException;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -27,9 +26,10 @@
   /**
    * Questions without an answer, in a row, that make an engine suspected. One proves nothing: a
    * node that has just started sets up a dozen connections at once, and takes its own delay for the
-   * engines' silence. A refused connection needs no second question.
+   * engines' silence; a connection that rested may have been closed. A refused connection needs no
+   * second question.
    */
-  private static final int SILENCES = 2;
+  private static final int UNANSWERED = 2;
 
   /**
    * An answer may take this many times as long as the slowest of the last second. While a node is
@@ -141,7 +141,8 @@
     if (failure instanceof TurnedAwayException) {
       return;
     }
-    if (failure instanceof TimeoutException && question < SILENCES) {
+    boolean refused = failure instanceof NobodyListensException;
+    if (!refused && question < UNANSWERED) {
       ask(engine, purpose, question + 1);
     } else {
       long millis = NANOSECONDS.toMillis(now() - begun);
