A stream that is being delivered stays at an engine that is suspected in silence

Cause: a suspicion moved every request on the engine, whatever it had last heard itself.

RunningAnswerTest.streamThatMakesProgressStaysOnASuspectedEngine failed with 'expected: <1> but was: <2>'.

Such a stream stays until it stalls itself; ProgressWatch then hands it the engines that are suspected, before it asks others. A box that refuses connections, and a request without an answer so far, are treated as before. A later engine that is proved to have ended is replaced whether it is suspected or not.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAnswerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAnswerTest.java
@@ -88,6 +88,22 @@
     assertDeliveredWhole();
   }
 
+  // Guards against a stream taken off an engine that was delivering it, for another's lost
+  // question.
+  @Test
+  void streamThatMakesProgressStaysOnASuspectedEngine() {
+    node.control.dead.clear();
+    node.engine(2, 0, 80);
+    node.fleet.suspect(node.fleet.at(ForwardingFixture.MODEL, engine.address()).get(), "test");
+    for (int id = 2; id <= 3; id++) {
+      node.advance(200);
+      running.event(id);
+    }
+    running.listener.end();
+    assertEquals(1, node.sent.size());
+    assertDeliveredWhole();
+  }
+
   @Test
   void streamOfASilentEngineMovesOnceARepeatedSendIsEarned() {
     FleetEndpoint other = node.engine(2, 0, 80);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -4,8 +4,10 @@
 
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.fleet.NobodyListensException;
 import org.vaneworks.coordination.fleet.Openings;
@@ -69,6 +71,10 @@
   private final WaitingLine line;
   private final WaitingLine.Waiter waiter = new InLine();
   private final EventSplitter splitter = new EventSplitter();
+
+  /** Later engines of the present attempt's path whose layers others are to run. */
+  private final Set<TrackedEndpoint> beingReplaced = new HashSet<>();
+
   private final ContentGuard guard;
 
   /** Why the present attempt is to be left for another, once there is a place for that. */
@@ -436,6 +442,7 @@
     attemptNumber++;
     lastEnd = end;
     call = null;
+    beingReplaced.clear();
     withdrawDeparture();
     return splitter.rest().length == 0 ? cause : cause + ", part of an event dropped";
   }
@@ -561,17 +568,24 @@
     }
   }
 
-  /** Goes on without an engine that is believed dead. */
+  /**
+   * Goes on without an engine that is believed dead, unless the answer itself shows that it lives.
+   */
   void suspected(TrackedEndpoint engine) {
     if (!passes(engine)) {
       return;
     }
-    Duration silence = Duration.ofNanos(now() - progress.lastProgress());
-    context.counters().record(Metric.DETECTION_TIME, silence);
-    if (place.target() != engine) {
-      replaceLost(engine, "lost " + engine);
-    } else {
+    boolean delivers = headPassed && progress.isRecent();
+    if (engine.processGone() || !delivers) {
+      goOnWithout(engine);
+    }
+  }
+
+  private void goOnWithout(TrackedEndpoint engine) {
+    if (place.target() == engine) {
       beginElsewhere(AttemptEnd.ENGINE_SUSPECTED, engine.toString());
+    } else {
+      replaceLost(engine, "lost " + engine);
     }
   }
 
@@ -582,13 +596,16 @@
     }
     if (place.target() == endpoint) {
       leaveEndpoint(AttemptEnd.ENDPOINT_RESTARTED, endpoint.toString());
-    } else if (place.passes(endpoint) && !endpoint.suspected()) {
-      // Of a suspected engine the path is being replaced already.
+    } else if (place.passes(endpoint)) {
       replaceLost(endpoint, "ended " + endpoint);
     }
   }
 
   private void replaceLost(TrackedEndpoint lost, String cause) {
+    if (!beingReplaced.add(lost)) {
+      return;
+    }
+    noteDetection();
     noteLost(lost);
     if (guard.isHeldBack()) {
       seekElsewhere(AttemptEnd.HELD_BACK, cause);
@@ -608,6 +625,7 @@
           @Override
           public void replaced(EnginePath next) {
             place.replace(next);
+            beingReplaced.remove(lost);
             progress.restarted();
             withdrawDeparture();
             guard.started();
@@ -655,6 +673,7 @@
     if (departure.isPresent()) {
       return;
     }
+    noteDetection();
     boolean mayHaveRun = verdictIfLeft() != Verdict.NOT_RUN;
     if (mayHaveRun) {
       noteLost(place.target());
@@ -753,8 +772,13 @@
     }
     if (departure.isPresent()) {
       tryElsewhere();
-    } else if (place.target().suspected()) {
-      beginElsewhere(AttemptEnd.ENGINE_SUSPECTED, place.target().toString());
+      return;
+    }
+    for (TrackedEndpoint engine : place.suspected()) {
+      // What was done about one engine may have changed the path.
+      if (departure.isEmpty() && passes(engine)) {
+        goOnWithout(engine);
+      }
     }
   }
 
@@ -768,6 +792,11 @@
     attemptOver(verdict, end, cause);
   }
 
+  private void noteDetection() {
+    Duration silence = Duration.ofNanos(now() - progress.lastProgress());
+    context.counters().record(Metric.DETECTION_TIME, silence);
+  }
+
   private void noteLost(TrackedEndpoint endpoint) {
     long now = now();
     Optional<Duration> sinceFirstPart =
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -73,6 +73,15 @@
     return path.isPresent() && path.get().passes(engine);
   }
 
+  /** Returns the engines of the path that are believed dead, the first one first. */
+  ImmutableList<TrackedEndpoint> suspected() {
+    return path.stream()
+        .flatMap(taken -> taken.parts().stream())
+        .map(PathPart::engine)
+        .filter(TrackedEndpoint::suspected)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /**
    * Notes that the request failed at the endpoint it was sent to: the next place is elsewhere if
    * there is another. Whether the endpoint is dead shows a moment later, which is too late for this
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
@@ -4,6 +4,7 @@
 
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
+import org.vaneworks.coordination.relay.EnginePath;
 import org.vaneworks.coordination.relay.PathPart;
 import org.vaneworks.telemetry.Metric;
 
@@ -37,7 +38,7 @@
    * Makes a watch that does nothing before {@link #sent}.
    *
    * @param pauseObjective the longest pause between events that is aimed at
-   * @param onStall called now and then while the request stands still
+   * @param onStall called now and then while the request stands still, before engines are asked
    */
   ProgressWatch(ForwardContext context, Place place, Duration pauseObjective, Runnable onStall) {
     this.onStall = onStall;
@@ -52,6 +53,11 @@
     return lastProgress;
   }
 
+  /** Returns whether the request made progress a moment ago: all its engines were alive then. */
+  boolean isRecent() {
+    return now() - lastProgress < STALL.toNanos();
+  }
+
   /**
    * Begins to watch an attempt.
    *
@@ -123,16 +129,21 @@
       return;
     }
     if (now() - lastProgress >= stallLimit().toNanos()) {
-      for (PathPart part : place.path().get().parts()) {
-        if (now() - part.engine().lastProgress() >= STALL.toNanos()) {
-          context.health().check(part.engine());
-        }
-      }
+      EnginePath stalled = place.path().get();
       onStall.run();
+      askForLife(stalled);
     }
     watch();
   }
 
+  private void askForLife(EnginePath stalled) {
+    for (PathPart part : stalled.parts()) {
+      if (now() - part.engine().lastProgress() >= STALL.toNanos()) {
+        context.health().check(part.engine());
+      }
+    }
+  }
+
   private long now() {
     return context.clock().currentTime(NANOSECONDS);
   }
