A search for another place ends when its reason does, and holds nobody else up

What callers would have seen, and why: - A stream was begun again at the very engine that it was running at, or moved off an engine that answered again: only a stall asked whether the suspicion still held. Fleet now tells of recoveries, and the search ends with them. - New requests waited up to 0.9 s although there was room: streams in line that may no longer be sent again counted as three misses a look. The line now asks whether a request may still begin, and lets go of one that may not; the denial that is told is then the true one. - A request that must not run twice was broken off if it arrived while it waited for another place. - A stream was left to itself after a late event, or when one of two silent engines recovered, or when its silent later engine was known to have ended: nobody looked again. A stall now looks at every engine of the path, and a proved end is acted on. - A stream that is held back hung when an engine of its path had ended. - Ends of engines that came long after a stream had been answered whole were put down to its content: the loss is now noted when the attempt is left, or when one more end would hold the content back.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -257,6 +257,24 @@
     return engine;
   }
 
+  /** Lists a later run of an engine. */
+  FleetEndpoint engineAgain(int number, int from, int to, int run) {
+    FleetEndpoint engine =
+        new FleetEndpoint(
+            "e" + number,
+            MODEL,
+            new HostPort("10.0.0." + number, 80),
+            "dc1",
+            134,
+            false,
+            Optional.of(LayerRange.of(from, to)),
+            "large",
+            StorePosition.START,
+            Incarnation.startedAt(1000L * run * 10));
+    fleet.put(engine);
+    return engine;
+  }
+
   /** Lists an endpoint as started again under its id, with nothing of before. */
   void startsAgain(FleetEndpoint endpoint) {
     long before = endpoint.incarnation().startedAt().orElse(0);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -52,6 +52,7 @@
 
   private final List<Runnable> choiceListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> suspicionListeners = new ArrayList<>();
+  private final List<Consumer<TrackedEndpoint>> recoveryListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> removalListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> leavingListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> endListeners = new ArrayList<>();
@@ -91,6 +92,11 @@
     suspicionListeners.add(listener);
   }
 
+  /** Calls back when an endpoint that was suspected answers again. */
+  public void onRecovery(Consumer<TrackedEndpoint> listener) {
+    recoveryListeners.add(listener);
+  }
+
   /** Calls back when an endpoint announces that it will end. */
   public void onLeaving(Consumer<TrackedEndpoint> listener) {
     leavingListeners.add(listener);
@@ -424,6 +430,7 @@
     if (endpoint.suspected()) {
       endpoint.suspected(false);
       EventLog.info(Event.ENDPOINT_PROBED, "endpoint", endpoint.endpoint().id());
+      recoveryListeners.forEach(listener -> listener.accept(endpoint));
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -150,9 +150,10 @@
   /**
    * An attempt that is to be left.
    *
+   * @param silent the engine that gives no sign of life
    * @param notBefore when another place may be sought, on the node's clock in nanoseconds
    */
-  private record Departure(AttemptEnd end, String cause, long notBefore) {}
+  private record Departure(AttemptEnd end, TrackedEndpoint silent, String cause, long notBefore) {}
 
   /** Begins at an endpoint, or waits for room at one while that has a prospect. */
   private void seekPlace() {
@@ -184,11 +185,16 @@
       return place.openings();
     }
 
+    @Override
+    public boolean mayStart() {
+      return departure.isEmpty() || denialIfLeft().isEmpty();
+    }
+
     @Override
     public void refuse() {
       inLine = false;
       if (departure.isPresent()) {
-        stay(Denial.NO_ROOM);
+        stay(denialIfLeft().orElse(Denial.NO_ROOM));
         return;
       }
       giveUp(Verdict.NOT_RUN, Denial.NO_ROOM, "no endpoint of " + service + " has room in time");
@@ -581,14 +587,27 @@
     }
   }
 
+  /** Stays after all: the engine answers again. */
+  void recovered(TrackedEndpoint engine) {
+    if (departure.filter(wanted -> wanted.silent() == engine).isPresent()) {
+      withdrawDeparture();
+    }
+  }
+
   private void goOnWithout(TrackedEndpoint engine) {
-    if (place.target() == engine) {
-      beginElsewhere(AttemptEnd.ENGINE_SUSPECTED, engine.toString());
-    } else {
+    if (place.target() != engine) {
       replaceLost(engine, "lost " + engine);
+    } else if (mayBreakOff()) {
+      seekElsewhere(AttemptEnd.ENGINE_SUSPECTED, engine, engine.toString());
     }
   }
 
+  /** Returns whether the request may be broken off at its endpoint without a loss for good. */
+  private boolean mayBreakOff() {
+    // An engine is often known to be dead before the connection to it is given up.
+    return route.kind().idempotent() || !call.mayHaveArrived();
+  }
+
   /** Goes on without an endpoint whose process has ended: it can't answer any more. */
   void ended(TrackedEndpoint endpoint) {
     if (done || call == null) {
@@ -608,7 +627,7 @@
     noteDetection();
     noteLost(lost);
     if (guard.isHeldBack()) {
-      seekElsewhere(AttemptEnd.HELD_BACK, cause);
+      leaveWithout(lost, AttemptEnd.HELD_BACK, cause);
     } else {
       replacePath(lost, cause);
     }
@@ -635,12 +654,12 @@
           public boolean mayBeginElsewhere(TrackedEndpoint engine) {
             // An engine that is only leaving still works; its end will show.
             boolean lost = engine.suspected() || engine.hasEnded();
-            return lost && (route.kind().idempotent() || !call.mayHaveArrived());
+            return lost && mayBreakOff();
           }
 
           @Override
           public void beginElsewhere() {
-            seekElsewhere(AttemptEnd.PATH_LOST, "no other path was accepted");
+            leaveWithout(lost, AttemptEnd.PATH_LOST, "no other path was accepted");
           }
         };
     new PathReplacement(
@@ -656,10 +675,13 @@
         .begin();
   }
 
-  private void beginElsewhere(AttemptEnd end, String cause) {
-    // An engine is often known to be dead before the connection to it is given up.
-    if (route.kind().idempotent() || !call.mayHaveArrived()) {
-      seekElsewhere(end, cause);
+  /** Leaves a path that lacks an engine: at once if that has ended, else once there is another. */
+  private void leaveWithout(TrackedEndpoint lost, AttemptEnd end, String cause) {
+    beingReplaced.remove(lost);
+    if (lost.hasEnded()) {
+      leaveEndpoint(end, cause);
+    } else {
+      seekElsewhere(end, lost, cause);
     }
   }
 
@@ -669,17 +691,17 @@
    * <p>Silence proves nothing, so the attempt goes on until the other place is taken, and for good
    * if there is none: whatever the endpoint still says is passed on.
    */
-  private void seekElsewhere(AttemptEnd end, String cause) {
+  private void seekElsewhere(AttemptEnd end, TrackedEndpoint silent, String cause) {
     if (departure.isPresent()) {
       return;
     }
     noteDetection();
-    boolean mayHaveRun = verdictIfLeft() != Verdict.NOT_RUN;
-    if (mayHaveRun) {
+    Duration wait = Duration.ZERO;
+    if (call.mayHaveArrived() && guard.isOneEndShort()) {
       noteLost(place.target());
+      wait = CAUSE_KNOWN;
     }
-    Duration wait = mayHaveRun && guard.isOneEndShort() ? CAUSE_KNOWN : Duration.ZERO;
-    departure = Optional.of(new Departure(end, cause, now() + wait.toNanos()));
+    departure = Optional.of(new Departure(end, silent, cause, now() + wait.toNanos()));
     if (wait.isZero()) {
       tryElsewhere();
     } else {
@@ -695,11 +717,6 @@
     if (done || inLine || departure.isEmpty() || now() < departure.get().notBefore()) {
       return;
     }
-    boolean suspected = departure.get().end() == AttemptEnd.ENGINE_SUSPECTED;
-    if (suspected && !place.target().suspected()) {
-      withdrawDeparture();
-      return;
-    }
     Optional<Denial> denial = denialIfLeft();
     if (denial.isPresent()) {
       stay(denial.get());
@@ -719,32 +736,39 @@
   private boolean moveElsewhere() {
     Departure left = departure.orElseThrow();
     TrackedEndpoint former = place.target();
-    if (denialIfLeft().isPresent() || !place.take()) {
+    if (!place.take()) {
       return false;
     }
     context.budget().spend();
-    Verdict verdict = verdictIfLeft();
-    call.cancel();
-    String detail = closeAttempt(verdict, left.end(), left.cause());
+    String detail = breakOff(left, former);
     logSentAgain(former.toString(), left.end(), detail);
     send();
     return true;
   }
 
+  /** Breaks the attempt off at an endpoint; returns the cause with what was dropped. */
+  private String breakOff(Departure left, TrackedEndpoint endpoint) {
+    Verdict verdict = verdictIfLeft();
+    if (verdict == Verdict.MAY_HAVE_RUN) {
+      noteLost(endpoint);
+    }
+    call.cancel();
+    return closeAttempt(verdict, left.end(), left.cause());
+  }
+
   /**
    * Remains at an endpoint that gives no sign of life.
    *
-   * <p>A caller that has no part of the answer yet is told at once, as it may ask again itself.
+   * <p>A caller that has no part of the answer yet and may ask again itself is told at once.
    */
   private void stay(Denial denial) {
     Departure wanted = departure.orElseThrow();
-    if (headPassed) {
+    if (headPassed || !mayBreakOff()) {
       tellStaying(wanted.end(), denial);
       return;
     }
     Verdict verdict = verdictIfLeft();
-    call.cancel();
-    closeAttempt(verdict, wanted.end(), wanted.cause());
+    breakOff(wanted, place.target());
     place.release();
     giveUp(verdict, denial, wanted.end().code() + ": " + wanted.cause());
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -61,6 +61,9 @@
     context
         .fleet()
         .onSuspicion(engine -> ImmutableList.copyOf(running).forEach(run -> run.suspected(engine)));
+    context
+        .fleet()
+        .onRecovery(engine -> ImmutableList.copyOf(running).forEach(run -> run.recovered(engine)));
     context
         .fleet()
         .onEnd(endpoint -> ImmutableList.copyOf(running).forEach(run -> run.ended(endpoint)));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
@@ -110,7 +110,7 @@
 
   private void watch() {
     timer.cancel();
-    if (!place.onEngines()) {
+    if (!place.onEngines() || !place.isTaken()) {
       return;
     }
     long wait = stallLimit().toNanos() - (now() - lastProgress);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/WaitingLine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/WaitingLine.java
@@ -53,6 +53,13 @@
     /** Takes a place and begins, or returns false if there is none. */
     boolean start();
 
+    /**
+     * Whether it may still begin; if not, it is refused at the next look, whatever room there is.
+     */
+    default boolean mayStart() {
+      return true;
+    }
+
     /** Returns when requests may begin at its endpoints if they have room. */
     Openings openings();
 
@@ -155,6 +162,10 @@
       if (!entries.remove(entry)) {
         continue;
       }
+      if (!entry.waiter().mayStart()) {
+        entry.waiter().refuse();
+        continue;
+      }
       if (misses < MISSES_A_LOOK && tryStart(entry.waiter())) {
         continue;
       }
