ForwardRun: the present attempt and the search for another place are types of their own

RunningAttempt holds what was three fields and a counter of attempts, and stands in for a call that has not been returned yet; ElsewhereSearch holds when a request may look for another place, and when that ends.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -6,13 +6,12 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.fleet.NobodyListensException;
 import org.vaneworks.coordination.fleet.Openings;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
-import org.vaneworks.coordination.forwarding.EndpointCalls.EndpointCall;
+import org.vaneworks.coordination.forwarding.ElsewhereSearch.Departure;
 import org.vaneworks.coordination.relay.EnginePath;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
@@ -77,21 +76,18 @@
 
   private final ContentGuard guard;
 
-  /** Why the present attempt is to be left for another, once there is a place for that. */
-  private Optional<Departure> departure = Optional.empty();
+  private final ElsewhereSearch search;
+
+  /** Empty while none is under way. */
+  private Optional<RunningAttempt> attempt = Optional.empty();
 
-  private EndpointCall call;
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
-  private int attemptNumber;
   private int sends;
   private int runs;
-  private long sentAt;
   private AttemptEnd lastEnd = AttemptEnd.NOT_CONNECTED;
-  private OptionalLong firstPartAt = OptionalLong.empty();
   private boolean partCame;
   private boolean headPassed;
   private boolean inLine;
-  private boolean toldStaying;
   private boolean done;
   private Cancellable limitTimer = () -> {};
 
@@ -119,6 +115,7 @@
     this.guard = new ContentGuard(context, request, caller.map(Caller::workspace));
     this.line = context.lines().of(service);
     this.progress = new ProgressWatch(context, place, route.pauseObjective(), this::stalled);
+    this.search = new ElsewhereSearch(context.clock(), new Leaving());
     this.startedAt = now();
     this.patience = CallerPatience.of(route, request.patience(), startedAt);
     this.endsAt = patience.endsAt();
@@ -147,17 +144,9 @@
     seekPlace();
   }
 
-  /**
-   * An attempt that is to be left.
-   *
-   * @param silent the engine that gives no sign of life
-   * @param notBefore when another place may be sought, on the node's clock in nanoseconds
-   */
-  private record Departure(AttemptEnd end, TrackedEndpoint silent, String cause, long notBefore) {}
-
   /** Begins at an endpoint, or waits for room at one while that has a prospect. */
   private void seekPlace() {
-    if (!done) {
+    if (!done && !inLine) {
       inLine = true;
       line.join(waiter);
     }
@@ -173,7 +162,7 @@
     @Override
     public boolean start() {
       inLine = false;
-      if (departure.isPresent() ? moveElsewhere() : begin()) {
+      if (search.isOn() ? moveElsewhere() : begin()) {
         return true;
       }
       inLine = true;
@@ -187,14 +176,14 @@
 
     @Override
     public boolean mayStart() {
-      return departure.isEmpty() || denialIfLeft().isEmpty();
+      return !search.isOn() || denialIfLeft().isEmpty();
     }
 
     @Override
     public void refuse() {
       inLine = false;
-      if (departure.isPresent()) {
-        stay(denialIfLeft().orElse(Denial.NO_ROOM));
+      if (search.isOn()) {
+        search.refused();
         return;
       }
       giveUp(Verdict.NOT_RUN, Denial.NO_ROOM, "no endpoint of " + service + " has room in time");
@@ -236,50 +225,43 @@
 
   private void send() {
     sends++;
-    sentAt = now();
-    firstPartAt = OptionalLong.empty();
     guard.started();
-    lastSentTo = Optional.of(place.target());
-    attemptNumber++;
-    Attempt attempt =
+    RunningAttempt running = new RunningAttempt(place.target(), now());
+    attempt = Optional.of(running);
+    lastSentTo = Optional.of(running.endpoint());
+    Attempt sent =
         new Attempt(
             request,
-            place.target().endpoint(),
+            running.endpoint().endpoint(),
             place.path().map(EnginePath::text),
             Duration.ofNanos(Math.max(0, endsAt - now())),
             caller.map(Caller::workspace),
             splitter.lastId());
-    ForwardLog.sent(request, attempt, sends);
+    ForwardLog.sent(request, sent, sends);
     progress.sent(headPassed);
-    int number = attemptNumber;
-    EndpointCall sent = context.calls().send(attempt, new AttemptListener(number, place.target()));
-    // The attempt may be over already, and another one under way.
-    if (number == attemptNumber) {
-      call = sent;
-    }
+    // The attempt may be over once this returns, and another one under way.
+    running.began(context.calls().send(sent, new AttemptListener(running)));
   }
 
   /** Hears of one attempt; ignores it once another attempt counts. */
   private final class AttemptListener implements EndpointCalls.Listener {
-    private final int number;
-    private final TrackedEndpoint endpoint;
+    private final RunningAttempt running;
 
-    AttemptListener(int number, TrackedEndpoint endpoint) {
-      this.number = number;
-      this.endpoint = endpoint;
+    AttemptListener(RunningAttempt running) {
+      this.running = running;
     }
 
     private boolean counts() {
-      return !done && number == attemptNumber;
+      return !done && attempt.filter(present -> present == running).isPresent();
     }
 
     @Override
     public void head(AnswerHead head) {
-      noteStatement(head, endpoint);
+      noteStatement(head, running.endpoint());
       if (counts()) {
         progress.head();
-        withdrawDeparture();
-        ForwardRun.this.head(head, endpoint);
+        search.end();
+        ForwardRun.this.head(head, running);
       }
     }
 
@@ -287,16 +269,16 @@
     public void data(byte[] bytes) {
       if (counts()) {
         progress.data();
-        withdrawDeparture();
-        notePart();
-        passOn(bytes);
+        search.end();
+        notePart(running);
+        passOn(bytes, running);
       }
     }
 
     @Override
     public void end() {
       if (counts()) {
-        endpoint.noteSuccess();
+        running.endpoint().noteSuccess();
         finish();
       }
     }
@@ -304,17 +286,15 @@
     @Override
     public void failed(boolean neverSent, Throwable cause) {
       if (counts()) {
-        ForwardRun.this.failed(neverSent, cause, endpoint);
+        ForwardRun.this.failed(neverSent, cause, running.endpoint());
       }
     }
   }
 
-  private void notePart() {
-    if (firstPartAt.isEmpty()) {
-      firstPartAt = OptionalLong.of(now());
-    }
+  private void notePart(RunningAttempt running) {
+    running.notePart(now());
     if (!partCame && sends == 1) {
-      line.firstPartTook(now() - sentAt);
+      line.firstPartTook(now() - running.sentAt());
     }
     partCame = true;
     times.part(now());
@@ -327,29 +307,29 @@
     }
   }
 
-  private void head(AnswerHead head, TrackedEndpoint endpoint) {
+  private void head(AnswerHead head, RunningAttempt running) {
     if (!head.matches()) {
-      call.cancel();
+      running.cancel();
       attemptOver(Verdict.MAY_HAVE_RUN, AttemptEnd.FOREIGN_ANSWER, "an answer to another request");
     } else if (head.notRun()) {
-      call.discard();
-      TrackedEndpoint obstacle = noteObstacle(head, endpoint);
+      running.discard();
+      TrackedEndpoint obstacle = noteObstacle(head, running.endpoint());
       String cause = "status " + head.status() + " for want of " + obstacle;
       attemptOver(Verdict.NOT_RUN, AttemptEnd.ENDPOINT_REFUSED, cause);
     } else if (head.status() >= SERVER_ERROR && (headPassed || route.kind().idempotent())) {
-      serverError(head);
+      serverError(head, running);
     } else if (headPassed) {
-      resumed(head);
+      resumed(head, running);
     } else {
       headPassed = true;
       answer.head(head);
     }
   }
 
-  private void serverError(AnswerHead head) {
+  private void serverError(AnswerHead head, RunningAttempt running) {
     boolean again = !headPassed && resendDenial(Verdict.RAN, runs + 1).isEmpty();
     if (again || headPassed) {
-      call.discard();
+      running.discard();
       attemptOver(Verdict.RAN, AttemptEnd.ENDPOINT_ERROR, "status " + head.status());
     } else {
       headPassed = true;
@@ -358,9 +338,9 @@
   }
 
   /** The caller keeps the head of the first run; only events follow. */
-  private void resumed(AnswerHead head) {
+  private void resumed(AnswerHead head, RunningAttempt running) {
     if (!head.success()) {
-      call.discard();
+      running.discard();
       attemptOver(Verdict.RAN, AttemptEnd.RESUME_REFUSED, "status " + head.status());
     }
   }
@@ -379,17 +359,17 @@
     return obstacle;
   }
 
-  private void passOn(byte[] bytes) {
+  private void passOn(byte[] bytes, RunningAttempt running) {
     byte[] whole = route.kind().streamed() ? splitter.take(bytes) : bytes;
     if (whole.length > 0 && !answer.data(whole)) {
-      call.pause();
+      running.pause();
     }
   }
 
   @Override
   public void drained() {
-    if (!done && call != null) {
-      call.resume();
+    if (!done) {
+      attempt.ifPresent(RunningAttempt::resume);
     }
   }
 
@@ -445,11 +425,10 @@
     if (verdict != Verdict.NOT_RUN) {
       runs++;
     }
-    attemptNumber++;
+    attempt = Optional.empty();
     lastEnd = end;
-    call = null;
     beingReplaced.clear();
-    withdrawDeparture();
+    search.end();
     return splitter.rest().length == 0 ? cause : cause + ", part of an event dropped";
   }
 
@@ -528,10 +507,8 @@
     if (done) {
       return;
     }
-    boolean mayRunNow = call != null && call.mayHaveArrived();
-    if (call != null) {
-      call.cancel();
-    }
+    boolean mayRunNow = attempt.filter(RunningAttempt::mayHaveArrived).isPresent();
+    attempt.ifPresent(RunningAttempt::cancel);
     if (headPassed) {
       lastEnd = AttemptEnd.TIME_UP;
       giveUp(Verdict.RAN, Denial.TIME_USED, "the time limit passed");
@@ -550,9 +527,7 @@
     if (done) {
       return;
     }
-    if (call != null) {
-      call.cancel();
-    }
+    attempt.ifPresent(RunningAttempt::cancel);
     context.counters().count(Metric.REFUSALS, Reason.CALLER_GONE.code());
     close();
   }
@@ -589,9 +564,7 @@
 
   /** Stays after all: the engine answers again. */
   void recovered(TrackedEndpoint engine) {
-    if (departure.filter(wanted -> wanted.silent() == engine).isPresent()) {
-      withdrawDeparture();
-    }
+    search.recovered(engine);
   }
 
   private void goOnWithout(TrackedEndpoint engine) {
@@ -605,12 +578,12 @@
   /** Returns whether the request may be broken off at its endpoint without a loss for good. */
   private boolean mayBreakOff() {
     // An engine is often known to be dead before the connection to it is given up.
-    return route.kind().idempotent() || !call.mayHaveArrived();
+    return route.kind().idempotent() || !running().mayHaveArrived();
   }
 
   /** Goes on without an endpoint whose process has ended: it can't answer any more. */
   void ended(TrackedEndpoint endpoint) {
-    if (done || call == null) {
+    if (done || attempt.isEmpty()) {
       return;
     }
     if (place.target() == endpoint) {
@@ -638,7 +611,7 @@
   }
 
   private void replacePath(TrackedEndpoint lost, String cause) {
-    int number = attemptNumber;
+    RunningAttempt before = running();
     PathReplacement.Owner owner =
         new PathReplacement.Owner() {
           @Override
@@ -646,7 +619,7 @@
             place.replace(next);
             beingReplaced.remove(lost);
             progress.restarted();
-            withdrawDeparture();
+            search.end();
             guard.started();
           }
 
@@ -668,7 +641,7 @@
             place,
             lost,
             cause,
-            () -> number == attemptNumber && passes(lost),
+            () -> attempt.filter(present -> present == before).isPresent() && passes(lost),
             guard::isHeldBack,
             MAX_REPATHS,
             owner)
@@ -685,48 +658,44 @@
     }
   }
 
-  /**
-   * Seeks another place for a request whose endpoint gives no sign of life.
-   *
-   * <p>Silence proves nothing, so the attempt goes on until the other place is taken, and for good
-   * if there is none: whatever the endpoint still says is passed on.
-   */
   private void seekElsewhere(AttemptEnd end, TrackedEndpoint silent, String cause) {
-    if (departure.isPresent()) {
+    if (search.isOn()) {
       return;
     }
     noteDetection();
     Duration wait = Duration.ZERO;
-    if (call.mayHaveArrived() && guard.isOneEndShort()) {
+    if (running().mayHaveArrived() && guard.isOneEndShort()) {
       noteLost(place.target());
       wait = CAUSE_KNOWN;
     }
-    departure = Optional.of(new Departure(end, silent, cause, now() + wait.toNanos()));
-    if (wait.isZero()) {
-      tryElsewhere();
-    } else {
-      context.clock().schedule(this::tryElsewhere, wait.toNanos(), NANOSECONDS);
-    }
+    search.begin(new Departure(end, silent, cause), wait);
   }
 
-  private Verdict verdictIfLeft() {
-    return call.mayHaveArrived() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
-  }
+  /** What a search for another place asks of this request. */
+  private final class Leaving implements ElsewhereSearch.Owner {
+    @Override
+    public Optional<Denial> denialIfLeft() {
+      return ForwardRun.this.denialIfLeft();
+    }
 
-  private void tryElsewhere() {
-    if (done || inLine || departure.isEmpty() || now() < departure.get().notBefore()) {
-      return;
+    @Override
+    public void seekPlace() {
+      ForwardRun.this.seekPlace();
     }
-    Optional<Denial> denial = denialIfLeft();
-    if (denial.isPresent()) {
-      stay(denial.get());
-    } else {
-      seekPlace();
+
+    @Override
+    public void leaveLine() {
+      ForwardRun.this.leaveLine();
+    }
+
+    @Override
+    public void denied(Departure departure, Denial denial) {
+      stay(departure, denial);
     }
   }
 
   private Optional<Denial> denialIfLeft() {
-    Verdict verdict = verdictIfLeft();
+    Verdict verdict = running().verdictIfLeft();
     Optional<Denial> denial = denial(verdict, verdict == Verdict.NOT_RUN ? runs : runs + 1);
     boolean spent = denial.isEmpty() && !context.budget().canSpend();
     return spent ? Optional.of(Denial.BUDGET_SPENT) : denial;
@@ -734,7 +703,7 @@
 
   /** Leaves the attempt for one at another place, if there is one now. */
   private boolean moveElsewhere() {
-    Departure left = departure.orElseThrow();
+    Departure left = search.departure();
     TrackedEndpoint former = place.target();
     if (!place.take()) {
       return false;
@@ -748,11 +717,11 @@
 
   /** Breaks the attempt off at an endpoint; returns the cause with what was dropped. */
   private String breakOff(Departure left, TrackedEndpoint endpoint) {
-    Verdict verdict = verdictIfLeft();
+    Verdict verdict = running().verdictIfLeft();
     if (verdict == Verdict.MAY_HAVE_RUN) {
       noteLost(endpoint);
     }
-    call.cancel();
+    running().cancel();
     return closeAttempt(verdict, left.end(), left.cause());
   }
 
@@ -761,46 +730,34 @@
    *
    * <p>A caller that has no part of the answer yet and may ask again itself is told at once.
    */
-  private void stay(Denial denial) {
-    Departure wanted = departure.orElseThrow();
+  private void stay(Departure wanted, Denial denial) {
     if (headPassed || !mayBreakOff()) {
-      tellStaying(wanted.end(), denial);
+      search.tellOnce(
+          () -> ForwardLog.stays(request, wanted.end(), denial, trail(), context.counters()));
       return;
     }
-    Verdict verdict = verdictIfLeft();
+    Verdict verdict = running().verdictIfLeft();
     breakOff(wanted, place.target());
     place.release();
     giveUp(verdict, denial, wanted.end().code() + ": " + wanted.cause());
   }
 
-  private void tellStaying(AttemptEnd end, Denial denial) {
-    if (!toldStaying) {
-      toldStaying = true;
-      ForwardLog.stays(request, end, denial, trail(), context.counters());
-    }
-  }
-
-  /** Stays after all: the endpoint makes progress, or its attempt is over. */
-  private void withdrawDeparture() {
-    if (departure.isPresent()) {
-      departure = Optional.empty();
-      toldStaying = false;
-      leaveLine();
-    }
+  private RunningAttempt running() {
+    return attempt.orElseThrow();
   }
 
   /** Looks again whether the request can go on elsewhere, as it stands still. */
   private void stalled() {
-    if (done || !place.isTaken()) {
+    if (done || attempt.isEmpty()) {
       return;
     }
-    if (departure.isPresent()) {
-      tryElsewhere();
+    if (search.isOn()) {
+      search.look();
       return;
     }
     for (TrackedEndpoint engine : place.suspected()) {
       // What was done about one engine may have changed the path.
-      if (departure.isEmpty() && passes(engine)) {
+      if (!search.isOn() && passes(engine)) {
         goOnWithout(engine);
       }
     }
@@ -808,11 +765,11 @@
 
   /** Breaks the attempt off; what follows is up to what may have run. */
   private void leaveEndpoint(AttemptEnd end, String cause) {
-    Verdict verdict = verdictIfLeft();
+    Verdict verdict = running().verdictIfLeft();
     if (verdict == Verdict.MAY_HAVE_RUN) {
       noteLost(place.target());
     }
-    call.cancel();
+    running().cancel();
     attemptOver(verdict, end, cause);
   }
 
@@ -823,11 +780,8 @@
 
   private void noteLost(TrackedEndpoint endpoint) {
     long now = now();
-    Optional<Duration> sinceFirstPart =
-        firstPartAt.isPresent()
-            ? Optional.of(Duration.ofNanos(now - firstPartAt.getAsLong()))
-            : Optional.empty();
-    guard.lost(endpoint, Duration.ofNanos(now - sentAt), sinceFirstPart);
+    Duration sinceSent = Duration.ofNanos(now - running().sentAt());
+    guard.lost(endpoint, sinceSent, running().sinceFirstPart(now));
   }
 
   /** Takes note that requests of a content are held back: one that waits is refused at once. */
