ForwardRun: repairs of the path are a type of their own, obstacles are the place's

PathRepairs holds which engines of the path are being replaced and what follows; Place leaves the endpoint alone that was in the way. No behaviour changes.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -4,9 +4,7 @@
 
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.fleet.NobodyListensException;
 import org.vaneworks.coordination.fleet.Openings;
@@ -30,12 +28,6 @@
  * the node's event loop.
  */
 final class ForwardRun implements CallerAnswer.Flow {
-  /** An engine that said that it is full gets nothing new for its report's lag. */
-  private static final Duration FULL_PAUSE = Duration.ofMillis(200);
-
-  /** An engine that does not hold what the list says is left alone until the list is newer. */
-  private static final Duration MISPLACED_PAUSE = Duration.ofMillis(800);
-
   /** A plain endpoint whose connection failed gets nothing new for a moment. */
   private static final Duration FAILED_PAUSE = Duration.ofMillis(500);
 
@@ -48,9 +40,6 @@
    */
   private static final Duration CAUSE_KNOWN = Duration.ofMillis(100);
 
-  /** Orders for another path after the loss of one engine. */
-  private static final int MAX_REPATHS = 5;
-
   private static final int SERVER_ERROR = 500;
   private static final int MISDIRECTED = 421;
 
@@ -71,12 +60,10 @@
   private final WaitingLine.Waiter waiter = new InLine();
   private final EventSplitter splitter = new EventSplitter();
 
-  /** Later engines of the present attempt's path whose layers others are to run. */
-  private final Set<TrackedEndpoint> beingReplaced = new HashSet<>();
-
   private final ContentGuard guard;
 
   private final ElsewhereSearch search;
+  private final PathRepairs repairs;
 
   /** Empty while none is under way. */
   private Optional<RunningAttempt> attempt = Optional.empty();
@@ -116,6 +103,7 @@
     this.line = context.lines().of(service);
     this.progress = new ProgressWatch(context, place, route.pauseObjective(), this::stalled);
     this.search = new ElsewhereSearch(context.clock(), new Leaving());
+    this.repairs = new PathRepairs(context, request, place, guard, new Repaired());
     this.startedAt = now();
     this.patience = CallerPatience.of(route, request.patience(), startedAt);
     this.endsAt = patience.endsAt();
@@ -252,7 +240,7 @@
     }
 
     private boolean counts() {
-      return !done && attempt.filter(present -> present == running).isPresent();
+      return isPresent(running);
     }
 
     @Override
@@ -313,7 +301,7 @@
       attemptOver(Verdict.MAY_HAVE_RUN, AttemptEnd.FOREIGN_ANSWER, "an answer to another request");
     } else if (head.notRun()) {
       running.discard();
-      TrackedEndpoint obstacle = noteObstacle(head, running.endpoint());
+      TrackedEndpoint obstacle = place.noteObstacle(head);
       String cause = "status " + head.status() + " for want of " + obstacle;
       attemptOver(Verdict.NOT_RUN, AttemptEnd.ENDPOINT_REFUSED, cause);
     } else if (head.status() >= SERVER_ERROR && (headPassed || route.kind().idempotent())) {
@@ -345,20 +333,6 @@
     }
   }
 
-  /** Leaves the endpoint alone that was in the way, and returns it. */
-  private TrackedEndpoint noteObstacle(AnswerHead head, TrackedEndpoint endpoint) {
-    TrackedEndpoint obstacle = head.obstacle().flatMap(place::engineAt).orElse(endpoint);
-    boolean misdirected = head.status() == MISDIRECTED;
-    Duration pause = misdirected ? MISPLACED_PAUSE : FULL_PAUSE;
-    obstacle.avoidUntil(now() + pause.toNanos());
-    if (misdirected && obstacle.endpoint().incarnation().isTold()) {
-      // It may have started again and hold nothing; its report tells so before the list does.
-      context.health().check(obstacle);
-    }
-    obstacle.noteShortage(now());
-    return obstacle;
-  }
-
   private void passOn(byte[] bytes, RunningAttempt running) {
     byte[] whole = route.kind().streamed() ? splitter.take(bytes) : bytes;
     if (whole.length > 0 && !answer.data(whole)) {
@@ -427,7 +401,7 @@
     }
     attempt = Optional.empty();
     lastEnd = end;
-    beingReplaced.clear();
+    repairs.attemptOver();
     search.end();
     return splitter.rest().length == 0 ? cause : cause + ", part of an event dropped";
   }
@@ -543,9 +517,8 @@
 
   /** Moves off an engine that will end soon; a request that it took first stays to the end. */
   void leaving(TrackedEndpoint engine) {
-    // One that is held back is not begun anywhere else while it runs.
-    if (passes(engine) && place.target() != engine && !guard.isHeldBack()) {
-      replacePath(engine, "leaving " + engine);
+    if (passes(engine) && place.target() != engine) {
+      repairs.moveOff(engine);
     }
   }
 
@@ -569,7 +542,7 @@
 
   private void goOnWithout(TrackedEndpoint engine) {
     if (place.target() != engine) {
-      replaceLost(engine, "lost " + engine);
+      repairs.goOnWithout(engine, "lost " + engine);
     } else if (mayBreakOff()) {
       seekElsewhere(AttemptEnd.ENGINE_SUSPECTED, engine, engine.toString());
     }
@@ -589,20 +562,7 @@
     if (place.target() == endpoint) {
       leaveEndpoint(AttemptEnd.ENDPOINT_RESTARTED, endpoint.toString());
     } else if (place.passes(endpoint)) {
-      replaceLost(endpoint, "ended " + endpoint);
-    }
-  }
-
-  private void replaceLost(TrackedEndpoint lost, String cause) {
-    if (!beingReplaced.add(lost)) {
-      return;
-    }
-    noteDetection();
-    noteLost(lost);
-    if (guard.isHeldBack()) {
-      leaveWithout(lost, AttemptEnd.HELD_BACK, cause);
-    } else {
-      replacePath(lost, cause);
+      repairs.goOnWithout(endpoint, "ended " + endpoint);
     }
   }
 
@@ -610,51 +570,44 @@
     return !done && place.passes(engine);
   }
 
-  private void replacePath(TrackedEndpoint lost, String cause) {
-    RunningAttempt before = running();
-    PathReplacement.Owner owner =
-        new PathReplacement.Owner() {
-          @Override
-          public void replaced(EnginePath next) {
-            place.replace(next);
-            beingReplaced.remove(lost);
-            progress.restarted();
-            search.end();
-            guard.started();
-          }
-
-          @Override
-          public boolean mayBeginElsewhere(TrackedEndpoint engine) {
-            // An engine that is only leaving still works; its end will show.
-            boolean lost = engine.suspected() || engine.hasEnded();
-            return lost && mayBreakOff();
-          }
-
-          @Override
-          public void beginElsewhere() {
-            leaveWithout(lost, AttemptEnd.PATH_LOST, "no other path was accepted");
-          }
-        };
-    new PathReplacement(
-            context,
-            request,
-            place,
-            lost,
-            cause,
-            () -> attempt.filter(present -> present == before).isPresent() && passes(lost),
-            guard::isHeldBack,
-            MAX_REPATHS,
-            owner)
-        .begin();
-  }
-
-  /** Leaves a path that lacks an engine: at once if that has ended, else once there is another. */
-  private void leaveWithout(TrackedEndpoint lost, AttemptEnd end, String cause) {
-    beingReplaced.remove(lost);
-    if (lost.hasEnded()) {
-      leaveEndpoint(end, cause);
-    } else {
-      seekElsewhere(end, lost, cause);
+  /** What repairs of the path ask of this request. */
+  private final class Repaired implements PathRepairs.Owner {
+    @Override
+    public RunningAttempt running() {
+      return ForwardRun.this.running();
+    }
+
+    @Override
+    public boolean isPresent(RunningAttempt wanted) {
+      return ForwardRun.this.isPresent(wanted);
+    }
+
+    @Override
+    public boolean mayBreakOff() {
+      return ForwardRun.this.mayBreakOff();
+    }
+
+    @Override
+    public void lost(TrackedEndpoint engine) {
+      noteDetection();
+      noteLost(engine);
+    }
+
+    @Override
+    public void repaired() {
+      progress.restarted();
+      search.end();
+      guard.started();
+    }
+
+    @Override
+    public void leaveWithout(TrackedEndpoint lost, AttemptEnd end, String cause) {
+      // An engine that has ended can't bring the rest; one that is silent may.
+      if (lost.hasEnded()) {
+        leaveEndpoint(end, cause);
+      } else {
+        seekElsewhere(end, lost, cause);
+      }
     }
   }
 
@@ -746,6 +699,10 @@
     return attempt.orElseThrow();
   }
 
+  private boolean isPresent(RunningAttempt wanted) {
+    return !done && attempt.filter(present -> present == wanted).isPresent();
+  }
+
   /** Looks again whether the request can go on elsewhere, as it stands still. */
   private void stalled() {
     if (done || attempt.isEmpty()) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -3,6 +3,7 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -23,6 +24,14 @@
  * <p>Confined to the node's event loop.
  */
 final class Place {
+  /** An engine that said that it is full gets nothing new for its report's lag. */
+  private static final Duration FULL_PAUSE = Duration.ofMillis(200);
+
+  /** An engine that does not hold what the list says is left alone until the list is newer. */
+  private static final Duration MISPLACED_PAUSE = Duration.ofMillis(800);
+
+  private static final int MISDIRECTED = 421;
+
   private final ForwardContext context;
   private final String service;
   private final Optional<ModelProfile> model;
@@ -169,6 +178,20 @@
     return context.fleet().at(service, address);
   }
 
+  /** Leaves the endpoint alone that was in the way of a request, and returns it. */
+  TrackedEndpoint noteObstacle(AnswerHead refused) {
+    TrackedEndpoint obstacle = refused.obstacle().flatMap(this::engineAt).orElseGet(this::target);
+    boolean misdirected = refused.status() == MISDIRECTED;
+    Duration pause = misdirected ? MISPLACED_PAUSE : FULL_PAUSE;
+    obstacle.avoidUntil(now() + pause.toNanos());
+    if (misdirected && obstacle.endpoint().incarnation().isTold()) {
+      // It may have started again and hold nothing; its report tells so before the list does.
+      context.health().check(obstacle);
+    }
+    obstacle.noteShortage(now());
+    return obstacle;
+  }
+
   /** Goes on over another path with the same first engine. */
   void replace(EnginePath next) {
     EnginePath former = path.orElseThrow();
