A question whose limit ran out late is no evidence against its engine

Cause: HealthWatch took any TimeoutException of a question for the engine's silence. The limit is a timer of the node's own loop. If that is held up while it reads its sockets, the timer runs before the answer is read that arrived meanwhile. The first such question closes its connection, so the second has to connect anew, in two passes of the loop: a hold-up by a task fails it too.

Why this works: a limit that ran out more than 20 ms late proves that the node stood still, so the question is asked again without being counted, twice in a row at most. Punctual limits count as before, and an engine that refuses connections is suspected at once as before. No timer is added; a question is added only for a late one. vaneworks.uncounted.silences counts them.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointStatements.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointStatements.java
@@ -132,4 +132,9 @@
   void noteAsked() {
     counters.count(Metric.ENGINE_QUESTIONS, "health");
   }
+
+  /** Counts a question whose limit this node's own delay used up. */
+  void noteUncounted() {
+    counters.count(Metric.UNCOUNTED_SILENCES, "question");
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthWatch.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeoutException;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.concurrent.OwnDelay;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
@@ -18,7 +19,8 @@
  * Asks engines for a sign of life when requests through them stand still, and asks suspected ones
  * again until they answer or leave the list.
  *
- * <p>Nothing is sent while requests make progress. Confined to the node's event loop.
+ * <p>Nothing is sent while requests make progress. A question whose limit ran out late is asked
+ * again without being counted, as its answer may lie unread. Confined to the node's event loop.
  */
 public final class HealthWatch {
   /** An engine in the same region answers in a few ms; six times its usual worst. */
@@ -99,31 +101,49 @@
     if (!fleet.statements().admits(engine, purpose)) {
       return;
     }
-    ask(engine, purpose, 1);
+    ask(new Question(engine, purpose, 1, 0));
   }
 
   /**
-   * Asks an engine.
+   * A question to an engine.
    *
-   * @param question counts from 1, and rises while the engine is silent
+   * @param counted counts from 1, and rises while the engine is silent
+   * @param uncounted questions before it that the engine may have answered: this node was late
    */
-  private void ask(TrackedEndpoint engine, CallPurpose purpose, int question) {
+  private record Question(TrackedEndpoint engine, CallPurpose purpose, int counted, int uncounted) {
+    Question next() {
+      return new Question(engine, purpose, counted + 1, uncounted);
+    }
+
+    Question uncountedNext() {
+      return new Question(engine, purpose, counted, uncounted + 1);
+    }
+
+    int number() {
+      return counted + uncounted;
+    }
+  }
+
+  private void ask(Question question) {
+    TrackedEndpoint engine = question.engine();
     long begun = now();
+    Duration limit = limit();
     askedAt.put(engine, begun);
     asked.add(engine);
     // Asked whatever the engine takes, as requests may hang on its answer; but it counts.
-    fleet.statements().noteCall(engine, purpose);
+    fleet.statements().noteCall(engine, question.purpose());
     fleet.statements().noteAsked();
     Async.onDone(
-        control.report(engine.endpoint(), limit()),
+        control.report(engine.endpoint(), limit),
         clock,
         (report, failure) -> {
           asked.remove(engine);
+          Duration took = Duration.ofNanos(now() - begun);
           if (failure == null) {
-            noteAnswer(Duration.ofNanos(now() - begun));
+            noteAnswer(took);
             take(engine, report);
           } else if (!engine.delisted()) {
-            unanswered(engine, purpose, question, begun, failure);
+            unanswered(question, took, limit, failure);
           }
         });
   }
@@ -135,18 +155,21 @@
     }
   }
 
-  private void unanswered(
-      TrackedEndpoint engine, CallPurpose purpose, int question, long begun, Throwable failure) {
+  private void unanswered(Question question, Duration took, Duration limit, Throwable failure) {
+    TrackedEndpoint engine = question.engine();
+    boolean silent = failure instanceof TimeoutException;
     noteRefusal(engine, failure);
     if (failure instanceof TurnedAwayException) {
       return;
     }
-    if (failure instanceof TimeoutException && question < SILENCES) {
-      ask(engine, purpose, question + 1);
+    if (silent && OwnDelay.excuses(took.minus(limit), question.uncounted())) {
+      fleet.statements().noteUncounted();
+      ask(question.uncountedNext());
+    } else if (silent && question.counted() < SILENCES) {
+      ask(question.next());
     } else {
-      long millis = NANOSECONDS.toMillis(now() - begun);
-      String asked = "asked " + question + " times, the last " + millis + " ms ago";
-      fleet.suspect(engine, "no sign of life, " + asked + ": " + failure);
+      String asked = "asked " + question.number() + " times, the last " + took.toMillis();
+      fleet.suspect(engine, "no sign of life, " + asked + " ms ago: " + failure);
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -28,6 +28,9 @@
   BACKOFF_CALLS(
       "vaneworks.backoff.calls", "calls to endpoints that had asked for none, by purpose"),
   ENGINE_QUESTIONS("vaneworks.engine.questions", "reports asked of engines, by purpose"),
+  UNCOUNTED_SILENCES(
+      "vaneworks.uncounted.silences",
+      "silences that were not counted as this node was late itself, by how they were found"),
   PEER_MESSAGES("vaneworks.peer.messages", "messages to peers, by type"),
   PEER_BYTES("vaneworks.peer.bytes", "bytes to and from peers, by direction"),
   LOAD_REPORTS("vaneworks.load.reports", "reports of load between nodes, by outcome"),
