A stream of vaneworksd leaves a silent engine only once a replacement is planned

What callers saw: a repeatable completion ended with recovery-exhausted or no-endpoint although its engine had only paused for 0.7 s and would have answered.

Cause: StreamRun.checkProgress took silence for a loss. The attempt was dropped at once, so that its answer was late, and the engine was ejected; only then it was asked whether a replacement is allowed and whether a route exists.

Why this works: silence begins a search, each 25 ms as after a loss. The attempt stays current, so its answer counts; in the step that takes the planned route it is given up, its engine is ejected and its session ended under a new epoch, never to be used again. A failure, a refusal and a foreign answer are losses as before; a request that is not repeatable waits as before. Progress of the engine ends the search. A call that never ends is given up once the step timeout and the recovery patience have both passed. An engine that nothing can stand in for is no longer ejected for one stream's silence; status calls still find a dead one. One thing becomes slower on purpose: a stream whose engine is dead without a broken connection learns so at the end of the call, then waits the recovery patience.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
@@ -39,9 +39,10 @@
  * One completion on its way through the hops.
  *
  * <p>At any time at most one attempt is current. An answer counts only if it belongs to the current
- * attempt and matches it in stream, epoch, step and layers; everything else is dropped. After an
- * attempt whose outcome is unknown its session is never used again: the replacement runs under a
- * new epoch. So within the lineages that make up the answer every layer runs exactly once a token.
+ * attempt and matches it in stream, epoch, step and layers; everything else is dropped. Silence
+ * does not end an attempt: it stays current until a replacement takes over. After an attempt whose
+ * outcome is unknown its session is never used again: the replacement runs under a new epoch. So
+ * within the lineages that make up the answer every layer runs exactly once a token.
  *
  * <p>Thread-safe. The lock is the outermost; calls to the sink are made under it, which keeps them
  * in order.
@@ -49,6 +50,12 @@
 final class StreamRun {
   private static final Duration RECOVERY_RECHECK = Duration.ofMillis(25);
 
+  /** Cause of replacements and ejections. */
+  private static final String LOST = "lost";
+
+  /** Outcome of calls that were left or given up for their silence. */
+  private static final String NO_PROGRESS = "no-progress";
+
   /** A call on its way: the answer must come for exactly this object. */
   private static final class Attempt {
     private final int index;
@@ -63,6 +70,9 @@
     }
   }
 
+  /** A planned way around one hop, or a whole new route. */
+  private record WayAround(int index, boolean isWhole, PlannedRoute route) {}
+
   private final PipelineContext context;
   private final StreamId id;
   private final CompletionRequest request;
@@ -210,18 +220,91 @@
     if (ended || attempt != current) {
       return;
     }
-    boolean othersProgress = engine.lastProgress() - since > 0;
-    boolean exhausted = now() - attempt.sentAt >= engine.stepTimeout().toNanos();
-    if (othersProgress && !exhausted) {
+    if (isBusyWithOthers(attempt, engine, since)) {
       watchProgress(attempt, now());
-      return;
+    } else if (!request.repeatable()) {
+      giveUpSilent(attempt, engine);
+    } else if (!leaveSilent(attempt, engine, now())) {
+      tellStaying(engine);
+      excluded.clear();
+      seekElsewhereSoon(attempt, engine, now());
     }
-    context.counters().count(Metric.HOP_CALLS, "no-progress");
+  }
+
+  private boolean isBusyWithOthers(Attempt attempt, EndpointState engine, long since) {
+    return engine.lastProgress() - since > 0 && !isOverdue(attempt, engine);
+  }
+
+  private boolean isOverdue(Attempt attempt, EndpointState engine) {
+    return now() - attempt.sentAt >= engine.stepTimeout().toNanos();
+  }
+
+  @GuardedBy("this")
+  private void giveUpSilent(Attempt attempt, EndpointState engine) {
+    context.counters().count(Metric.HOP_CALLS, NO_PROGRESS);
     lost(
         attempt,
         Refusal.mayHaveRun(Reason.ENDPOINT_LOST, "no progress on " + engine.endpoint().id()));
   }
 
+  // Silence.
+
+  @GuardedBy("this")
+  private void seekElsewhereSoon(Attempt attempt, EndpointState engine, long since) {
+    attempt.timer =
+        after(RECOVERY_RECHECK, () -> guarded(() -> seekElsewhere(attempt, engine, since)));
+  }
+
+  /**
+   * Seeks a replacement for a silent engine.
+   *
+   * <p>Silence proves nothing, so the attempt goes on meanwhile: its answer counts, and so does the
+   * news that it failed. The bound is for calls that never end.
+   */
+  private synchronized void seekElsewhere(Attempt attempt, EndpointState engine, long since) {
+    if (ended || attempt != current) {
+      return;
+    }
+    if (isBusyWithOthers(attempt, engine, since)) {
+      watchProgress(attempt, now());
+    } else if (isPatienceOver(since) && isOverdue(attempt, engine)) {
+      giveUpSilent(attempt, engine);
+    } else if (!leaveSilent(attempt, engine, since)) {
+      seekElsewhereSoon(attempt, engine, since);
+    }
+  }
+
+  /** Leaves a silent engine, if a replacement is allowed and planned. */
+  @GuardedBy("this")
+  private boolean leaveSilent(Attempt attempt, EndpointState engine, long since) {
+    if (!mayReplace()) {
+      return false;
+    }
+    Optional<WayAround> way = wayAround(attempt.index, excludedWith(engine));
+    if (way.isEmpty()) {
+      return false;
+    }
+    context.counters().count(Metric.HOP_CALLS, NO_PROGRESS);
+    soFar = soFar.and(Verdict.MAY_HAVE_RUN);
+    context.table().eject(engine, LOST);
+    noteReplacement(engine, LOST, since);
+    take(way.get());
+    return true;
+  }
+
+  @GuardedBy("this")
+  private ImmutableSet<EndpointId> excludedWith(EndpointState engine) {
+    return ImmutableSet.<EndpointId>builder().addAll(excluded).add(engine.endpoint().id()).build();
+  }
+
+  @GuardedBy("this")
+  private void tellStaying(EndpointState engine) {
+    String denial = mayReplace() ? "no-route" : "replacements-used";
+    context.counters().count(Metric.STAYS, NO_PROGRESS + "/" + denial);
+    EventLog.info(
+        Event.REQUEST_STAYS, "stream", id, "endpoint", engine.endpoint().id(), "denial", denial);
+  }
+
   // Answers.
 
   private synchronized void answered(Attempt attempt, StepReply reply, Throwable failure) {
@@ -298,23 +381,34 @@
     soFar = soFar.and(why.verdict());
     boolean overloaded = why.reason() == Reason.ENDPOINT_OVERLOADED;
     if (!overloaded) {
-      context.table().eject(hop.engine(), why.verdict() == Verdict.NOT_RUN ? "refused" : "lost");
+      context.table().eject(hop.engine(), why.verdict() == Verdict.NOT_RUN ? "refused" : LOST);
     }
     boolean neverRanHere = why.verdict() == Verdict.NOT_RUN && hop.stepsRun() == 0;
     if (!request.repeatable() && !neverRanHere) {
       fail(Reason.ENDPOINT_LOST, why.detail(), Optional.empty());
     } else if (overloaded && !context.retries().spend()) {
       fail(Reason.RETRY_BUDGET, why.detail(), Optional.of(Duration.ofSeconds(1)));
-    } else if (++replacements > context.limits().maxReplacements()) {
+    } else if (!mayReplace()) {
       fail(Reason.RECOVERY_EXHAUSTED, why.detail(), Optional.of(Duration.ofSeconds(1)));
     } else {
-      meter.lost(now());
-      excluded.add(hop.engine().endpoint().id());
-      context.counters().count(Metric.RETRIES, overloaded ? "overloaded" : "lost");
+      noteReplacement(hop.engine(), overloaded ? "overloaded" : LOST, now());
       replace(attempt.index, now());
     }
   }
 
+  @GuardedBy("this")
+  private boolean mayReplace() {
+    return replacements < context.limits().maxReplacements();
+  }
+
+  @GuardedBy("this")
+  private void noteReplacement(EndpointState engine, String cause, long since) {
+    replacements++;
+    meter.lost(since);
+    excluded.add(engine.endpoint().id());
+    context.counters().count(Metric.RETRIES, cause);
+  }
+
   /**
    * Replaces a lost hop, as little of the route as possible; waits if there is no way yet.
    *
@@ -325,10 +419,12 @@
     if (ended) {
       return;
     }
-    if (replacePart(index) || (mayRestart() && replaceWhole())) {
+    Optional<WayAround> way = wayAround(index, excluded);
+    if (way.isPresent()) {
+      take(way.get());
       return;
     }
-    if (now() - since > context.limits().recoveryPatience().toNanos()) {
+    if (isPatienceOver(since)) {
       fail(
           Reason.NO_ENDPOINT,
           "no live engines cover " + query.model(),
@@ -339,41 +435,55 @@
     context.executor().schedule(() -> guarded(() -> replace(index, since)), RECOVERY_RECHECK);
   }
 
+  private boolean isPatienceOver(long since) {
+    return now() - since > context.limits().recoveryPatience().toNanos();
+  }
+
   @GuardedBy("this")
   private boolean mayRestart() {
     return request.repeatable() || hops.neverRan();
   }
 
   @GuardedBy("this")
-  private boolean replacePart(int index) {
+  private Optional<WayAround> wayAround(int index, Set<EndpointId> without) {
+    Optional<WayAround> part = wayAroundPart(index, without);
+    return part.isPresent() || !mayRestart() ? part : wholeWay(without);
+  }
+
+  @GuardedBy("this")
+  private Optional<WayAround> wayAroundPart(int index, Set<EndpointId> without) {
     Hop lost = hops.get(index);
     if (!lost.knowsInputsBefore(step + 1)) {
-      return false;
+      return Optional.empty();
     }
     LayerRange range = lost.session().layers();
-    Optional<PlannedRoute> part = context.planner().plan(queryNow(range));
-    if (part.isEmpty()) {
-      return false;
-    }
-    hops.replace(index, part.get(), step);
-    callHop(index, lost.input(step));
-    return true;
+    return context
+        .planner()
+        .plan(queryNow(range, without))
+        .map(route -> new WayAround(index, false, route));
   }
 
   @GuardedBy("this")
-  private boolean replaceWhole() {
-    Optional<PlannedRoute> route = context.planner().plan(queryNow(query.span()));
-    if (route.isEmpty()) {
-      return false;
+  private Optional<WayAround> wholeWay(Set<EndpointId> without) {
+    return context
+        .planner()
+        .plan(queryNow(query.span(), without))
+        .map(route -> new WayAround(0, true, route));
+  }
+
+  @GuardedBy("this")
+  private void take(WayAround way) {
+    if (way.isWhole()) {
+      hops.replaceAll(way.route(), step);
+    } else {
+      hops.replace(way.index(), way.route(), step);
     }
-    hops.replaceAll(route.get(), step);
-    callHop(0, hops.get(0).input(step));
-    return true;
+    callHop(way.index(), hops.get(way.index()).input(step));
   }
 
   @GuardedBy("this")
-  private RouteQuery queryNow(LayerRange range) {
-    RouteQuery part = query.covering(range, excluded);
+  private RouteQuery queryNow(LayerRange range, Set<EndpointId> without) {
+    RouteQuery part = query.covering(range, without);
     return part.withWork(request.promptTokens() + step, request.maxTokens() - step);
   }
 
@@ -400,7 +510,8 @@
   private void move(int index, String token) {
     Hop from = hops.get(index);
     excluded.add(from.engine().endpoint().id());
-    Optional<PlannedRoute> target = context.planner().plan(queryNow(from.session().layers()));
+    Optional<PlannedRoute> target =
+        context.planner().plan(queryNow(from.session().layers(), excluded));
     if (target.isEmpty() || target.get().engines().size() != 1) {
       callHop(0, token);
       return;
