A lost hop no longer counts on its engine while its stream waits for a way on

What callers saw: a completion whose engine lost one answer ended with no-endpoint after the recovery patience of 10 s, although the engine, the only one of its layers, was well again after half a second. Found by reading, beside the search of a silent stream.

Cause: an ejected engine is probed once it holds no stream of the node (EndpointState.isHalfOpen). The lost hop was counted there until its replacement was planned, so the waiting stream itself kept its engine out of use, and could never return to it.

Evidence: RunningStreamTest.streamReturnsToItsOnlyEngineAfterALostCall failed before: 'ended early: Optional[no-endpoint (RAN): no live engines cover model] ==> expected: <true> but was: <false>'.

Why this works: a lost session is never used again, so its place is given back, and its end told to the engine, at the loss; the hop stays for the inputs that rebuild it. The replacement has a higher epoch, also on the same engine. The tests now check that nothing is counted on any engine after an answer.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RunningStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RunningStreamTest.java
@@ -121,6 +121,14 @@
     assertFalse(other.ledger().isEmpty());
   }
 
+  // Guards against a stream that waits in vain for its only engine, as its lost call counts there.
+  @Test
+  void streamReturnsToItsOnlyEngineAfterALostCall() {
+    beginStream(NodeLimits.defaults());
+    fleet.endpoints().loseAnswers(fleet.addressOf("b1"), 1);
+    assertDeliveredWhole();
+  }
+
   // Guards against a stream that hangs for good, or ends early: its engine's call never ends.
   @Test
   void callThatNeverEndsIsGivenUpAfterTheStepTimeoutAndThePatience() {
@@ -193,6 +201,9 @@
     assertTrue(answer.isWhole(), () -> "ended early: " + answer.refusal());
     fleet.clock().advance(AFTERWARDS);
     assertEquals(ImmutableList.of(), fleet.judge().problemsOf(answer, TOKENS, true));
+    for (EndpointState engine : fleet.node("n1").endpoints().all()) {
+      assertEquals(0, engine.inFlight(), engine.endpoint().id()::toString);
+    }
   }
 
   private void assertNothingRebuilt() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/Hop.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/Hop.java
@@ -16,6 +16,7 @@
   private final SessionId session;
   private final List<String> inputs;
   private int stepsRun;
+  private boolean givenUp;
 
   private Hop(EndpointState engine, SessionId session, List<String> inputs, int stepsRun) {
     this.engine = engine;
@@ -83,6 +84,13 @@
     return stepsRun == step ? ImmutableList.of() : ImmutableList.copyOf(inputs.subList(0, step));
   }
 
+  /** Marks the session as given up for good; returns whether this was news. */
+  boolean giveUp() {
+    boolean news = !givenUp;
+    givenUp = true;
+    return news;
+  }
+
   /** Forgets the inputs, so that only a whole new route can rebuild; frees their memory. */
   void forgetInputs() {
     inputs.clear();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamHops.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamHops.java
@@ -69,6 +69,15 @@
     }
   }
 
+  /**
+   * Gives the place of a lost hop back; what could rebuild it is kept.
+   *
+   * <p>While it counts on its engine, the engine could not be probed, nor this stream return there.
+   */
+  void lose(int index) {
+    giveUp(hops.get(index));
+  }
+
   /** Puts a route over the same layers in place of one lost hop, under a new epoch. */
   void replace(int index, PlannedRoute part, int step) {
     epoch++;
@@ -140,6 +149,9 @@
   }
 
   private void giveUp(Hop hop) {
+    if (!hop.giveUp()) {
+      return;
+    }
     hop.engine().streamEnded();
     // Best effort: an engine that can't be reached frees an idle session by its own timeout.
     Async.ignore(client.end(hop.engine().endpoint(), hop.session()));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
@@ -392,6 +392,7 @@
       fail(Reason.RECOVERY_EXHAUSTED, why.detail(), Optional.of(Duration.ofSeconds(1)));
     } else {
       noteReplacement(hop.engine(), overloaded ? "overloaded" : LOST, now());
+      hops.lose(attempt.index);
       replace(attempt.index, now());
     }
   }
