A stream on a leaving engine looks again for another that holds its layers

What callers saw: nothing yet; read beside the search of a silent stream. A long completion stayed on a leaving engine to its end, or to the engine's, although another engine came to hold the same layers a second after the leave was told.

Cause: StreamRun.move marked the engine as moved off before it was known whether there is a place; without one the only chance was spent, as the mark is not taken back.

Evidence: RunningStreamTest.streamOfALeavingEngineMovesOnceAnotherHoldsItsLayers failed before: 'it stayed to its end ==> expected: <false> but was: <true>'.

Why this works: the mark is set once a place is found, and a place is sought every 250 ms. A copy that failed is not tried again, as before: each try holds the stream up.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RunningStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RunningStreamTest.java
@@ -30,7 +30,7 @@
   private static final double STEP_MILLIS = 5;
   private static final int LEARNING_STREAMS = 8;
   private static final int LEARNING_TOKENS = 60;
-  private static final int TOKENS = 300;
+  private static final int TOKENS = 600;
   private static final int TOKENS_BEFORE_SILENCE = 20;
   private static final Duration PATIENCE = Duration.ofMinutes(5);
   private static final Duration SILENCE = Duration.ofMillis(700);
@@ -121,6 +121,21 @@
     assertFalse(other.ledger().isEmpty());
   }
 
+  // Guards against a stream cut by its engine's leave: no other had its layers when it was told.
+  @Test
+  void streamOfALeavingEngineMovesOnceAnotherHoldsItsLayers() {
+    beginStream(NodeLimits.defaults());
+    fleet.boxes().leaving("a1");
+    fleet.clock().advance(SILENCE);
+    EngineCore other = addEngine("a2", 0, CUT);
+    await(() -> !other.ledger().isEmpty() || answer.isEnded());
+    assertFalse(answer.isEnded(), "it stayed to its end");
+    int runBefore = first.ledger().size();
+    assertDeliveredWhole();
+    assertEquals(runBefore, first.ledger().size());
+    assertNothingRebuilt();
+  }
+
   // Guards against a stream that waits in vain for its only engine, as its lost call counts there.
   @Test
   void streamReturnsToItsOnlyEngineAfterALostCall() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
@@ -50,6 +50,9 @@
 final class StreamRun {
   private static final Duration RECOVERY_RECHECK = Duration.ofMillis(25);
 
+  /** How often a place is sought for hops on leaving engines. */
+  private static final Duration MOVE_RECHECK = Duration.ofMillis(250);
+
   /** Cause of replacements and ejections. */
   private static final String LOST = "lost";
 
@@ -73,6 +76,9 @@
   /** A planned way around one hop, or a whole new route. */
   private record WayAround(int index, boolean isWhole, PlannedRoute route) {}
 
+  /** A hop on a leaving engine, and the engine to which its session can go. */
+  private record Move(int index, EndpointState target) {}
+
   private final PipelineContext context;
   private final StreamId id;
   private final CompletionRequest request;
@@ -107,6 +113,9 @@
   @GuardedBy("this")
   private int replacements;
 
+  @GuardedBy("this")
+  private long movesSoughtAt;
+
   @GuardedBy("this")
   private Cancellable deadline = () -> {};
 
@@ -133,6 +142,7 @@
             ImmutableSet.of());
     this.hops = new StreamHops(id, context.client(), context.limits().replayCharacters());
     this.meter = new StreamMeter(context, query, now());
+    this.movesSoughtAt = now() - MOVE_RECHECK.toNanos();
   }
 
   synchronized void start() {
@@ -363,9 +373,9 @@
       cleanUp();
       return;
     }
-    Optional<Integer> leaving = hopToMove();
-    if (leaving.isPresent()) {
-      move(leaving.get(), token);
+    Optional<Move> move = planMove();
+    if (move.isPresent()) {
+      move(move.get(), token);
     } else {
       callHop(0, token);
     }
@@ -490,34 +500,49 @@
 
   // Moving off a leaving engine.
 
+  /** Returns a move off a leaving engine for which another has been found. */
   @GuardedBy("this")
-  private Optional<Integer> hopToMove() {
-    double pace = meter.pace(now(), step);
-    boolean endsSoon = pace * (request.maxTokens() - step) < context.limits().moveOver().toNanos();
-    if (endsSoon) {
+  private Optional<Move> planMove() {
+    if (now() - movesSoughtAt < MOVE_RECHECK.toNanos() || endsSoon()) {
       return Optional.empty();
     }
     for (int index = 0; index < hops.size(); index++) {
       EndpointState engine = hops.get(index).engine();
       if (engine.isLeaving() && !excluded.contains(engine.endpoint().id())) {
-        return Optional.of(index);
+        Optional<Move> move = moveOf(index);
+        if (move.isPresent()) {
+          return move;
+        }
+        movesSoughtAt = now();
       }
     }
     return Optional.empty();
   }
 
+  @GuardedBy("this")
+  private boolean endsSoon() {
+    double pace = meter.pace(now(), step);
+    return pace * (request.maxTokens() - step) < context.limits().moveOver().toNanos();
+  }
+
+  @GuardedBy("this")
+  private Optional<Move> moveOf(int index) {
+    LayerRange range = hops.get(index).session().layers();
+    return context
+        .planner()
+        .plan(queryNow(range, excluded))
+        .filter(route -> route.engines().size() == 1)
+        .filter(route -> !route.isLastResort())
+        .map(route -> new Move(index, route.engines().get(0)));
+  }
+
   /** Copies a hop's session to another engine; on any failure the stream stays where it is. */
   @GuardedBy("this")
-  private void move(int index, String token) {
-    Hop from = hops.get(index);
+  private void move(Move move, String token) {
+    Hop from = hops.get(move.index());
+    // A copy that failed is not tried again: each try holds the stream up.
     excluded.add(from.engine().endpoint().id());
-    Optional<PlannedRoute> target =
-        context.planner().plan(queryNow(from.session().layers(), excluded));
-    if (!isPlaceToMoveTo(target)) {
-      callHop(0, token);
-      return;
-    }
-    EndpointState engine = target.get().engines().get(0);
+    EndpointState engine = move.target();
     SessionId session = hops.beginMove(engine);
     Async.onDone(
         context
@@ -525,14 +550,7 @@
             .exportSession(from.engine().endpoint(), from.session())
             .thenCompose(export -> imported(engine, session, export)),
         context.executor(),
-        (done, failure) -> guarded(() -> moved(index, engine, session, token, failure)));
-  }
-
-  private static boolean isPlaceToMoveTo(Optional<PlannedRoute> target) {
-    return target
-        .filter(route -> route.engines().size() == 1)
-        .filter(route -> !route.isLastResort())
-        .isPresent();
+        (done, failure) -> guarded(() -> moved(move.index(), engine, session, token, failure)));
   }
 
   private CompletableFuture<Void> imported(
