Test of a stream that stays at an engine which answers others after its silence

It passes; with the look at others' progress taken out of StreamRun.seekElsewhere it fails, as another engine's ledger is not empty.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RunningStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RunningStreamTest.java
@@ -35,6 +35,7 @@
   private static final Duration PATIENCE = Duration.ofMinutes(5);
   private static final Duration SILENCE = Duration.ofMillis(700);
   private static final Duration SHORT_SILENCE = Duration.ofMillis(300);
+  private static final Duration BUSY = Duration.ofSeconds(3);
   private static final Duration SLACK = Duration.ofMillis(200);
   private static final Duration AFTERWARDS = Duration.ofSeconds(10);
 
@@ -109,6 +110,23 @@
     assertEquals(runBefore, doubted.ledger().size());
   }
 
+  // Guards against a stream that leaves an engine after its silence: it answers others again.
+  @Test
+  void streamStaysAtAnEngineThatAnswersOthersAfterItsSilence() {
+    beginStream(NodeLimits.defaults());
+    RecordedAnswer others = fleet.ask("n1", "others' prompt", TOKENS, CallerOptions.NONE);
+    await(() -> !others.tokens().isEmpty());
+    freezeAll();
+    fleet.clock().advance(SILENCE);
+    fleet.endpoints().loseAnswers(fleet.addressOf("b1"), 1);
+    thawAll();
+    fleet.clock().advance(SLACK);
+    EngineCore other = addEngine("b2", CUT, LAYERS);
+    fleet.clock().advance(BUSY);
+    assertTrue(other.ledger().isEmpty(), other.ledger()::toString);
+    assertDeliveredWhole();
+  }
+
   // Guards against a dead engine's stream that stays: a broken connection proves its end.
   @Test
   void streamLeavesASilentEngineOnceItsConnectionBreaks() {
