--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
@@ -39,9 +39,10 @@
  * One completion on its way through the hops.
  *
  * <p>At any time at most one attempt is current. An answer counts only if it belongs to the current
- * attempt and matches it in stream, epoch, step and layers; everything else is dropped. After an
- * attempt whose outcome is unknown its session is never used again: the replacement runs under a
- * new epoch. So within the lineages that make up the answer every layer runs exactly once a token.
+ * attempt and matches it in stream, epoch, step and layers; everything else is dropped. Silence
+ * does not end an attempt: it stays current until a replacement takes over. After an attempt whose
+ * outcome is unknown its session is never used again: the replacement runs under a new epoch. So
+ * within the lineages that make up the answer every layer runs exactly once a token.
  *
  * <p>Thread-safe. The lock is the outermost; calls to the sink are made under it, which keeps them
  * in order.
@@ -49,6 +50,15 @@
 final class StreamRun {
   private static final Duration RECOVERY_RECHECK = Duration.ofMillis(25);
 
+  /** How often a place is sought for hops on leaving engines. */
+  private static final Duration MOVE_RECHECK = Duration.ofMillis(250);
+
+  /** Cause of replacements and ejections. */
+  private static final String LOST = "lost";
+
+  /** Outcome of calls that were left or given up for their silence. */
+  private static final String NO_PROGRESS = "no-progress";
+
   /** A call on its way: the answer must come for exactly this object. */
   private static final class Attempt {
     private final int index;
@@ -63,6 +73,12 @@
     }
   }
 
+  /** A planned way around one hop, or a whole new route. */
+  private record WayAround(int index, boolean isWhole, PlannedRoute route) {}
+
+  /** A hop on a leaving engine, and the engine to which its session can go. */
+  private record Move(int index, EndpointState target) {}
+
   private final PipelineContext context;
   private final StreamId id;
   private final CompletionRequest request;
@@ -97,6 +113,9 @@
   @GuardedBy("this")
   private int replacements;
 
+  @GuardedBy("this")
+  private long movesSoughtAt;
+
   @GuardedBy("this")
   private Cancellable deadline = () -> {};
 
@@ -123,6 +142,7 @@
             ImmutableSet.of());
     this.hops = new StreamHops(id, context.client(), context.limits().replayCharacters());
     this.meter = new StreamMeter(context, query, now());
+    this.movesSoughtAt = now() - MOVE_RECHECK.toNanos();
   }
 
   synchronized void start() {
@@ -210,18 +230,91 @@
     if (ended || attempt != current) {
       return;
     }
-    boolean othersProgress = engine.lastProgress() - since > 0;
-    boolean exhausted = now() - attempt.sentAt >= engine.stepTimeout().toNanos();
-    if (othersProgress && !exhausted) {
+    if (isBusyWithOthers(attempt, engine, since)) {
       watchProgress(attempt, now());
-      return;
+    } else if (!request.repeatable()) {
+      giveUpSilent(attempt, engine);
+    } else if (!leaveSilent(attempt, engine, now())) {
+      tellStaying(engine);
+      excluded.clear();
+      seekElsewhereSoon(attempt, engine, now());
     }
-    context.counters().count(Metric.HOP_CALLS, "no-progress");
+  }
+
+  private boolean isBusyWithOthers(Attempt attempt, EndpointState engine, long since) {
+    return engine.lastProgress() - since > 0 && !isOverdue(attempt, engine);
+  }
+
+  private boolean isOverdue(Attempt attempt, EndpointState engine) {
+    return now() - attempt.sentAt >= engine.stepTimeout().toNanos();
+  }
+
+  @GuardedBy("this")
+  private void giveUpSilent(Attempt attempt, EndpointState engine) {
+    context.counters().count(Metric.HOP_CALLS, NO_PROGRESS);
     lost(
         attempt,
         Refusal.mayHaveRun(Reason.ENDPOINT_LOST, "no progress on " + engine.endpoint().id()));
   }
 
+  // Silence.
+
+  @GuardedBy("this")
+  private void seekElsewhereSoon(Attempt attempt, EndpointState engine, long since) {
+    attempt.timer =
+        after(RECOVERY_RECHECK, () -> guarded(() -> seekElsewhere(attempt, engine, since)));
+  }
+
+  /**
+   * Seeks a replacement for a silent engine.
+   *
+   * <p>Silence proves nothing, so the attempt goes on meanwhile: its answer counts, and so does the
+   * news that it failed. The bound is for calls that never end.
+   */
+  private synchronized void seekElsewhere(Attempt attempt, EndpointState engine, long since) {
+    if (ended || attempt != current) {
+      return;
+    }
+    if (isBusyWithOthers(attempt, engine, since)) {
+      watchProgress(attempt, now());
+    } else if (isPatienceOver(since) && isOverdue(attempt, engine)) {
+      giveUpSilent(attempt, engine);
+    } else if (!leaveSilent(attempt, engine, since)) {
+      seekElsewhereSoon(attempt, engine, since);
+    }
+  }
+
+  /** Leaves a silent engine, if a replacement is allowed and planned. */
+  @GuardedBy("this")
+  private boolean leaveSilent(Attempt attempt, EndpointState engine, long since) {
+    if (!mayReplace()) {
+      return false;
+    }
+    Optional<WayAround> way = wayAround(attempt.index, excludedWith(engine));
+    if (way.isEmpty() || way.get().route().isLastResort()) {
+      return false;
+    }
+    context.counters().count(Metric.HOP_CALLS, NO_PROGRESS);
+    soFar = soFar.and(Verdict.MAY_HAVE_RUN);
+    context.table().eject(engine, LOST);
+    noteReplacement(engine, LOST, since);
+    take(way.get());
+    return true;
+  }
+
+  @GuardedBy("this")
+  private ImmutableSet<EndpointId> excludedWith(EndpointState engine) {
+    return ImmutableSet.<EndpointId>builder().addAll(excluded).add(engine.endpoint().id()).build();
+  }
+
+  @GuardedBy("this")
+  private void tellStaying(EndpointState engine) {
+    String denial = mayReplace() ? "no-route" : "replacements-used";
+    context.counters().count(Metric.STAYS, NO_PROGRESS + "/" + denial);
+    EventLog.info(
+        Event.REQUEST_STAYS, "stream", id, "endpoint", engine.endpoint().id(), "denial", denial);
+  }
+
   // Answers.
 
   private synchronized void answered(Attempt attempt, StepReply reply, Throwable failure) {
@@ -280,9 +373,9 @@
       cleanUp();
       return;
     }
-    Optional<Integer> leaving = hopToMove();
-    if (leaving.isPresent()) {
-      move(leaving.get(), token);
+    Optional<Move> move = planMove();
+    if (move.isPresent()) {
+      move(move.get(), token);
     } else {
       callHop(0, token);
     }
@@ -298,23 +391,35 @@
     soFar = soFar.and(why.verdict());
     boolean overloaded = why.reason() == Reason.ENDPOINT_OVERLOADED;
     if (!overloaded) {
-      context.table().eject(hop.engine(), why.verdict() == Verdict.NOT_RUN ? "refused" : "lost");
+      context.table().eject(hop.engine(), why.verdict() == Verdict.NOT_RUN ? "refused" : LOST);
     }
     boolean neverRanHere = why.verdict() == Verdict.NOT_RUN && hop.stepsRun() == 0;
     if (!request.repeatable() && !neverRanHere) {
       fail(Reason.ENDPOINT_LOST, why.detail(), Optional.empty());
     } else if (overloaded && !context.retries().spend()) {
       fail(Reason.RETRY_BUDGET, why.detail(), Optional.of(Duration.ofSeconds(1)));
-    } else if (++replacements > context.limits().maxReplacements()) {
+    } else if (!mayReplace()) {
       fail(Reason.RECOVERY_EXHAUSTED, why.detail(), Optional.of(Duration.ofSeconds(1)));
     } else {
-      meter.lost(now());
-      excluded.add(hop.engine().endpoint().id());
-      context.counters().count(Metric.RETRIES, overloaded ? "overloaded" : "lost");
+      noteReplacement(hop.engine(), overloaded ? "overloaded" : LOST, now());
+      hops.lose(attempt.index);
       replace(attempt.index, now());
     }
   }
 
+  @GuardedBy("this")
+  private boolean mayReplace() {
+    return replacements < context.limits().maxReplacements();
+  }
+
+  @GuardedBy("this")
+  private void noteReplacement(EndpointState engine, String cause, long since) {
+    replacements++;
+    meter.lost(since);
+    excluded.add(engine.endpoint().id());
+    context.counters().count(Metric.RETRIES, cause);
+  }
+
   /**
    * Replaces a lost hop, as little of the route as possible; waits if there is no way yet.
    *
@@ -325,10 +430,12 @@
     if (ended) {
       return;
     }
-    if (replacePart(index) || (mayRestart() && replaceWhole())) {
+    Optional<WayAround> way = wayAround(index, excluded);
+    if (way.isPresent()) {
+      take(way.get());
       return;
     }
-    if (now() - since > context.limits().recoveryPatience().toNanos()) {
+    if (isPatienceOver(since)) {
       fail(
           Reason.NO_ENDPOINT,
           "no live engines cover " + query.model(),
@@ -339,73 +446,103 @@
     context.executor().schedule(() -> guarded(() -> replace(index, since)), RECOVERY_RECHECK);
   }
 
+  private boolean isPatienceOver(long since) {
+    return now() - since > context.limits().recoveryPatience().toNanos();
+  }
+
   @GuardedBy("this")
   private boolean mayRestart() {
     return request.repeatable() || hops.neverRan();
   }
 
   @GuardedBy("this")
-  private boolean replacePart(int index) {
+  private Optional<WayAround> wayAround(int index, Set<EndpointId> without) {
+    Optional<WayAround> part = wayAroundPart(index, without);
+    return part.isPresent() || !mayRestart() ? part : wholeWay(without);
+  }
+
+  @GuardedBy("this")
+  private Optional<WayAround> wayAroundPart(int index, Set<EndpointId> without) {
     Hop lost = hops.get(index);
     if (!lost.knowsInputsBefore(step + 1)) {
-      return false;
+      return Optional.empty();
     }
     LayerRange range = lost.session().layers();
-    Optional<PlannedRoute> part = context.planner().plan(queryNow(range));
-    if (part.isEmpty()) {
-      return false;
-    }
-    hops.replace(index, part.get(), step);
-    callHop(index, lost.input(step));
-    return true;
+    return context
+        .planner()
+        .plan(queryNow(range, without))
+        .map(route -> new WayAround(index, false, route));
   }
 
   @GuardedBy("this")
-  private boolean replaceWhole() {
-    Optional<PlannedRoute> route = context.planner().plan(queryNow(query.span()));
-    if (route.isEmpty()) {
-      return false;
+  private Optional<WayAround> wholeWay(Set<EndpointId> without) {
+    return context
+        .planner()
+        .plan(queryNow(query.span(), without))
+        .map(route -> new WayAround(0, true, route));
+  }
+
+  @GuardedBy("this")
+  private void take(WayAround way) {
+    if (way.isWhole()) {
+      hops.replaceAll(way.route(), step);
+    } else {
+      hops.replace(way.index(), way.route(), step);
     }
-    hops.replaceAll(route.get(), step);
-    callHop(0, hops.get(0).input(step));
-    return true;
+    callHop(way.index(), hops.get(way.index()).input(step));
   }
 
   @GuardedBy("this")
-  private RouteQuery queryNow(LayerRange range) {
-    RouteQuery part = query.covering(range, excluded);
+  private RouteQuery queryNow(LayerRange range, Set<EndpointId> without) {
+    RouteQuery part = query.covering(range, without);
     return part.withWork(request.promptTokens() + step, request.maxTokens() - step);
   }
 
   // Moving off a leaving engine.
 
+  /** Returns a move off a leaving engine for which another has been found. */
   @GuardedBy("this")
-  private Optional<Integer> hopToMove() {
-    double pace = meter.pace(now(), step);
-    boolean endsSoon = pace * (request.maxTokens() - step) < context.limits().moveOver().toNanos();
-    if (endsSoon) {
+  private Optional<Move> planMove() {
+    if (now() - movesSoughtAt < MOVE_RECHECK.toNanos() || endsSoon()) {
       return Optional.empty();
     }
     for (int index = 0; index < hops.size(); index++) {
       EndpointState engine = hops.get(index).engine();
       if (engine.isLeaving() && !excluded.contains(engine.endpoint().id())) {
-        return Optional.of(index);
+        Optional<Move> move = moveOf(index);
+        if (move.isPresent()) {
+          return move;
+        }
+        movesSoughtAt = now();
       }
     }
     return Optional.empty();
   }
 
+  @GuardedBy("this")
+  private boolean endsSoon() {
+    double pace = meter.pace(now(), step);
+    return pace * (request.maxTokens() - step) < context.limits().moveOver().toNanos();
+  }
+
+  @GuardedBy("this")
+  private Optional<Move> moveOf(int index) {
+    LayerRange range = hops.get(index).session().layers();
+    return context
+        .planner()
+        .plan(queryNow(range, excluded))
+        .filter(route -> route.engines().size() == 1)
+        .filter(route -> !route.isLastResort())
+        .map(route -> new Move(index, route.engines().get(0)));
+  }
+
   /** Copies a hop's session to another engine; on any failure the stream stays where it is. */
   @GuardedBy("this")
-  private void move(int index, String token) {
-    Hop from = hops.get(index);
+  private void move(Move move, String token) {
+    Hop from = hops.get(move.index());
+    // A copy that failed is not tried again: each try holds the stream up.
     excluded.add(from.engine().endpoint().id());
-    Optional<PlannedRoute> target = context.planner().plan(queryNow(from.session().layers()));
-    if (target.isEmpty() || target.get().engines().size() != 1) {
-      callHop(0, token);
-      return;
-    }
-    EndpointState engine = target.get().engines().get(0);
+    EndpointState engine = move.target();
     SessionId session = hops.beginMove(engine);
     Async.onDone(
         context
@@ -413,7 +550,7 @@
             .exportSession(from.engine().endpoint(), from.session())
             .thenCompose(export -> imported(engine, session, export)),
         context.executor(),
-        (done, failure) -> guarded(() -> moved(index, engine, session, token, failure)));
+        (done, failure) -> guarded(() -> moved(move.index(), engine, session, token, failure)));
   }
 
   private CompletableFuture<Void> imported(
