Closes of callers' connections are counted by who closed them and when

Change: vaneworks.caller.closes, one count at the end of each connection. The first cause counts: the timer, a rejection and a cut say so themselves; what else closes from within is told apart by whether an answer is under way, and an end of the input or a broken connection is the caller's. Cost: one look-up in a map for each connection.

Evidence: CallerConnectionTest on a channel with its own time, five of the reasons; CataloguesTest.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
@@ -0,0 +1,125 @@
+package org.vaneworks.transport.entry;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import java.time.Duration;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.vaneworks.state.entry.EntryLimits;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.telemetry.Metric;
+
+/**
+ * Checks when a caller's connection is closed and what is counted then, on a channel's own time.
+ */
+final class CallerConnectionTest {
+  private static final long IDLE_MILLIS = 5000;
+
+  private final Counters counters = Counters.in(new SimpleMeterRegistry());
+  private final EmbeddedChannel channel = new EmbeddedChannel(new ChannelInboundHandlerAdapter());
+  private final Held answer = new Held();
+  private EntryLimits limits = limits(IDLE_MILLIS);
+  private CallerConnection connection;
+
+  /** An answer of which a part may be held back. */
+  private static final class Held implements ConnectionAnswer {
+    private boolean passedOn = true;
+    private boolean gone;
+
+    @Override
+    public void callerGone() {
+      gone = true;
+    }
+
+    @Override
+    public boolean isPassedOn() {
+      return passedOn;
+    }
+  }
+
+  private static EntryLimits limits(long idleMillis) {
+    return new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofMillis(idleMillis));
+  }
+
+  @BeforeEach
+  void accept() {
+    channel.freezeTime();
+    CallerConnection.install(channel, () -> limits, counters);
+    connection = CallerConnection.of(channel);
+  }
+
+  /** Lets time pass in small steps, as timers set further timers. */
+  private void pass(long millis) {
+    for (long passed = 0; passed < millis; passed += 100) {
+      channel.advanceTimeBy(100, MILLISECONDS);
+      channel.runScheduledPendingTasks();
+    }
+  }
+
+  private double closes(CloseReason reason) {
+    return counters.value(Metric.CALLER_CLOSES, reason.code());
+  }
+
+  private void assertClosedBy(CloseReason reason) {
+    assertFalse(channel.isOpen());
+    for (CloseReason any : CloseReason.values()) {
+      assertEquals(any == reason ? 1 : 0, closes(any), any.code());
+    }
+  }
+
+  /** Closes as ServiceTalk does. */
+  private void closeFromWithin() {
+    var unused = channel.close();
+  }
+
+  // Guards against cuts of which nothing tells whether the node closed for idleness.
+  @Test
+  void idleCloseIsCounted() {
+    pass(IDLE_MILLIS);
+    assertClosedBy(CloseReason.IDLE);
+  }
+
+  // Guards against callers who left being taken for cuts by the node.
+  @Test
+  void callerThatLeavesInTheMidstOfAnAnswerIsCounted() {
+    connection.requestBegan(answer);
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    assertTrue(answer.gone);
+    closeFromWithin();
+    assertClosedBy(CloseReason.CALLER_LEFT_ANSWER);
+  }
+
+  // Guards against cuts by the node being taken for callers who left.
+  @Test
+  void closeInTheMidstOfAnAnswerIsCounted() {
+    connection.requestBegan(answer);
+    closeFromWithin();
+    assertClosedBy(CloseReason.CUT);
+  }
+
+  // Guards against ends that were told to the caller being taken for cuts.
+  @Test
+  void closeAfterTheLastAnswerIsCounted() {
+    connection.requestBegan(answer);
+    connection.closesAfterAnswer();
+    connection.requestEnded();
+    closeFromWithin();
+    assertClosedBy(CloseReason.LAST_ANSWER);
+  }
+
+  // Guards against ends between answers being taken for cuts.
+  @Test
+  void closeBetweenAnswersIsCounted() {
+    connection.requestBegan(answer);
+    connection.requestEnded();
+    closeFromWithin();
+    assertClosedBy(CloseReason.BETWEEN_ANSWERS);
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -11,6 +11,8 @@
       "vaneworks.stays",
       "requests that remain at a silent endpoint, by what would have ended the attempt and what"
           + " forbade another"),
+  CALLER_CLOSES(
+      "vaneworks.caller.closes", "connections of callers that were closed, by who did and when"),
   RETRIES("vaneworks.retries", "parts sent again to another endpoint, by reason"),
   DROPPED_ANSWERS("vaneworks.dropped.answers", "endpoint answers not used, by reason"),
   REQUESTS("vaneworks.requests", "requests taken in, by kind"),
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/AnswerBody.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/AnswerBody.java
@@ -46,6 +46,11 @@
     return !full;
   }
 
+  /** Returns whether the whole body was passed on, or nobody takes it any more. */
+  boolean isPassedOn() {
+    return terminated;
+  }
+
   /** Ends the body as whole. */
   void end() {
     ended = true;
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -7,14 +7,19 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.entry.EntryLimits;
@@ -29,16 +34,29 @@
  * ended finish its answer; callers are owed a status for the first, and have left in the second.
  * Confined to the channel's event loop.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelDuplexHandler implements EntryAnswer.Connection {
   private static final String NAME = "caller-connection";
   private static final String ERRORS = "caller-errors";
 
+  private static final ConnectionAnswer NONE =
+      new ConnectionAnswer() {
+        @Override
+        public void callerGone() {}
+
+        @Override
+        public boolean isPassedOn() {
+          return true;
+        }
+      };
+
   private final Supplier<EntryLimits> limits;
   private final Counters counters;
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
-  private Runnable onGone = () -> {};
+  private ConnectionAnswer answer = NONE;
+  private Optional<CloseReason> closedBy = Optional.empty();
   private boolean answering;
+  private boolean lastAnswer;
   private boolean headBegan;
   private boolean lineEnded;
   private boolean rejected;
@@ -71,21 +89,65 @@
     waitForNext();
   }
 
-  /** Takes note that a request's head was read; calls back if the caller leaves before its end. */
-  void requestBegan(Runnable whenGone) {
+  /** Takes note that a request's head was read; tells its answer if the caller leaves. */
+  void requestBegan(ConnectionAnswer begun) {
     answering = true;
     headBegan = false;
-    onGone = whenGone;
+    answer = begun;
     timer.cancel(false);
   }
 
-  /** Takes note that a request was answered. */
-  void requestEnded() {
+  @Override
+  public void requestEnded() {
     answering = false;
-    onGone = () -> {};
     waitForNext();
   }
 
+  @Override
+  public void closesAfterAnswer() {
+    lastAnswer = true;
+  }
+
+  @Override
+  public void isCut() {
+    note(CloseReason.CUT);
+  }
+
+  /** The first cause counts: what follows it is its consequence. */
+  private void note(CloseReason reason) {
+    if (closedBy.isEmpty()) {
+      closedBy = Optional.of(reason);
+    }
+  }
+
+  private void noteCallerLeft() {
+    if (isAnswering()) {
+      note(CloseReason.CALLER_LEFT_ANSWER);
+    } else {
+      note(lastAnswer ? CloseReason.LAST_ANSWER : CloseReason.CALLER_LEFT);
+    }
+  }
+
+  private void noteClosedHere() {
+    if (isAnswering()) {
+      note(CloseReason.CUT);
+    } else {
+      note(lastAnswer ? CloseReason.LAST_ANSWER : CloseReason.BETWEEN_ANSWERS);
+    }
+  }
+
+  /** Returns whether an answer is under way, the part included that waits to be written. */
+  private boolean isAnswering() {
+    return answering || !answer.isPassedOn() || unwritten() > 0;
+  }
+
+  /** Returns how many bytes wait in the channel. */
+  private long unwritten() {
+    ChannelOutboundBuffer waiting = context.channel().unsafe().outboundBuffer();
+    // A closed channel has none.
+    return waiting == null ? 0 : waiting.totalPendingWriteBytes() - waiting.currentProgress();
+  }
+
   private void waitForNext() {
     headBegan = false;
     headBytes = 0;
@@ -102,6 +164,7 @@
   }
 
   private void closeIdle() {
+    note(isAnswering() ? CloseReason.IDLE_WHILE_HELD : CloseReason.IDLE);
     var unused = context.close();
   }
 
@@ -142,6 +205,7 @@
       return;
     }
     rejected = true;
+    note(CloseReason.REJECTED);
     counters.count(Metric.REFUSALS, reason.code());
     String answer =
         "HTTP/1.1 " + reason.status() + " \r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -155,15 +219,32 @@
   @Override
   public void userEventTriggered(ChannelHandlerContext channel, Object event) throws Exception {
     if (event instanceof ChannelInputShutdownEvent) {
-      onGone.run();
+      noteCallerLeft();
+      answer.callerGone();
     }
     super.userEventTriggered(channel, event);
   }
 
+  @Override
+  public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) throws Exception {
+    if (cause instanceof IOException) {
+      noteCallerLeft();
+    }
+    super.exceptionCaught(channel, cause);
+  }
+
+  @Override
+  public void close(ChannelHandlerContext channel, ChannelPromise promise) throws Exception {
+    noteClosedHere();
+    super.close(channel, promise);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext channel) throws Exception {
+    noteCallerLeft();
+    counters.count(Metric.CALLER_CLOSES, closedBy.get().code());
+    answer.callerGone();
     timer.cancel(false);
-    onGone.run();
     super.channelInactive(channel);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
@@ -17,7 +17,19 @@
 import org.vaneworks.state.Refusal;
 
 /** The answer to one caller as a ServiceTalk response. Confined to the node's event loop. */
-final class EntryAnswer implements CallerAnswer {
+final class EntryAnswer implements CallerAnswer, ConnectionAnswer {
+  /** What the connection is told of an answer. */
+  interface Connection {
+    /** Takes note that an answer is complete, broken off, or its caller has left. */
+    void requestEnded();
+
+    /** Takes note that the connection is to be closed after the answer. */
+    void closesAfterAnswer();
+
+    /** Takes note that the connection is to be closed in the midst of the answer. */
+    void isCut();
+  }
+
   private final StreamingHttpResponseFactory factory;
   private final BufferAllocator allocator;
   private final BooleanSupplier closing;
@@ -25,7 +37,8 @@
       Processors.newSingleProcessor();
   private final AnswerBody body = new AnswerBody(() -> flow().drained(), () -> flow().gone());
   private Flow flow;
-  private final Runnable onOver;
+  private final Connection connection;
+  private boolean headSent;
   private boolean over;
   private boolean lastOfConnection;
 
@@ -33,14 +46,14 @@
    * Makes an answer that waits for its head.
    *
    * @param closing whether the connection is to be closed after this answer
-   * @param onOver is called once when the answer is complete, broken off, or its caller has left
+   * @param connection to the caller
    */
   EntryAnswer(
       StreamingHttpResponseFactory factory,
       BufferAllocator allocator,
       BooleanSupplier closing,
-      Runnable onOver) {
-    this.onOver = onOver;
+      Connection connection) {
+    this.connection = connection;
     this.factory = factory;
     this.allocator = allocator;
     this.closing = closing;
@@ -60,8 +73,13 @@
     return SourceAdapters.fromSource(response).whenCancel(this::callerGone);
   }
 
-  /** Takes note that the caller closed its connection. */
-  void callerGone() {
+  @Override
+  public boolean isPassedOn() {
+    return !headSent || body.isPassedOn();
+  }
+
+  @Override
+  public void callerGone() {
     if (!over) {
       over();
       if (flow != null) {
@@ -72,7 +90,7 @@
 
   private void over() {
     over = true;
-    onOver.run();
+    connection.requestEnded();
   }
 
   /** Refuses before anything was forwarded. */
@@ -96,6 +114,7 @@
     answer.headers().set(source.headers());
     HopHeaders.remove(answer.headers());
     closeIfDue(answer);
+    headSent = true;
     answer.payloadBody(SourceAdapters.fromSource(body));
     response.onSuccess(answer);
   }
@@ -103,6 +122,7 @@
   private void closeIfDue(StreamingHttpResponse answer) {
     if (lastOfConnection || closing.getAsBoolean()) {
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      connection.closesAfterAnswer();
     }
   }
 
@@ -119,6 +139,7 @@
 
   @Override
   public void cut() {
+    connection.isCut();
     body.fail(new ClosedChannelException());
     over();
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -144,12 +144,8 @@
     Channel channel = ((NettyConnectionContext) context).nettyChannel();
     CallerConnection connection = CallerConnection.of(channel);
     EntryAnswer answer =
-        new EntryAnswer(
-            factory,
-            context.executionContext().bufferAllocator(),
-            closing,
-            connection::requestEnded);
-    connection.requestBegan(answer::callerGone);
+        new EntryAnswer(factory, context.executionContext().bufferAllocator(), closing, connection);
+    connection.requestBegan(answer);
     Optional<String> id = dialect.requestId(request.headers());
     if (id.isEmpty()) {
       return answer.refused(Reason.INVALID_HEADER, "the request has no id");
