A connection whose answer is still held for its caller is not idle

What callers saw: a caller that read slowly lost the rest of a whole answer to a closed connection, once the idle limit had passed since its run was over; the sooner the lower the configuration set that limit.

Cause: the run is over when the endpoint's last byte came, but up to 64 KiB in AnswerBody and what the channel has not written are still the caller's. CallerConnection set the idle timer then, with the limit of that moment, and closed without a look at what was held. In the same state it took a next head that came early and slowly for late, and wrote its 408 into the answer.

CallerConnectionTest on a channel's own time failed in 7 tests, each with 'expected: <true> but was: <false>' on the open channel (loweredLimitHoldsForIdleConnections the other way).

Why this works: a connection without a run is looked at each second, by the limit in force then. It rests only from the first look at which neither body nor channel holds a byte, so it is closed at most a second late, never early; a changed limit holds for idle connections within a second. A caller that takes no byte of what is held for 30 s is given up ('stalled'): that bounds the time, AnswerBody's 64 KiB and the channel's marks the amount. No clock is read and no listener added for any write; the cost is one timer a second for each connection at rest.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -21,6 +22,7 @@
  */
 final class CallerConnectionTest {
   private static final long IDLE_MILLIS = 5000;
+  private static final long LOOK_MILLIS = 1000;
 
   private final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final EmbeddedChannel channel = new EmbeddedChannel(new ChannelInboundHandlerAdapter());
@@ -42,6 +44,11 @@
     public boolean isPassedOn() {
       return passedOn;
     }
+
+    @Override
+    public long heldBytes() {
+      return 0;
+    }
   }
 
   private static EntryLimits limits(long idleMillis) {
@@ -74,6 +81,11 @@
     }
   }
 
+  /** Holds bytes back in the channel, as a socket does that takes none. */
+  private void holdBytes() {
+    var unused = channel.write(Unpooled.wrappedBuffer(new byte[100]));
+  }
+
   /** Closes as ServiceTalk does. */
   private void closeFromWithin() {
     var unused = channel.close();
@@ -122,4 +134,89 @@
     closeFromWithin();
     assertClosedBy(CloseReason.BETWEEN_ANSWERS);
   }
+
+  // Guards against answers cut as their bytes were held back for a slow caller: the timer ran.
+  @Test
+  void connectionWhoseAnswerIsHeldBackIsNotIdle() {
+    connection.requestBegan(answer);
+    answer.passedOn = false;
+    connection.requestEnded();
+    pass(2 * IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+    answer.passedOn = true;
+    pass(IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+    pass(LOOK_MILLIS);
+    assertClosedBy(CloseReason.IDLE);
+  }
+
+  // Guards against answers cut as their last bytes waited in the channel: the timer ran.
+  @Test
+  void connectionWithBytesThatWaitToBeWrittenIsNotIdle() {
+    connection.requestBegan(answer);
+    connection.requestEnded();
+    holdBytes();
+    pass(2 * IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+    channel.flush();
+    pass(IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+    pass(LOOK_MILLIS);
+    assertClosedBy(CloseReason.IDLE);
+  }
+
+  // Guards against answers cut by a change of the configuration that lowers the idle limit.
+  @Test
+  void loweredLimitClosesNoConnectionThatAnswers() {
+    connection.requestBegan(answer);
+    limits = limits(100);
+    pass(IDLE_MILLIS);
+    answer.passedOn = false;
+    connection.requestEnded();
+    pass(IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+  }
+
+  // Guards against a limit that holds only for connections that become idle after its change.
+  @Test
+  void loweredLimitHoldsForIdleConnections() {
+    limits = limits(1000);
+    pass(1000 + LOOK_MILLIS);
+    assertClosedBy(CloseReason.IDLE);
+  }
+
+  // Guards against idle connections closed by a limit that is not in force any more.
+  @Test
+  void raisedLimitHoldsForIdleConnections() {
+    pass(IDLE_MILLIS / 2);
+    limits = limits(2 * IDLE_MILLIS);
+    pass(IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+    pass(IDLE_MILLIS);
+    assertClosedBy(CloseReason.IDLE);
+  }
+
+  // Guards against memory that is held for ever for a caller who reads nothing.
+  @Test
+  void callerThatTakesNothingIsGivenUp() {
+    connection.requestBegan(answer);
+    connection.requestEnded();
+    holdBytes();
+    pass(CallerConnection.STALL_LIMIT.toMillis() - LOOK_MILLIS);
+    assertTrue(channel.isOpen());
+    pass(2 * LOOK_MILLIS);
+    assertClosedBy(CloseReason.STALLED);
+  }
+
+  // Guards against a refusal written into an answer: the next head had begun and was late.
+  @Test
+  void lateNextHeadIsNotRefusedInTheMidstOfAnAnswer() {
+    connection.requestBegan(answer);
+    answer.passedOn = false;
+    connection.requestEnded();
+    channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {'G', 'E', 'T'}));
+    pass(2 * IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+    assertTrue(channel.outboundMessages().isEmpty());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -8,7 +8,6 @@
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.netty.BufferAllocators;
 import io.servicetalk.http.api.DefaultHttpHeadersFactory;
-import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpProtocolVersion;
 import io.servicetalk.http.api.HttpRequestMetaData;
 import io.servicetalk.http.api.HttpRequestMetaDataFactory;
@@ -30,8 +29,6 @@
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.forwarding.EndpointCalls.EndpointCall;
 import org.vaneworks.coordination.forwarding.EndpointCalls.Listener;
-import org.vaneworks.coordination.relay.RequestSize;
-import org.vaneworks.state.EndpointStatement;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.StorePosition;
 
@@ -136,50 +133,4 @@
       answered.complete(false);
     }
   }
-
-  /** Headers that carry nothing. */
-  private static final class PlainHeaders implements HeaderDialect {
-    @Override
-    public Optional<String> requestId(HttpHeaders headers) {
-      return Optional.empty();
-    }
-
-    @Override
-    public Optional<String> key(HttpHeaders headers) {
-      return Optional.empty();
-    }
-
-    @Override
-    public Optional<Duration> patience(HttpHeaders headers) {
-      return Optional.empty();
-    }
-
-    @Override
-    public Optional<RequestSize> size(HttpHeaders headers) {
-      return Optional.empty();
-    }
-
-    @Override
-    public void address(HttpHeaders headers, Attempt attempt) {}
-
-    @Override
-    public boolean notRun(int status, HttpHeaders headers) {
-      return false;
-    }
-
-    @Override
-    public Optional<HostPort> obstacle(HttpHeaders headers) {
-      return Optional.empty();
-    }
-
-    @Override
-    public EndpointStatement statement(int status, HttpHeaders headers) {
-      return EndpointStatement.NONE;
-    }
-
-    @Override
-    public boolean matches(HttpHeaders headers, String requestId) {
-      return true;
-    }
-  }
 }
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/PlainHeaders.java
@@ -0,0 +1,55 @@
+package org.vaneworks.transport.entry;
+
+import io.servicetalk.http.api.HttpHeaders;
+import java.time.Duration;
+import java.util.Optional;
+import org.vaneworks.coordination.forwarding.Attempt;
+import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.EndpointStatement;
+import org.vaneworks.state.HostPort;
+
+/** Headers that carry nothing; each request has the same id. */
+final class PlainHeaders implements HeaderDialect {
+  @Override
+  public Optional<String> requestId(HttpHeaders headers) {
+    return Optional.of("q1");
+  }
+
+  @Override
+  public Optional<String> key(HttpHeaders headers) {
+    return Optional.empty();
+  }
+
+  @Override
+  public Optional<Duration> patience(HttpHeaders headers) {
+    return Optional.empty();
+  }
+
+  @Override
+  public Optional<RequestSize> size(HttpHeaders headers) {
+    return Optional.empty();
+  }
+
+  @Override
+  public void address(HttpHeaders headers, Attempt attempt) {}
+
+  @Override
+  public boolean notRun(int status, HttpHeaders headers) {
+    return false;
+  }
+
+  @Override
+  public Optional<HostPort> obstacle(HttpHeaders headers) {
+    return Optional.empty();
+  }
+
+  @Override
+  public EndpointStatement statement(int status, HttpHeaders headers) {
+    return EndpointStatement.NONE;
+  }
+
+  @Override
+  public boolean matches(HttpHeaders headers, String requestId) {
+    return true;
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/AnswerBody.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/AnswerBody.java
@@ -51,6 +51,10 @@
     return terminated;
   }
 
+  int heldBytes() {
+    return heldBytes;
+  }
+
   /** Ends the body as whole. */
   void end() {
     ended = true;
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.annotations.VisibleForTesting;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -38,6 +39,15 @@
   private static final String NAME = "caller-connection";
   private static final String ERRORS = "caller-errors";
 
+  /** How often a connection at rest is looked at: a changed idle limit holds within this time. */
+  private static final Duration LOOK = Duration.ofSeconds(1);
+
+  /**
+   * A caller that takes none of the bytes held for it within this time is given up. It bounds how
+   * long they are kept; how many is bounded by {@link AnswerBody} and the channel's own marks.
+   */
+  @VisibleForTesting static final Duration STALL_LIMIT = Duration.ofSeconds(30);
+
   private static final ConnectionAnswer NONE =
       new ConnectionAnswer() {
         @Override
@@ -47,6 +57,11 @@
         public boolean isPassedOn() {
           return true;
         }
+
+        @Override
+        public long heldBytes() {
+          return 0;
+        }
       };
 
   private final Supplier<EntryLimits> limits;
@@ -56,6 +71,10 @@
   private ConnectionAnswer answer = NONE;
   private Optional<CloseReason> closedBy = Optional.empty();
   private boolean answering;
+  private boolean heldBefore;
+  private long heldBytesBefore;
+  private long stalledNanos;
+  private long restedNanos;
   private boolean lastAnswer;
   private boolean headBegan;
   private boolean lineEnded;
@@ -153,29 +172,64 @@
     headBytes = 0;
     lineBytes = 0;
     lineEnded = false;
-    closeAfter(limits.get().idleTimeout(), this::closeIdle);
+    restedNanos = 0;
+    stalledNanos = 0;
+    heldBefore = isAnswering();
+    heldBytesBefore = heldBytes();
+    lookLater();
+  }
+
+  private void lookLater() {
+    long idleLeft = limits.get().idleTimeout().toNanos() - restedNanos;
+    long wait = heldBefore ? LOOK.toNanos() : Math.min(idleLeft, LOOK.toNanos());
+    runAfter(Duration.ofNanos(wait), () -> look(wait));
+  }
+
+  /** Judges a connection whose run is over by the limits of now. */
+  private void look(long waitedNanos) {
+    noteRest(isAnswering(), waitedNanos);
+    if (stalledNanos >= STALL_LIMIT.toNanos()) {
+      closeFor(CloseReason.STALLED);
+    } else if (restedNanos >= limits.get().idleTimeout().toNanos()) {
+      closeFor(isAnswering() ? CloseReason.IDLE_WHILE_HELD : CloseReason.IDLE);
+    } else {
+      lookLater();
+    }
+  }
+
+  /** A connection rests from the first look at which nothing is held for its caller any more. */
+  private void noteRest(boolean held, long waitedNanos) {
+    long bytes = heldBytes();
+    restedNanos = held || heldBefore ? 0 : restedNanos + waitedNanos;
+    stalledNanos = held && bytes == heldBytesBefore ? stalledNanos + waitedNanos : 0;
+    heldBefore = held;
+    heldBytesBefore = bytes;
+  }
+
+  private long heldBytes() {
+    return answer.heldBytes() + unwritten();
   }
 
-  private void closeAfter(Duration wait, Runnable action) {
+  private void runAfter(Duration wait, Runnable action) {
     if (timer != null) {
       timer.cancel(false);
     }
     timer = context.executor().schedule(action, wait.toNanos(), NANOSECONDS);
   }
 
-  private void closeIdle() {
-    note(isAnswering() ? CloseReason.IDLE_WHILE_HELD : CloseReason.IDLE);
+  private void closeFor(CloseReason reason) {
+    note(reason);
     var unused = context.close();
   }
 
   @Override
   public void channelRead(ChannelHandlerContext channel, Object message) throws Exception {
-    if (!answering && message instanceof ByteBuf bytes) {
+    if (!isAnswering() && message instanceof ByteBuf bytes) {
       noteHead(bytes);
     }
     super.channelRead(channel, message);
     // The decoder has seen these bytes: without a request they are all part of the head.
-    if (!answering && headBytes > limits.get().maxHeaderBytes()) {
+    if (!isAnswering() && headBytes > limits.get().maxHeaderBytes()) {
       reject(tooLarge());
     }
   }
@@ -183,7 +237,7 @@
   private void noteHead(ByteBuf bytes) {
     if (!headBegan) {
       headBegan = true;
-      closeAfter(limits.get().headerTimeout(), () -> reject(Reason.HEADERS_TOO_SLOW));
+      runAfter(limits.get().headerTimeout(), () -> reject(Reason.HEADERS_TOO_SLOW));
     }
     headBytes += bytes.readableBytes();
     if (!lineEnded) {
@@ -201,7 +255,7 @@
 
   /** Answers what can't become a request, and closes the connection. */
   private void reject(Reason reason) {
-    if (rejected || answering) {
+    if (rejected || isAnswering()) {
       return;
     }
     rejected = true;
@@ -252,7 +306,7 @@
   private final class Errors extends ChannelInboundHandlerAdapter {
     @Override
     public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) throws Exception {
-      if (cause instanceof DecoderException && !answering) {
+      if (cause instanceof DecoderException && !isAnswering()) {
         boolean tooLong = headBytes > limits.get().maxHeaderBytes();
         reject(tooLong ? tooLarge() : Reason.MALFORMED_HTTP);
       } else {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CloseReason.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CloseReason.java
@@ -4,6 +4,7 @@
 enum CloseReason {
   IDLE("idle"),
   IDLE_WHILE_HELD("idle-while-held"),
+  STALLED("stalled"),
   REJECTED("rejected"),
   CUT("cut"),
   LAST_ANSWER("last-answer"),
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/ConnectionAnswer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/ConnectionAnswer.java
@@ -7,4 +7,7 @@
 
   /** Returns whether nothing of it is held back from the connection. */
   boolean isPassedOn();
+
+  /** Returns how many bytes of it are held back. */
+  long heldBytes();
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
@@ -78,6 +78,11 @@
     return !headSent || body.isPassedOn();
   }
 
+  @Override
+  public long heldBytes() {
+    return body.heldBytes();
+  }
+
   @Override
   public void callerGone() {
     if (!over) {
