The end of an answer does not end the next request of its connection

What callers saw: a caller that sends its next request before the answer to the last lost that next answer to a closed connection once the idle limit had passed, while its request was being answered or waited for an engine.

Cause: EntryAnswer.end() ends the body first, and with that last byte ServiceTalk hands over the next request, which it had read already. Only then the ended answer told its connection that the request was over: that took the new request for ended, and the idle timer ran under it.

Evidence: SlowCallerTest.secondAnswerOfACallerWhoAsksAheadOutlivesTheIdleLimit, over sockets.

Why this works: the end names its answer, and a connection takes it for its present one only. callerWhoAskedAheadAndLeftIsNoticed shows that such a caller's leaving was and is noticed (ServiceTalk's cancel tells it too).

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
@@ -121,7 +121,7 @@
   void closeAfterTheLastAnswerIsCounted() {
     connection.requestBegan(answer);
     connection.closesAfterAnswer();
-    connection.requestEnded();
+    connection.requestEnded(answer);
     closeFromWithin();
     assertClosedBy(CloseReason.LAST_ANSWER);
   }
@@ -130,7 +130,7 @@
   @Test
   void closeBetweenAnswersIsCounted() {
     connection.requestBegan(answer);
-    connection.requestEnded();
+    connection.requestEnded(answer);
     closeFromWithin();
     assertClosedBy(CloseReason.BETWEEN_ANSWERS);
   }
@@ -140,7 +140,7 @@
   void connectionWhoseAnswerIsHeldBackIsNotIdle() {
     connection.requestBegan(answer);
     answer.passedOn = false;
-    connection.requestEnded();
+    connection.requestEnded(answer);
     pass(2 * IDLE_MILLIS);
     assertTrue(channel.isOpen());
     answer.passedOn = true;
@@ -154,7 +154,7 @@
   @Test
   void connectionWithBytesThatWaitToBeWrittenIsNotIdle() {
     connection.requestBegan(answer);
-    connection.requestEnded();
+    connection.requestEnded(answer);
     holdBytes();
     pass(2 * IDLE_MILLIS);
     assertTrue(channel.isOpen());
@@ -172,7 +172,7 @@
     limits = limits(100);
     pass(IDLE_MILLIS);
     answer.passedOn = false;
-    connection.requestEnded();
+    connection.requestEnded(answer);
     pass(IDLE_MILLIS);
     assertTrue(channel.isOpen());
   }
@@ -200,7 +200,7 @@
   @Test
   void callerThatTakesNothingIsGivenUp() {
     connection.requestBegan(answer);
-    connection.requestEnded();
+    connection.requestEnded(answer);
     holdBytes();
     pass(CallerConnection.STALL_LIMIT.toMillis() - LOOK_MILLIS);
     assertTrue(channel.isOpen());
@@ -213,10 +213,20 @@
   void lateNextHeadIsNotRefusedInTheMidstOfAnAnswer() {
     connection.requestBegan(answer);
     answer.passedOn = false;
-    connection.requestEnded();
+    connection.requestEnded(answer);
     channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {'G', 'E', 'T'}));
     pass(2 * IDLE_MILLIS);
     assertTrue(channel.isOpen());
     assertTrue(channel.outboundMessages().isEmpty());
   }
+
+  // Guards against a request's connection taken for idle: the one before it ended as it began.
+  @Test
+  void endOfAnEarlierRequestDoesNotEndTheNext() {
+    connection.requestBegan(answer);
+    connection.requestBegan(new Held());
+    connection.requestEnded(answer);
+    pass(2 * IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/SlowCallerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/SlowCallerTest.java
@@ -82,6 +82,44 @@
     assertEquals(0, node.counters.value(Metric.CALLER_CLOSES, "idle-while-held"));
   }
 
+  // Guards against a request's connection taken for idle: the one before it ended as it began.
+  @Test
+  void secondAnswerOfACallerWhoAsksAheadOutlivesTheIdleLimit() throws Exception {
+    node.idleLimit(Duration.ofMillis(100));
+    try (Socket caller = node.connect()) {
+      EntryFixture.ask(caller);
+      EntryFixture.ask(caller);
+      EntryFixture.Taken first = node.next();
+      node.onLoop(() -> first.answer.head(EntryFixture.head()));
+      node.onLoop(first.answer::end);
+      readAll(caller);
+      EntryFixture.Taken second = node.next();
+      node.awaitIdleLimit();
+      node.onLoop(() -> second.answer.head(EntryFixture.head()));
+      node.onLoop(() -> second.answer.data(new byte[PIECE_BYTES]));
+      node.onLoop(second.answer::end);
+      String got = new String(readAll(caller), ISO_8859_1);
+      assertTrue(got.endsWith(END_MARK), got);
+    }
+  }
+
+  // Guards against a caller who left in the midst of the second answer and is not noticed.
+  @Test
+  void callerWhoAskedAheadAndLeftIsNoticed() throws Exception {
+    EntryFixture.Taken second;
+    try (Socket caller = node.connect()) {
+      EntryFixture.ask(caller);
+      EntryFixture.ask(caller);
+      EntryFixture.Taken first = node.next();
+      node.onLoop(() -> first.answer.head(EntryFixture.head()));
+      node.onLoop(first.answer::end);
+      second = node.next();
+      node.onLoop(() -> second.answer.head(EntryFixture.head()));
+    }
+    second.awaitGone();
+    assertEquals(1, second.timesGone());
+  }
+
   // Guards against a connection lost to the caller after an answer whose body nobody takes.
   @Test
   void connectionGoesOnAfterAnAnswerToHead() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -117,9 +117,12 @@
   }
 
   @Override
-  public void requestEnded() {
-    answering = false;
-    waitForNext();
+  public void requestEnded(ConnectionAnswer ended) {
+    // The next request of a caller who asks ahead begins with the last byte of this answer.
+    if (ended == answer) {
+      answering = false;
+      waitForNext();
+    }
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
@@ -21,7 +21,7 @@
   /** What the connection is told of an answer. */
   interface Connection {
     /** Takes note that an answer is complete, broken off, or its caller has left. */
-    void requestEnded();
+    void requestEnded(ConnectionAnswer ended);
 
     /** Takes note that the connection is to be closed after the answer. */
     void closesAfterAnswer();
@@ -95,7 +95,7 @@
 
   private void over() {
     over = true;
-    connection.requestEnded();
+    connection.requestEnded(this);
   }
 
   /** Refuses before anything was forwarded. */
