An answer that ServiceTalk cancels is over for its connection too

What callers saw: nothing yet; found by reading. Cause: AnswerBody.cancel told the run that its caller had left, but not the answer, so the connection stayed 'answering': no timer ran for it, and a late end() or cut() would have told it of an end a second time.

Evidence: EntryAnswerTest.requestIsOverOnceWhenItsBodyIsCancelled failed with 'expected: <1> but was: <0>' (ends that the connection was told of). Whether ServiceTalk cancels a body while the connection stays open was not seen in a run.

Why this works: a cancel is the caller's leaving, told by the same step as a closed connection; an answer is over once, whatever else comes. end() and cut() do nothing on a body that was cancelled.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
@@ -35,7 +35,7 @@
   private final BooleanSupplier closing;
   private final SingleSource.Processor<StreamingHttpResponse, StreamingHttpResponse> response =
       Processors.newSingleProcessor();
-  private final AnswerBody body = new AnswerBody(() -> flow().drained(), () -> flow().gone());
+  private final AnswerBody body = new AnswerBody(() -> flow().drained(), this::callerGone);
   private Flow flow;
   private final Connection connection;
   private boolean headSent;
@@ -94,8 +94,10 @@
   }
 
   private void over() {
-    over = true;
-    connection.requestEnded(this);
+    if (!over) {
+      over = true;
+      connection.requestEnded(this);
+    }
   }
 
   /** Refuses before anything was forwarded. */
