An endpoint's client closes once its calls are over, those that still connect included

What callers saw: a request whose connection was just being opened as its endpoint's entry went from the list was sent again elsewhere, or refused if nothing else had room; a stream that went on there after its first engine was cut for the same want. Found by a test, not in a record.

Cause: forget closes the client gracefully; ServiceTalk waits for calls that have a connection, but rejects one whose connection comes after the close.

Evidence: ForgottenEndpointTest over sockets. answerWhoseConnectionIsBeingOpenedEndsWhole failed with 'expected: <onetwo> but was: <failed, never sent: true, ...ConnectionRejectedException: Failed to add newly created connection', and questionWhoseConnectionIsBeingOpenedIsAnswered with the same exception. Fine before and after: an answer under way, one whose head is awaited, a new endpoint at the same address, and the close after the last answer.

Why this works: CountedClient closes once it is forgotten and none of its calls is under way, so no call meets a closed client; the next call to the address makes a client of its own, as before.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -83,7 +83,7 @@
     }
   }
 
-  private static Attempt attempt(InetSocketAddress to) {
+  static Attempt attempt(InetSocketAddress to) {
     HttpRequestMetaData head =
         HttpRequestMetaDataFactory.newRequestMetaData(
             HttpProtocolVersion.HTTP_1_1,
--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
@@ -39,7 +39,7 @@
 
   private final Executor executor;
   private final Optional<IoExecutor> io;
-  private final Map<HostPort, HttpClient> clients = new ConcurrentHashMap<>();
+  private final Map<HostPort, CountedClient<HttpClient>> clients = new ConcurrentHashMap<>();
 
   private HttpSender(Executor executor, Optional<IoExecutor> io) {
     this.executor = checkNotNull(executor);
@@ -91,7 +91,8 @@
   /** Sends a request; a failed future carries what ServiceTalk said. */
   public CompletableFuture<Answer> send(
       HostPort to, HttpRequestMethod method, String target, String body, Duration limit) {
-    HttpClient client = clients.computeIfAbsent(to, this::connect);
+    CountedClient<HttpClient> counted = clients.computeIfAbsent(to, this::connect);
+    HttpClient client = counted.callBegins();
     HttpRequest request = client.newRequest(method, target);
     if (!body.isEmpty()) {
       BufferAllocator allocator = client.executionContext().bufferAllocator();
@@ -101,6 +102,7 @@
     return client
         .request(request)
         .timeout(limit, executor)
+        .whenFinally(counted::callOver)
         .map(HttpSender::answer)
         .toCompletionStage()
         .toCompletableFuture();
@@ -117,7 +119,11 @@
         response.headers());
   }
 
-  private HttpClient connect(HostPort to) {
+  private CountedClient<HttpClient> connect(HostPort to) {
+    return CountedClient.of(clientOf(to));
+  }
+
+  private HttpClient clientOf(HostPort to) {
     var builder = HttpClients.forResolvedAddress(to.host(), to.port());
     io.ifPresent(builder::ioExecutor);
     return builder
@@ -131,17 +137,17 @@
 
   /** Closes connections to an address that is no longer used, once their calls are done. */
   public void forget(HostPort address) {
-    HttpClient client = clients.remove(address);
+    CountedClient<HttpClient> client = clients.remove(address);
     if (client != null) {
-      client.closeAsyncGracefully().subscribe();
+      client.forget();
     }
   }
 
   @Override
   public void close() {
     Completable all = Completable.completed();
-    for (HttpClient client : clients.values()) {
-      all = all.merge(client.closeAsync());
+    for (CountedClient<HttpClient> counted : clients.values()) {
+      all = all.merge(counted.client().closeAsync());
     }
     all.subscribe();
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -31,6 +31,7 @@
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.forwarding.EndpointCalls;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.transport.CountedClient;
 import org.vaneworks.transport.SentState;
 import org.vaneworks.transport.SingleAddress;
 
@@ -48,7 +49,7 @@
 
   private final IoExecutor io;
   private final HeaderDialect dialect;
-  private final Map<HostPort, StreamingHttpClient> clients = new HashMap<>();
+  private final Map<HostPort, CountedClient<StreamingHttpClient>> clients = new HashMap<>();
 
   private EndpointConnections(IoExecutor io, HeaderDialect dialect) {
     this.io = checkNotNull(io);
@@ -62,17 +63,18 @@
 
   /** Closes the connections to an endpoint that is gone, once their requests are done. */
   public void forget(HostPort address) {
-    StreamingHttpClient client = clients.remove(address);
+    CountedClient<StreamingHttpClient> client = clients.remove(address);
     if (client != null) {
-      client.closeAsyncGracefully().subscribe();
+      client.forget();
     }
   }
 
   @Override
   public EndpointCall send(Attempt attempt, Listener listener) {
-    StreamingHttpClient client =
+    CountedClient<StreamingHttpClient> counted =
         clients.computeIfAbsent(attempt.endpoint().address(), this::connect);
-    Call call = new Call(dialect, attempt.request().id(), listener);
+    StreamingHttpClient client = counted.callBegins();
+    Call call = new Call(dialect, attempt.request().id(), listener, counted::callOver);
     StreamingHttpRequest request = request(client, attempt);
     request.context().put(CALL, call);
     SourceAdapters.toSource(client.request(request)).subscribe(call);
@@ -97,7 +99,11 @@
     return request;
   }
 
-  private StreamingHttpClient connect(HostPort to) {
+  private CountedClient<StreamingHttpClient> connect(HostPort to) {
+    return CountedClient.of(clientOf(to));
+  }
+
+  private StreamingHttpClient clientOf(HostPort to) {
     return HttpClients.forResolvedAddress(to.host(), to.port())
         .ioExecutor(io)
         .executor(io)
@@ -131,6 +137,7 @@
     private final HeaderDialect dialect;
     private final String requestId;
     private final Listener listener;
+    private final Runnable onOver;
     private Cancellable head = () -> {};
     private PublisherSource.Subscription body;
     private boolean connected;
@@ -138,8 +145,15 @@
     private boolean discarded;
     private boolean paused;
     private boolean owed;
+    private boolean over;
 
-    Call(HeaderDialect dialect, String requestId, Listener listener) {
+    /**
+     * Makes a call that was not sent yet.
+     *
+     * @param onOver is called once when the call needs its client no more
+     */
+    Call(HeaderDialect dialect, String requestId, Listener listener, Runnable onOver) {
+      this.onOver = onOver;
       this.dialect = dialect;
       this.requestId = requestId;
       this.listener = listener;
@@ -201,6 +215,7 @@
 
     @Override
     public void onComplete() {
+      over();
       if (!discarded && !cancelled) {
         listener.end();
       }
@@ -208,6 +223,7 @@
 
     @Override
     public void onError(Throwable cause) {
+      over();
       if (!discarded && !cancelled) {
         boolean refused = SentState.connectionRefused(cause);
         Throwable told = refused ? new NobodyListensException(cause) : cause;
@@ -232,6 +248,14 @@
       } else {
         head.cancel();
       }
+      over();
+    }
+
+    private void over() {
+      if (!over) {
+        over = true;
+        onOver.run();
+      }
     }
 
     @Override
