A planned stop waits for answers whose last bytes are held for their callers

What callers saw: a slow caller lost the rest of a whole answer as its node was stopped, with most of the grace left.

Cause: the stop counted runs. A run is over when the endpoint's last byte came; once none was left and the balancer's lag had passed, all sockets were closed at once, with what the bodies and the channels still held.

Why this works: CallerConnections knows the open connections; one is answering from a request's head until neither its run nor its body nor its channel holds anything. The stop waits for these within the part of the grace that it waited for runs, and its count of cut requests has them too. The graceful close at the balancer's lag was fine: it waits for such answers. A reload closes nothing. What remains: a caller that takes nothing, or a body that never comes whole, holds a stop up to that part of the grace.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -37,6 +37,7 @@
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
+import org.vaneworks.transport.entry.CallerConnections;
 import org.vaneworks.transport.entry.EndpointConnections;
 import org.vaneworks.transport.entry.EntryServer;
 import org.vaneworks.transport.entry.LoadDatagrams;
@@ -91,6 +92,7 @@
   private final EndpointConnections connections;
   private final EntryAdapters adapters;
   private final Counters counters;
+  private final CallerConnections callerConnections = CallerConnections.none();
   private HttpServerContext callers;
   private HttpServerContext readiness;
   private Optional<HttpServerContext> metrics = Optional.empty();
@@ -244,6 +246,7 @@
             settings.maxHeaderBytes(),
             this::limits,
             () -> stopping || !forwarder.fresh(),
+            callerConnections,
             counters);
     readiness = EntryServer.listenReadiness(settings.readiness(), io, this::ready);
     loads = settings.peers().map(at -> LoadDatagrams.listen(at, io, this::heard, counters));
@@ -380,17 +383,22 @@
       // answer.
       callers.closeAsyncGracefully().subscribe();
     }
-    boolean idle = forwarder.inFlight() == 0 && passed > BALANCER_LAG.toNanos();
+    boolean idle = underWay() == 0 && passed > BALANCER_LAG.toNanos();
     if (idle || passed > grace * END_PART) {
-      EventLog.info(idle ? Event.STOPPED : Event.STOP_CUT, "inFlight", forwarder.inFlight());
+      EventLog.info(idle ? Event.STOPPED : Event.STOP_CUT, "inFlight", underWay());
       closeSockets(stopped);
       return;
     }
     io.schedule(() -> checkStopped(begun, stopped), STOP_CHECK.toNanos(), NANOSECONDS);
   }
 
+  /** Returns requests under way, those included whose answers wait for callers that read slowly. */
+  private int underWay() {
+    return Math.max(forwarder.inFlight(), callerConnections.answering());
+  }
+
   private void closeSockets(CompletableFuture<Integer> stopped) {
-    int cut = forwarder.inFlight();
+    int cut = underWay();
     follower.stop();
     exchange.stop();
     loads.ifPresent(LoadDatagrams::close);
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
@@ -26,6 +26,7 @@
 
   private final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final EmbeddedChannel channel = new EmbeddedChannel(new ChannelInboundHandlerAdapter());
+  private final CallerConnections all = CallerConnections.none();
   private final Held answer = new Held();
   private EntryLimits limits = limits(IDLE_MILLIS);
   private CallerConnection connection;
@@ -58,7 +59,7 @@
   @BeforeEach
   void accept() {
     channel.freezeTime();
-    CallerConnection.install(channel, () -> limits, counters);
+    CallerConnection.install(channel, () -> limits, counters, all);
     connection = CallerConnection.of(channel);
   }
 
@@ -229,4 +230,28 @@
     pass(2 * IDLE_MILLIS);
     assertTrue(channel.isOpen());
   }
+
+  // Guards against a stop that takes an answer for delivered while bytes of it are held.
+  @Test
+  void answerIsUnderWayUntilNothingIsHeld() {
+    assertEquals(0, all.answering());
+    connection.requestBegan(answer);
+    assertEquals(1, all.answering());
+    answer.passedOn = false;
+    connection.requestEnded(answer);
+    assertEquals(1, all.answering());
+    answer.passedOn = true;
+    holdBytes();
+    assertEquals(1, all.answering());
+    channel.flush();
+    assertEquals(0, all.answering());
+  }
+
+  // Guards against a stop that waits for a caller who has left.
+  @Test
+  void closedConnectionHasNoAnswerUnderWay() {
+    connection.requestBegan(answer);
+    closeFromWithin();
+    assertEquals(0, all.answering());
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -88,6 +88,7 @@
             16_384,
             () -> limits,
             () -> false,
+            CallerConnections.none(),
             counters);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -66,6 +66,7 @@
 
   private final Supplier<EntryLimits> limits;
   private final Counters counters;
+  private final CallerConnections all;
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
   private ConnectionAnswer answer = NONE;
@@ -82,14 +83,16 @@
   private long headBytes;
   private long lineBytes;
 
-  private CallerConnection(Supplier<EntryLimits> limits, Counters counters) {
+  private CallerConnection(Supplier<EntryLimits> limits, Counters counters, CallerConnections all) {
     this.limits = checkNotNull(limits);
     this.counters = checkNotNull(counters);
+    this.all = checkNotNull(all);
   }
 
   /** Begins to watch a connection that was just accepted. */
-  static void install(Channel channel, Supplier<EntryLimits> limits, Counters counters) {
-    CallerConnection watcher = new CallerConnection(limits, counters);
+  static void install(
+      Channel channel, Supplier<EntryLimits> limits, Counters counters, CallerConnections all) {
+    CallerConnection watcher = new CallerConnection(limits, counters, all);
     ChannelPipeline pipeline = channel.pipeline();
     // Before the last handler but the tail, which is ServiceTalk's and would reset the connection.
     String last = pipeline.names().get(pipeline.names().size() - 2);
@@ -105,6 +108,9 @@
   @Override
   public void handlerAdded(ChannelHandlerContext added) {
     context = added;
+    if (added.channel().isActive()) {
+      all.opened(this);
+    }
     waitForNext();
   }
 
@@ -159,7 +165,7 @@
   }
 
   /** Returns whether an answer is under way, the part included that waits to be written. */
-  private boolean isAnswering() {
+  boolean isAnswering() {
     return answering || !answer.isPassedOn() || unwritten() > 0;
   }
 
@@ -299,6 +305,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext channel) throws Exception {
     noteCallerLeft();
+    all.closed(this);
     counters.count(Metric.CALLER_CLOSES, closedBy.get().code());
     answer.callerGone();
     timer.cancel(false);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -51,6 +51,7 @@
   private final Service service;
   private final HeaderDialect dialect;
   private final Supplier<EntryLimits> limits;
+  private final CallerConnections connections;
   private final Counters counters;
   private final BooleanSupplier closing;
 
@@ -59,7 +60,9 @@
       HeaderDialect dialect,
       Supplier<EntryLimits> limits,
       BooleanSupplier closing,
+      CallerConnections connections,
       Counters counters) {
+    this.connections = checkNotNull(connections);
     this.counters = checkNotNull(counters);
     this.service = checkNotNull(service);
     this.dialect = checkNotNull(dialect);
@@ -74,6 +77,7 @@
    * @param maxHeaderBytes longest start line, and longest header field
    * @param limits bounds on what callers may send, at the time of a request
    * @param closing whether connections are to be closed after their next answer
+   * @param connections is told of callers' connections
    */
   public static HttpServerContext listen(
       HostPort address,
@@ -83,9 +87,10 @@
       int maxHeaderBytes,
       Supplier<EntryLimits> limits,
       BooleanSupplier closing,
+      CallerConnections connections,
       Counters counters)
       throws Exception {
-    EntryServer server = new EntryServer(service, dialect, limits, closing, counters);
+    EntryServer server = new EntryServer(service, dialect, limits, closing, connections, counters);
     return onTheLoop(address, io)
         .protocols(
             HttpProtocolConfigs.h1()
@@ -98,7 +103,7 @@
 
   private Completable accept(ConnectionInfo connection) {
     CallerConnection.install(
-        ((NettyConnectionContext) connection).nettyChannel(), limits, counters);
+        ((NettyConnectionContext) connection).nettyChannel(), limits, counters, connections);
     return Completable.completed();
   }
 
