A connection at rest is looked at each 5 s, not each second

What callers saw: nothing.

Change: at rest a look each 5 s, or when the limit passes, so a changed idle limit holds for idle connections within 5 s and a connection that gets a request more often costs no wake more than before. While bytes are held, which is rare, each second as it was. Not chosen: to look at all connections as a configuration comes; it would close many in one step, when the loop is held up already.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -39,8 +39,14 @@
   private static final String NAME = "caller-connection";
   private static final String ERRORS = "caller-errors";
 
-  /** How often a connection at rest is looked at: a changed idle limit holds within this time. */
-  private static final Duration LOOK = Duration.ofSeconds(1);
+  /**
+   * How often a connection at rest is looked at: a changed idle limit holds within this time. Few
+   * rests last longer, and a wake costs more than what it does.
+   */
+  private static final Duration LOOK_AT_REST = Duration.ofSeconds(5);
+
+  /** How often one is looked at whose caller has yet to take bytes that are held. */
+  private static final Duration LOOK_WHILE_HELD = Duration.ofSeconds(1);
 
   /**
    * A caller that takes none of the bytes held for it within this time is given up. It bounds how
@@ -190,7 +196,8 @@
 
   private void lookLater() {
     long idleLeft = limits.get().idleTimeout().toNanos() - restedNanos;
-    long wait = heldBefore ? LOOK.toNanos() : Math.min(idleLeft, LOOK.toNanos());
+    long atRest = Math.min(idleLeft, LOOK_AT_REST.toNanos());
+    long wait = heldBefore ? LOOK_WHILE_HELD.toNanos() : atRest;
     runAfter(Duration.ofNanos(wait), () -> look(wait));
   }
 
