A stream keeps its former attempt until the next endpoint has taken it

What callers saw: a stream left a silent engine for another that turned it away, as engines without room do; with no repeat left it was cut, though the first engine lived.

That a place looks free is this node's belief; what was known to work was cancelled for it.

Why this works: a stream whose caller has a part begins at the other place beside its present attempt. The head of the successor ends the former; a refusal or failure of the successor ends the successor, and the search goes on; if the former goes on by itself it has outrun the successor, whose answer is not read. Both count as runs, both places are reserved while both go on, and a part of an event is kept with the attempt that sent it. A path with the same first engine is not begun beside itself.

Four tests asserted that the former attempt is cancelled as the request is sent elsewhere; they now assert that it is not yet, and is when the other engine's head comes: it is the moment that changed.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -328,8 +328,9 @@
     node.engine(2, 0, 80);
     node.control.dead.add(first.address());
     node.advance(600);
-    assertTrue(node.sent.get(0).cancelled);
     assertEquals("e2", node.last().attempt.endpoint().id());
+    node.last().head(200);
+    assertTrue(node.sent.get(0).cancelled);
     assertEquals(Optional.of("1"), node.last().attempt.resumeAfter());
     assertFalse(got.cut);
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAnswerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAnswerTest.java
@@ -112,8 +112,8 @@
     assertEquals(1, node.sent.size());
     earnBudget();
     node.advance(300);
-    assertTrue(running.cancelled);
     assertEquals(other, node.last().attempt.endpoint());
+    assertLeftOnceTheOtherAnswers();
     assertEquals(Optional.of("1"), node.last().attempt.resumeAfter());
   }
 
@@ -125,8 +125,8 @@
     assertEquals(1, node.sent.size());
     node.fleet.all().forEach(any -> any.peersLoad(0, 0, 1));
     node.advance(300);
-    assertTrue(running.cancelled);
     assertEquals("e2", node.last().attempt.endpoint().id());
+    assertLeftOnceTheOtherAnswers();
   }
 
   @Test
@@ -150,8 +150,8 @@
     running.event(2);
     node.engine(2, 0, 80);
     node.advance(600);
-    assertTrue(running.cancelled);
     assertEquals("e2", node.last().attempt.endpoint().id());
+    assertLeftOnceTheOtherAnswers();
     assertEquals(Optional.of("2"), node.last().attempt.resumeAfter());
   }
 
@@ -164,6 +164,76 @@
     assertEquals(0, node.forwarder.inFlight());
   }
 
+  // Guards against a stream cut for an engine that turned it away, while its former engine lived.
+  @Test
+  void streamThatAnotherEngineTurnsAwayGoesOnAtTheOneThatItHad() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    spendBudget();
+    node.last().notRun(429, Optional.empty());
+    engineGoesOn();
+    assertDeliveredWhole();
+    assertNothingIsReserved();
+  }
+
+  @Test
+  void formerEngineThatGoesOnFirstIsNotLeft() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    assertEquals(2, node.sent.size());
+    engineGoesOn();
+    assertTrue(node.last().cancelled);
+    assertDeliveredWhole();
+    assertNothingIsReserved();
+  }
+
+  @Test
+  void eventOfAFormerEngineIsWholeThoughItCameInTwoParts() {
+    running.text("id: 2\nda");
+    node.engine(2, 0, 80);
+    node.advance(600);
+    assertEquals(Optional.of("1"), node.last().attempt.resumeAfter());
+    running.text("ta: x\n\n");
+    running.event(3);
+    running.listener.end();
+    assertDeliveredWhole();
+  }
+
+  @Test
+  void streamGoesOnAtItsNewEngineWhenTheFormerOneBreaksOff() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    SentAttempt former = running;
+    running = node.last();
+    former.listener.failed(false, new IllegalStateException("reset"));
+    running.head(200);
+    engineGoesOn();
+    assertDeliveredWhole();
+    assertNothingIsReserved();
+  }
+
+  @Test
+  void streamRunsOnNoMoreEnginesThanItsRouteAllows() {
+    node.engine(2, 0, 80);
+    node.engine(3, 0, 80);
+    node.advance(600);
+    running.event(2);
+    running.listener.failed(false, new IllegalStateException("reset"));
+    assertEquals(2, node.sent.size());
+    assertTrue(got.cut);
+    assertNothingIsReserved();
+  }
+
+  @Test
+  void callerThatLeavesIsCancelledAtBothEngines() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    got.flow.gone();
+    assertTrue(running.cancelled);
+    assertTrue(node.last().cancelled);
+    assertNothingIsReserved();
+  }
+
   /** It has no part of an answer that could be lost, and may ask again itself. */
   @Test
   void callerWithoutAnAnswerIsToldAtOnceThatItsEngineIsLost() {
@@ -174,6 +244,17 @@
     assertTrue(node.last().cancelled);
   }
 
+  private void assertLeftOnceTheOtherAnswers() {
+    assertFalse(running.cancelled);
+    node.last().head(200);
+    assertTrue(running.cancelled);
+  }
+
+  private void assertNothingIsReserved() {
+    node.fleet.all().forEach(any -> assertEquals(0, any.inFlight(), any.toString()));
+    assertEquals(0, node.forwarder.inFlight());
+  }
+
   /** Lets other nodes' requests take all memory of an engine. */
   private void full(FleetEndpoint other) {
     node.fleet.at(ForwardingFixture.MODEL, other.address()).orElseThrow().peersLoad(100, 1e9, 1);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptEnd.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptEnd.java
@@ -22,6 +22,8 @@
   PATH_LOST("path-lost", true),
   /** A later engine is lost, and the request must not be begun elsewhere. */
   HELD_BACK("held-back", true),
+  /** The endpoint that the request was to leave answered first. */
+  OUTRUN("outrun", true),
   /** The caller's or the route's time is over. */
   TIME_UP("time-up", true);
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EventSplitter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EventSplitter.java
@@ -48,6 +48,12 @@
     return rest;
   }
 
+  /** Keeps bytes back that {@link #rest} returned, in place of what is kept now. */
+  void keepBack(byte[] bytes) {
+    partial.reset();
+    partial.writeBytes(bytes);
+  }
+
   /** Returns the id of the last whole event that had one. */
   Optional<String> lastId() {
     int start = startOfLastId(lastWithId);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -68,6 +68,9 @@
   /** Empty while none is under way. */
   private Optional<RunningAttempt> attempt = Optional.empty();
 
+  /** The attempt that the present one is to follow, until that is answered. */
+  private Optional<Former> former = Optional.empty();
+
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int sends;
   private int runs;
@@ -203,6 +206,15 @@
     }
   }
 
+  /**
+   * An attempt that goes on while its successor waits for an answer.
+   *
+   * @param partOfEvent bytes of an event that came without its end
+   * @param left why it is to be left
+   */
+  private record Former(
+      RunningAttempt attempt, Place.Taken place, byte[] partOfEvent, Departure left) {}
+
   private boolean begin() {
     if (!place.take()) {
       return false;
@@ -239,7 +251,11 @@
       this.running = running;
     }
 
+    /** Returns whether it counts; a former attempt that speaks is the present one again. */
     private boolean counts() {
+      if (isFormer(running)) {
+        outrunSuccessor();
+      }
       return isPresent(running);
     }
 
@@ -273,7 +289,9 @@
 
     @Override
     public void failed(boolean neverSent, Throwable cause) {
-      if (counts()) {
+      if (isFormer(running)) {
+        formerFailed(cause);
+      } else if (counts()) {
         ForwardRun.this.failed(neverSent, cause, running.endpoint());
       }
     }
@@ -327,10 +345,12 @@
 
   /** The caller keeps the head of the first run; only events follow. */
   private void resumed(AnswerHead head, RunningAttempt running) {
-    if (!head.success()) {
-      running.discard();
-      attemptOver(Verdict.RAN, AttemptEnd.RESUME_REFUSED, "status " + head.status());
+    if (head.success()) {
+      leaveFormer();
+      return;
     }
+    running.discard();
+    attemptOver(Verdict.RAN, AttemptEnd.RESUME_REFUSED, "status " + head.status());
   }
 
   private void passOn(byte[] bytes, RunningAttempt running) {
@@ -363,12 +383,8 @@
     if (!neverSent) {
       noteLost(endpoint);
     }
-    if (cause instanceof NobodyListensException) {
-      context.fleet().noteNobodyListens(endpoint);
-    }
-    if (place.onEngines()) {
-      context.health().checkAfterLoss(endpoint);
-    } else if (endpoint.noteFailure() > 1 || neverSent) {
+    noteFailure(cause, endpoint);
+    if (!place.onEngines() && (endpoint.noteFailure() > 1 || neverSent)) {
       endpoint.avoidUntil(now() + FAILED_PAUSE.toNanos());
     }
     attemptOver(
@@ -377,10 +393,23 @@
         String.valueOf(cause));
   }
 
+  private void noteFailure(Throwable cause, TrackedEndpoint endpoint) {
+    if (cause instanceof NobodyListensException) {
+      context.fleet().noteNobodyListens(endpoint);
+    }
+    if (place.onEngines()) {
+      context.health().checkAfterLoss(endpoint);
+    }
+  }
+
   /** Decides what follows an attempt that brought no whole answer. */
   private void attemptOver(Verdict verdict, AttemptEnd end, String cause) {
     String triedAt = place.target().toString();
     String detail = closeAttempt(verdict, end, cause);
+    if (former.isPresent()) {
+      returnToFormer(verdict);
+      return;
+    }
     place.release();
     Optional<Denial> denial = denial(verdict, runs);
     if (denial.isEmpty() && !context.budget().spend()) {
@@ -508,6 +537,7 @@
 
   private void close() {
     done = true;
+    dropFormer();
     place.release();
     limitTimer.cancel();
     progress.stop();
@@ -559,6 +589,9 @@
     if (done || attempt.isEmpty()) {
       return;
     }
+    if (former.filter(kept -> kept.attempt().endpoint() == endpoint).isPresent()) {
+      leaveFormer();
+    }
     if (place.target() == endpoint) {
       leaveEndpoint(AttemptEnd.ENDPOINT_RESTARTED, endpoint.toString());
     } else if (place.passes(endpoint)) {
@@ -656,18 +689,107 @@
 
   /** Leaves the attempt for one at another place, if there is one now. */
   private boolean moveElsewhere() {
+    boolean delivers = headPassed && running().mayHaveArrived() && former.isEmpty();
+    if (!delivers) {
+      return beginInstead();
+    }
+    boolean firstIsSilent = search.departure().silent() == place.target();
+    return beginBeside() || (!firstIsSilent && beginInstead());
+  }
+
+  private boolean beginInstead() {
     Departure left = search.departure();
-    TrackedEndpoint former = place.target();
+    TrackedEndpoint endpoint = place.target();
     if (!place.take()) {
       return false;
     }
     context.budget().spend();
-    String detail = breakOff(left, former);
-    logSentAgain(former.toString(), left.end(), detail);
+    String detail = breakOff(left, endpoint);
+    logSentAgain(endpoint.toString(), left.end(), detail);
     send();
     return true;
   }
 
+  /** Begins at another place while the present attempt goes on, as that may not take it. */
+  private boolean beginBeside() {
+    Optional<Place.Taken> taken = place.takeBeside();
+    if (taken.isEmpty()) {
+      return false;
+    }
+    context.budget().spend();
+    Departure left = search.departure();
+    former = Optional.of(new Former(running(), taken.get(), splitter.rest(), left));
+    closeAttempt(running().verdictIfLeft(), left.end(), left.cause());
+    logSentAgain(taken.get().target().toString(), left.end(), left.cause());
+    send();
+    return true;
+  }
+
+  /**
+   * The former attempt is the present one again; what its successor would have said is not read.
+   */
+  private void outrunSuccessor() {
+    Verdict verdict = running().verdictIfLeft();
+    running().cancel();
+    closeAttempt(verdict, AttemptEnd.OUTRUN, "the former endpoint answers");
+    context.counters().count(Metric.DROPPED_ANSWERS, AttemptEnd.OUTRUN.code());
+    resumeFormer();
+  }
+
+  /** Goes on with the former attempt, as its successor came to nothing, and seeks another again. */
+  private void returnToFormer(Verdict verdict) {
+    Departure left = resumeFormer().left();
+    boolean lost = left.silent().suspected() || left.silent().hasEnded();
+    if (lost) {
+      Duration wait =
+          verdict == Verdict.NOT_RUN || !guard.isOneEndShort() ? Duration.ZERO : CAUSE_KNOWN;
+      search.begin(left, wait);
+    }
+  }
+
+  private Former resumeFormer() {
+    Former resumed = former.orElseThrow();
+    former = Optional.empty();
+    attempt = Optional.of(resumed.attempt());
+    runs--;
+    place.returnTo(resumed.place());
+    splitter.keepBack(resumed.partOfEvent());
+    progress.returned();
+    resumed.attempt().resume();
+    return resumed;
+  }
+
+  /** Breaks the former attempt off: its successor is answered. */
+  private void leaveFormer() {
+    former.ifPresent(
+        left -> {
+          if (left.attempt().mayHaveArrived()) {
+            noteLost(left.attempt(), left.attempt().endpoint());
+          }
+          dropFormer();
+        });
+  }
+
+  private void dropFormer() {
+    former.ifPresent(
+        left -> {
+          left.attempt().cancel();
+          place.release(left.place());
+        });
+    former = Optional.empty();
+  }
+
+  private void formerFailed(Throwable cause) {
+    RunningAttempt failed = former.orElseThrow().attempt();
+    noteLost(failed, failed.endpoint());
+    dropFormer();
+    noteFailure(cause, failed.endpoint());
+  }
+
+  private boolean isFormer(RunningAttempt wanted) {
+    return !done && former.filter(kept -> kept.attempt() == wanted).isPresent();
+  }
+
   /** Breaks the attempt off at an endpoint; returns the cause with what was dropped. */
   private String breakOff(Departure left, TrackedEndpoint endpoint) {
     Verdict verdict = running().verdictIfLeft();
@@ -736,9 +858,14 @@
   }
 
   private void noteLost(TrackedEndpoint endpoint) {
+    noteLost(running(), endpoint);
+  }
+
+  /** Notes that an endpoint was lost that has an attempt, or runs part of its path. */
+  private void noteLost(RunningAttempt left, TrackedEndpoint endpoint) {
     long now = now();
-    Duration sinceSent = Duration.ofNanos(now - running().sentAt());
-    guard.lost(endpoint, sinceSent, running().sinceFirstPart(now));
+    Duration sinceSent = Duration.ofNanos(now - left.sentAt());
+    guard.lost(endpoint, sinceSent, left.sinceFirstPart(now));
   }
 
   /** Takes note that requests of a content are held back: one that waits is refused at once. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Place.java
@@ -3,6 +3,8 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -100,41 +102,75 @@
     target.ifPresent(failed::add);
   }
 
+  /**
+   * What a request takes.
+   *
+   * @param path empty at a plain service
+   */
+  record Taken(TrackedEndpoint target, Optional<EnginePath> path) {}
+
   /**
    * Takes a place, and leaves the one that the request has; returns false if there is none now, and
    * then changes nothing.
    */
   boolean take() {
-    return model.isPresent() ? takePath() : takeReplica();
+    Optional<Taken> next = find();
+    if (next.isPresent()) {
+      release();
+      begin(next.get());
+    }
+    return next.isPresent();
   }
 
-  private boolean takePath() {
+  /**
+   * Takes a place at another endpoint beside the one that the request has, and returns the latter,
+   * which goes on to be taken; returns empty if there is none now, and then changes nothing.
+   */
+  Optional<Taken> takeBeside() {
+    Taken former = new Taken(target(), path);
+    Optional<Taken> next = findElsewhere();
+    next.ifPresent(this::begin);
+    return next.map(taken -> former);
+  }
+
+  /** Leaves the present place for one that has been taken before, and still is. */
+  void returnTo(Taken former) {
+    release();
+    target = Optional.of(former.target());
+    path = former.path();
+  }
+
+  private Optional<Taken> find() {
+    if (model.isEmpty()) {
+      return leastLoaded().map(replica -> new Taken(replica, Optional.empty()));
+    }
     Optional<EnginePath> next =
         context.planner().plan(query(), usable(ImmutableList.copyOf(failed)));
     if (next.isEmpty() && !failed.isEmpty()) {
       next = context.planner().plan(query(), usable(ImmutableList.of()));
     }
-    if (next.isEmpty()) {
-      return false;
+    return next.map(found -> new Taken(found.first(), Optional.of(found)));
+  }
+
+  private Optional<Taken> findElsewhere() {
+    if (model.isEmpty()) {
+      return find().filter(next -> next.target() != target());
     }
-    release();
-    path = next;
-    target = Optional.of(next.get().first());
-    begin(next.get());
-    tried.add(target());
-    return true;
+    return context
+        .planner()
+        .plan(query(), usable(ImmutableList.copyOf(Sets.union(failed, ImmutableSet.of(target())))))
+        .map(found -> new Taken(found.first(), Optional.of(found)));
   }
 
-  private boolean takeReplica() {
-    Optional<TrackedEndpoint> next = leastLoaded();
-    if (next.isEmpty()) {
-      return false;
+  private void begin(Taken next) {
+    target = Optional.of(next.target());
+    path = next.path();
+    if (path.isPresent()) {
+      begin(path.get());
+    } else {
+      begin(next.target());
     }
-    release();
-    target = next;
-    begin(next.get());
-    tried.add(target());
-    return true;
+    tried.add(next.target());
   }
 
   private void begin(EnginePath chosen) {
@@ -206,15 +242,20 @@
 
   /** Leaves the place. */
   void release() {
-    if (path.isPresent()) {
-      path.get().release(size.tokens());
-    } else {
-      target.ifPresent(chosen -> chosen.release(0));
-    }
+    target.ifPresent(taken -> release(new Taken(taken, path)));
     path = Optional.empty();
     target = Optional.empty();
   }
 
+  /** Leaves a place that was taken beside the present one. */
+  void release(Taken taken) {
+    if (taken.path().isPresent()) {
+      taken.path().get().release(size.tokens());
+    } else {
+      taken.target().release(0);
+    }
+  }
+
   private ImmutableList<TrackedEndpoint> usable(ImmutableList<TrackedEndpoint> without) {
     return context.fleet().usable(service).stream()
         .filter(engine -> !without.contains(engine))
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressWatch.java
@@ -77,6 +77,12 @@
     watch();
   }
 
+  /** Watches a former attempt again, whose head came. */
+  void returned() {
+    awaitsHead = false;
+    watch();
+  }
+
   void head() {
     awaitsHead = false;
     shortPauseBefore = false;
