Courses of whole nodes before engines that pause and live, judged by what callers get

Callers judge: what they have begun to get comes whole, or its engine ended it, its time is over, or they left.

A later engine's end no longer ends an attempt: its first engine knows, and breaks off by itself.

The judge was adapted to two attempts at once: allowed only for a stream whose caller has a part, two at most, and none is let go but while another is under way.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CourseConfiguration.java
@@ -0,0 +1,72 @@
+package org.vaneworks.daemon.entry;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.vaneworks.state.entry.CallKind;
+import org.vaneworks.state.entry.Caller;
+import org.vaneworks.state.entry.EntryConfiguration;
+import org.vaneworks.state.entry.EntryLimits;
+import org.vaneworks.state.entry.EntryRoute;
+import org.vaneworks.state.entry.ServiceProfile;
+import org.vaneworks.state.entry.WeightedService;
+import org.vaneworks.tests.placement.Models;
+
+/** A configuration with a route for each kind of request, with one attempt and with two. */
+final class CourseConfiguration {
+  private static final ImmutableList<CallKind> KINDS = ImmutableList.copyOf(CallKind.values());
+  private static final int MOST_ATTEMPTS = 2;
+  private static final Duration STREAM_LIMIT = Duration.ofSeconds(20);
+  private static final Duration PLAIN_LIMIT = Duration.ofMillis(800);
+
+  private CourseConfiguration() {}
+
+  /**
+   * Returns a version of it.
+   *
+   * @param idleMillis how long connections may rest
+   */
+  static EntryConfiguration of(int version, int idleMillis) {
+    return EntryConfiguration.of(
+        version,
+        routes(),
+        List.of(
+            new ServiceProfile(SharedEngines.SERVICE, 1000, Optional.of(Models.eightyLayers())),
+            new ServiceProfile(SharedEngines.REPLICATED, 100, Optional.empty())),
+        Map.of(SharedEngines.KEY, new Caller("scheme", OptionalInt.empty())),
+        new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofMillis(idleMillis)));
+  }
+
+  /** Returns its routes. */
+  static ImmutableList<EntryRoute> routes() {
+    ImmutableList.Builder<EntryRoute> routes = ImmutableList.builder();
+    for (CallKind kind : KINDS) {
+      for (int attempts = 1; attempts <= MOST_ATTEMPTS; attempts++) {
+        routes.add(route(kind, attempts));
+      }
+    }
+    return routes.build();
+  }
+
+  /** Returns the route of a kind with that many attempts. */
+  static EntryRoute route(CallKind kind, int attempts) {
+    String prefix = "/" + kind + "/" + attempts + "/";
+    boolean streamed = kind.streamed();
+    String service = streamed ? SharedEngines.SERVICE : SharedEngines.REPLICATED;
+    return new EntryRoute(
+        prefix,
+        "host.example",
+        prefix,
+        kind,
+        streamed ? STREAM_LIMIT : PLAIN_LIMIT,
+        Duration.ofMillis(500),
+        Duration.ofMillis(200),
+        0,
+        ImmutableList.of(new WeightedService(service, 1)),
+        attempts,
+        false);
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptEnd.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptEnd.java
@@ -18,6 +18,8 @@
   ENDPOINT_RESTARTED("endpoint-restarted", false),
   /** The first engine gives no sign of life. */
   ENGINE_SUSPECTED("engine-suspected", true),
+  /** A later engine is lost, and the first one says that it does not run the request. */
+  REQUEST_UNKNOWN("request-unknown", false),
   /** A later engine is lost, and the first one takes no other path. */
   PATH_LOST("path-lost", true),
   /** A later engine is lost, and the request must not be begun elsewhere. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -635,12 +635,9 @@
 
     @Override
     public void leaveWithout(TrackedEndpoint lost, AttemptEnd end, String cause) {
-      // An engine that has ended can't bring the rest; one that is silent may.
-      if (lost.hasEnded()) {
-        leaveEndpoint(end, cause);
-      } else {
-        seekElsewhere(end, lost, cause);
-      }
+      // Also if it has ended: an order without an answer may have changed the path at the first
+      // one.
+      seekElsewhere(end, lost, cause);
     }
   }
 
@@ -693,8 +690,8 @@
     if (!delivers) {
       return beginInstead();
     }
-    boolean firstIsSilent = search.departure().silent() == place.target();
-    return beginBeside() || (!firstIsSilent && beginInstead());
+    boolean unknown = search.departure().end() == AttemptEnd.REQUEST_UNKNOWN;
+    return beginBeside() || (unknown && beginInstead());
   }
 
   private boolean beginInstead() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
@@ -33,7 +33,7 @@
     /** Takes note that the request goes on over another path. */
     void repaired();
 
-    /** Leaves a path that lacks an engine, for the request may take no other. */
+    /** Seeks another place, as the path lacks an engine and may take no other. */
     void leaveWithout(TrackedEndpoint lost, AttemptEnd end, String cause);
   }
 
@@ -123,8 +123,8 @@
     }
 
     @Override
-    public void beginElsewhere() {
-      leave(lost, AttemptEnd.PATH_LOST, "no other path was accepted");
+    public void beginElsewhere(AttemptEnd end) {
+      leave(lost, end, "no other path was accepted");
     }
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -35,8 +35,12 @@
     /** Returns whether the request may be begun at other engines instead. */
     boolean mayBeginElsewhere(TrackedEndpoint lost);
 
-    /** Begins the request at other engines. */
-    void beginElsewhere();
+    /**
+     * Begins the request at other engines.
+     *
+     * @param end why the present attempt is to be left
+     */
+    void beginElsewhere(AttemptEnd end);
   }
 
   private final ForwardContext context;
@@ -85,7 +89,7 @@
 
   private void order(ImmutableList<TrackedEndpoint> without) {
     if (triesLeft <= 0 || heldBack.getAsBoolean()) {
-      refused();
+      refused(AttemptEnd.PATH_LOST);
       return;
     }
     if (!context.fleet().statements().admits(place.target(), CallPurpose.PATH_CHANGE)) {
@@ -122,7 +126,7 @@
     if (outcome.kind() == RepathOutcome.Kind.ACCEPTED) {
       owner.replaced(next);
     } else if (outcome.kind() == RepathOutcome.Kind.UNKNOWN_REQUEST) {
-      refused();
+      refused(AttemptEnd.REQUEST_UNKNOWN);
     } else if (obstacle.isPresent()) {
       long now = context.clock().currentTime(NANOSECONDS);
       obstacle.get().avoidUntil(now + OBSTACLE_PAUSE.toNanos());
@@ -133,15 +137,15 @@
     }
   }
 
-  private void refused() {
+  private void refused(AttemptEnd end) {
     if (owner.mayBeginElsewhere(lost)) {
-      owner.beginElsewhere();
+      owner.beginElsewhere(end);
     }
   }
 
   private void beginElsewhereOrRetry() {
     if (owner.mayBeginElsewhere(lost)) {
-      owner.beginElsewhere();
+      owner.beginElsewhere(AttemptEnd.PATH_LOST);
     } else {
       retryLater();
     }
