Callers who left are counted at once, and no stop waits for them

ServiceTalk keeps a connection whose caller left in the midst of an answer until it is closed here, so such closes were counted only then, and a stop would have taken that answer for under way until the caller was given up as stalled. An end that the caller had asked for ('Connection: close') was counted as a cut: ServiceTalk closes with the last byte, before the run's end is told and while the channel still counts that byte as waiting.

Change: a close is counted when its first cause shows; an answer whose caller has left holds nothing; a close from within is a cut if a part of the answer is not passed on, or the channel has flushed bytes left.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
@@ -114,6 +114,7 @@
   @Test
   void closeInTheMidstOfAnAnswerIsCounted() {
     connection.requestBegan(answer);
+    answer.passedOn = false;
     closeFromWithin();
     assertClosedBy(CloseReason.CUT);
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -73,9 +73,11 @@
   }
 
   final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
+  final CallerConnections connections = CallerConnections.none();
   final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final BlockingQueue<Taken> taken = new LinkedBlockingQueue<>();
   private final HttpServerContext server;
+  private volatile boolean closing;
   private volatile EntryLimits limits = limits(Duration.ofHours(1));
 
   private EntryFixture() throws Exception {
@@ -87,8 +89,8 @@
             new PlainHeaders(),
             16_384,
             () -> limits,
-            () -> false,
-            CallerConnections.none(),
+            () -> closing,
+            connections,
             counters);
   }
 
@@ -104,6 +106,11 @@
     limits = limits(idle);
   }
 
+  /** Each answer is the last of its connection from now on. */
+  void closeAfterAnswers() {
+    closing = true;
+  }
+
   private CallerAnswer.Flow take(CallerRequest request, CallerAnswer answer) {
     Taken next = new Taken(answer);
     taken.add(next);
@@ -134,7 +141,12 @@
   }
 
   static void ask(Socket socket, String method) throws IOException {
-    socket.getOutputStream().write((method + " / HTTP/1.1\r\nHost: a\r\n\r\n").getBytes(US_ASCII));
+    ask(socket, method, "");
+  }
+
+  static void ask(Socket socket, String method, String headers) throws IOException {
+    String request = method + " / HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
+    socket.getOutputStream().write(request.getBytes(US_ASCII));
   }
 
   /** Runs a step on the node's loop and waits for its end. */
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -20,7 +20,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.function.Supplier;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.entry.EntryLimits;
@@ -76,7 +75,7 @@
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
   private ConnectionAnswer answer = NONE;
-  private Optional<CloseReason> closedBy = Optional.empty();
+  private boolean closes;
   private boolean answering;
   private boolean heldBefore;
   private long heldBytesBefore;
@@ -149,8 +148,9 @@
 
   /** The first cause counts: what follows it is its consequence. */
   private void note(CloseReason reason) {
-    if (closedBy.isEmpty()) {
-      closedBy = Optional.of(reason);
+    if (!closes) {
+      closes = true;
+      counters.count(Metric.CALLER_CLOSES, reason.code());
     }
   }
 
@@ -163,7 +163,10 @@
   }
 
   private void noteClosedHere() {
-    if (isAnswering()) {
+    // As ServiceTalk closes with the last byte, that byte still counts as waiting.
+    ChannelOutboundBuffer waiting = context.channel().unsafe().outboundBuffer();
+    boolean held = waiting != null && !waiting.isEmpty();
+    if (held || !answer.isPassedOn()) {
       note(CloseReason.CUT);
     } else {
       note(lastAnswer ? CloseReason.LAST_ANSWER : CloseReason.BETWEEN_ANSWERS);
@@ -313,7 +316,6 @@
   public void channelInactive(ChannelHandlerContext channel) throws Exception {
     noteCallerLeft();
     all.closed(this);
-    counters.count(Metric.CALLER_CLOSES, closedBy.get().code());
     answer.callerGone();
     timer.cancel(false);
     super.channelInactive(channel);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryAnswer.java
@@ -40,6 +40,7 @@
   private final Connection connection;
   private boolean headSent;
   private boolean over;
+  private boolean gone;
   private boolean lastOfConnection;
 
   /**
@@ -75,7 +76,7 @@
 
   @Override
   public boolean isPassedOn() {
-    return !headSent || body.isPassedOn();
+    return gone || (headSent ? body.isPassedOn() : over);
   }
 
   @Override
@@ -86,6 +87,7 @@
   @Override
   public void callerGone() {
     if (!over) {
+      gone = true;
       over();
       if (flow != null) {
         flow.gone();
