Placement: an assignment ends when the list shows another order carried out

Callers would see a data centre lose all its paths at once: a node that becomes the controller while engines load finds them empty and plans them anew. Each read says that an order is under way, so the new range counts as accepted; it ended only when the list showed just that range. The list shows what the earlier controller ordered, and after the limit for a load (2.5 s and three loads) the new range was ordered without another look, of engines that serve by then: all of them at the same time.

Evidence, in paused time: five engines load for 4 s, the lease changes hands 2 s after the start, a sixth engine came between. The test failed before with

[e0 0-20, e2 40-60, e3 60-80, e1 20-40, e4 0-20, late 53-80, e1 27-53, e4 27-53, e0 0-27, e2 53-80, e3 0-27] ==> expected: <6> but was: <11>

An assignment now knows what the engine was listed with when it was decided. Once the list shows anything beyond that, the order was carried out or another was, and either way the assignment is over; the next look plans from what the list shows. Layers that are being given up show as a part of what was held before, or none, and end nothing. The sixth engine keeps the range that it had from the plan of the six: no layer is left without a holder in the test, but that is not made sure by this.

Not measured on a fleet.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -166,6 +166,25 @@
     return fleet.holdsAll("m", 80);
   }
 
+  // Guards against a served range that is given up for a range decided while its load was under
+  // way.
+  @Test
+  void engineThatLoadedWhatAnEarlierControllerOrderedIsNotOrderedOff() {
+    enlist(5);
+    engines.load = Duration.ofSeconds(4);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(2000);
+    assertEquals(5, engines.loads.size());
+    list("late", new HostPort("10.0.9.1", 80), Optional.empty());
+    firstFence = OptionalLong.empty();
+    secondFence = OptionalLong.of(9);
+    controller(() -> secondFence);
+    advance(60_000);
+    assertEquals(6, engines.loads.size(), engines.loads::toString);
+    assertTrue(everyLayerIsHeld());
+  }
+
   @Test
   void withoutTheLeaseNothingIsOrdered() {
     enlist(5);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -286,10 +286,7 @@
 
   /** Returns whether it holds all layers of the range. */
   public boolean holds(LayerRange range) {
-    return endpoint
-        .layers()
-        .filter(held -> held.from() <= range.from() && held.to() >= range.to())
-        .isPresent();
+    return endpoint.layers().filter(held -> held.encloses(range)).isPresent();
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -93,15 +93,33 @@
 
   private static final class Assignment {
     final LayerRange layers;
+    final Optional<LayerRange> heldBefore;
     final long decidedAt;
     boolean callOpen;
     boolean accepted;
     long expiresAt;
 
-    Assignment(LayerRange layers, long decidedAt) {
+    Assignment(LayerRange layers, Optional<LayerRange> heldBefore, long decidedAt) {
       this.layers = layers;
+      this.heldBefore = heldBefore;
       this.decidedAt = decidedAt;
     }
+
+    boolean isDone(Optional<LayerRange> listed) {
+      return listed.equals(Optional.of(layers));
+    }
+
+    /**
+     * Returns whether the engine holds more than when this was decided: another order came first,
+     * and the engine has other layers to lose now.
+     */
+    boolean isOvertaken(Optional<LayerRange> listed) {
+      return listed.isPresent() && !isPartOfHeldBefore(listed.get());
+    }
+
+    private boolean isPartOfHeldBefore(LayerRange listed) {
+      return heldBefore.isPresent() && heldBefore.get().encloses(listed);
+    }
   }
 
   private PlacementController(
@@ -245,27 +263,33 @@
   }
 
   private Holding holding(TrackedEndpoint engine, AcceleratorProfile kind) {
-    Assignment assignment = assignments.get(engine);
-    Optional<LayerRange> layers = engine.endpoint().layers();
-    if (assignment != null) {
-      boolean done = layers.equals(Optional.of(assignment.layers));
-      boolean overdue = assignment.accepted && now() > assignment.expiresAt;
-      if (done) {
-        counters.record(Metric.PLACEMENT_TIME, since(assignment.decidedAt));
-      }
-      if (done) {
-        assignments.remove(engine);
-      } else {
-        layers = Optional.of(assignment.layers);
-      }
-      if (overdue) {
-        // It is read again: it may still wait for requests that pass the layers it gives up.
-        assignment.accepted = false;
-      }
-    }
+    Optional<LayerRange> listed = engine.endpoint().layers();
+    endIfOver(engine, listed);
+    Optional<LayerRange> planned =
+        Optional.ofNullable(assignments.get(engine)).map(assignment -> assignment.layers);
     boolean counts = !engine.endpoint().leaving() && !engine.suspected();
     return new Holding(
-        engine.endpoint().id(), engine.endpoint().dataCentre(), kind, layers, counts);
+        engine.endpoint().id(),
+        engine.endpoint().dataCentre(),
+        kind,
+        planned.or(() -> listed),
+        counts);
+  }
+
+  private void endIfOver(TrackedEndpoint engine, Optional<LayerRange> listed) {
+    Assignment assignment = assignments.get(engine);
+    if (assignment == null) {
+      return;
+    }
+    if (assignment.isDone(listed)) {
+      counters.record(Metric.PLACEMENT_TIME, since(assignment.decidedAt));
+      assignments.remove(engine);
+    } else if (assignment.isOvertaken(listed)) {
+      assignments.remove(engine);
+    } else if (assignment.accepted && now() > assignment.expiresAt) {
+      // It is read again: it may still wait for requests that pass the layers it gives up.
+      assignment.accepted = false;
+    }
   }
 
   private void assign(TrackedEndpoint engine, LayerRange layers) {
@@ -279,7 +303,7 @@
         engine.endpoint().layers().map(Object::toString).orElse("none"),
         "fence",
         actingAs.getAsLong());
-    assignments.put(engine, new Assignment(layers, now()));
+    assignments.put(engine, new Assignment(layers, engine.endpoint().layers(), now()));
   }
 
   private void pursue(TrackedEndpoint engine, Assignment assignment) {
--- a/vaneworks/src/main/java/org/vaneworks/state/LayerRange.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/LayerRange.java
@@ -24,6 +24,11 @@
     return to - from;
   }
 
+  /** Returns whether every layer of the other range is in this one. */
+  public boolean encloses(LayerRange other) {
+    return from <= other.from && other.to <= to;
+  }
+
   // Written out: generated ones are linked by method handles, whose classes each start makes anew.
 
   @Override
