Placement: an engine gives up only what another serves already

Callers would see a data centre without some layers, while an engine that held them was emptied for others: their only serving holder was ordered off because another engine was to hold the same layers, and had not loaded them yet.

Cause: PlacementController.holding gives the planner what an engine was ordered to hold, as if it held it, and PlacementPlanner.redundant counts that as a holder like any other.

Evidence, in paused time: engines a (0-40) and b (40-80) serve, c loads 0-40, b goes. Before, a was ordered to 40-77 at once; with c's load of 8 s nobody would have served 0-40 until then.

A holding now tells both, what the engine is to hold and what is listed. What is planned fills holes as before, so that no second engine is ordered for one; but an engine is free for a hole only if what it serves and would keep otherwise is served by others, that is listed and not to be given up. An engine that serves nothing yet needs nobody to serve in its place, so first placements and newcomers are ordered as before. If no engine is free a neighbour is widened, as before.

The tests failed before with engineThatServesKeepsItsLayersUntilAnotherHasLoadedThem:201 expected: <[c 0-40]> but was: <[c 0-40, a 40-77]> engineGivesUpOnlyWhatAnotherServesAlready:186 expected: <[loading]> but was: <[serving]> the second with the former rule in the new form, as the record has a new component. holeIsFilledOnceWhileItsFirstOrderLoads passed before and after: it holds the other half of the rule.

Not measured on a fleet.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -185,6 +185,45 @@
     assertTrue(everyLayerIsHeld());
   }
 
+  // Guards against layers that nobody serves: their only holder is ordered off for one that loads.
+  @Test
+  void engineThatServesKeepsItsLayersUntilAnotherHasLoadedThem() {
+    list("a", new HostPort("10.0.0.1", 80), Optional.of(LayerRange.of(0, 40)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(40, 80)));
+    engines.load = Duration.ofSeconds(8);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    list("c", new HostPort("10.0.0.3", 80), Optional.empty());
+    advance(1000);
+    assertEquals(List.of("c 0-40"), engines.loads);
+    fleet.remove("b");
+    advance(7000);
+    assertEquals(List.of("c 0-40"), engines.loads);
+    advance(1000);
+    assertEquals(List.of("c 0-40", "a 40-77"), engines.loads);
+  }
+
+  // Guards against two engines that are emptied for one hole: an order counts before it is served.
+  @Test
+  void holeIsFilledOnceWhileItsFirstOrderLoads() {
+    list("a", new HostPort("10.0.0.1", 80), Optional.of(LayerRange.of(0, 40)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(40, 77)));
+    list("c", new HostPort("10.0.0.3", 80), Optional.of(LayerRange.of(0, 40)));
+    list("d", new HostPort("10.0.0.4", 80), Optional.of(LayerRange.of(0, 40)));
+    list("e", new HostPort("10.0.0.5", 80), Optional.of(LayerRange.of(65, 80)));
+    engines.load = Duration.ofSeconds(8);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(1000);
+    fleet.remove("b");
+    advance(1000);
+    List<String> first = List.copyOf(engines.loads);
+    assertEquals(1, first.size(), first::toString);
+    advance(20_000);
+    assertEquals(first, engines.loads);
+    assertTrue(everyLayerIsHeld());
+  }
+
   @Test
   void withoutTheLeaseNothingIsOrdered() {
     enlist(5);
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementPlannerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementPlannerTest.java
@@ -7,6 +7,7 @@
 import static org.vaneworks.tests.placement.Models.SMALL;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -175,6 +176,23 @@
     assertTrue(orders.containsKey("small13"), orders.toString());
   }
 
+  // Guards against layers that nobody serves: a planned holder counted as one that serves.
+  @Test
+  void engineGivesUpOnlyWhatAnotherServesAlready() {
+    Optional<LayerRange> low = Optional.of(LayerRange.of(0, 37));
+    Holding serving = new Holding("serving", "dc1", LARGE, low, true);
+    Holding loading = new Holding("loading", "dc1", LARGE, low, Optional.empty(), true);
+    Holding loaded = new Holding("loading", "dc1", LARGE, low, true);
+    assertEquals(ImmutableSet.of("loading"), orderedIfOneIsBusy(serving, loading));
+    assertEquals(ImmutableSet.of("serving"), orderedIfOneIsBusy(serving, loaded));
+  }
+
+  private static ImmutableSet<String> orderedIfOneIsBusy(Holding one, Holding busy) {
+    return PlacementPlanner.of(MODEL)
+        .plan(List.of(one, busy), id -> id.equals(busy.id()) ? 30 : 2)
+        .keySet();
+  }
+
   @Test
   void leavingEngineDoesNotCount() {
     List<Holding> engines = engines(1, 6, 0);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -273,6 +273,7 @@
         engine.endpoint().dataCentre(),
         kind,
         planned.or(() -> listed),
+        listed,
         counts);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementPlanner.java
@@ -26,7 +26,7 @@
  * engine leaves a path without an order. How much room copies and spares get is searched: of some
  * dozen placements the one of the highest {@link PlacementValue} is taken ({@link FirstPlacement}).
  * What engines hold already is never changed except to cover layers that no engine of the data
- * centre holds any more. Pure: no state, no clock.
+ * centre holds any more, and no engine gives up what no other serves yet. Pure: no state, no clock.
  */
 public final class PlacementPlanner {
   /**
@@ -132,8 +132,8 @@
   }
 
   /**
-   * Covers layers that no engine holds: first by engines whose layers others hold too, then by
-   * wider ranges beside the hole. Each step covers a layer, so the loop ends.
+   * Covers layers that no engine holds or is ordered to hold: first by engines whose layers others
+   * serve too, then by wider ranges beside the hole. Each step covers a layer, so the loop ends.
    */
   private void cover(
       List<Holding> engines,
@@ -173,21 +173,41 @@
 
   /**
    * Returns the engine with the fewest requests among those whose layers are all held by others
-   * too; of several the slowest. It gives its layers up only once those requests have ended: with
-   * dozens of them that took 7 to 11 s, in which the hole stayed open.
+   * too, and what it serves of them is served by others; of several the slowest. It gives its
+   * layers up only once those requests have ended: with dozens of them that took 7 to 11 s, in
+   * which the hole stayed open.
    */
   private Optional<Holding> redundant(
       List<Holding> engines, Map<String, LayerRange> held, ToDoubleFunction<String> passing) {
+    ImmutableMap<String, LayerRange> served = served(engines, held);
     int[] holders = coverage.holders(held);
+    int[] servers = coverage.holders(served);
     return engines.stream()
-        .filter(engine -> held.containsKey(engine.id()))
-        .filter(engine -> Coverage.heldTwice(holders, held.get(engine.id())))
+        .filter(engine -> isHeldTwice(holders, held, engine))
+        .filter(engine -> !served.containsKey(engine.id()) || isHeldTwice(servers, served, engine))
         .min(
             Comparator.comparingDouble((Holding e) -> passing.applyAsDouble(e.id()))
                 .thenComparingDouble(e -> -e.accelerator().stepFactor())
                 .thenComparing(Holding::id));
   }
 
+  private static boolean isHeldTwice(int[] holders, Map<String, LayerRange> held, Holding engine) {
+    LayerRange range = held.get(engine.id());
+    return range != null && Coverage.heldTwice(holders, range);
+  }
+
+  /** Returns what engines serve now and are not to give up: an order may fail, or take long. */
+  private static ImmutableMap<String, LayerRange> served(
+      List<Holding> engines, Map<String, LayerRange> held) {
+    ImmutableMap.Builder<String, LayerRange> served = ImmutableMap.builder();
+    for (Holding engine : engines) {
+      Optional.ofNullable(held.get(engine.id()))
+          .flatMap(engine::servedOf)
+          .ifPresent(range -> served.put(engine.id(), range));
+    }
+    return served.buildOrThrow();
+  }
+
   private Optional<Holding> roomiestBeside(
       List<Holding> engines, Map<String, LayerRange> held, int hole) {
     Holding best = null;
--- a/vaneworks/src/main/java/org/vaneworks/state/LayerRange.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/LayerRange.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.util.Optional;
+
 /**
  * A half-open range of model layers, {@code [from, to)}.
  *
@@ -29,6 +31,13 @@
     return from <= other.from && other.to <= to;
   }
 
+  /** Returns the layers that are in both ranges; empty if none is. */
+  public Optional<LayerRange> intersection(LayerRange other) {
+    int first = Math.max(from, other.from);
+    int end = Math.min(to, other.to);
+    return first < end ? Optional.of(of(first, end)) : Optional.empty();
+  }
+
   // Written out: generated ones are linked by method handles, whose classes each start makes anew.
 
   @Override
