Placement: an engine that could not be told to give layers up is decided on anew

Callers would see an engine emptied for a hole that had closed seconds before, and with it room, or the last holder of its layers if another had gone meanwhile.

Cause: a decision stayed until its order was answered, however long the engine took no call (a stated wait of seconds, a read without an answer, a suspicion), and was then ordered without another look at why.

Evidence, in paused time: engines a and b serve 0-37, c serves 37-74, d 66-80; c is silent for a second, in which a wants no calls for 3 s. c answers again after 1 s; a was ordered to 37-71 when its 3 s were over. Test before: engineThatCouldNotBeOrderedKeepsItsLayersOnceTheHoleIsClosed:233 expected: <[]> but was: <[a 37-71]>

A decision by which an engine loses layers now lasts only while its read or order is under way, was sent or is accepted; else the next look, 200 ms later, plans from what is known then. While the hole stays, an engine is chosen as before, and ordered as soon as it takes calls: engineThatCouldNotBeOrderedIsOrderedLaterWhileTheHoleStays passed before and after. An order that was sent and not answered stays planned, as it may act late. Newcomers, which lose nothing, keep their decision, so a first placement stays one. VW3102 is written at each look meanwhile, and the time of a placement counts from the last decision.

Not measured on a fleet.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -224,6 +224,40 @@
     assertTrue(everyLayerIsHeld());
   }
 
+  // Guards against layers that are given up for a hole that is closed by the time of the order.
+  @Test
+  void engineThatCouldNotBeOrderedKeepsItsLayersOnceTheHoleIsClosed() {
+    TrackedEndpoint silent = holeWhileEnginesWantNoCalls();
+    fleet.clear(silent);
+    advance(10_000);
+    assertEquals(List.of(), engines.loads);
+  }
+
+  // Guards against a hole that stays open because the engine for it took no call at first.
+  @Test
+  void engineThatCouldNotBeOrderedIsOrderedLaterWhileTheHoleStays() {
+    holeWhileEnginesWantNoCalls();
+    advance(2200);
+    assertEquals(List.of("a 37-71"), engines.loads);
+  }
+
+  private TrackedEndpoint holeWhileEnginesWantNoCalls() {
+    list("a", new HostPort("10.0.0.1", 80), Optional.of(LayerRange.of(0, 37)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(0, 37)));
+    HostPort address = new HostPort("10.0.0.3", 80);
+    list("c", address, Optional.of(LayerRange.of(37, 74)));
+    list("d", new HostPort("10.0.0.4", 80), Optional.of(LayerRange.of(66, 80)));
+    engines.wantsNoCalls = true;
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    TrackedEndpoint silent = fleet.at("m", address).get();
+    fleet.suspect(silent, "test");
+    advance(1000);
+    assertEquals(1, engines.reports);
+    engines.wantsNoCalls = false;
+    return silent;
+  }
+
   @Test
   void withoutTheLeaseNothingIsOrdered() {
     enlist(5);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -96,6 +96,7 @@
     final Optional<LayerRange> heldBefore;
     final long decidedAt;
     boolean callOpen;
+    boolean sent;
     boolean accepted;
     long expiresAt;
 
@@ -117,6 +118,14 @@
       return listed.isPresent() && !isPartOfHeldBefore(listed.get());
     }
 
+    /**
+     * Returns whether the engine was to give layers up, and could not be told so. Why it should may
+     * be over by the time it can: that is decided anew.
+     */
+    boolean isUntold() {
+      return heldBefore.isPresent() && !sent && !callOpen && !accepted;
+    }
+
     private boolean isPartOfHeldBefore(LayerRange listed) {
       return heldBefore.isPresent() && heldBefore.get().encloses(listed);
     }
@@ -282,14 +291,15 @@
     if (assignment == null) {
       return;
     }
+    if (assignment.accepted && now() > assignment.expiresAt) {
+      // It is read again: it may still wait for requests that pass the layers it gives up.
+      assignment.accepted = false;
+    }
     if (assignment.isDone(listed)) {
       counters.record(Metric.PLACEMENT_TIME, since(assignment.decidedAt));
       assignments.remove(engine);
-    } else if (assignment.isOvertaken(listed)) {
+    } else if (assignment.isOvertaken(listed) || assignment.isUntold()) {
       assignments.remove(engine);
-    } else if (assignment.accepted && now() > assignment.expiresAt) {
-      // It is read again: it may still wait for requests that pass the layers it gives up.
-      assignment.accepted = false;
     }
   }
 
@@ -350,6 +360,7 @@
     }
     OrderGuard guard = new OrderGuard(actingAs.getAsLong(), report.ordersTaken());
     long orderedAt = now();
+    assignment.sent = true;
     fleet.statements().noteCall(engine, CallPurpose.PLACEMENT);
     Async.onDone(
         control.hold(engine.endpoint(), assignment.layers, guard),
