Placement: a controller whose lease is renewed late remembers its orders

Callers would see a data centre without some layers, after a pause of the controller's node or of the store near the lease's 3 s: two engines were emptied for one hole, and no other held what they had.

Cause: PlacementController.tick cleared its assignments each time the fence went away or came back, also when the same fence came back. Orders under way were forgotten. The list shows the old layers until a load is done, so an engine that was giving its layers up looked as if it served them, and freed the next one.

Evidence, in paused time: engines a and b serve 0-37, c 66-80; a is ordered to 37-71 and loads for 8 s, a request passes it, the lease is away for 0.5 s. Then b was ordered too, nobody held 0-37, and the two were sent to and fro. Test before: controllerWhoseLeaseIsRenewedLateRemembersItsOrders:278 expected: <[a 37-71]> but was: <[a 37-71, b 37-71, a 36-71, b 0-35, a 35-71]>

The fence is the creation revision of the controller's key. If it comes back the same, the key was there all the time and nobody else was controller, so what was decided holds. Only another fence clears it. A takeover by another node is not mended by this: it does not know of orders under way before it has read the engine.

Not measured on a fleet.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -258,6 +258,26 @@
     return silent;
   }
 
+  // Guards against layers that nobody serves: an order under way was forgotten, and another sent.
+  @Test
+  void controllerWhoseLeaseIsRenewedLateRemembersItsOrders() {
+    HostPort address = new HostPort("10.0.0.1", 80);
+    list("a", address, Optional.of(LayerRange.of(0, 37)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(0, 37)));
+    list("c", new HostPort("10.0.0.3", 80), Optional.of(LayerRange.of(66, 80)));
+    engines.load = Duration.ofSeconds(8);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(1000);
+    assertEquals(List.of("a 37-71"), engines.loads);
+    fleet.at("m", address).get().reserve(1);
+    firstFence = OptionalLong.empty();
+    advance(500);
+    firstFence = OptionalLong.of(7);
+    advance(15_000);
+    assertEquals(List.of("a 37-71"), engines.loads);
+  }
+
   @Test
   void withoutTheLeaseNothingIsOrdered() {
     enlist(5);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -83,6 +83,10 @@
   private final Map<String, PlanInput> settledInputs = new HashMap<>();
   private OptionalLong actingAs = OptionalLong.empty();
   private long fencedOff = -1;
+
+  /** The fence under which the assignments were decided. */
+  private long decidedAs = -1;
+
   private int engineCount;
   private long engineCountChangedAt;
   private Cancellable timer = () -> {};
@@ -198,9 +202,9 @@
     }
     if (!now.equals(actingAs)) {
       actingAs = now;
-      assignments.clear();
       if (now.isPresent()) {
         EventLog.info(Event.PLACEMENT_CONTROLLER, "fence", now.getAsLong());
+        forgetOrdersBefore(now.getAsLong());
       }
     }
     tickAfter(actingAs.isPresent() ? TICK : IDLE_TICK);
@@ -209,6 +213,14 @@
     }
   }
 
+  /** Under the same fence nobody else gave orders, however late the lease was renewed. */
+  private void forgetOrdersBefore(long current) {
+    if (current != decidedAs) {
+      assignments.clear();
+    }
+    decidedAs = current;
+  }
+
   private void look(EntryConfiguration configured) {
     for (ServiceProfile service : configured.engineServices()) {
       lookAt(service, service.model().get());
