--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -166,6 +166,118 @@
     return fleet.holdsAll("m", 80);
   }
 
+  // Guards against a served range that is given up for a range decided while its load was under
+  // way.
+  @Test
+  void engineThatLoadedWhatAnEarlierControllerOrderedIsNotOrderedOff() {
+    enlist(5);
+    engines.load = Duration.ofSeconds(4);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(2000);
+    assertEquals(5, engines.loads.size());
+    list("late", new HostPort("10.0.9.1", 80), Optional.empty());
+    firstFence = OptionalLong.empty();
+    secondFence = OptionalLong.of(9);
+    controller(() -> secondFence);
+    advance(60_000);
+    assertEquals(6, engines.loads.size(), engines.loads::toString);
+    assertTrue(everyLayerIsHeld());
+  }
+
+  // Guards against layers that nobody serves: their only holder is ordered off for one that loads.
+  @Test
+  void engineThatServesKeepsItsLayersUntilAnotherHasLoadedThem() {
+    list("a", new HostPort("10.0.0.1", 80), Optional.of(LayerRange.of(0, 40)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(40, 80)));
+    engines.load = Duration.ofSeconds(8);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    list("c", new HostPort("10.0.0.3", 80), Optional.empty());
+    advance(1000);
+    assertEquals(List.of("c 0-40"), engines.loads);
+    fleet.remove("b");
+    advance(7000);
+    assertEquals(List.of("c 0-40"), engines.loads);
+    advance(1000);
+    assertEquals(List.of("c 0-40", "a 40-77"), engines.loads);
+  }
+
+  // Guards against two engines that are emptied for one hole: an order counts before it is served.
+  @Test
+  void holeIsFilledOnceWhileItsFirstOrderLoads() {
+    list("a", new HostPort("10.0.0.1", 80), Optional.of(LayerRange.of(0, 40)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(40, 77)));
+    list("c", new HostPort("10.0.0.3", 80), Optional.of(LayerRange.of(0, 40)));
+    list("d", new HostPort("10.0.0.4", 80), Optional.of(LayerRange.of(0, 40)));
+    list("e", new HostPort("10.0.0.5", 80), Optional.of(LayerRange.of(65, 80)));
+    engines.load = Duration.ofSeconds(8);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(1000);
+    fleet.remove("b");
+    advance(1000);
+    List<String> first = List.copyOf(engines.loads);
+    assertEquals(1, first.size(), first::toString);
+    advance(20_000);
+    assertEquals(first, engines.loads);
+    assertTrue(everyLayerIsHeld());
+  }
+
+  // Guards against layers that are given up for a hole that is closed by the time of the order.
+  @Test
+  void engineThatCouldNotBeOrderedKeepsItsLayersOnceTheHoleIsClosed() {
+    TrackedEndpoint silent = holeWhileEnginesWantNoCalls();
+    fleet.clear(silent);
+    advance(10_000);
+    assertEquals(List.of(), engines.loads);
+  }
+
+  // Guards against a hole that stays open because the engine for it took no call at first.
+  @Test
+  void engineThatCouldNotBeOrderedIsOrderedLaterWhileTheHoleStays() {
+    holeWhileEnginesWantNoCalls();
+    advance(2200);
+    assertEquals(List.of("a 37-71"), engines.loads);
+  }
+
+  private TrackedEndpoint holeWhileEnginesWantNoCalls() {
+    list("a", new HostPort("10.0.0.1", 80), Optional.of(LayerRange.of(0, 37)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(0, 37)));
+    HostPort address = new HostPort("10.0.0.3", 80);
+    list("c", address, Optional.of(LayerRange.of(37, 74)));
+    list("d", new HostPort("10.0.0.4", 80), Optional.of(LayerRange.of(66, 80)));
+    engines.wantsNoCalls = true;
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    TrackedEndpoint silent = fleet.at("m", address).get();
+    fleet.suspect(silent, "test");
+    advance(1000);
+    assertEquals(1, engines.reports);
+    engines.wantsNoCalls = false;
+    return silent;
+  }
+
+  // Guards against layers that nobody serves: an order under way was forgotten, and another sent.
+  @Test
+  void controllerWhoseLeaseIsRenewedLateRemembersItsOrders() {
+    HostPort address = new HostPort("10.0.0.1", 80);
+    list("a", address, Optional.of(LayerRange.of(0, 37)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(0, 37)));
+    list("c", new HostPort("10.0.0.3", 80), Optional.of(LayerRange.of(66, 80)));
+    engines.load = Duration.ofSeconds(8);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(1000);
+    assertEquals(List.of("a 37-71"), engines.loads);
+    fleet.at("m", address).get().reserve(1);
+    firstFence = OptionalLong.empty();
+    advance(500);
+    firstFence = OptionalLong.of(7);
+    advance(15_000);
+    assertEquals(List.of("a 37-71"), engines.loads);
+  }
+
   @Test
   void withoutTheLeaseNothingIsOrdered() {
     enlist(5);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -83,6 +83,10 @@
   private final Map<String, PlanInput> settledInputs = new HashMap<>();
   private OptionalLong actingAs = OptionalLong.empty();
   private long fencedOff = -1;
+
+  /** The fence under which the assignments were decided. */
+  private long decidedAs = -1;
+
   private int engineCount;
   private long engineCountChangedAt;
   private Cancellable timer = () -> {};
@@ -93,15 +97,42 @@
 
   private static final class Assignment {
     final LayerRange layers;
+    final Optional<LayerRange> heldBefore;
     final long decidedAt;
     boolean callOpen;
+    boolean sent;
     boolean accepted;
     long expiresAt;
 
-    Assignment(LayerRange layers, long decidedAt) {
+    Assignment(LayerRange layers, Optional<LayerRange> heldBefore, long decidedAt) {
       this.layers = layers;
+      this.heldBefore = heldBefore;
       this.decidedAt = decidedAt;
     }
+
+    boolean isDone(Optional<LayerRange> listed) {
+      return listed.equals(Optional.of(layers));
+    }
+
+    /**
+     * Returns whether the engine holds more than when this was decided: another order came first,
+     * and the engine has other layers to lose now.
+     */
+    boolean isOvertaken(Optional<LayerRange> listed) {
+      return listed.isPresent() && !isPartOfHeldBefore(listed.get());
+    }
+
+    /**
+     * Returns whether the engine was to give layers up, and could not be told so. Why it should may
+     * be over by the time it can: that is decided anew.
+     */
+    boolean isUntold() {
+      return heldBefore.isPresent() && !sent && !callOpen && !accepted;
+    }
+
+    private boolean isPartOfHeldBefore(LayerRange listed) {
+      return heldBefore.isPresent() && heldBefore.get().encloses(listed);
+    }
   }
 
   private PlacementController(
@@ -171,9 +202,9 @@
     }
     if (!now.equals(actingAs)) {
       actingAs = now;
-      assignments.clear();
       if (now.isPresent()) {
         EventLog.info(Event.PLACEMENT_CONTROLLER, "fence", now.getAsLong());
+        forgetOrdersBefore(now.getAsLong());
       }
     }
     tickAfter(actingAs.isPresent() ? TICK : IDLE_TICK);
@@ -182,6 +213,14 @@
     }
   }
 
+  /** Under the same fence nobody else gave orders, however late the lease was renewed. */
+  private void forgetOrdersBefore(long current) {
+    if (current != decidedAs) {
+      assignments.clear();
+    }
+    decidedAs = current;
+  }
+
   private void look(EntryConfiguration configured) {
     for (ServiceProfile service : configured.engineServices()) {
       lookAt(service, service.model().get());
@@ -245,27 +284,35 @@
   }
 
   private Holding holding(TrackedEndpoint engine, AcceleratorProfile kind) {
-    Assignment assignment = assignments.get(engine);
-    Optional<LayerRange> layers = engine.endpoint().layers();
-    if (assignment != null) {
-      boolean done = layers.equals(Optional.of(assignment.layers));
-      boolean overdue = assignment.accepted && now() > assignment.expiresAt;
-      if (done) {
-        counters.record(Metric.PLACEMENT_TIME, since(assignment.decidedAt));
-      }
-      if (done) {
-        assignments.remove(engine);
-      } else {
-        layers = Optional.of(assignment.layers);
-      }
-      if (overdue) {
-        // It is read again: it may still wait for requests that pass the layers it gives up.
-        assignment.accepted = false;
-      }
-    }
+    Optional<LayerRange> listed = engine.endpoint().layers();
+    endIfOver(engine, listed);
+    Optional<LayerRange> planned =
+        Optional.ofNullable(assignments.get(engine)).map(assignment -> assignment.layers);
     boolean counts = !engine.endpoint().leaving() && !engine.suspected();
     return new Holding(
-        engine.endpoint().id(), engine.endpoint().dataCentre(), kind, layers, counts);
+        engine.endpoint().id(),
+        engine.endpoint().dataCentre(),
+        kind,
+        planned.or(() -> listed),
+        listed,
+        counts);
+  }
+
+  private void endIfOver(TrackedEndpoint engine, Optional<LayerRange> listed) {
+    Assignment assignment = assignments.get(engine);
+    if (assignment == null) {
+      return;
+    }
+    if (assignment.accepted && now() > assignment.expiresAt) {
+      // It is read again: it may still wait for requests that pass the layers it gives up.
+      assignment.accepted = false;
+    }
+    if (assignment.isDone(listed)) {
+      counters.record(Metric.PLACEMENT_TIME, since(assignment.decidedAt));
+      assignments.remove(engine);
+    } else if (assignment.isOvertaken(listed) || assignment.isUntold()) {
+      assignments.remove(engine);
+    }
   }
 
   private void assign(TrackedEndpoint engine, LayerRange layers) {
@@ -279,7 +326,7 @@
         engine.endpoint().layers().map(Object::toString).orElse("none"),
         "fence",
         actingAs.getAsLong());
-    assignments.put(engine, new Assignment(layers, now()));
+    assignments.put(engine, new Assignment(layers, engine.endpoint().layers(), now()));
   }
 
   private void pursue(TrackedEndpoint engine, Assignment assignment) {
@@ -325,6 +372,7 @@
     }
     OrderGuard guard = new OrderGuard(actingAs.getAsLong(), report.ordersTaken());
     long orderedAt = now();
+    assignment.sent = true;
     fleet.statements().noteCall(engine, CallPurpose.PLACEMENT);
     Async.onDone(
         control.hold(engine.endpoint(), assignment.layers, guard),
