--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardRun.java
@@ -59,16 +59,14 @@
   private final WaitingLine line;
   private final WaitingLine.Waiter waiter = new InLine();
   private final EventSplitter splitter = new EventSplitter();
-
   private final ContentGuard guard;
-
   private final ElsewhereSearch search;
   private final PathRepairs repairs;
 
   /** Empty while none is under way. */
   private Optional<RunningAttempt> attempt = Optional.empty();
 
-  /** The attempt that the present one is to follow, until that is answered. */
+  /** The attempt whose place the present one takes as soon as that is answered. */
   private Optional<Former> former = Optional.empty();
 
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
@@ -635,8 +633,7 @@
 
     @Override
     public void leaveWithout(TrackedEndpoint lost, AttemptEnd end, String cause) {
-      // Also if it has ended: an order without an answer may have changed the path at the first
-      // one.
+      // Even if it has ended: an order without an answer may have taken it off the path before.
       seekElsewhere(end, lost, cause);
     }
   }
