--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -242,24 +242,11 @@
 
   /** Lists an engine; the last part of its address is its number. */
   FleetEndpoint engine(int number, int from, int to) {
-    FleetEndpoint engine =
-        new FleetEndpoint(
-            "e" + number,
-            MODEL,
-            new HostPort("10.0.0." + number, 80),
-            "dc1",
-            134,
-            false,
-            Optional.of(LayerRange.of(from, to)),
-            "large",
-            StorePosition.START,
-            FIRST_START);
-    fleet.put(engine);
-    return engine;
+    return engine(number, from, to, FIRST_START);
   }
 
-  /** Lists a later run of an engine. */
-  FleetEndpoint engineAgain(int number, int from, int to, int run) {
+  /** Lists an engine by the run of its process. */
+  FleetEndpoint engine(int number, int from, int to, Incarnation run) {
     FleetEndpoint engine =
         new FleetEndpoint(
             "e" + number,
@@ -271,7 +258,7 @@
             Optional.of(LayerRange.of(from, to)),
             "large",
             StorePosition.START,
-            Incarnation.startedAt(1000L * run * 10));
+            run);
     fleet.put(engine);
     return engine;
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/SearchElsewhereTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/SearchElsewhereTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.Incarnation;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
@@ -34,6 +35,30 @@
         .avoidUntil(node.now() + Duration.ofSeconds(20).toNanos());
   }
 
+  private void otherEnginesAreFull() {
+    full(node.engine(2, 0, 40));
+    full(node.engine(3, 40, 80));
+  }
+
+  /** Lets time pass without an answer of an engine, until the node suspects it. */
+  private void fallsSilent(FleetEndpoint engine) {
+    node.control.dead.add(engine.address());
+    node.advance(400);
+    assertTrue(suspected(engine));
+  }
+
+  /** Asks for a stream and returns the time until it is sent, in milliseconds. */
+  private int waitOfANewRequest() {
+    int before = node.sent.size();
+    node.ask("/stream/new");
+    int waited = 0;
+    while (node.sent.size() == before && waited < 3000) {
+      node.advance(20);
+      waited += 20;
+    }
+    return waited;
+  }
+
   private boolean suspected(FleetEndpoint engine) {
     return node.fleet.at(ForwardingFixture.MODEL, engine.address()).orElseThrow().suspected();
   }
@@ -48,12 +73,10 @@
 
   // Guards against a repeat spent on the very engine that the request was running at.
   @Test
-  void aStreamIsNotTakenFromAnEngineToBeBegunAtTheSameOne() {
+  void streamIsNotTakenFromAnEngineToBeBegunAtTheSameOne() {
     FleetEndpoint engine = node.engine(1, 0, 80);
     SentAttempt running = streaming("/stream/x");
-    node.control.dead.add(engine.address());
-    node.advance(400);
-    assertTrue(suspected(engine));
+    fallsSilent(engine);
     node.control.dead.clear();
     node.advance(500);
     assertFalse(suspected(engine));
@@ -63,14 +86,11 @@
 
   // Guards against the same beside other engines, which are full.
   @Test
-  void aStreamIsNotTakenFromAnEngineToBeBegunAtTheSameOneWhileOthersAreFull() {
+  void streamIsNotTakenFromAnEngineToBeBegunAtTheSameOneWhileOthersAreFull() {
     FleetEndpoint engine = node.engine(1, 0, 80);
     SentAttempt running = streaming("/stream/x");
-    full(node.engine(2, 0, 40));
-    full(node.engine(3, 40, 80));
-    node.control.dead.add(engine.address());
-    node.advance(400);
-    assertTrue(suspected(engine));
+    otherEnginesAreFull();
+    fallsSilent(engine);
     node.control.dead.clear();
     node.advance(500);
     assertFalse(suspected(engine));
@@ -80,12 +100,11 @@
 
   // Guards against a refusal of a request whose engine answers again while it waits for room.
   @Test
-  void aRequestIsNotRefusedWhoseEngineAnsweredWhileItWaitedForAnother() {
+  void requestIsNotRefusedWhoseEngineAnsweredWhileItWaitedForAnother() {
     FleetEndpoint engine = node.engine(1, 0, 80);
     Got got = node.ask("/stream/x");
     SentAttempt running = node.last();
-    full(node.engine(2, 0, 40));
-    full(node.engine(3, 40, 80));
+    otherEnginesAreFull();
     node.control.dead.add(engine.address());
     node.advance(500);
     assertTrue(suspected(engine));
@@ -101,13 +120,12 @@
 
   // Guards against a second loss: a request that must not run twice is broken off after it arrived.
   @Test
-  void aRequestThatMustNotRunTwiceStaysOnceItHasArrived() {
+  void requestThatMustNotRunTwiceStaysOnceItHasArrived() {
     FleetEndpoint engine = node.engine(1, 0, 80);
     Got got = node.ask("/once/x");
     SentAttempt running = node.last();
     running.arrived = false;
-    full(node.engine(2, 0, 40));
-    full(node.engine(3, 40, 80));
+    otherEnginesAreFull();
     node.control.dead.add(engine.address());
     node.advance(500);
     assertTrue(suspected(engine));
@@ -120,12 +138,11 @@
 
   // It had arrived before: it is never broken off for silence.
   @Test
-  void aRequestThatMustNotRunTwiceStaysIfItHadArrivedBefore() {
+  void requestThatMustNotRunTwiceStaysIfItHadArrivedBefore() {
     FleetEndpoint engine = node.engine(1, 0, 80);
     Got got = node.ask("/once/x");
     SentAttempt running = node.last();
-    full(node.engine(2, 0, 40));
-    full(node.engine(3, 40, 80));
+    otherEnginesAreFull();
     node.control.dead.add(engine.address());
     node.advance(2000);
     assertFalse(running.cancelled, "cancelled");
@@ -140,34 +157,25 @@
     for (int i = 0; i < 4; i++) {
       streams.add(streaming("/stream/" + i));
     }
-    full(node.engine(2, 0, 40));
-    full(node.engine(3, 40, 80));
+    otherEnginesAreFull();
     budget(1);
-    node.control.dead.add(engine.address());
-    node.advance(400);
-    assertTrue(suspected(engine));
+    fallsSilent(engine);
     assertEquals(4, node.sent.size(), "sends before there is room");
     node.fleet.all().forEach(any -> any.peersLoad(0, 0, 1));
     node.advance(40);
     assertEquals(5, node.sent.size(), "one stream moved");
-    node.ask("/stream/new");
-    int waited = 0;
-    while (node.sent.size() < 6 && waited < 3000) {
-      node.advance(20);
-      waited += 20;
-    }
-    assertTrue(waited <= 100, "ms that a new request waited while there was room: " + waited);
+    assertTrue(waitOfANewRequest() <= 100, "a new request waited while there was room");
   }
 
   // Guards against a stream left to itself: a late event ends the search, its engine stays lost.
   @Test
-  void aStreamWhoseLaterEngineIsLostIsNotForgottenAfterALateEvent() {
+  void streamWhoseLaterEngineIsLostIsNotForgottenAfterALateEvent() {
     assertSentAgainOnceThereIsBudget(true);
   }
 
   // Without the late event it is sent again as well.
   @Test
-  void aStreamWhoseLaterEngineIsLostIsSentAgainWithoutALateEvent() {
+  void streamWhoseLaterEngineIsLostIsSentAgainWithoutALateEvent() {
     assertSentAgainOnceThereIsBudget(false);
   }
 
@@ -196,7 +204,7 @@
 
   // Guards against a stream left to itself once its silent engine is known to have ended.
   @Test
-  void aStreamThatStaysTakesAnotherPathOnceItsLaterEngineHasEnded() {
+  void streamThatStaysTakesAnotherPathOnceItsLaterEngineHasEnded() {
     node.engine(5, 0, 40);
     FleetEndpoint later = node.engine(6, 40, 80);
     Got got = node.ask("/stream/x");
@@ -218,7 +226,7 @@
 
   // Guards against requests held back for the end of an engine that had answered them whole.
   @Test
-  void anEngineThatAnsweredWholeIsNotPutDownToTheRequest() {
+  void engineThatAnsweredWholeIsNotPutDownToTheRequest() {
     budget(0);
     List<FleetEndpoint> engines = new ArrayList<>();
     List<SentAttempt> streams = new ArrayList<>();
@@ -249,7 +257,7 @@
 
   // Guards against a stream left to itself when only one of its two silent engines recovers.
   @Test
-  void aStreamIsNotForgottenWhenItsFirstEngineIsClearedAndItsLaterOneIsLost() {
+  void streamIsNotForgottenWhenItsFirstEngineIsClearedAndItsLaterOneIsLost() {
     FleetEndpoint first = node.engine(5, 0, 40);
     FleetEndpoint later = node.engine(6, 40, 80);
     node.ask("/stream/x");
@@ -275,7 +283,7 @@
   // Guards against a stream that outlives its attempt: it is held back, and its first engine breaks
   // off.
   @Test
-  void aStreamThatIsHeldBackEndsOnceItsFirstEngineBreaksOff() {
+  void streamThatIsHeldBackEndsOnceItsFirstEngineBreaksOff() {
     node.engine(5, 0, 40);
     FleetEndpoint later = node.engine(6, 40, 80);
     for (int run = 1; run <= 2; run++) {
@@ -283,14 +291,14 @@
       node.last().head(200);
       node.startsAgain(later);
       former.flow.gone();
-      later = node.engineAgain(6, 40, 80, run);
+      later = node.engine(6, 40, 80, Incarnation.startedAt(10_000L * run));
     }
     Got got = node.ask("/stream/x");
     SentAttempt running = node.last();
     running.head(200);
     running.event(1);
     node.startsAgain(later);
-    node.engineAgain(6, 40, 80, 9);
+    node.engine(6, 40, 80, Incarnation.startedAt(90_000));
     Got next = node.ask("/stream/x");
     assertTrue(next.refusal.toString().contains("quarantined"), next.refusal.toString());
     // An unanswered order may have changed its path: only the first engine knows.
@@ -302,14 +310,11 @@
 
   // Guards against a move away from an engine that answers again.
   @Test
-  void aStreamIsNotMovedFromAnEngineThatIsNoLongerSuspected() {
+  void streamIsNotMovedFromAnEngineThatIsNoLongerSuspected() {
     FleetEndpoint engine = node.engine(1, 0, 80);
     SentAttempt running = streaming("/stream/x");
-    full(node.engine(2, 0, 40));
-    full(node.engine(3, 40, 80));
-    node.control.dead.add(engine.address());
-    node.advance(400);
-    assertTrue(suspected(engine));
+    otherEnginesAreFull();
+    fallsSilent(engine);
     node.control.dead.clear();
     avoid(engine);
     node.advance(500);
@@ -322,28 +327,19 @@
 
   // Guards against a new request kept waiting by streams whose repeats others have spent.
   @Test
-  void aNewRequestIsNotKeptWaitingByStreamsWhoseBudgetOthersSpent() {
+  void newRequestIsNotKeptWaitingByStreamsWhoseBudgetOthersSpent() {
     FleetEndpoint engine = node.engine(1, 0, 80);
     List<SentAttempt> streams = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
       streams.add(streaming("/stream/" + i));
     }
-    full(node.engine(2, 0, 40));
-    full(node.engine(3, 40, 80));
-    node.control.dead.add(engine.address());
-    node.advance(400);
-    assertTrue(suspected(engine));
+    otherEnginesAreFull();
+    fallsSilent(engine);
     assertEquals(3, node.sent.size());
     // The budget goes to zero, as by other requests' failures.
     budget(0);
     node.fleet.all().forEach(any -> any.peersLoad(0, 0, 1));
-    node.ask("/stream/new");
-    int waited = 0;
-    while (node.sent.size() < 4 && waited < 3000) {
-      node.advance(20);
-      waited += 20;
-    }
-    assertTrue(waited <= 100, "ms that a new request waited while there was room: " + waited);
+    assertTrue(waitOfANewRequest() <= 100, "a new request waited while there was room");
   }
 
   // The same on a node that has begun many requests lately.
@@ -357,22 +353,13 @@
     for (int i = 0; i < 4; i++) {
       streaming("/stream/" + i);
     }
-    full(node.engine(2, 0, 40));
-    full(node.engine(3, 40, 80));
+    otherEnginesAreFull();
     budget(1);
-    node.control.dead.add(engine.address());
-    node.advance(400);
-    assertTrue(suspected(engine));
+    fallsSilent(engine);
     assertEquals(44, node.sent.size(), "sends before there is room");
     node.fleet.all().forEach(any -> any.peersLoad(0, 0, 1));
     node.advance(40);
     assertEquals(45, node.sent.size(), "one stream moved");
-    node.ask("/stream/new");
-    int waited = 0;
-    while (node.sent.size() < 46 && waited < 3000) {
-      node.advance(20);
-      waited += 20;
-    }
-    assertTrue(waited <= 100, "ms that a new request waited while there was room: " + waited);
+    assertTrue(waitOfANewRequest() <= 100, "a new request waited while there was room");
   }
 }
