A stopping node takes no requests that its callers were promised an answer to

Cause: connections at rest were closed at the first look after the balancer's lag of 3.0 s, counted from when the node's loop began to stop: 29 ms after the signal there, and up to 50 ms until the look. Requests that arrived until then on a kept connection were taken, and new ones until half of the grace. The balancer has taken the node out after two seconds.

Why this works: connections at rest are closed, and new requests refused as not run, 2.8 s after the begin of the stop, so that a late look and a late signal stay within three seconds. What a node does at which time stands in StopPlan, which can be tested.

StopPlanTest.nothingIsTakenThatCallersSendAfterTheBalancersLag failed with the former lag: 'expected: <false> but was: <true>'.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -60,20 +60,9 @@
    */
   @VisibleForTesting static final Duration RELIST_GRACE = Duration.ofMillis(2900);
 
-  /** The balancer asks each second and takes a node out after two misses. */
-  private static final Duration BALANCER_LAG = Duration.ofMillis(3000);
-
-  /** Part of the stop's grace after which new requests are refused: a stream takes seconds. */
-  private static final double TAKE_NEW_PART = 0.5;
-
-  /** Part of the grace after which the process ends with requests in flight. */
-  private static final double END_PART = 0.93;
-
   /** A node that was late by this part of the revocation time is still in bounds. */
   private static final double KEY_FRESHNESS_PART = 0.95;
 
-  private static final Duration STOP_CHECK = Duration.ofMillis(50);
-
   /** In force until the first configuration is read. */
   private static final EntryLimits LIMITS_AT_START =
       new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
@@ -372,24 +361,24 @@
   }
 
   private void checkStopped(long begun, CompletableFuture<Integer> stopped) {
-    long grace = settings.stopGrace().toNanos();
-    long passed = io.currentTime(NANOSECONDS) - begun;
-    if (passed > grace * TAKE_NEW_PART) {
+    StopPlan plan = StopPlan.within(settings.stopGrace());
+    Duration passed = Duration.ofNanos(io.currentTime(NANOSECONDS) - begun);
+    if (!plan.takesNew(passed)) {
       forwarder.refuseNew();
     }
-    if (passed > BALANCER_LAG.toNanos() && !closingIdle) {
+    if (plan.closesIdle(passed) && !closingIdle) {
       closingIdle = true;
       // The balancer sends no new connections by now: idle ones close, busy ones after their
       // answer.
       callers.closeAsyncGracefully().subscribe();
     }
-    boolean idle = underWay() == 0 && passed > BALANCER_LAG.toNanos();
-    if (idle || passed > grace * END_PART) {
+    boolean idle = underWay() == 0 && plan.closesIdle(passed);
+    if (idle || plan.isOver(passed)) {
       EventLog.info(idle ? Event.STOPPED : Event.STOP_CUT, "inFlight", underWay());
       closeSockets(stopped);
       return;
     }
-    io.schedule(() -> checkStopped(begun, stopped), STOP_CHECK.toNanos(), NANOSECONDS);
+    io.schedule(() -> checkStopped(begun, stopped), StopPlan.CHECK.toNanos(), NANOSECONDS);
   }
 
   /** Returns requests under way, those included whose answers wait for callers that read slowly. */
