Entry: log who ended a connection in the middle of a response

What was missing: vaneworks.caller.closes counts a caller's connection that closes during an answer, but no line names the request, and the end of a connection to an endpoint can be read only from the text of an exception. So an answer that is lost on the node's own sockets could not be told from a caller that left, nor a close of an endpoint from a reset.

Change: VW4017, once per caller connection that closes before its response was delivered: request, who closed it (node or caller) and how (fin, reset, a failed write; abort, timer, close), the bytes of the body that were passed on, unwritten and buffered, and whether the endpoint's part had ended. VW4018, once per call to an endpoint that fails: who ended the connection, how, in which phase, after how many bytes. Ordinary ends write no line.

Also: a caller's reset that the node notices by a failed write was counted as 'cut' by the node, because ServiceTalk closes the channel before the event of the shutdown is fired. New test resetByCallerNoticedByWriteIsCounted without the distinction: 'cut ==> expected: <0.0> but was: <1.0>'.

A caller that shuts down only its output stays a caller that has gone (docs/METRICS.md): TCP can't tell it from one that closed, and GONE asks that work for it ends.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerCloseReasonTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerCloseReasonTest.java
@@ -1,11 +1,16 @@
 package org.vaneworks.transport.entry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
+import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.Metric;
 
 /** Tests over sockets that each close of a caller connection is counted under its reason. */
@@ -15,6 +20,7 @@
   /** Only bounds a failing test. */
   private static final int MAX_CHECKS = 1000;
 
+  private final RecordedEvents events = RecordedEvents.create();
   private EntryFixture server;
 
   @BeforeEach
@@ -24,6 +30,7 @@
 
   @AfterEach
   void stop() throws Exception {
+    events.close();
     server.close();
   }
 
@@ -48,6 +55,21 @@
     }
   }
 
+  /** Asserts that one line tells who closed the connection, and how far the response had come. */
+  private void assertLogged(
+      String closedBy, CloseReason reason, String cause, int passedBytes, boolean endpointEnded)
+      throws Exception {
+    Map<String, String> line = events.await(Event.CALLER_CONNECTION_CLOSED);
+    assertEquals("q1", line.get("request"));
+    assertEquals(closedBy, line.get("closedBy"));
+    assertEquals(reason.code(), line.get("reason"));
+    String text = line.get("cause");
+    assertTrue(text.startsWith(cause), text);
+    assertEquals(Integer.toString(passedBytes), line.get("passedBytes"));
+    assertEquals(Boolean.toString(endpointEnded), line.get("endpointEnded"));
+    assertEquals(1, events.count(Event.CALLER_CONNECTION_CLOSED));
+  }
+
   private EntryFixture.ReceivedRequest startResponse(Socket caller) throws Exception {
     EntryFixture.sendRequest(caller);
     EntryFixture.ReceivedRequest request = server.next();
@@ -75,7 +97,9 @@
   @Test
   void closeByCallerDuringResponseIsCounted() throws Exception {
     try (Socket caller = server.connect()) {
-      startResponse(caller);
+      var unused = startResponse(caller);
+      caller.shutdownOutput();
+      assertLogged("caller", CloseReason.DISCONNECTED_DURING_RESPONSE, "fin", 1, false);
     }
     assertCountedAs(CloseReason.DISCONNECTED_DURING_RESPONSE);
   }
@@ -88,6 +112,7 @@
       caller.setSoLinger(true, 0);
     }
     assertCountedAs(CloseReason.DISCONNECTED_DURING_RESPONSE);
+    assertLogged("caller", CloseReason.DISCONNECTED_DURING_RESPONSE, "reset", 1, false);
   }
 
   // Guards against counting a caller's close before the response head as an abort by the node.
@@ -99,6 +124,7 @@
       request = server.next();
     }
     assertCountedAs(CloseReason.DISCONNECTED_DURING_RESPONSE);
+    request.awaitDisconnect();
     assertEquals(1, request.disconnects());
   }
 
@@ -122,6 +148,7 @@
       readToEnd(caller);
     }
     assertCountedAs(CloseReason.ABORTED);
+    assertLogged("node", CloseReason.ABORTED, "abort", 1, false);
   }
 
   // Guards against counting a close that was announced to the caller as an abort.
@@ -134,6 +161,7 @@
       readToEnd(caller);
     }
     assertCountedAs(CloseReason.LAST_RESPONSE);
+    assertEquals(0, events.count(Event.CALLER_CONNECTION_CLOSED));
   }
 
   // Guards against counting a close that the caller requested as an abort.
@@ -156,5 +184,41 @@
       var unused = caller.getInputStream().read();
     }
     assertCountedAs(CloseReason.DISCONNECTED);
+    assertEquals(0, events.count(Event.CALLER_CONNECTION_CLOSED));
+  }
+
+  // Guards against a close by a caller, noticed by a failed write, that is attributed to the node.
+  @Test
+  void resetByCallerNoticedByWriteIsCounted() throws Exception {
+    Socket caller = server.connect();
+    EntryFixture.ReceivedRequest request = startResponse(caller);
+    server.runOnEventLoop(
+        () -> {
+          reset(caller);
+          request.response.data(new byte[1]);
+        });
+    assertCountedAs(CloseReason.DISCONNECTED_DURING_RESPONSE);
+    assertLogged("caller", CloseReason.DISCONNECTED_DURING_RESPONSE, "write", 2, false);
+  }
+
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  // Guards against a close by the server itself that can't be told from an aborted response.
+  @Test
+  void closeOfServerDuringResponseIsLogged() throws Exception {
+    try (Socket caller = server.connect()) {
+      var unused = startResponse(caller);
+      server.closeConnections();
+      readToEnd(caller);
+    }
+    assertCountedAs(CloseReason.ABORTED);
+    assertLogged("node", CloseReason.ABORTED, "close", 1, false);
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
@@ -52,6 +52,11 @@
     public long bufferedBytes() {
       return 0;
     }
+
+    @Override
+    public ResponseProgress progress() {
+      return ResponseProgress.NONE;
+    }
   }
 
   private static EntryLimits limits(long idleMillis) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -76,7 +76,7 @@
   final CallerConnections connections = CallerConnections.create();
   final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
-  private final HttpServerContext server;
+  final HttpServerContext server;
   private volatile boolean closing;
   private volatile EntryLimits limits = limits(Duration.ofHours(1));
 
@@ -176,9 +176,14 @@
     }
   }
 
+  /** Closes the server with its connections. */
+  void closeConnections() throws Exception {
+    server.closeAsync().toFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
   @Override
   public void close() throws Exception {
-    server.closeAsync().toFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    closeConnections();
     io.closeAsync().toFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -71,6 +71,10 @@
   QUARANTINE_TOLD_AGAIN(
       4015, "endpoint crashes that the store may have lost are written to it again"),
   REQUEST_STAYS(4016, "a request stays at an unresponsive endpoint; no other endpoint can take it"),
+  CALLER_CONNECTION_CLOSED(
+      4017, "a caller's connection was closed before its response was delivered"),
+  ENDPOINT_CONNECTION_ENDED(
+      4018, "a connection to an endpoint ended before the response to its request was complete"),
   MEMBER_JOINED(5001, "a node joined"),
   MEMBER_SUSPECTED(5002, "a node does not answer"),
   MEMBER_LEFT(5003, "a node left or was declared dead"),
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -16,6 +16,8 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ChannelOutputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
@@ -24,6 +26,8 @@
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.entry.EntryLimits;
 import org.vaneworks.telemetry.Counters;
+import org.vaneworks.telemetry.Event;
+import org.vaneworks.telemetry.EventLog;
 import org.vaneworks.telemetry.Metric;
 
 /**
@@ -70,6 +74,11 @@
         public long bufferedBytes() {
           return 0;
         }
+
+        @Override
+        public ResponseProgress progress() {
+          return ResponseProgress.NONE;
+        }
       };
 
   private final Supplier<EntryLimits> limits;
@@ -78,7 +87,7 @@
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
   private PendingResponse response = NO_RESPONSE;
-  private boolean closeCounted;
+  private boolean closeRecorded;
   private boolean requestInProgress;
   private boolean wasActive;
   private long previousUnsentBytes;
@@ -88,6 +97,7 @@
   private boolean headStarted;
   private boolean startLineEnded;
   private boolean rejected;
+  private boolean outputShutdown;
   private long headBytes;
   private long startLineBytes;
 
@@ -152,35 +162,85 @@
 
   @Override
   public void aborted() {
-    countClose(CloseReason.ABORTED);
+    recordClose(CloseReason.ABORTED, "abort");
   }
 
-  /** Counts only the first reason, because later ones are its consequences. */
-  private void countClose(CloseReason reason) {
-    if (!closeCounted) {
-      closeCounted = true;
-      counters.count(Metric.CALLER_CLOSES, reason.code());
+  /**
+   * Records only the first reason, because later ones are its consequences.
+   *
+   * @param cause the event or the operation that closes the connection
+   */
+  private void recordClose(CloseReason reason, String cause) {
+    if (closeRecorded) {
+      return;
+    }
+    closeRecorded = true;
+    counters.count(Metric.CALLER_CLOSES, reason.code());
+    if (isResponseIncomplete() || hasWriteFailed()) {
+      logIncompleteResponse(reason, cause);
     }
   }
 
-  private void countCloseByCaller() {
+  private void logIncompleteResponse(CloseReason reason, String cause) {
+    ResponseProgress progress = response.progress();
+    EventLog.info(
+        Event.CALLER_CONNECTION_CLOSED,
+        "request",
+        progress.requestId(),
+        "closedBy",
+        reason.closedByCaller() ? "caller" : "node",
+        "reason",
+        reason.code(),
+        "cause",
+        cause,
+        "passedBytes",
+        progress.passedBytes(),
+        "unwrittenBytes",
+        unwrittenBytes(),
+        "bufferedBytes",
+        progress.bufferedBytes(),
+        "endpointEnded",
+        progress.endpointEnded());
+  }
+
+  private void recordCloseByCaller(String cause) {
     if (isActive()) {
-      countClose(CloseReason.DISCONNECTED_DURING_RESPONSE);
+      recordClose(CloseReason.DISCONNECTED_DURING_RESPONSE, cause);
     } else {
-      countClose(lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.DISCONNECTED);
+      recordClose(lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.DISCONNECTED, cause);
     }
   }
 
-  private void countCloseByNode() {
+  private void recordCloseByNode() {
+    if (hasWriteFailed()) {
+      recordClose(CloseReason.DISCONNECTED_DURING_RESPONSE, "write");
+    } else if (isResponseIncomplete()) {
+      recordClose(CloseReason.ABORTED, "close");
+    } else {
+      recordClose(
+          lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.BETWEEN_RESPONSES, "close");
+    }
+  }
+
+  /**
+   * Returns whether the output was shut down by a failed write, because the caller has
+   * disconnected. Pending writes fail, and ServiceTalk closes the connection, before the event is
+   * fired.
+   */
+  private boolean hasWriteFailed() {
+    return !outputShutdown
+        && context.channel() instanceof DuplexChannel duplex
+        && duplex.isActive()
+        && duplex.isOutputShutdown();
+  }
+
+  /** Returns whether bytes of a response would be lost if the connection were closed now. */
+  private boolean isResponseIncomplete() {
     // ServiceTalk closes with the write of the last byte, which totalPendingWriteBytes() still
     // includes at that time.
     ChannelOutboundBuffer pending = context.channel().unsafe().outboundBuffer();
     boolean hasUnwritten = pending != null && !pending.isEmpty();
-    if (hasUnwritten || !response.isTerminated()) {
-      countClose(CloseReason.ABORTED);
-    } else {
-      countClose(lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.BETWEEN_RESPONSES);
-    }
+    return hasUnwritten || !response.isTerminated();
   }
 
   /**
@@ -253,7 +313,7 @@
   }
 
   private void closeWith(CloseReason reason) {
-    countClose(reason);
+    recordClose(reason, "timer");
     var unused = context.close();
   }
 
@@ -294,7 +354,7 @@
       return;
     }
     rejected = true;
-    countClose(CloseReason.REJECTED);
+    recordClose(CloseReason.REJECTED, reason.code());
     counters.count(Metric.REFUSALS, reason.code());
     String response =
         "HTTP/1.1 " + reason.status() + " \r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -308,8 +368,10 @@
   @Override
   public void userEventTriggered(ChannelHandlerContext channel, Object event) throws Exception {
     if (event instanceof ChannelInputShutdownEvent) {
-      countCloseByCaller();
+      recordCloseByCaller("fin");
       response.callerDisconnected();
+    } else if (event instanceof ChannelOutputShutdownEvent) {
+      outputShutdown = true;
     }
     super.userEventTriggered(channel, event);
   }
@@ -317,20 +379,20 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) throws Exception {
     if (cause instanceof IOException) {
-      countCloseByCaller();
+      recordCloseByCaller("reset: " + cause.getMessage());
     }
     super.exceptionCaught(channel, cause);
   }
 
   @Override
   public void close(ChannelHandlerContext channel, ChannelPromise promise) throws Exception {
-    countCloseByNode();
+    recordCloseByNode();
     super.close(channel, promise);
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext channel) throws Exception {
-    countCloseByCaller();
+    recordCloseByCaller("inactive");
     openConnections.closed(this);
     response.callerDisconnected();
     timer.cancel(false);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CloseReason.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CloseReason.java
@@ -3,40 +3,47 @@
 /** Why and by whom a caller's connection was closed; docs/METRICS.md describes the values. */
 enum CloseReason {
   /** The idle timeout expired between requests. */
-  IDLE("idle"),
+  IDLE("idle", false),
 
   /** The idle timeout expired while a response was in progress, which must not happen. */
-  IDLE_DURING_RESPONSE("idle-while-held"),
+  IDLE_DURING_RESPONSE("idle-while-held", false),
 
   /** The caller read none of the buffered bytes within the stall timeout. */
-  STALLED("stalled"),
+  STALLED("stalled", false),
 
   /** The request head was malformed, too large or too slow. */
-  REJECTED("rejected"),
+  REJECTED("rejected", false),
 
   /** The node closed the connection during a response. */
-  ABORTED("cut"),
+  ABORTED("cut", false),
 
   /** The connection was closed after a response that announced the close. */
-  LAST_RESPONSE("last-answer"),
+  LAST_RESPONSE("last-answer", false),
 
   /** The node closed the connection between responses, for example at the caller's request. */
-  BETWEEN_RESPONSES("between-answers"),
+  BETWEEN_RESPONSES("between-answers", false),
 
   /** The caller disconnected during a request or response. */
-  DISCONNECTED_DURING_RESPONSE("caller-left-answer"),
+  DISCONNECTED_DURING_RESPONSE("caller-left-answer", true),
 
   /** The caller disconnected between responses. */
-  DISCONNECTED("caller-left");
+  DISCONNECTED("caller-left", true);
 
   private final String code;
+  private final boolean closedByCaller;
 
-  CloseReason(String code) {
+  CloseReason(String code, boolean closedByCaller) {
     this.code = code;
+    this.closedByCaller = closedByCaller;
   }
 
   /** Returns the label value in metrics. */
   String code() {
     return code;
   }
+
+  /** Returns whether the caller closed the connection, rather than this node. */
+  boolean closedByCaller() {
+    return closedByCaller;
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -31,6 +31,8 @@
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.forwarding.EndpointTransport;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.telemetry.Event;
+import org.vaneworks.telemetry.EventLog;
 import org.vaneworks.transport.RefCountedClient;
 import org.vaneworks.transport.SendFailures;
 import org.vaneworks.transport.SingleAddressLoadBalancer;
@@ -77,7 +79,7 @@
     RefCountedClient<StreamingHttpClient> refCounted =
         clients.computeIfAbsent(attempt.endpoint().address(), this::newRefCountedClient);
     StreamingHttpClient client = refCounted.acquire();
-    Call call = new Call(dialect, attempt.request().id(), listener, refCounted::release);
+    Call call = new Call(dialect, attempt, listener, refCounted::release);
     StreamingHttpRequest request = request(client, attempt);
     request.context().put(CALL, call);
     SourceAdapters.toSource(client.request(request)).subscribe(call);
@@ -138,7 +140,7 @@
           SingleSource.Subscriber<StreamingHttpResponse>,
           PublisherSource.Subscriber<Buffer> {
     private final HeaderDialect dialect;
-    private final String requestId;
+    private final Attempt attempt;
     private final Listener listener;
     private final Runnable onFinished;
     private Cancellable pendingHead = () -> {};
@@ -149,16 +151,17 @@
     private boolean paused;
     private boolean requestDeferred;
     private boolean finished;
+    private long receivedBytes;
 
     /**
      * Creates a call that has not been sent.
      *
      * @param onFinished runs once, when the call no longer needs its client
      */
-    Call(HeaderDialect dialect, String requestId, Listener listener, Runnable onFinished) {
+    Call(HeaderDialect dialect, Attempt attempt, Listener listener, Runnable onFinished) {
       this.onFinished = onFinished;
       this.dialect = dialect;
-      this.requestId = requestId;
+      this.attempt = attempt;
       this.listener = listener;
     }
 
@@ -182,7 +185,7 @@
           new EndpointResponseHead(
               response,
               dialect.notRun(status, headers),
-              dialect.matches(headers, requestId),
+              dialect.matches(headers, attempt.request().id()),
               dialect.obstacle(headers),
               dialect.signal(status, headers)));
       SourceAdapters.toSource(response.payloadBody()).subscribe(this);
@@ -211,6 +214,7 @@
       if (!discarded && !cancelled) {
         byte[] bytes = new byte[buffer.readableBytes()];
         buffer.readBytes(bytes);
+        receivedBytes += bytes.length;
         listener.data(bytes);
       }
       requestNext();
@@ -228,12 +232,35 @@
     public void onError(Throwable cause) {
       finish();
       if (!discarded && !cancelled) {
+        logEnd(cause);
         boolean refused = SendFailures.connectionRefused(cause);
         Throwable reported = refused ? new ConnectionRefusedException(cause) : cause;
         listener.failed(body == null && SendFailures.neverSent(cause), reported);
       }
     }
 
+    private void logEnd(Throwable cause) {
+      ConnectionEnd end = ConnectionEnd.of(cause);
+      EventLog.info(
+          Event.ENDPOINT_CONNECTION_ENDED,
+          "request",
+          attempt.request().id(),
+          "endpoint",
+          attempt.endpoint().id(),
+          "address",
+          attempt.endpoint().address(),
+          "endedBy",
+          end.endedBy(),
+          "how",
+          end.code(),
+          "phase",
+          connected ? (body == null ? "head" : "body") : "connect",
+          "receivedBytes",
+          receivedBytes,
+          "cause",
+          cause);
+    }
+
     void connected() {
       connected = true;
     }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
@@ -42,6 +42,7 @@
       new ResponseBody(() -> listener().drained(), this::callerDisconnected);
   private CallerResponse.Listener listener;
   private final ConnectionListener connection;
+  private String requestId = "";
   private boolean headSent;
   private boolean ended;
   private boolean disconnected;
@@ -64,6 +65,11 @@
     this.closing = closing;
   }
 
+  /** Sets the caller's id of the request, for log lines. */
+  void requestId(String id) {
+    requestId = id;
+  }
+
   /** Sets the listener for events of the caller. */
   void listener(CallerResponse.Listener newListener) {
     listener = newListener;
@@ -88,6 +94,12 @@
     return body.bufferedBytes();
   }
 
+  @Override
+  public ResponseProgress progress() {
+    return new ResponseProgress(
+        requestId, body.emittedBytes(), body.bufferedBytes(), ended && !disconnected);
+  }
+
   @Override
   public void callerDisconnected() {
     if (!ended) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -158,6 +158,7 @@
     if (id.isEmpty()) {
       return response.refuseUnsent(Reason.INVALID_HEADER, "the request has no id");
     }
+    response.requestId(id.get());
     if (totalBytes(request.headers()) > limits.get().maxHeaderBytes()) {
       return response.refuseAndClose(Reason.HEADERS_TOO_LARGE, "all headers together");
     }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingResponse.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingResponse.java
@@ -12,4 +12,7 @@
 
   /** Returns the number of bytes that are buffered and not yet passed to the connection. */
   long bufferedBytes();
+
+  /** Returns how much of the response was passed on. */
+  ResponseProgress progress();
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/ResponseBody.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/ResponseBody.java
@@ -25,6 +25,7 @@
   private Throwable failure;
   private long demand;
   private int bufferedBytes;
+  private long emittedBytes;
   private boolean full;
   private boolean ended;
   private boolean terminated;
@@ -56,6 +57,11 @@
     return bufferedBytes;
   }
 
+  /** Returns the number of bytes that the subscriber has received. */
+  long emittedBytes() {
+    return emittedBytes;
+  }
+
   /** Completes the body after the buffered bytes. */
   void end() {
     ended = true;
@@ -107,6 +113,7 @@
       demand--;
       Buffer next = buffered.poll();
       bufferedBytes -= next.readableBytes();
+      emittedBytes += next.readableBytes();
       subscriber.onNext(next);
     }
     emitting = false;
