Entry: linger when a caller's connection is closed

What callers saw: a slow caller got a complete answer cut short by a reset. The endpoint's part was over and every byte was with the kernel when the node closed the connection, and the caller had sent something more (a next request, an empty line) that was unread or arrived after the close. The kernel answers that with a reset and drops what the caller has not received. Nothing in the node's log or counts shows it: the close counts as 'idle', 'between-answers' or 'rejected'.

Where: the idle limit; Connection: close of the caller; a stop (closeAsyncGracefully and then closeAsync, and the end of the process); the rejection of a next request. ServiceTalk itself shuts down the output first, and discards input, only after a response with Connection: close that the node chose; it then waits for the caller without a bound.

Change: all closes of a caller's channel go through one place. If the response is complete, the output is shut down, input is discarded until the caller closes or a second has passed, and then the socket is closed (RFC 9112, 9.6). The bound also holds for ServiceTalk's own half-close. An aborted response is closed at once, as before. A stop that has no request left waits for the connections that linger, at most that second and never beyond its grace.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -395,7 +395,9 @@
       callerServer.closeAsyncGracefully().subscribe();
     }
     boolean idle = activeRequests() == 0 && plan.closesIdleConnections(elapsed);
-    if (idle || plan.isExpired(elapsed)) {
+    // Callers may still be receiving the end of a response.
+    boolean delivered = idle && callerConnections.isEmpty();
+    if (delivered || plan.isExpired(elapsed)) {
       EventLog.info(idle ? Event.STOPPED : Event.STOP_CUT, "inFlight", activeRequests());
       closeSockets(stopped);
       return;
@@ -415,6 +417,7 @@
     loadExchange.stop();
     loadDatagrams.ifPresent(LoadDatagrams::close);
     metricsServer.ifPresent(server -> server.closeAsync().subscribe());
+    callerConnections.closeNow();
     callerServer
         .closeAsync()
         .merge(readinessServer.closeAsync())
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -176,6 +176,17 @@
     }
   }
 
+  /** Returns the number of requests that no test has taken yet. */
+  int receivedRequests() {
+    return received.size();
+  }
+
+  /** Starts to close the server and its connections, as a stop does; returns at once. */
+  void startClosing() {
+    server.closeAsyncGracefully().subscribe();
+    server.closeAsync().subscribe();
+  }
+
   /** Closes the server with its connections. */
   void closeConnections() throws Exception {
     server.closeAsync().toFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.channel.socket.ChannelOutputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.time.Duration;
@@ -37,7 +38,14 @@
  *
  * <p>ServiceTalk resets a connection whose input it can't decode, but callers must receive a status
  * code first. ServiceTalk also completes the response on a connection whose input was shut down,
- * although the caller has disconnected. Confined to the channel's event loop.
+ * although the caller has disconnected.
+ *
+ * <p>A socket that is closed with unread input, or that gets input afterwards, resets the
+ * connection, and its peer loses what it has not received yet. Unless a response is aborted, a
+ * connection therefore lingers (RFC 9112, section 9.6): its output is shut down, and input is
+ * discarded until the caller closes its side or {@link #LINGER_TIMEOUT} has passed.
+ *
+ * <p>Confined to the channel's event loop.
  */
 final class CallerConnection extends ChannelDuplexHandler
     implements EntryResponse.ConnectionListener {
@@ -60,6 +68,9 @@
    */
   @VisibleForTesting static final Duration STALL_TIMEOUT = Duration.ofSeconds(30);
 
+  /** Maximum time between the shutdown of a connection's output and its close. */
+  private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
+
   private static final PendingResponse NO_RESPONSE =
       new PendingResponse() {
         @Override
@@ -97,7 +108,9 @@
   private boolean headStarted;
   private boolean startLineEnded;
   private boolean rejected;
+  private boolean aborted;
   private boolean outputShutdown;
+  private boolean lingering;
   private long headBytes;
   private long startLineBytes;
 
@@ -142,7 +155,9 @@
     requestInProgress = true;
     headStarted = false;
     response = started;
-    timer.cancel(false);
+    if (!lingering) {
+      timer.cancel(false);
+    }
   }
 
   @Override
@@ -162,6 +177,7 @@
 
   @Override
   public void aborted() {
+    aborted = true;
     recordClose(CloseReason.ABORTED, "abort");
   }
 
@@ -259,6 +275,9 @@
   }
 
   private void awaitNextRequest() {
+    if (lingering) {
+      return;
+    }
     headStarted = false;
     headBytes = 0;
     startLineBytes = 0;
@@ -314,11 +333,51 @@
 
   private void closeWith(CloseReason reason) {
     recordClose(reason, "timer");
+    closeOrLinger(context.newPromise());
+  }
+
+  /** Closes the connection without waiting for the caller. */
+  void closeNow() {
+    recordCloseByNode();
     var unused = context.close();
   }
 
+  private void closeOrLinger(ChannelPromise promise) {
+    if (!mayLinger()) {
+      var unused = context.close(promise);
+      return;
+    }
+    var unused = context.channel().closeFuture().addListener(closed -> promise.trySuccess());
+    if (!lingering) {
+      linger();
+      unused = ((DuplexChannel) context.channel()).shutdownOutput();
+    }
+  }
+
+  /** Returns whether the caller may still be receiving the end of a complete response. */
+  private boolean mayLinger() {
+    return context.channel() instanceof DuplexChannel duplex
+        && duplex.isActive()
+        && !duplex.isInputShutdown()
+        && !aborted
+        && !isResponseIncomplete()
+        && !hasWriteFailed();
+  }
+
+  private void linger() {
+    if (!lingering) {
+      lingering = true;
+      schedule(LINGER_TIMEOUT, this::closeNow);
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext channel, Object message) throws Exception {
+    if (lingering) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
     if (!isActive() && message instanceof ByteBuf bytes) {
       trackHead(bytes);
     }
@@ -372,8 +431,12 @@
       response.callerDisconnected();
     } else if (event instanceof ChannelOutputShutdownEvent) {
       outputShutdown = true;
+      linger();
     }
     super.userEventTriggered(channel, event);
+    if (lingering && event instanceof ChannelInputShutdownEvent) {
+      closeNow();
+    }
   }
 
   @Override
@@ -387,7 +450,7 @@
   @Override
   public void close(ChannelHandlerContext channel, ChannelPromise promise) throws Exception {
     recordCloseByNode();
-    super.close(channel, promise);
+    closeOrLinger(promise);
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
@@ -1,5 +1,6 @@
 package org.vaneworks.transport.entry;
 
+import com.google.common.collect.ImmutableList;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -22,6 +23,16 @@
     open.remove(connection);
   }
 
+  /** Closes all connections without waiting for their callers. */
+  public void closeNow() {
+    ImmutableList.copyOf(open).forEach(CallerConnection::closeNow);
+  }
+
+  /** Returns whether no connection is open. */
+  public boolean isEmpty() {
+    return open.isEmpty();
+  }
+
   /**
    * Returns the number of connections with a request or response in progress, including responses
    * whose last bytes are buffered for a slow caller.
