--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -76,7 +76,7 @@
   final CallerConnections connections = CallerConnections.create();
   final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
-  private final HttpServerContext server;
+  final HttpServerContext server;
   private volatile boolean closing;
   private volatile EntryLimits limits = limits(Duration.ofHours(1));
 
@@ -176,9 +176,25 @@
     }
   }
 
+  /** Returns the number of requests that no test has taken yet. */
+  int receivedRequests() {
+    return received.size();
+  }
+
+  /** Starts to close the server and its connections, as a stop does; returns at once. */
+  void startClosing() {
+    server.closeAsyncGracefully().subscribe();
+    server.closeAsync().subscribe();
+  }
+
+  /** Closes the server with its connections. */
+  void closeConnections() throws Exception {
+    server.closeAsync().toFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
   @Override
   public void close() throws Exception {
-    server.closeAsync().toFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    closeConnections();
     io.closeAsync().toFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -16,7 +16,10 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ChannelOutputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.time.Duration;
@@ -24,6 +27,8 @@
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.entry.EntryLimits;
 import org.vaneworks.telemetry.Counters;
+import org.vaneworks.telemetry.Event;
+import org.vaneworks.telemetry.EventLog;
 import org.vaneworks.telemetry.Metric;
 
 /**
@@ -33,7 +38,14 @@
  *
  * <p>ServiceTalk resets a connection whose input it can't decode, but callers must receive a status
  * code first. ServiceTalk also completes the response on a connection whose input was shut down,
- * although the caller has disconnected. Confined to the channel's event loop.
+ * although the caller has disconnected.
+ *
+ * <p>A socket that is closed with unread input, or that gets input afterwards, resets the
+ * connection, and its peer loses what it has not received yet. Unless a response is aborted, a
+ * connection therefore lingers (RFC 9112, section 9.6): its output is shut down, and input is
+ * discarded until the caller closes its side or {@link #LINGER_TIMEOUT} has passed.
+ *
+ * <p>Confined to the channel's event loop.
  */
 final class CallerConnection extends ChannelDuplexHandler
     implements EntryResponse.ConnectionListener {
@@ -56,6 +68,9 @@
    */
   @VisibleForTesting static final Duration STALL_TIMEOUT = Duration.ofSeconds(30);
 
+  /** Maximum time between the shutdown of a connection's output and its close. */
+  private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
+
   private static final PendingResponse NO_RESPONSE =
       new PendingResponse() {
         @Override
@@ -70,6 +85,11 @@
         public long bufferedBytes() {
           return 0;
         }
+
+        @Override
+        public ResponseProgress progress() {
+          return ResponseProgress.NONE;
+        }
       };
 
   private final Supplier<EntryLimits> limits;
@@ -78,7 +98,7 @@
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
   private PendingResponse response = NO_RESPONSE;
-  private boolean closeCounted;
+  private boolean closeRecorded;
   private boolean requestInProgress;
   private boolean wasActive;
   private long previousUnsentBytes;
@@ -88,6 +108,9 @@
   private boolean headStarted;
   private boolean startLineEnded;
   private boolean rejected;
+  private boolean aborted;
+  private boolean outputShutdown;
+  private boolean lingering;
   private long headBytes;
   private long startLineBytes;
 
@@ -132,7 +155,9 @@
     requestInProgress = true;
     headStarted = false;
     response = started;
-    timer.cancel(false);
+    if (!lingering) {
+      timer.cancel(false);
+    }
   }
 
   @Override
@@ -152,35 +177,86 @@
 
   @Override
   public void aborted() {
-    countClose(CloseReason.ABORTED);
+    aborted = true;
+    recordClose(CloseReason.ABORTED, "abort");
   }
 
-  /** Counts only the first reason, because later ones are its consequences. */
-  private void countClose(CloseReason reason) {
-    if (!closeCounted) {
-      closeCounted = true;
-      counters.count(Metric.CALLER_CLOSES, reason.code());
+  /**
+   * Records only the first reason, because later ones are its consequences.
+   *
+   * @param cause the event or the operation that closes the connection
+   */
+  private void recordClose(CloseReason reason, String cause) {
+    if (closeRecorded) {
+      return;
+    }
+    closeRecorded = true;
+    counters.count(Metric.CALLER_CLOSES, reason.code());
+    if (isResponseIncomplete() || hasWriteFailed()) {
+      logIncompleteResponse(reason, cause);
     }
   }
 
-  private void countCloseByCaller() {
+  private void logIncompleteResponse(CloseReason reason, String cause) {
+    ResponseProgress progress = response.progress();
+    EventLog.info(
+        Event.CALLER_CONNECTION_CLOSED,
+        "request",
+        progress.requestId(),
+        "closedBy",
+        reason.closedByCaller() ? "caller" : "node",
+        "reason",
+        reason.code(),
+        "cause",
+        cause,
+        "passedBytes",
+        progress.passedBytes(),
+        "unwrittenBytes",
+        unwrittenBytes(),
+        "bufferedBytes",
+        progress.bufferedBytes(),
+        "endpointEnded",
+        progress.endpointEnded());
+  }
+
+  private void recordCloseByCaller(String cause) {
     if (isActive()) {
-      countClose(CloseReason.DISCONNECTED_DURING_RESPONSE);
+      recordClose(CloseReason.DISCONNECTED_DURING_RESPONSE, cause);
+    } else {
+      recordClose(lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.DISCONNECTED, cause);
+    }
+  }
+
+  private void recordCloseByNode() {
+    if (hasWriteFailed()) {
+      recordClose(CloseReason.DISCONNECTED_DURING_RESPONSE, "write");
+    } else if (isResponseIncomplete()) {
+      recordClose(CloseReason.ABORTED, "close");
     } else {
-      countClose(lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.DISCONNECTED);
+      recordClose(
+          lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.BETWEEN_RESPONSES, "close");
     }
   }
 
-  private void countCloseByNode() {
+  /**
+   * Returns whether the output was shut down by a failed write, because the caller has
+   * disconnected. Pending writes fail, and ServiceTalk closes the connection, before the event is
+   * fired.
+   */
+  private boolean hasWriteFailed() {
+    return !outputShutdown
+        && context.channel() instanceof DuplexChannel duplex
+        && duplex.isActive()
+        && duplex.isOutputShutdown();
+  }
+
+  /** Returns whether bytes of a response would be lost if the connection were closed now. */
+  private boolean isResponseIncomplete() {
     // ServiceTalk closes with the write of the last byte, which totalPendingWriteBytes() still
     // includes at that time.
     ChannelOutboundBuffer pending = context.channel().unsafe().outboundBuffer();
     boolean hasUnwritten = pending != null && !pending.isEmpty();
-    if (hasUnwritten || !response.isTerminated()) {
-      countClose(CloseReason.ABORTED);
-    } else {
-      countClose(lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.BETWEEN_RESPONSES);
-    }
+    return hasUnwritten || !response.isTerminated();
   }
 
   /**
@@ -199,6 +275,9 @@
   }
 
   private void awaitNextRequest() {
+    if (lingering) {
+      return;
+    }
     headStarted = false;
     headBytes = 0;
     startLineBytes = 0;
@@ -253,12 +332,52 @@
   }
 
   private void closeWith(CloseReason reason) {
-    countClose(reason);
+    recordClose(reason, "timer");
+    closeOrLinger(context.newPromise());
+  }
+
+  /** Closes the connection without waiting for the caller. */
+  void closeNow() {
+    recordCloseByNode();
     var unused = context.close();
   }
 
+  private void closeOrLinger(ChannelPromise promise) {
+    if (!mayLinger()) {
+      var unused = context.close(promise);
+      return;
+    }
+    var unused = context.channel().closeFuture().addListener(closed -> promise.trySuccess());
+    if (!lingering) {
+      linger();
+      unused = ((DuplexChannel) context.channel()).shutdownOutput();
+    }
+  }
+
+  /** Returns whether the caller may still be receiving the end of a complete response. */
+  private boolean mayLinger() {
+    return context.channel() instanceof DuplexChannel duplex
+        && duplex.isActive()
+        && !duplex.isInputShutdown()
+        && !aborted
+        && !isResponseIncomplete()
+        && !hasWriteFailed();
+  }
+
+  private void linger() {
+    if (!lingering) {
+      lingering = true;
+      schedule(LINGER_TIMEOUT, this::closeNow);
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext channel, Object message) throws Exception {
+    if (lingering) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
     if (!isActive() && message instanceof ByteBuf bytes) {
       trackHead(bytes);
     }
@@ -294,7 +413,7 @@
       return;
     }
     rejected = true;
-    countClose(CloseReason.REJECTED);
+    recordClose(CloseReason.REJECTED, reason.code());
     counters.count(Metric.REFUSALS, reason.code());
     String response =
         "HTTP/1.1 " + reason.status() + " \r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -308,29 +427,35 @@
   @Override
   public void userEventTriggered(ChannelHandlerContext channel, Object event) throws Exception {
     if (event instanceof ChannelInputShutdownEvent) {
-      countCloseByCaller();
+      recordCloseByCaller("fin");
       response.callerDisconnected();
+    } else if (event instanceof ChannelOutputShutdownEvent) {
+      outputShutdown = true;
+      linger();
     }
     super.userEventTriggered(channel, event);
+    if (lingering && event instanceof ChannelInputShutdownEvent) {
+      closeNow();
+    }
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) throws Exception {
     if (cause instanceof IOException) {
-      countCloseByCaller();
+      recordCloseByCaller("reset: " + cause.getMessage());
     }
     super.exceptionCaught(channel, cause);
   }
 
   @Override
   public void close(ChannelHandlerContext channel, ChannelPromise promise) throws Exception {
-    countCloseByNode();
-    super.close(channel, promise);
+    recordCloseByNode();
+    closeOrLinger(promise);
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext channel) throws Exception {
-    countCloseByCaller();
+    recordCloseByCaller("inactive");
     openConnections.closed(this);
     response.callerDisconnected();
     timer.cancel(false);
