Placement: read the other holders before an engine gives layers up

Callers: with two engines emptied of the same layers no stream can start on them, and path changes and failovers of running streams find no place, until a load has ended (seconds to tens of seconds).

Cause: the planner takes the list for what engines hold. The list shows layers until an engine has given them up, and no orders of others. So a controller that takes over, or one whose late first order conflicts with its repetition and is forgotten, orders the second holder away as well, and then chases the hole.

Change: LayerHolders reads each listed holder of the layers that are to be given up. The order is sent only if all these layers are reported by an engine that carries out no order; else it is withheld (VW3105), and engines of the data centre that hold layers get no order for 1 s, more than a report lags. The same after a CONFLICT. An order that may still act (sent, unanswered) stays assigned, so its layers don't count as served.

Ruled out: the count of orders and the fence, which guard one engine and say nothing of another. Open: an order of the former controller that acts after the read, at an engine that knows no newer fence.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -8,12 +8,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.BackoffRequestedException;
 import org.vaneworks.coordination.fleet.EngineControl;
@@ -44,6 +47,7 @@
   /** Simulates engines: the list of endpoints shows their layers after loading. */
   private final class Engines implements EngineControl {
     final Map<String, Long> orders = new HashMap<>();
+    final Map<String, Long> reportedOrders = new HashMap<>();
     final Map<String, Long> fences = new HashMap<>();
     final Map<String, Incarnation> startedAt = new HashMap<>();
     final Map<String, Boolean> loading = new HashMap<>();
@@ -52,6 +56,8 @@
     boolean checksFences = true;
     boolean dropsAnswers;
     boolean refusesCalls;
+    final Set<String> silent = new HashSet<>();
+    Duration reportLag = Duration.ZERO;
     int reports;
     int ordersToRefuse;
     Duration executionDelay = Duration.ZERO;
@@ -65,10 +71,13 @@
         fleet.signals().recordCallAnswer(engine, signal);
         return CompletableFuture.failedFuture(new BackoffRequestedException());
       }
+      if (silent.contains(engine.id())) {
+        return CompletableFuture.failedFuture(new TimeoutException("no answer"));
+      }
       FleetEndpoint now = fleet.find("m", engine.address()).get().endpoint();
       return CompletableFuture.completedFuture(
           new EngineReport(
-              orders.getOrDefault(engine.id(), 0L),
+              reportedOrders.getOrDefault(engine.id(), 0L),
               loading.getOrDefault(engine.id(), false),
               now.layers(),
               1,
@@ -101,7 +110,11 @@
       }
       orders.merge(engine.id(), 1L, Long::sum);
       loads.add(engine.id() + " " + layers);
-      loading.put(engine.id(), true);
+      if (reportLag.isZero()) {
+        reportStart(engine);
+      } else {
+        clock.schedule(() -> reportStart(engine), reportLag.toMillis(), TimeUnit.MILLISECONDS);
+      }
       clock.schedule(
           () -> {
             loading.put(engine.id(), false);
@@ -112,6 +125,11 @@
       return OrderOutcome.ACCEPTED;
     }
 
+    private void reportStart(FleetEndpoint engine) {
+      reportedOrders.merge(engine.id(), 1L, Long::sum);
+      loading.put(engine.id(), true);
+    }
+
     @Override
     public CompletableFuture<RepathOutcome> repath(
         FleetEndpoint first, String requestId, String path) {
@@ -285,6 +303,69 @@
     assertEquals(List.of("a 37-71"), engines.loads);
   }
 
+  private void listGapBesideTwoHolders() {
+    list("a", new HostPort("10.0.0.1", 80), Optional.of(LayerRange.of(0, 37)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(0, 37)));
+    list("c", new HostPort("10.0.0.3", 80), Optional.of(LayerRange.of(66, 80)));
+  }
+
+  private void reserve(String id) {
+    fleet.all().stream()
+        .filter(engine -> engine.endpoint().id().equals(id))
+        .forEach(engine -> engine.reserve(1));
+  }
+
+  // Guards against unserved layers: a second engine was ordered to give up layers that the list
+  // still showed at an engine which was giving them up for an earlier controller.
+  @Test
+  void laterControllerKeepsTheLastHolderOfLayersThatAnotherEngineGivesUp() {
+    listGapBesideTwoHolders();
+    engines.loadTime = Duration.ofSeconds(8);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(1000);
+    assertEquals(List.of("a 37-71"), engines.loads);
+    reserve("a");
+    firstFence = OptionalLong.empty();
+    secondFence = OptionalLong.of(9);
+    controller(() -> secondFence);
+    advance(20_000);
+    assertEquals(List.of("a 37-71"), engines.loads);
+    assertTrue(everyLayerIsHeld());
+  }
+
+  // Guards against unserved layers: an order that was executed late was forgotten because its
+  // repetition conflicted with it, and the next engine was ordered to give up the same layers.
+  @Test
+  void conflictWithLateOrderKeepsTheLastHolderOfItsLayers() {
+    listGapBesideTwoHolders();
+    engines.loadTime = Duration.ofSeconds(8);
+    engines.dropsAnswers = true;
+    engines.executionDelay = Duration.ofMillis(50);
+    engines.reportLag = Duration.ofMillis(400);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    clock.schedule(() -> engines.dropsAnswers = false, 300, TimeUnit.MILLISECONDS);
+    clock.schedule(() -> reserve("a"), 300, TimeUnit.MILLISECONDS);
+    advance(20_000);
+    assertEquals(List.of("a 37-71"), engines.loads);
+    assertTrue(everyLayerIsHeld());
+  }
+
+  // Guards against unserved layers: the list names holders that may hold nothing any more.
+  @Test
+  void engineKeepsLayersUntilTheirOtherHolderAnswers() {
+    listGapBesideTwoHolders();
+    engines.silent.add("b");
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(10_000);
+    assertEquals(List.of(), engines.loads);
+    engines.silent.clear();
+    advance(3000);
+    assertEquals(List.of("a 37-71"), engines.loads);
+  }
+
   @Test
   void nothingIsOrderedWithoutTheLease() {
     listEngines(5);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Multimaps;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.Executor;
@@ -14,6 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.fleet.CallPurpose;
 import org.vaneworks.coordination.fleet.EngineControl;
@@ -37,8 +39,11 @@
  *
  * <p>Each engine is read before an order is sent to it. If an order is not answered, the engine is
  * read again: if its count of orders has increased, it accepted the order; if not, the order is
- * sent again with the same count, so at most one of the two can take effect. Confined to the node's
- * event loop.
+ * sent again with the same count, so at most one of the two can take effect.
+ *
+ * <p>An engine is ordered to give up layers only after other engines have reported that they hold
+ * them: the list of endpoints shows layers until an engine has given them up, and does not show the
+ * orders of other controllers. Confined to the node's event loop.
  */
 public final class PlacementController {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(200);
@@ -74,6 +79,12 @@
   /** Time after an accepted order during which the list may still show the old layers. */
   private static final Duration MAX_LIST_LAG = Duration.ofMillis(2500);
 
+  /**
+   * Time for which engines that hold layers get no orders after it was found that the list may not
+   * show the layers that engines of their data centre hold. Exceeds the age of a report.
+   */
+  private static final Duration CHANGE_DEFERRAL = Duration.ofSeconds(1);
+
   private final Executor clock;
   private final Fleet fleet;
   private final EngineControl control;
@@ -81,8 +92,13 @@
   private final Supplier<OptionalLong> fence;
   private final Supplier<Duration> listReadInterval;
   private final Counters counters;
+  private final LayerHolders holders;
   private final Map<TrackedEndpoint, Assignment> assignments = new HashMap<>();
   private final Map<String, PlanInput> inputsWithoutOrders = new HashMap<>();
+
+  /** When changes of held layers may be ordered again, by data centre. */
+  private final Map<String, Long> changesDeferredUntil = new HashMap<>();
+
   private OptionalLong currentFence = OptionalLong.empty();
   private long rejectedFence = -1;
 
@@ -152,6 +168,7 @@
     this.fence = checkNotNull(fence);
     this.listReadInterval = checkNotNull(listReadInterval);
     this.counters = checkNotNull(counters);
+    holders = new LayerHolders(clock, fleet, control, CALL_TIMEOUT, this::assignedLayers, counters);
   }
 
   /**
@@ -278,7 +295,14 @@
     ImmutableMap<String, LayerRange> plan =
         PlacementPlanner.of(input.model())
             .plan(input.snapshots(), id -> enginesById.get(id).totalRequests());
-    plan.forEach((id, layers) -> assign(enginesById.get(id), layers));
+    boolean deferred = areChangesDeferred(input.snapshots().get(0).dataCentre());
+    plan.forEach(
+        (id, layers) -> {
+          TrackedEndpoint engine = enginesById.get(id);
+          if (!deferred || engine.endpoint().layers().isEmpty()) {
+            assign(engine, layers);
+          }
+        });
     // Only an input that leads to no order is remembered: an order may be refused and must be
     // planned again.
     if (plan.isEmpty()) {
@@ -304,8 +328,7 @@
   private EngineSnapshot snapshot(TrackedEndpoint engine, AcceleratorProfile kind) {
     Optional<LayerRange> listed = engine.endpoint().layers();
     updateAssignment(engine, listed);
-    Optional<LayerRange> planned =
-        Optional.ofNullable(assignments.get(engine)).map(assignment -> assignment.layers);
+    Optional<LayerRange> planned = assignedLayers(engine);
     boolean available = !engine.endpoint().leaving() && !engine.suspected();
     return new EngineSnapshot(
         engine.endpoint().id(),
@@ -316,6 +339,10 @@
         available);
   }
 
+  private Optional<LayerRange> assignedLayers(TrackedEndpoint engine) {
+    return Optional.ofNullable(assignments.get(engine)).map(assignment -> assignment.layers);
+  }
+
   private void updateAssignment(TrackedEndpoint engine, Optional<LayerRange> listed) {
     Assignment assignment = assignments.get(engine);
     if (assignment == null) {
@@ -366,14 +393,14 @@
             EventLog.info(
                 Event.ORDER_UNANSWERED, "endpoint", engine.endpoint().id(), "cause", failure);
           } else {
-            sendOrder(engine, assignment, report);
+            processReport(engine, assignment, report);
           }
         });
   }
 
-  private void sendOrder(TrackedEndpoint engine, Assignment assignment, EngineReport report) {
+  private void processReport(TrackedEndpoint engine, Assignment assignment, EngineReport report) {
     boolean sameRun = fleet.reconcileIncarnation(engine, report.incarnation());
-    if (!sameRun || assignments.get(engine) != assignment || currentFence.isEmpty() || stopped) {
+    if (!sameRun || !isCurrent(engine, assignment)) {
       // An order that was decided for an earlier incarnation is not sent to the next one.
       assignment.callPending = false;
       return;
@@ -388,7 +415,68 @@
       assignment.callPending = false;
       return;
     }
-    OrderGuard guard = new OrderGuard(currentFence.getAsLong(), report.ordersStarted());
+    long expectedOrders = report.ordersStarted();
+    ImmutableSet<Integer> released = releasedLayers(report.layers(), assignment.layers);
+    if (released.isEmpty()) {
+      sendOrder(engine, assignment, expectedOrders);
+    } else {
+      holders.confirm(
+          engine,
+          released,
+          unconfirmed -> handleConfirmation(engine, assignment, expectedOrders, unconfirmed));
+    }
+  }
+
+  private static ImmutableSet<Integer> releasedLayers(Optional<LayerRange> held, LayerRange next) {
+    return held.stream()
+        .flatMapToInt(range -> IntStream.range(range.from(), range.to()))
+        .filter(layer -> layer < next.from() || layer >= next.to())
+        .boxed()
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  private void handleConfirmation(
+      TrackedEndpoint engine,
+      Assignment assignment,
+      long expectedOrders,
+      ImmutableSet<Integer> unconfirmed) {
+    if (!isCurrent(engine, assignment) || !fleet.signals().admits(engine, CallPurpose.PLACEMENT)) {
+      assignment.callPending = false;
+    } else if (unconfirmed.isEmpty()) {
+      sendOrder(engine, assignment, expectedOrders);
+    } else {
+      counters.count(Metric.ORDERS, "layers-unconfirmed");
+      EventLog.info(
+          Event.ORDER_WITHHELD,
+          "endpoint",
+          engine.endpoint().id(),
+          "layers",
+          assignment.layers,
+          "unconfirmed",
+          unconfirmed.size());
+      assignment.callPending = false;
+      if (!assignment.sent) {
+        assignments.remove(engine, assignment);
+      }
+      deferChanges(engine);
+    }
+  }
+
+  private void deferChanges(TrackedEndpoint engine) {
+    changesDeferredUntil.put(engine.endpoint().dataCentre(), now() + CHANGE_DEFERRAL.toNanos());
+  }
+
+  private boolean areChangesDeferred(String dataCentre) {
+    return now() < changesDeferredUntil.getOrDefault(dataCentre, Long.MIN_VALUE);
+  }
+
+  /** Returns whether an assignment may still be ordered by this node. */
+  private boolean isCurrent(TrackedEndpoint engine, Assignment assignment) {
+    return assignments.get(engine) == assignment && currentFence.isPresent() && !stopped;
+  }
+
+  private void sendOrder(TrackedEndpoint engine, Assignment assignment, long expectedOrders) {
+    OrderGuard guard = new OrderGuard(currentFence.getAsLong(), expectedOrders);
     long orderedAt = now();
     assignment.sent = true;
     fleet.signals().recordCall(engine, CallPurpose.PLACEMENT);
@@ -435,6 +523,10 @@
       rejectedFence = guard.fence();
     } else {
       assignments.remove(engine, assignment);
+      if (outcome == OrderOutcome.CONFLICT) {
+        // Another order took effect first; neither the list nor a report may show it yet.
+        deferChanges(engine);
+      }
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -53,6 +53,8 @@
   PLACEMENT_DECIDED(3102, "an engine is assigned other layers"),
   ORDER_ANSWERED(3103, "an engine answered an order"),
   ORDER_UNANSWERED(3104, "an engine did not answer a read or an order"),
+  ORDER_WITHHELD(
+      3105, "an order was not sent: layers to be given up have no other confirmed holder"),
   HOP_REPLACED(4001, "part of a stream's route was replaced"),
   HOP_MOVED(4002, "part of a stream was moved away from a leaving endpoint"),
   STREAM_FAILED(4003, "a stream failed"),
