HealthChecker: probe unlisted engines while requests run on them

Callers: a stream whose engine's entry was removed before the engine died waited for it until its time limit, or until the first engine cut it (stall limit), although another path was to be had.

Cause: probes of an engine ended with its entry. Engines serve on for a while after it (some never announce their end), so an absent entry says nothing of the requests that run there, yet it took them out of monitoring for good: no probe, no suspicion, no path change, no failover.

Change: an unlisted engine is probed as long as requests of this node have a reservation there. A later incarnation at its address shows that it ended. A refused connection counts as silence only: the engine may have ended as planned, and no request is to be blamed for a crash.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
@@ -193,6 +193,43 @@
     assertEquals(0, suspicions);
   }
 
+  @Test
+  void unlistedEngineIsProbedWhileItRunsRequests() {
+    engine.reserve(1);
+    fleet.remove("a");
+    check(Reply.TIMEOUT, Reply.TIMEOUT, Reply.TIMEOUT);
+    clock.advance(Duration.ofMillis(200));
+    assertTrue(engine.suspected());
+    clock.advance(Duration.ofSeconds(2));
+    assertFalse(engine.suspected());
+    engine.release(1);
+    health.check(engine);
+    assertEquals(4, probes);
+  }
+
+  // Guards against a request being taken for the cause of a crash when an engine ended as planned
+  // after its entry was removed.
+  @Test
+  void unlistedEngineThatRefusesConnectionIsNotReportedAsCrashed() {
+    engine.reserve(1);
+    fleet.remove("a");
+    check(Reply.REFUSED);
+    clock.runDue();
+    assertTrue(engine.suspected());
+    assertFalse(engine.processDown());
+  }
+
+  @Test
+  void laterIncarnationAtAddressOfUnlistedEngineShowsThatTheEngineEnded() {
+    listIncarnation(1000);
+    engine.reserve(1);
+    fleet.remove("c");
+    reportedIncarnation = Incarnation.startedAt(2000);
+    check(Reply.ANSWERS);
+    clock.runDue();
+    assertTrue(engine.suspected());
+  }
+
   @Test
   void suspectedEngineIsProbedUntilItAnswers() {
     check(Reply.REFUSED, Reply.TIMEOUT);
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -319,6 +319,48 @@
     assertFalse(response.cut);
   }
 
+  // Guards against a stream that waits for a dead engine until its time limit because the engine's
+  // entry disappeared before the engine did.
+  @Test
+  void stalledStreamIsReroutedAroundEngineThatDiedAfterItsEntryWasRemoved() {
+    node.engine(1, 0, 40);
+    FleetEndpoint second = node.engine(2, 40, 80);
+    FleetEndpoint third = node.engine(3, 40, 80);
+    RecordedResponse response = node.request("/stream/x");
+    String before = node.lastAttempt().attempt.path().get();
+    FleetEndpoint used = before.contains("10.0.0.2") ? second : third;
+    node.lastAttempt().head(200);
+    node.lastAttempt().event(1);
+    node.fleet.remove(used.id());
+    node.fleet.resolveMissing();
+    node.advance(200);
+    node.lastAttempt().event(2);
+    assertTrue(node.control.repathedPaths.isEmpty());
+    node.control.dead.add(used.address());
+    node.advance(600);
+    assertEquals(1, node.control.repathedPaths.size());
+    assertFalse(node.control.repathedPaths.get(0).contains(used.address().toString()));
+    assertFalse(response.cut);
+  }
+
+  // Guards against a stream that waits for a dead first engine until its time limit because the
+  // engine's entry disappeared before the engine did.
+  @Test
+  void streamFailsOverWhenFirstEngineDiesAfterItsEntryWasRemoved() {
+    FleetEndpoint first = node.engine(1, 0, 80);
+    RecordedResponse response = node.request("/stream/x");
+    node.lastAttempt().head(200);
+    node.lastAttempt().event(1);
+    node.engine(2, 0, 80);
+    node.fleet.remove(first.id());
+    node.fleet.resolveMissing();
+    node.control.dead.add(first.address());
+    node.advance(600);
+    assertEquals("e2", node.lastAttempt().attempt.endpoint().id());
+    assertEquals(Optional.of("1"), node.lastAttempt().attempt.resumeAfter());
+    assertFalse(response.cut);
+  }
+
   @Test
   void streamFailsOverWhenFirstEngineDies() {
     FleetEndpoint first = node.engine(1, 0, 80);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -17,7 +17,8 @@
 
 /**
  * Probes engines when requests through them stall, and probes suspected engines again until they
- * answer or are removed.
+ * answer or are removed. An engine that is no longer listed is probed as long as requests of this
+ * node run on it, because engines serve on for a while after their entry was removed.
  *
  * <p>Nothing is sent while requests make progress. If the timer of a probe fires late, the probe is
  * repeated and its timeout disregarded, because the answer may already have arrived but not been
@@ -106,7 +107,10 @@
   }
 
   private void probeUnlessInProgress(TrackedEndpoint engine, CallPurpose purpose) {
-    if (probing.contains(engine) || engine.suspected() || engine.delisted()) {
+    if (probing.contains(engine) || engine.suspected() || isUnused(engine)) {
+      return;
+    }
+    if (engine.delisted() && purpose == CallPurpose.PACE) {
       return;
     }
     if (!fleet.signals().admits(engine, purpose)) {
@@ -155,14 +159,16 @@
           if (failure == null) {
             recordAnswerTime(elapsed);
             processReport(engine, report);
-          } else if (!engine.delisted()) {
+          } else if (!isUnused(engine)) {
             handleFailure(probe, elapsed, timeout, failure);
           }
         });
   }
 
   private void processReport(TrackedEndpoint engine, EngineReport report) {
-    if (fleet.reconcileIncarnation(engine, report.incarnation())) {
+    if (isFromSuccessor(engine, report)) {
+      fleet.suspect(engine, "a later incarnation answers at its address");
+    } else if (fleet.reconcileIncarnation(engine, report.incarnation())) {
       processPace(engine, report);
       processStalls(engine, report);
     }
@@ -187,8 +193,21 @@
     }
   }
 
+  /** Returns whether an engine has left the list and no request of this node depends on it. */
+  private static boolean isUnused(TrackedEndpoint engine) {
+    return engine.hasEnded() || (engine.delisted() && engine.inFlight() == 0);
+  }
+
+  /** Returns whether a report shows that an unlisted engine was replaced at its address. */
+  private static boolean isFromSuccessor(TrackedEndpoint engine, EngineReport report) {
+    return engine.delisted()
+        && !engine.hasEnded()
+        && report.incarnation().isAfter(engine.endpoint().incarnation());
+  }
+
   private void recordRefusal(TrackedEndpoint engine, Throwable failure) {
-    if (failure instanceof ConnectionRefusedException) {
+    // An unlisted engine may have ended as planned, for which no request is to blame.
+    if (failure instanceof ConnectionRefusedException && !engine.delisted()) {
       fleet.recordConnectionRefused(engine);
     }
   }
@@ -275,7 +294,7 @@
   }
 
   private void retry(TrackedEndpoint engine, Duration previousDelay) {
-    if (!engine.suspected() || engine.delisted()) {
+    if (!engine.suspected() || isUnused(engine)) {
       return;
     }
     if (!fleet.signals().admits(engine, CallPurpose.HEALTH_CHECK)) {
@@ -289,7 +308,8 @@
         clock,
         (report, failure) -> {
           if (failure == null) {
-            if (fleet.reconcileIncarnation(engine, report.incarnation())) {
+            if (!isFromSuccessor(engine, report)
+                && fleet.reconcileIncarnation(engine, report.incarnation())) {
               fleet.clearSuspicion(engine);
             }
             return;
