Fleet: an entry that lapses and reappears keeps what runs on its endpoint

Callers: after an entry had lapsed and come back, its node offered the endpoint's room a second time (and told its peers so), which ends in refusals for want of room; and a suspicion of the endpoint did not reach the streams that had begun before, so they waited for an engine that the node knew to be silent.

Cause: the table made a new object for the entry, with no reservations, while running requests kept the former one.

Change: an endpoint that is removed while requests run on it is remembered, and is the one that comes back when the same incarnation lists itself at the same address. Endpoints that don't report their start get a new object as before, since a new entry may be a restart there.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/FleetTest.java
@@ -149,6 +149,46 @@
         Incarnation.startedAt(startedAt));
   }
 
+  // Guards against overloading an engine: its running requests were forgotten when its entry lapsed
+  // and reappeared.
+  @Test
+  void reservationsAreKeptWhenEntryLapsesAndReappears() {
+    fleet.put(incarnation(1000));
+    TrackedEndpoint engine = fleet.all().get(0);
+    engine.reserve(10);
+    unlist("a");
+    fleet.put(incarnation(1000));
+    assertEquals(1, fleet.all().get(0).inFlight());
+    engine.release(10);
+    assertEquals(0, fleet.all().get(0).inFlight());
+    assertEquals(0, fleet.all().get(0).reservedTokenLayers());
+    assertEquals(1, usable());
+  }
+
+  // Guards against a stream that is not moved away from a suspected engine, because the engine's
+  // entry lapsed and reappeared under the stream.
+  @Test
+  void suspicionReachesRequestsThatBeganBeforeTheEntryLapsed() {
+    List<TrackedEndpoint> suspected = new ArrayList<>();
+    fleet.onSuspicion(suspected::add);
+    fleet.put(incarnation(1000));
+    TrackedEndpoint engine = fleet.all().get(0);
+    engine.reserve(10);
+    unlist("a");
+    fleet.put(incarnation(1000));
+    fleet.suspect(fleet.all().get(0), "test");
+    assertEquals(List.of(engine), suspected);
+  }
+
+  @Test
+  void reservationsOfFormerIncarnationAreNotCountedForTheNext() {
+    fleet.put(incarnation(1000));
+    fleet.all().get(0).reserve(10);
+    unlist("a");
+    fleet.put(incarnation(2000));
+    assertEquals(0, fleet.all().get(0).inFlight());
+  }
+
   /** Guards against signals of a former incarnation that are applied to the next. */
   @Test
   void lateAnswerOfFormerIncarnationDoesNotAffectTheNext() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -51,6 +52,9 @@
   private final EndpointHistory history;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
 
+  /** Endpoints that were removed from the table while requests of this node ran on them, by ID. */
+  private final Map<String, TrackedEndpoint> removedInUse = new HashMap<>();
+
   private final List<Runnable> selectionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> suspicionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> recoveryListeners = new ArrayList<>();
@@ -213,7 +217,14 @@
   }
 
   private void addNew(FleetEndpoint listed) {
-    track(listed);
+    Optional<TrackedEndpoint> former =
+        Optional.ofNullable(removedInUse.remove(listed.id()))
+            .filter(endpoint -> isSameIncarnation(endpoint.endpoint(), listed));
+    if (former.isPresent()) {
+      relist(former.get(), listed);
+    } else {
+      track(listed);
+    }
     EventLog.info(
         Event.ENDPOINT_FOUND,
         "endpoint",
@@ -226,6 +237,17 @@
         layersText(listed));
   }
 
+  private static boolean isSameIncarnation(FleetEndpoint former, FleetEndpoint listed) {
+    return listed.incarnation().isKnown() && listed.mayBeSameIncarnation(former);
+  }
+
+  /** Adds an endpoint again whose entry lapsed; requests may have been running on it since. */
+  private void relist(TrackedEndpoint endpoint, FleetEndpoint listed) {
+    endpoint.update(listed);
+    byId.put(listed.id(), endpoint);
+    signals.add(endpoint);
+  }
+
   private void track(FleetEndpoint listed) {
     TrackedEndpoint endpoint = new TrackedEndpoint(listed, signals.of(listed));
     byId.put(listed.id(), endpoint);
@@ -399,6 +421,10 @@
   private void drop(TrackedEndpoint endpoint, String cause) {
     endpoint.setListing(ListingState.REMOVED);
     byId.remove(endpoint.endpoint().id());
+    removedInUse.values().removeIf(removed -> removed.inFlight() == 0);
+    if (endpoint.inFlight() > 0) {
+      removedInUse.put(endpoint.endpoint().id(), endpoint);
+    }
     history.recordRemoval(endpoint.endpoint().id());
     EventLog.info(Event.ENDPOINT_GONE, "endpoint", endpoint.endpoint().id(), "cause", cause);
     removalListeners.forEach(listener -> listener.accept(endpoint));
