Forwarding: an attempt ends only when another one delivers an event

Seen by callers: a stream ends with a closed connection although its first engine works. The engine had been silent for two probes, another engine took the stream, the first attempt was cancelled with the head of the second, and the second engine then broke off, fell silent or restarted before it had read the prompt again.

Cause: a head was taken for a delivery. The same belief did damage the other way round: an attempt that had not got its head yet, and was left for a third one, cancelled that third one with its head, even if the head was a refusal. And a second replacement cancelled the first, which could be about to deliver.

Change: events decide. PreviousAttempts holds the attempts that go on until another delivers, at most as many as the route allows. The latest is current again when its successor fails; one that delivers first is current at once, and what it replaces waits until an event is whole. A previous attempt that is refused or fails is dropped alone, and its endpoint is avoided as any other at which the request failed.

Tests changed: assertAbandonedOnceReplacementResponds and streamFailsOverWhenFirstEngineDies held that the first attempt ends with the second one's head. They hold now that it goes on after the head and ends with the first event.

Ruled out: the budget and the attempts (runs are counted as before).

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
@@ -21,6 +21,7 @@
  */
 final class InFlightResponseSimulationTest {
   private static final Schedules SIMULATIONS = new Schedules("in-flight response");
+  private static final Schedules REPLACEMENTS = new Schedules("replacement fault");
 
   @Property(
       tries = Schedules.TRIES,
@@ -36,6 +37,22 @@
         });
   }
 
+  // Guards against a stream that is aborted because its replacement failed after the head.
+  @Property(
+      tries = Schedules.TRIES,
+      seed = "20261204",
+      shrinking = ShrinkingMode.OFF,
+      afterFailure = AfterFailureMode.PREVIOUS_SEED)
+  void responsesAreNotAbortedWhileReplacementsFail(@ForAll long seed) {
+    REPLACEMENTS.run(
+        seed,
+        each -> {
+          InFlightResponseSimulation simulation =
+              InFlightResponseSimulation.withReplacementFaults(each);
+          return new Schedules.Result(simulation.run(), simulation.counts());
+        });
+  }
+
   // Guards against a stream that is aborted because it left a live engine for one that rejected it.
   @Test
   void streamKeepsItsEngineIfAnotherEngineRejectsIt() {
@@ -60,8 +77,23 @@
     assertEquals(ImmutableList.of(), new InFlightResponseSimulation(seed).run());
   }
 
+  // Guards against a stream whose engine is abandoned before its replacement delivers an event.
+  @ParameterizedTest
+  @ValueSource(longs = {16, 179, 284})
+  void streamKeepsItsEngineUntilAnotherEngineDelivers(long seed) {
+    assertEquals(ImmutableList.of(), new InFlightResponseSimulation(seed).run());
+  }
+
+  // The same with replacements that fail or fall silent after their heads.
+  @ParameterizedTest
+  @ValueSource(longs = {24, 64, 112, -3160090})
+  void streamKeepsItsEngineUntilReplacementDelivers(long seed) {
+    assertEquals(ImmutableList.of(), InFlightResponseSimulation.withReplacementFaults(seed).run());
+  }
+
   @AfterContainer
   static void report() {
     SIMULATIONS.report();
+    REPLACEMENTS.report();
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -329,9 +329,11 @@
     node.control.dead.add(first.address());
     node.advance(600);
     assertEquals("e2", node.lastAttempt().attempt.endpoint().id());
+    assertEquals(Optional.of("1"), node.lastAttempt().attempt.resumeAfter());
     node.lastAttempt().head(200);
+    assertFalse(node.sent.get(0).cancelled);
+    node.lastAttempt().event(2);
     assertTrue(node.sent.get(0).cancelled);
-    assertEquals(Optional.of("1"), node.lastAttempt().attempt.resumeAfter());
     assertFalse(response.cut);
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -214,6 +214,7 @@
         3,
         List.of(
             route("/stream/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 2),
+            route("/thrice/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 3),
             route("/once/", CallKind.STREAM, MODEL, 20_000, 2),
             route("/safe/", CallKind.SAFE, PLAIN, 800, 2),
             route("/unsafe/", CallKind.UNSAFE, PLAIN, 800, 1)),
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAttemptTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAttemptTest.java
@@ -245,9 +245,63 @@
     assertTrue(node.lastAttempt().cancelled);
   }
 
+  // Guards against aborting a stream whose replacement fails before it delivers anything.
+  @Test
+  void streamContinuesAtPreviousEngineWhenReplacementFailsAfterItsHead() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    exhaustRetryBudget();
+    node.lastAttempt().head(200);
+    node.lastAttempt().listener.failed(false, new IllegalStateException("reset"));
+    engineContinues();
+    assertResponseComplete();
+    assertNoCapacityReserved();
+  }
+
+  // Guards against a stream that waits for a silent replacement while its previous engine
+  // continues.
+  @Test
+  void streamContinuesAtPreviousEngineWhenReplacementFallsSilentAfterItsHead() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    node.lastAttempt().head(200);
+    node.lastAttempt().text("id: 2\nda");
+    engineContinues();
+    assertTrue(node.lastAttempt().cancelled);
+    assertResponseComplete();
+    assertNoCapacityReserved();
+  }
+
+  // Guards against aborting a stream when the engine of its replacement restarts after its head.
+  @Test
+  void streamContinuesAtPreviousEngineWhenReplacementRestartsAfterItsHead() {
+    FleetEndpoint other = node.engine(2, 0, 80);
+    node.advance(600);
+    exhaustRetryBudget();
+    node.lastAttempt().head(200);
+    node.restart(other);
+    engineContinues();
+    assertResponseComplete();
+    assertNoCapacityReserved();
+  }
+
+  @Test
+  void replacementWithHeadContinuesWhenPreviousEngineDisconnects() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    SentAttempt previous = running;
+    running = node.lastAttempt();
+    running.head(200);
+    previous.listener.failed(false, new IllegalStateException("reset"));
+    engineContinues();
+    assertResponseComplete();
+    assertNoCapacityReserved();
+  }
+
   private void assertAbandonedOnceReplacementResponds() {
-    assertFalse(running.cancelled);
     node.lastAttempt().head(200);
+    assertFalse(running.cancelled);
+    node.lastAttempt().event(10);
     assertTrue(running.cancelled);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -103,6 +103,11 @@
     target.ifPresent(failed::add);
   }
 
+  /** Records that the request failed at an endpoint other than the selected one. */
+  void recordFailure(TrackedEndpoint endpoint) {
+    failed.add(endpoint);
+  }
+
   /**
    * A selected endpoint.
    *
@@ -126,14 +131,24 @@
   /**
    * Selects another endpoint and keeps the reservation at the present one, whose selection is
    * returned. Returns empty, without any change, if no other endpoint has capacity now.
+   *
+   * @param inUse endpoints that are not selected, apart from the present one
    */
-  Optional<Selection> selectAdditional() {
+  Optional<Selection> selectAdditional(ImmutableSet<TrackedEndpoint> inUse) {
     Selection previous = new Selection(target(), path);
-    Optional<Selection> next = findElsewhere();
+    Optional<Selection> next = findElsewhere(Sets.union(inUse, ImmutableSet.of(target())));
     next.ifPresent(this::assign);
     return next.map(selection -> previous);
   }
 
+  /** Switches to another selection that is reserved; returns the present one, still reserved. */
+  Selection exchange(Selection next) {
+    Selection previous = new Selection(target(), path);
+    target = Optional.of(next.target());
+    path = next.path();
+    return previous;
+  }
+
   /** Releases the present selection and reverts to a previous one that is still reserved. */
   void revertTo(Selection previous) {
     release();
@@ -153,13 +168,13 @@
     return next.map(found -> new Selection(found.first(), Optional.of(found)));
   }
 
-  private Optional<Selection> findElsewhere() {
+  private Optional<Selection> findElsewhere(Set<TrackedEndpoint> inUse) {
     if (model.isEmpty()) {
-      return find().filter(next -> next.target() != target());
+      return find().filter(next -> !inUse.contains(next.target()));
     }
     return context
         .planner()
-        .plan(query(), usable(ImmutableList.copyOf(Sets.union(failed, ImmutableSet.of(target())))))
+        .plan(query(), usable(ImmutableList.copyOf(Sets.union(failed, inUse))))
         .map(found -> new Selection(found.first(), Optional.of(found)));
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import org.vaneworks.coordination.fleet.RequestSchedule;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.Failover.Trigger;
+import org.vaneworks.coordination.forwarding.PreviousAttempts.PreviousAttempt;
 import org.vaneworks.coordination.relay.EnginePath;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
@@ -25,7 +26,7 @@
  * Forwards one request to an endpoint and passes the response back.
  *
  * <p>At most one attempt is current at any time; events of other attempts are ignored, except that
- * a previous attempt becomes current again if it responds before its replacement does. Confined to
+ * a previous attempt becomes current again if it delivers before its replacements do. Confined to
  * the node's event loop.
  */
 final class ForwardedRequest implements CallerResponse.Listener {
@@ -67,8 +68,8 @@
   /** The current attempt, if one is in progress. */
   private Optional<RunningAttempt> attempt = Optional.empty();
 
-  /** The attempt that is abandoned as soon as the current one gets a response. */
-  private Optional<PreviousAttempt> previous = Optional.empty();
+  /** The attempts that are abandoned as soon as the current one gets an event. */
+  private final PreviousAttempts previous = new PreviousAttempts();
 
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int sends;
@@ -208,18 +209,6 @@
     }
   }
 
-  /**
-   * An attempt that continues while its replacement waits for a response.
-   *
-   * @param partOfEvent the bytes of an incomplete event
-   * @param trigger why the attempt is to be abandoned
-   */
-  private record PreviousAttempt(
-      RunningAttempt attempt,
-      EndpointSelector.Selection selection,
-      byte[] partOfEvent,
-      Trigger trigger) {}
-
   private boolean startAttempt() {
     if (!selector.select()) {
       return false;
@@ -259,7 +248,7 @@
     /** Returns whether this attempt is current; a previous attempt becomes current again. */
     private boolean isOrBecomesCurrent() {
       if (isPrevious(running)) {
-        supersedeReplacement();
+        supersedeReplacement(running);
       }
       return isCurrent(running);
     }
@@ -267,7 +256,9 @@
     @Override
     public void head(ResponseHead head) {
       recordSignal(head, running.endpoint());
-      if (isOrBecomesCurrent()) {
+      if (isPrevious(running)) {
+        previousHead(head, running);
+      } else if (isCurrent(running)) {
         progress.headReceived();
         failover.stop();
         ForwardedRequest.this.head(head, running);
@@ -295,7 +286,7 @@
     @Override
     public void failed(boolean neverSent, Throwable cause) {
       if (isPrevious(running)) {
-        previousFailed(cause);
+        previousFailed(running, cause);
       } else if (isOrBecomesCurrent()) {
         ForwardedRequest.this.failed(neverSent, cause, running.endpoint());
       }
@@ -349,10 +340,12 @@
     }
   }
 
-  /** The caller has the head of the first attempt already; only events follow. */
+  /**
+   * The caller has the head of the first attempt already; only events follow. A head delivers
+   * nothing, so a previous attempt continues until the first event.
+   */
   private void resumed(ResponseHead head, RunningAttempt running) {
     if (head.success()) {
-      abandonPrevious();
       return;
     }
     running.discard();
@@ -361,7 +354,11 @@
 
   private void passOn(byte[] bytes, RunningAttempt running) {
     byte[] whole = route.kind().streamed() ? splitter.append(bytes) : bytes;
-    if (whole.length > 0 && !response.data(whole)) {
+    if (whole.length == 0) {
+      return;
+    }
+    abandonPrevious();
+    if (!response.data(whole)) {
       running.pause();
     }
   }
@@ -370,6 +367,7 @@
   public void drained() {
     if (!done) {
       attempt.ifPresent(RunningAttempt::resume);
+      previous.resume();
     }
   }
 
@@ -412,7 +410,7 @@
   private void attemptEnded(Verdict verdict, AttemptFailure failure, String cause) {
     String triedAt = selector.target().toString();
     String detail = closeAttempt(verdict, failure, cause);
-    if (previous.isPresent()) {
+    if (!previous.isEmpty()) {
       fallBackToPrevious(verdict);
       return;
     }
@@ -552,7 +550,7 @@
 
   private void close() {
     done = true;
-    cancelPrevious();
+    previous.removeAll().forEach(this::cancel);
     selector.release();
     deadlineTimer.cancel();
     progress.stop();
@@ -602,9 +600,7 @@
     if (done || attempt.isEmpty()) {
       return;
     }
-    if (previous.filter(earlier -> earlier.attempt().endpoint() == endpoint).isPresent()) {
-      abandonPrevious();
-    }
+    abandonPreviousAt(endpoint);
     if (selector.target() == endpoint) {
       abandonEndpoint(AttemptFailure.ENDPOINT_RESTARTED, endpoint.toString());
     } else if (selector.uses(endpoint)) {
@@ -698,7 +694,7 @@
 
   /** Replaces the attempt by one at another endpoint, if one has capacity now. */
   private boolean failOver() {
-    boolean delivers = headSent && running().mayHaveArrived() && previous.isEmpty();
+    boolean delivers = headSent && running().mayHaveArrived();
     if (!delivers) {
       return replaceAttempt();
     }
@@ -719,34 +715,50 @@
     return true;
   }
 
-  /** Starts a second attempt elsewhere and keeps the present one, as the new one may be refused. */
+  /** Starts another attempt elsewhere and keeps the present one, as the new one may be refused. */
   private boolean startConcurrentAttempt() {
-    Optional<EndpointSelector.Selection> present = selector.selectAdditional();
+    Optional<EndpointSelector.Selection> present = selector.selectAdditional(previous.endpoints());
     if (present.isEmpty()) {
       return false;
     }
     context.budget().tryWithdraw();
     Trigger trigger = failover.trigger();
-    previous =
-        Optional.of(new PreviousAttempt(running(), present.get(), splitter.takePartial(), trigger));
+    previous.add(new PreviousAttempt(running(), present.get(), splitter.takePartial(), trigger));
     closeAttempt(running().verdictIfAbandoned(), trigger.failure(), trigger.cause());
     logSentAgain(present.get().target().toString(), trigger.failure(), trigger.cause());
     send();
     return true;
   }
 
-  /** Makes the previous attempt current again and cancels its replacement. */
-  private void supersedeReplacement() {
-    Verdict verdict = running().verdictIfAbandoned();
-    running().cancel();
-    closeAttempt(verdict, AttemptFailure.SUPERSEDED, "the previous endpoint responded");
-    context.counters().count(Metric.DROPPED_ANSWERS, AttemptFailure.SUPERSEDED.code());
-    restorePrevious();
+  /**
+   * Makes a previous attempt current again, which delivers. Its replacement becomes a previous one
+   * until an event is complete.
+   */
+  private void supersedeReplacement(RunningAttempt delivering) {
+    RunningAttempt superseded = running();
+    PreviousAttempt resumed = previous.remove(delivering);
+    Trigger trigger =
+        new Trigger(
+            AttemptFailure.SUPERSEDED, superseded.endpoint(), "the previous endpoint responded");
+    byte[] partOfEvent = splitter.takePartial();
+    closeAttempt(superseded.verdictIfAbandoned(), trigger.failure(), trigger.cause());
+    context.counters().count(Metric.DROPPED_ANSWERS, trigger.failure().code());
+    EndpointSelector.Selection selection = selector.exchange(resumed.selection());
+    if (superseded.mayHaveArrived()) {
+      previous.add(new PreviousAttempt(superseded, selection, partOfEvent, trigger));
+    } else {
+      superseded.cancel();
+      selector.release(selection);
+    }
+    restore(resumed);
   }
 
-  /** Continues the previous attempt after its replacement failed, and retries the failover. */
+  /** Continues a previous attempt after its replacement failed, and retries the failover. */
   private void fallBackToPrevious(Verdict verdict) {
-    Trigger trigger = restorePrevious().trigger();
+    PreviousAttempt resumed = previous.removeLatest();
+    selector.revertTo(resumed.selection());
+    restore(resumed);
+    Trigger trigger = resumed.trigger();
     boolean lost = trigger.unresponsive().suspected() || trigger.unresponsive().hasEnded();
     if (lost) {
       Duration wait =
@@ -757,47 +769,72 @@
     }
   }
 
-  private PreviousAttempt restorePrevious() {
-    PreviousAttempt resumed = previous.orElseThrow();
-    previous = Optional.empty();
+  private void restore(PreviousAttempt resumed) {
     attempt = Optional.of(resumed.attempt());
     runs--;
-    selector.revertTo(resumed.selection());
     splitter.restorePartial(resumed.partOfEvent());
     progress.previousResumed();
     resumed.attempt().resume();
-    return resumed;
   }
 
-  /** Abandons the previous attempt, as its replacement has a response. */
+  /** Abandons the previous attempts, as the current one delivers events. */
   private void abandonPrevious() {
-    previous.ifPresent(
-        abandoned -> {
-          if (abandoned.attempt().mayHaveArrived()) {
-            recordLoss(abandoned.attempt(), abandoned.attempt().endpoint());
-          }
-          cancelPrevious();
-        });
-  }
-
-  private void cancelPrevious() {
-    previous.ifPresent(
-        abandoned -> {
-          abandoned.attempt().cancel();
-          selector.release(abandoned.selection());
-        });
-    previous = Optional.empty();
-  }
-
-  private void previousFailed(Throwable cause) {
-    RunningAttempt failed = previous.orElseThrow().attempt();
+    previous.removeAll().forEach(this::abandon);
+  }
+
+  private void abandonPreviousAt(TrackedEndpoint endpoint) {
+    for (PreviousAttempt earlier : previous.removeAll().reverse()) {
+      if (earlier.attempt().endpoint() == endpoint) {
+        abandon(earlier);
+      } else {
+        previous.add(earlier);
+      }
+    }
+  }
+
+  private void abandon(PreviousAttempt abandoned) {
+    boolean superseded = abandoned.trigger().failure() == AttemptFailure.SUPERSEDED;
+    if (abandoned.attempt().mayHaveArrived() && !superseded) {
+      recordLoss(abandoned.attempt(), abandoned.attempt().endpoint());
+    }
+    cancel(abandoned);
+  }
+
+  private void cancel(PreviousAttempt cancelled) {
+    cancelled.attempt().cancel();
+    selector.release(cancelled.selection());
+  }
+
+  /** Handles the head of a previous attempt, which had none when its replacement was sent. */
+  private void previousHead(ResponseHead head, RunningAttempt running) {
+    if (!head.matches()) {
+      drop(running, AttemptFailure.MISMATCHED_RESPONSE);
+      running.cancel();
+    } else if (head.notRun()) {
+      drop(running, AttemptFailure.ENDPOINT_REFUSED);
+      running.discard();
+      runs--;
+    } else if (!head.success()) {
+      drop(running, AttemptFailure.RESUME_REFUSED);
+      running.discard();
+    }
+  }
+
+  /** Drops a previous attempt whose response can't be used. */
+  private void drop(RunningAttempt running, AttemptFailure failure) {
+    context.counters().count(Metric.DROPPED_ANSWERS, failure.code());
+    selector.release(previous.remove(running).selection());
+  }
+
+  private void previousFailed(RunningAttempt failed, Throwable cause) {
     recordLoss(failed, failed.endpoint());
-    cancelPrevious();
+    cancel(previous.remove(failed));
+    selector.recordFailure(failed.endpoint());
     recordFailure(cause, failed.endpoint());
   }
 
   private boolean isPrevious(RunningAttempt candidate) {
-    return !done && previous.filter(earlier -> earlier.attempt() == candidate).isPresent();
+    return !done && previous.contains(candidate);
   }
 
   /** Aborts the attempt; returns the cause, including whether a partial event was dropped. */
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PreviousAttempts.java
@@ -0,0 +1,77 @@
+package org.vaneworks.coordination.forwarding;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.NoSuchElementException;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
+
+/**
+ * The attempts of one request that continue until another attempt delivers an event.
+ *
+ * <p>Confined to the node's event loop.
+ */
+final class PreviousAttempts {
+  /**
+   * A previous attempt, whose capacity remains reserved.
+   *
+   * @param partOfEvent the bytes of an incomplete event
+   * @param trigger why the attempt is to be abandoned
+   */
+  record PreviousAttempt(
+      RunningAttempt attempt,
+      EndpointSelector.Selection selection,
+      byte[] partOfEvent,
+      Failover.Trigger trigger) {}
+
+  /** The attempts, latest first. */
+  private final Deque<PreviousAttempt> attempts = new ArrayDeque<>();
+
+  boolean isEmpty() {
+    return attempts.isEmpty();
+  }
+
+  boolean contains(RunningAttempt attempt) {
+    return attempts.stream().anyMatch(previous -> previous.attempt() == attempt);
+  }
+
+  void add(PreviousAttempt previous) {
+    attempts.addFirst(previous);
+  }
+
+  /** Removes and returns a previous attempt; it must be present. */
+  PreviousAttempt remove(RunningAttempt attempt) {
+    PreviousAttempt found =
+        attempts.stream()
+            .filter(previous -> previous.attempt() == attempt)
+            .findFirst()
+            .orElseThrow(NoSuchElementException::new);
+    attempts.remove(found);
+    return found;
+  }
+
+  /** Removes and returns the latest previous attempt; there must be one. */
+  PreviousAttempt removeLatest() {
+    return attempts.removeFirst();
+  }
+
+  /** Removes and returns all previous attempts. */
+  ImmutableList<PreviousAttempt> removeAll() {
+    ImmutableList<PreviousAttempt> all = ImmutableList.copyOf(attempts);
+    attempts.clear();
+    return all;
+  }
+
+  /** Returns the endpoints of the previous attempts. */
+  ImmutableSet<TrackedEndpoint> endpoints() {
+    return attempts.stream()
+        .map(previous -> previous.attempt().endpoint())
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  /** Reads the responses of all previous attempts again. */
+  void resume() {
+    attempts.forEach(previous -> previous.attempt().resume());
+  }
+}
