Forwarding: a crash of an engine does not use up an attempt of its request

Seen by callers: a stream is cut at the second crash of an engine that runs it, with "attempts-used", although other engines have room.

Cause: every run counted towards the route's attempts.

Failed before: InterruptedStreamTest.streamContinuesAfterSecondCrashOfItsEngine, "sends ==> expected: <3> but was: <2>".

Change: a run is not counted once the endpoint's box has refused a connection after the send. That proves the end of whatever process the request had reached. Not taken as proof: a broken connection (control case streamRunsOnNoMoreLiveEnginesThanRouteAllows), silence, an earlier refusal, a later incarnation, which may have received the request itself. Six sends, the budget and the quarantine limit repeats as before.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
@@ -29,6 +29,12 @@
     node.clock.runDue();
   }
 
+  /** Ends the process of an engine, whose box then refuses connections. */
+  private void crash(SentAttempt attempt) {
+    node.control.refusing.add(attempt.attempt.endpoint().address());
+    disconnect(attempt);
+  }
+
   private void continueFrom(int event) {
     for (int id = event; id <= 3; id++) {
       running.event(id);
@@ -42,6 +48,41 @@
     assertEquals(WHOLE, response.body);
   }
 
+  // Guards against aborting a stream because the engines on which it ran before have crashed.
+  @Test
+  void streamContinuesAfterSecondCrashOfItsEngine() {
+    for (int number = 1; number <= 3; number++) {
+      node.engine(number, 0, 80);
+    }
+    startStream("/stream/x");
+    crash(running);
+    running = node.lastAttempt();
+    running.head(200);
+    running.event(2);
+    crash(running);
+    assertEquals(3, node.sent.size(), "sends");
+    running = node.lastAttempt();
+    running.head(200);
+    continueFrom(3);
+    assertWhole();
+  }
+
+  // Control case: the first engine lost its connections, but still runs.
+  @Test
+  void streamRunsOnNoMoreLiveEnginesThanRouteAllows() {
+    for (int number = 1; number <= 3; number++) {
+      node.engine(number, 0, 80);
+    }
+    startStream("/stream/x");
+    disconnect(running);
+    running = node.lastAttempt();
+    running.head(200);
+    running.event(2);
+    disconnect(running);
+    assertEquals(2, node.sent.size(), "sends");
+    assertTrue(response.cut, "cut");
+  }
+
   // Guards against cancelling a replacement because the previous engine refused the request.
   @Test
   void replacementContinuesWhenPreviousEngineRefusesRequest() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -406,8 +406,9 @@
 
   /** Records that an endpoint's box refused a connection to the endpoint's address. */
   public void recordConnectionRefused(TrackedEndpoint endpoint) {
-    if (!endpoint.processDown()) {
-      endpoint.setRefusesConnections(true);
+    boolean knownDown = endpoint.processDown();
+    endpoint.recordConnectionRefused(now());
+    if (!knownDown) {
       processDownListeners.forEach(listener -> listener.accept(endpoint));
     }
   }
@@ -437,7 +438,7 @@
 
   /** Clears the suspicion of an endpoint that answered. */
   public void clearSuspicion(TrackedEndpoint endpoint) {
-    endpoint.setRefusesConnections(false);
+    endpoint.clearConnectionRefused();
     if (endpoint.suspected()) {
       endpoint.setSuspected(false);
       EventLog.info(Event.ENDPOINT_PROBED, "endpoint", endpoint.endpoint().id());
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -39,6 +39,7 @@
   private boolean suspected;
   private boolean ended;
   private boolean refusesConnections;
+  private long refusedAt = Long.MIN_VALUE;
   private ListingState listing = ListingState.LISTED;
   private int consecutiveFailures;
   private long lastProgress = Long.MIN_VALUE / 2;
@@ -102,8 +103,21 @@
     return ended || refusesConnections;
   }
 
-  void setRefusesConnections(boolean value) {
-    refusesConnections = value;
+  /**
+   * Returns whether the endpoint's box has refused a connection since a time, which proves that a
+   * process that ran there before has ended.
+   */
+  public boolean refusedConnectionSince(long nanos) {
+    return refusedAt >= nanos;
+  }
+
+  void recordConnectionRefused(long nowNanos) {
+    refusesConnections = true;
+    refusedAt = nowNanos;
+  }
+
+  void clearConnectionRefused() {
+    refusesConnections = false;
   }
 
   void markEnded() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -4,6 +4,8 @@
 
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.vaneworks.coordination.fleet.ConnectionRefusedException;
@@ -73,7 +75,10 @@
 
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int sends;
-  private int runs;
+
+  /** The attempts that ran or may have run, apart from the current one. */
+  private final List<RunningAttempt> runs = new ArrayList<>();
+
   private AttemptFailure lastFailure = AttemptFailure.NOT_CONNECTED;
   private boolean firstPartReceived;
   private boolean headSent;
@@ -330,7 +335,7 @@
   }
 
   private void serverError(ResponseHead head, RunningAttempt running) {
-    boolean retry = !headSent && resendDenial(Verdict.RAN, runs + 1).isEmpty();
+    boolean retry = !headSent && resendDenial(Verdict.RAN, countedRuns(running)).isEmpty();
     if (retry || headSent) {
       running.discard();
       attemptEnded(Verdict.RAN, AttemptFailure.ENDPOINT_ERROR, "status " + head.status());
@@ -415,7 +420,7 @@
       return;
     }
     selector.release();
-    Optional<ResendDenial> denial = denial(verdict, runs);
+    Optional<ResendDenial> denial = denial(verdict, countedRuns());
     if (denial.isEmpty() && !context.budget().tryWithdraw()) {
       denial = Optional.of(ResendDenial.BUDGET_EXHAUSTED);
     }
@@ -432,7 +437,7 @@
    */
   private String closeAttempt(Verdict verdict, AttemptFailure failure, String cause) {
     if (verdict != Verdict.NOT_RUN) {
-      runs++;
+      runs.add(running());
     }
     attempt = Optional.empty();
     lastFailure = failure;
@@ -476,6 +481,19 @@
     return resendDenial(verdict, runsSoFar);
   }
 
+  /**
+   * Returns the number of runs that count towards the attempts of the route: those at endpoints
+   * whose process is not known to have ended.
+   */
+  private int countedRuns() {
+    return (int) runs.stream().filter(run -> !run.hasEndpointEnded()).count();
+  }
+
+  /** Returns the number of runs that count if an attempt is counted as well. */
+  private int countedRuns(RunningAttempt running) {
+    return countedRuns() + (running.hasEndpointEnded() ? 0 : 1);
+  }
+
   private Optional<ResendDenial> resendDenial(Verdict verdict, int runsSoFar) {
     if (now() >= deadline) {
       return Optional.of(ResendDenial.DEADLINE_EXCEEDED);
@@ -492,7 +510,7 @@
       return;
     }
     Refusal refusal;
-    if (runs == 0 && lastVerdict == Verdict.NOT_RUN) {
+    if (runs.isEmpty() && lastVerdict == Verdict.NOT_RUN) {
       Reason reason =
           denial == ResendDenial.NO_CAPACITY ? Reason.NO_ENDPOINT : Reason.ENDPOINT_OVERLOADED;
       refusal = Refusal.nothingSent(reason, detail).withRetryAfter(retryAfter());
@@ -531,7 +549,7 @@
     }
     close();
     Refusal refusal =
-        runs == 0 && !mayRunNow
+        runs.isEmpty() && !mayRunNow
             ? Refusal.nothingSent(Reason.NOT_STARTED_IN_TIME, "no place")
                 .withRetryAfter(retryAfter())
             : Refusal.mayHaveRun(Reason.DEADLINE, "the time limit passed");
@@ -687,7 +705,8 @@
 
   private Optional<ResendDenial> denialIfAbandoned() {
     Verdict verdict = running().verdictIfAbandoned();
-    Optional<ResendDenial> denial = denial(verdict, verdict == Verdict.NOT_RUN ? runs : runs + 1);
+    int counted = verdict == Verdict.NOT_RUN ? countedRuns() : countedRuns(running());
+    Optional<ResendDenial> denial = denial(verdict, counted);
     boolean exhausted = denial.isEmpty() && !context.budget().canWithdraw();
     return exhausted ? Optional.of(ResendDenial.BUDGET_EXHAUSTED) : denial;
   }
@@ -771,7 +790,7 @@
 
   private void restore(PreviousAttempt resumed) {
     attempt = Optional.of(resumed.attempt());
-    runs--;
+    runs.remove(resumed.attempt());
     splitter.restorePartial(resumed.partOfEvent());
     progress.previousResumed();
     resumed.attempt().resume();
@@ -813,7 +832,7 @@
     } else if (head.notRun()) {
       drop(running, AttemptFailure.ENDPOINT_REFUSED);
       running.discard();
-      runs--;
+      runs.remove(running);
     } else if (!head.success()) {
       drop(running, AttemptFailure.RESUME_REFUSED);
       running.discard();
@@ -926,7 +945,7 @@
   }
 
   private void refuseQuarantined() {
-    if (headSent || runs > 0) {
+    if (headSent || !runs.isEmpty()) {
       giveUp(Verdict.MAY_HAVE_RUN, ResendDenial.QUARANTINED, "held back");
       return;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendRule.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendRule.java
@@ -28,7 +28,8 @@
    * Returns why a request may not be sent again, empty if it may.
    *
    * @param verdict whether the last send ran
-   * @param runs the number of endpoints on which the request ran or may have run
+   * @param runs the number of endpoints on which the request ran or may have run, without those
+   *     whose process has ended since
    * @param attempts the maximum number of endpoints on which it may run
    * @param sends the number of sends so far
    */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RunningAttempt.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RunningAttempt.java
@@ -58,6 +58,14 @@
     return call.filter(EndpointCall::mayHaveArrived).isPresent();
   }
 
+  /**
+   * Returns whether the process to which the request was sent is known to have ended. A later
+   * incarnation does not prove that, as it may have received the request itself.
+   */
+  boolean hasEndpointEnded() {
+    return endpoint.refusedConnectionSince(sentAt);
+  }
+
   /** Returns whether the request may have run if the attempt is abandoned now. */
   Verdict verdictIfAbandoned() {
     return mayHaveArrived() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
