Forwarding: an interrupted stream waits for room as long as its caller does

Seen by callers: a stream whose engine broke the connection is cut in the same millisecond, with "no-room", although engines have room 20 ms later; on routes with long objectives it is cut 1.5 s after its last event, although the caller waits for several seconds.

Cause: the queue estimates waits from the node's recent rate of starts, at least two a second. On a node with few requests the fourth stream of a lost engine was expected to wait for 1.5 s, which was the constant limit. For a request that has not run that estimate saves its caller time; for a stream that has no attempt the refusal is the end of the answer. The constant did not follow the callers' patience, which CallerDeadlines knows.

Failed before: streamsOfOneEngineWaitForCapacityTogether, "streams cut ==> expected: <0> but was: <5>"; streamWaitsForCapacityAsLongAsItsCaller, "cut while its caller waits ==> expected: <false> but was: <true>".

Change: a response that is interrupted, with no attempt left, is refused only when its time is up: three quarters of the time for which callers wait for an event, which is the former 1.5 s where they wait for two. Limits that endpoints announced still count. A stream that only looks for another place is judged as before: a refusal does not end it, and it must not hold up the queue.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -225,6 +225,7 @@
         List.of(
             route("/stream/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 2),
             route("/thrice/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 3),
+            route("/patient/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 2, 2000),
             route("/once/", CallKind.STREAM, MODEL, 20_000, 2),
             route("/safe/", CallKind.SAFE, PLAIN, 800, 2),
             route("/unsafe/", CallKind.UNSAFE, PLAIN, 800, 1)),
@@ -237,13 +238,23 @@
 
   private static EntryRoute route(
       String prefix, CallKind kind, String service, int timeoutMillis, int attempts) {
+    return route(prefix, kind, service, timeoutMillis, attempts, 500);
+  }
+
+  private static EntryRoute route(
+      String prefix,
+      CallKind kind,
+      String service,
+      int timeoutMillis,
+      int attempts,
+      int objectiveMillis) {
     return new EntryRoute(
         prefix,
         "host.example",
         prefix,
         kind,
         Duration.ofMillis(timeoutMillis),
-        Duration.ofMillis(500),
+        Duration.ofMillis(objectiveMillis),
         Duration.ofMillis(200),
         0,
         ImmutableList.of(new WeightedService(service, 1)),
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
@@ -35,6 +37,23 @@
     disconnect(attempt);
   }
 
+  private void fillCapacity(FleetEndpoint other) {
+    node.fleet
+        .find(ForwardingFixture.MODEL, other.address())
+        .orElseThrow()
+        .setPeerLoad(100, 1e9, 1);
+  }
+
+  private void registerFullEngines() {
+    for (int number = 2; number <= 5; number++) {
+      fillCapacity(node.engine(number, 20 * (number - 2), 20 * (number - 1)));
+    }
+  }
+
+  private void freeCapacity() {
+    node.fleet.all().forEach(any -> any.setPeerLoad(0, 0, 1));
+  }
+
   private void continueFrom(int event) {
     for (int id = event; id <= 3; id++) {
       running.event(id);
@@ -83,6 +102,55 @@
     assertTrue(response.cut, "cut");
   }
 
+  // Guards against aborting an interrupted stream although its caller still waits.
+  @Test
+  void streamWaitsForCapacityAsLongAsItsCaller() {
+    node.engine(1, 0, 80);
+    startStream("/patient/x");
+    registerFullEngines();
+    node.fleet.withdraw("e1", "test");
+    disconnect(running);
+    node.advance(4000);
+    assertEquals(1, node.sent.size(), "sends without capacity");
+    assertFalse(response.cut, "cut while its caller waits");
+    freeCapacity();
+    node.advance(100);
+    assertEquals(2, node.sent.size(), "sends");
+    running = node.lastAttempt();
+    running.head(200);
+    continueFrom(2);
+    assertWhole();
+  }
+
+  // Guards against aborting interrupted streams because the node started few requests lately.
+  @Test
+  void streamsOfOneEngineWaitForCapacityTogether() {
+    node.engine(1, 0, 80);
+    List<RecordedResponse> responses = new ArrayList<>();
+    List<SentAttempt> streams = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      startStream("/stream/" + i);
+      responses.add(response);
+      streams.add(running);
+    }
+    for (int id = 2; id < 40; id++) {
+      node.advance(200);
+      for (SentAttempt stream : streams) {
+        stream.event(id);
+      }
+    }
+    registerFullEngines();
+    node.fleet.withdraw("e1", "test");
+    streams.forEach(this::disconnect);
+    node.advance(300);
+    assertEquals(8, node.sent.size(), "sends without capacity");
+    freeCapacity();
+    node.advance(300);
+    long cut = responses.stream().filter(each -> each.cut).count();
+    assertEquals(0, cut, "streams cut");
+    assertEquals(16, node.sent.size(), "sends");
+  }
+
   // Guards against cancelling a replacement because the previous engine refused the request.
   @Test
   void replacementContinuesWhenPreviousEngineRefusesRequest() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerDeadlines.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerDeadlines.java
@@ -13,15 +13,21 @@
  * <p>Immutable. Times are those of the executor's clock, in nanoseconds.
  */
 final class CallerDeadlines {
-  /** Minimum time for which callers wait for the first event of a stream. */
-  private static final Duration MIN_FIRST_EVENT_TIMEOUT = Duration.ofSeconds(2);
+  /** Minimum time for which callers wait for the next event of a stream. */
+  private static final Duration MIN_EVENT_TIMEOUT = Duration.ofSeconds(2);
 
-  /** First-event timeout as a multiple of the route's objective for the first event. */
+  /** Event timeout as a multiple of the route's objective for the first event. */
   private static final int OBJECTIVES_PER_TIMEOUT = 4;
 
-  /** First-event timeout as a multiple of the route's objective for pauses between events. */
+  /** Event timeout as a multiple of the route's objective for pauses between events. */
   private static final int PAUSES_PER_TIMEOUT = 8;
 
+  /**
+   * Fraction of the event timeout within which a stream can be resumed; the rest is left for an
+   * engine to process the prompt again.
+   */
+  private static final double RESUMABLE_FRACTION = 0.75;
+
   /**
    * Requests are refused this long before their callers give up, so that refusals arrive in time.
    */
@@ -85,13 +91,24 @@
     return callerGivesUpAt - REFUSAL_MARGIN.toNanos() - firstPartTime.toNanos();
   }
 
+  /**
+   * Returns until when an interrupted stream can be resumed while its caller still waits.
+   *
+   * @param lastEventAt when the caller got the last event
+   */
+  long resumableUntil(long lastEventAt) {
+    long resumable = (long) (eventTimeout().toNanos() * RESUMABLE_FRACTION);
+    return Math.min(deadline(), lastEventAt + resumable);
+  }
+
   private Duration firstPartTimeout() {
-    if (!route.kind().streamed()) {
-      return timeout;
-    }
+    return route.kind().streamed() ? eventTimeout() : timeout;
+  }
+
+  private Duration eventTimeout() {
     return Ordering.<Duration>natural()
         .max(
-            MIN_FIRST_EVENT_TIMEOUT,
+            MIN_EVENT_TIMEOUT,
             route.objective().multipliedBy(OBJECTIVES_PER_TIMEOUT),
             route.pauseObjective().multipliedBy(PAUSES_PER_TIMEOUT));
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CapacityQueue.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CapacityQueue.java
@@ -20,7 +20,8 @@
  * all, and late requests are served if capacity is left while their callers wait. A request waits
  * only while it is expected to start before its caller gives up, given its position and the recent
  * start rate of this node. Otherwise, and while no endpoint could run it at all, it is refused
- * immediately. Confined to the node's event loop.
+ * immediately. An interrupted stream, which is lost if it is refused, waits as long as its caller.
+ * Confined to the node's event loop.
  */
 final class CapacityQueue {
   /** Interval between polls for capacity; each poll costs a few path searches. */
@@ -70,6 +71,9 @@
     /** Returns whether the caller has already received a part of the response. */
     boolean continues();
 
+    /** Returns whether the caller has a part of the response and no attempt continues it. */
+    boolean isInterrupted();
+
     /**
      * Returns the latest start time that meets the objective, in nanoseconds of the executor's
      * clock.
@@ -207,10 +211,12 @@
   private boolean cannotBeServed(Entry entry, int ahead) {
     Waiter waiter = entry.waiter();
     RequestSchedule schedule = waiter.requestSchedule();
+    // The start rate is an estimate, and an interrupted response is lost if it is refused.
+    double expectedWait = waiter.isInterrupted() ? 0 : waitBehind(ahead);
     if (!schedule.allowsAny()) {
-      return !waiter.continues() || now() + waitBehind(ahead) > waiter.waitsUntil();
+      return !waiter.continues() || now() + expectedWait > waiter.waitsUntil();
     }
-    double expected = Math.max(now() + waitBehind(ahead), schedule.timeOf(ahead, now()));
+    double expected = Math.max(now() + expectedWait, schedule.timeOf(ahead, now()));
     return expected > waiter.waitsUntil();
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -35,9 +35,6 @@
   /** Time for which a plain endpoint gets no new requests after its connection failed. */
   private static final Duration FAILED_REPLICA_PAUSE = Duration.ofMillis(500);
 
-  /** Time to resume a stream in; callers give up after two seconds without an event. */
-  private static final Duration RESUME_TIMEOUT = Duration.ofMillis(1500);
-
   /**
    * Time within which a crashed endpoint can be distinguished from a lost connection. Waiting for
    * it prevents a request that crashes endpoints from being sent to another one.
@@ -193,6 +190,11 @@
       return headSent;
     }
 
+    @Override
+    public boolean isInterrupted() {
+      return headSent && attempt.isEmpty();
+    }
+
     @Override
     public long onTimeUntil() {
       return deadlines.onTimeUntil(queue.firstPartTime());
@@ -201,7 +203,7 @@
     @Override
     public long waitsUntil() {
       if (headSent) {
-        return progress.lastProgress() + RESUME_TIMEOUT.toNanos();
+        return deadlines.resumableUntil(progress.lastProgress());
       }
       return deadlines.waitsUntil(queue.firstPartTime());
     }
