Forwarding: a response that is not read is not stalled

Seen by callers: a caller that reads slowly gets its stream from two engines, and loses it when the second one fails or when its engine breaks off after a pause of the caller: then the time in which another place is sought had passed before the search began.

Cause: flow control stops reading at the engine, so no event arrives, and ProgressMonitor took that for a stall of the engine: it probed it four times a second, moved the stream if the engine was suspected for other reasons, and took the last event that was read for the beginning of the caller's wait.

Change: the monitor knows that a response is not being read. It is neither stalled nor late meanwhile, and its time begins again as reading does.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -367,12 +367,14 @@
     abandonPrevious();
     if (!response.data(whole)) {
       running.pause();
+      progress.paused();
     }
   }
 
   @Override
   public void drained() {
     if (!done) {
+      progress.resumed();
       attempt.ifPresent(RunningAttempt::resume);
       previous.resume();
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
@@ -14,7 +14,8 @@
  *
  * <p>Only engines through which no request made progress are probed, so a single slow stream causes
  * no probes. A check that runs late does not prove a stall, as events may be unread in the socket:
- * it is repeated once they have been read. Confined to the node's event loop.
+ * it is repeated once they have been read. A response that is not read because its caller is slow
+ * is not stalled. Confined to the node's event loop.
  */
 final class ProgressMonitor {
   /** Time without an event after which the engines are probed. */
@@ -31,6 +32,7 @@
   private final long longPauseNanos;
   private final Runnable onStall;
   private Cancellable timer = () -> {};
+  private boolean paused;
   private boolean awaitsHead;
   private boolean previousPauseShort;
   private long lastProgress;
@@ -63,10 +65,24 @@
   }
 
   /**
-   * Returns whether the request made progress recently, which shows that its engines were alive.
+   * Returns whether the request made progress recently, which shows that its engines were alive, or
+   * could not, as its response is not being read.
    */
   boolean hasRecentProgress() {
-    return now() - lastProgress < STALL_TIMEOUT.toNanos();
+    return paused || now() - lastProgress < STALL_TIMEOUT.toNanos();
+  }
+
+  /** Records that the response is not read until {@link #resumed}. */
+  void paused() {
+    paused = true;
+  }
+
+  /** Records that the response is read again; the stall timeout starts again. */
+  void resumed() {
+    if (paused) {
+      paused = false;
+      lastProgress = now();
+    }
   }
 
   /**
@@ -77,6 +93,7 @@
    */
   void attemptStarted(boolean resumes) {
     awaitsHead = true;
+    paused = false;
     if (!resumes) {
       lastProgress = now();
     }
@@ -86,6 +103,7 @@
   /** Monitors a previous attempt again, whose head had been received. */
   void previousResumed() {
     awaitsHead = false;
+    paused = false;
     scheduleCheck();
   }
 
@@ -150,7 +168,7 @@
     if (selector.path().isEmpty()) {
       return;
     }
-    boolean stalled = now() - lastProgress >= stallTimeout().toNanos();
+    boolean stalled = !paused && now() - lastProgress >= stallTimeout().toNanos();
     if (stalled && EventLoopDelay.explainsSilence(delay, ignoredStalls)) {
       ignoredStalls++;
       context.counters().count(Metric.UNCOUNTED_SILENCES, "look");
