Forwarding: a request that its engine forgot may be complete

Seen by callers: an answer whose engine has written it whole is taken from the connection in the midst and run again; if the second run is refused or breaks, the answer is cut.

Cause: a first engine that is told another path answers 404 for a request that it has completed, while the rest of the answer is on its way or is held back for a slow caller. That 404 counted as proof that the attempt was lost, so it was cancelled even when no other engine could begin the path.

Failed before: streamThatItsEngineHasCompletedIsNotSentAgain, "cancelled ==> expected: <false> but was: <true>".

Change: the attempt is replaced only once the stream has stalled, and not while it is not being read. Elsewhere a second attempt still begins at once, beside the first.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
 
 /** Checks that a stream whose engine is lost continues elsewhere while its caller waits. */
@@ -173,4 +174,24 @@
     assertWhole();
     node.fleet.all().forEach(any -> assertEquals(0, any.inFlight(), any.toString()));
   }
+
+  // Guards against sending a stream again whose engine has completed it and forgotten it.
+  @Test
+  void streamThatItsEngineHasCompletedIsNotSentAgain() {
+    node.engine(5, 0, 40);
+    FleetEndpoint later = node.engine(6, 40, 80);
+    startStream("/stream/x");
+    node.engine(7, 40, 80);
+    node.control.repathOutcome =
+        new RepathOutcome(RepathOutcome.Kind.UNKNOWN_REQUEST, Optional.empty());
+    var lost = node.fleet.find(ForwardingFixture.MODEL, later.address()).orElseThrow();
+    node.fleet.recordConnectionRefused(lost);
+    node.fleet.suspect(lost, "its box refuses connections");
+    node.clock.runDue();
+    assertEquals(1, node.control.repathedPaths.size(), "path changes");
+    assertFalse(running.cancelled, "cancelled");
+    continueFrom(2);
+    assertEquals(1, node.sent.size(), "sends");
+    assertWhole();
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -722,7 +722,9 @@
       return replaceAttempt();
     }
     boolean unknown = failover.trigger().failure() == AttemptFailure.REQUEST_UNKNOWN;
-    return startConcurrentAttempt() || (unknown && replaceAttempt());
+    // An engine also forgets a request that it has completed; the rest may not have been read yet.
+    boolean lost = unknown && !progress.hasRecentProgress();
+    return startConcurrentAttempt() || (lost && replaceAttempt());
   }
 
   private boolean replaceAttempt() {
