Entry: close idle connections before their endpoint does

What callers saw: an endpoint that closes idle connections after the time in its Keep-Alive header closes one just as the node writes a request on it. The request may have run, so one that can't be repeated ends with a 502, and a stream costs the retry budget.

Before: a connection was used until its close was seen. Trial over loopback (a pooled connection that the endpoint closes in the same turn of the event loop, 300 requests with and without a body): all 300 failed, 'neverSent false', as CHANNEL_CLOSED_INBOUND or a broken pipe; nothing on the socket tells whether such a request was read, so they stay MAY_HAVE_RUN.

Change: the connection filter reads Keep-Alive: timeout of the last complete response and closes the connection half a second before, unless a request came first. That margin covers the way and a late timer. A connection without the header is kept as before. What remains: endpoints that state no time, or that close earlier than they state.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -7,16 +7,13 @@
 import io.servicetalk.concurrent.PublisherSource;
 import io.servicetalk.concurrent.SingleSource;
 import io.servicetalk.concurrent.api.Publisher;
-import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.concurrent.api.SourceAdapters;
-import io.servicetalk.context.api.ContextMap;
-import io.servicetalk.http.api.FilterableStreamingHttpConnection;
+import io.servicetalk.http.api.EmptyHttpHeaders;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpRequestMetaData;
 import io.servicetalk.http.api.StreamingHttpClient;
-import io.servicetalk.http.api.StreamingHttpConnectionFilter;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.netty.HttpClients;
@@ -49,9 +46,6 @@
    */
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-  /** Context key of the call that a request belongs to. */
-  private static final ContextMap.Key<Call> CALL = ContextMap.Key.newKey("call", Call.class);
-
   private final IoExecutor io;
   private final HeaderDialect dialect;
   private final Map<HostPort, RefCountedClient<StreamingHttpClient>> clients = new HashMap<>();
@@ -81,7 +75,7 @@
     StreamingHttpClient client = refCounted.acquire();
     Call call = new Call(dialect, attempt, listener, refCounted::release);
     StreamingHttpRequest request = request(client, attempt);
-    request.context().put(CALL, call);
+    request.context().put(EndpointConnection.USER, call);
     SourceAdapters.toSource(client.request(request)).subscribe(call);
     return call;
   }
@@ -118,25 +112,14 @@
         .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
         .hostHeaderFallback(false)
         .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
-        .appendConnectionFilter(EndpointConnections::recordConnected)
+        .appendConnectionFilter(EndpointConnection::new)
         .buildStreaming();
   }
 
-  /** Marks a call as connected: from then on its request may have reached the endpoint. */
-  private static StreamingHttpConnectionFilter recordConnected(
-      FilterableStreamingHttpConnection connection) {
-    return new StreamingHttpConnectionFilter(connection) {
-      @Override
-      public Single<StreamingHttpResponse> request(StreamingHttpRequest request) {
-        Optional.ofNullable(request.context().get(CALL)).ifPresent(Call::connected);
-        return delegate().request(request);
-      }
-    };
-  }
-
   /** One attempt; subscribes first to the response head, then to its body. */
   private static final class Call
       implements EndpointCall,
+          EndpointConnection.User,
           SingleSource.Subscriber<StreamingHttpResponse>,
           PublisherSource.Subscriber<Buffer> {
     private final HeaderDialect dialect;
@@ -145,7 +128,8 @@
     private final Runnable onFinished;
     private Cancellable pendingHead = () -> {};
     private PublisherSource.Subscription body;
-    private boolean connected;
+    private Optional<EndpointConnection> connection = Optional.empty();
+    private HttpHeaders responseHeaders = EmptyHttpHeaders.INSTANCE;
     private boolean cancelled;
     private boolean discarded;
     private boolean paused;
@@ -180,6 +164,7 @@
         return;
       }
       HttpHeaders headers = response.headers();
+      responseHeaders = headers;
       int status = response.status().code();
       listener.head(
           new EndpointResponseHead(
@@ -223,6 +208,7 @@
     @Override
     public void onComplete() {
       finish();
+      connection.ifPresent(used -> used.rested(responseHeaders));
       if (!discarded && !cancelled) {
         listener.end();
       }
@@ -254,20 +240,22 @@
           "how",
           end.code(),
           "phase",
-          connected ? (body == null ? "head" : "body") : "connect",
+          connection.isPresent() ? (body == null ? "head" : "body") : "connect",
           "receivedBytes",
           receivedBytes,
           "cause",
           cause);
     }
 
-    void connected() {
-      connected = true;
+    @Override
+    public void connected(EndpointConnection used) {
+      // From now on the request may have reached the endpoint.
+      connection = Optional.of(used);
     }
 
     @Override
     public boolean mayHaveArrived() {
-      return connected;
+      return connection.isPresent();
     }
 
     @Override
