--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -53,6 +53,8 @@
   PLACEMENT_DECIDED(3102, "an engine is assigned other layers"),
   ORDER_ANSWERED(3103, "an engine answered an order"),
   ORDER_UNANSWERED(3104, "an engine did not answer a read or an order"),
+  ORDER_WITHHELD(
+      3105, "an order was not sent: layers to be given up have no other confirmed holder"),
   HOP_REPLACED(4001, "part of a stream's route was replaced"),
   HOP_MOVED(4002, "part of a stream was moved away from a leaving endpoint"),
   STREAM_FAILED(4003, "a stream failed"),
@@ -71,6 +73,10 @@
   QUARANTINE_TOLD_AGAIN(
       4015, "endpoint crashes that the store may have lost are written to it again"),
   REQUEST_STAYS(4016, "a request stays at an unresponsive endpoint; no other endpoint can take it"),
+  CALLER_CONNECTION_CLOSED(
+      4017, "a caller's connection was closed before its response was delivered"),
+  ENDPOINT_CONNECTION_ENDED(
+      4018, "a connection to an endpoint ended before the response to its request was complete"),
   MEMBER_JOINED(5001, "a node joined"),
   MEMBER_SUSPECTED(5002, "a node does not answer"),
   MEMBER_LEFT(5003, "a node left or was declared dead"),
