vaneworksd: a planned stop waits for runs that peers forwarded

Callers saw: a request under a ticket, asked for at another node than the ticket's home, ended with home-lost while the home stopped; asked for again it ran a second time, against "at most once".

Cause: the home counted a forwarded request in flight only until it had told the peer that it still runs (1 s), not until the run ended. Between two questions it was idle, ended its drain, and handed the record over without an outcome, which the successor reads as "nothing ran". It also refused the peer's further questions for the run as those of a new request.

Ruled out: the requests of the home's own callers; they are in flight until their outcome. The existing schedules could not see it, as their service answers at once.

The run that a message starts is now in flight until it is recorded; a question that only joins one counts nothing. A refusing node answers for records that run or have run, and still starts nothing.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/once/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of requests that run at most once, under a paused clock. */
+package org.vaneworks.tests.once;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceService.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceService.java
@@ -202,11 +202,19 @@
 
   /** Runs a request, or returns its recorded outcome, on the node that may run it. */
   private CompletableFuture<OnceOutcome> runLocally(OnceRequest request, AnswerSink live) {
+    return decide(request) instanceof OnceRecordTable.Decision.Wait wait
+        ? wait.outcome()
+        : startAndRecord(request, live);
+  }
+
+  /** Decides whether this node, which alone may run the request, is to run it now. */
+  private OnceRecordTable.Decision decide(OnceRequest request) {
     boolean mayCreate = request.mayCreate();
     if (!request.recordId().startsWith(CLAIM_RECORD_PREFIX)) {
       switch (ticketIssuer.verify(request.recordId())) {
         case FORGED -> {
-          return refused(Refusal.nothingSent(Reason.UNKNOWN_TICKET, "the signature is not ours"));
+          return new OnceRecordTable.Decision.Wait(
+              refused(Refusal.nothingSent(Reason.UNKNOWN_TICKET, "the signature is not ours")));
         }
         case EXPIRED -> mayCreate = false;
         case VALID -> {}
@@ -214,12 +222,9 @@
     }
     OnceRecordTable.Decision decision =
         records.start(request.recordId(), request.work().hash(), mayCreate);
-    if (decision instanceof OnceRecordTable.Decision.Wait wait) {
-      counters.count(Metric.TICKETS, "recorded");
-      return wait.outcome();
-    }
-    counters.count(Metric.TICKETS, "started");
-    return startAndRecord(request, live);
+    boolean starts = decision instanceof OnceRecordTable.Decision.Start;
+    counters.count(Metric.TICKETS, starts ? "started" : "recorded");
+    return decision;
   }
 
   private CompletableFuture<OnceOutcome> startAndRecord(OnceRequest request, AnswerSink live) {
@@ -312,21 +317,45 @@
     return CompletableFuture.completedFuture(new OnceOutcome.Refused(refusal));
   }
 
-  /** Handles a request that a peer forwarded to this node as its holder. */
-  CompletableFuture<PeerMessage> serve(RunOnce message) {
+  /**
+   * Handles a request that a peer forwarded to this node as its holder.
+   *
+   * @param onRunEnded called once the run that this message started has ended and is recorded, or
+   *     at once if the message started none; the reply may come earlier
+   */
+  CompletableFuture<PeerMessage> serve(RunOnce message, Runnable onRunEnded) {
     OnceRequest request = message.request();
     if (!ticketIssuer.isResponsibleFor(holderOf(request.recordId()))) {
+      onRunEnded.run();
       return CompletableFuture.completedFuture(new PeerMessage.Failed("not the holder"));
     }
+    if (decide(request) instanceof OnceRecordTable.Decision.Wait wait) {
+      onRunEnded.run();
+      return replyWith(wait.outcome());
+    }
+    CompletableFuture<OnceOutcome> outcome = startAndRecord(request, DISCARDING_SINK);
+    CompletableFuture<PeerMessage> reply = replyWith(outcome);
+    Async.onDone(outcome, executor, (recorded, failure) -> onRunEnded.run());
+    return reply;
+  }
+
+  /** Handles a forwarded request only if it runs or has run; returns empty if it may be started. */
+  Optional<CompletableFuture<PeerMessage>> join(RunOnce message) {
+    OnceRequest request = message.request();
+    return records.find(request.recordId(), request.work().hash()).map(this::replyWith);
+  }
+
+  /** Replies with the outcome, or after a while that the request still runs. */
+  private CompletableFuture<PeerMessage> replyWith(CompletableFuture<OnceOutcome> outcome) {
     CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
     executor.schedule(() -> reply.complete(new PeerMessage.StillRunning()), STILL_RUNNING_DELAY);
     Async.onDone(
-        runLocally(request, DISCARDING_SINK),
+        outcome,
         executor,
-        (outcome, failure) ->
+        (known, failure) ->
             reply.complete(
                 failure == null
-                    ? new OnceReply(outcome)
+                    ? new OnceReply(known)
                     : new PeerMessage.Failed(failure.toString())));
     return reply;
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/RequestDispatcher.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/RequestDispatcher.java
@@ -294,21 +294,22 @@
     }
   }
 
-  /** Handles a request that a peer forwarded because only this node may run it. */
+  /**
+   * Handles a request that a peer forwarded because only this node may run it.
+   *
+   * <p>A request that it starts is in flight until its run ends, although the peer is told earlier
+   * that it still runs. A stopping node starts none, but still answers for those that it started.
+   */
   CompletableFuture<PeerMessage> serve(RunOnce message) {
     Optional<Refusal> refusal = lifecycle.enter();
-    if (refusal.isPresent()) {
-      return CompletableFuture.completedFuture(
-          new OnceReply(new OnceOutcome.Refused(refusal.get().withoutProof())));
-    }
-    return Async.compose(
-        once.serve(message),
-        (reply, failure) -> {
-          lifecycle.leave();
-          return failure == null
-              ? CompletableFuture.completedFuture(reply)
-              : CompletableFuture.failedFuture(failure);
-        });
+    return refusal.isPresent()
+        ? once.join(message).orElseGet(() -> refused(refusal.get()))
+        : once.serve(message, lifecycle::leave);
+  }
+
+  private static CompletableFuture<PeerMessage> refused(Refusal refusal) {
+    return CompletableFuture.completedFuture(
+        new OnceReply(new OnceOutcome.Refused(refusal.withoutProof())));
   }
 
   /** Returns the service that runs requests at most once. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/once/OnceRecordTable.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/OnceRecordTable.java
@@ -91,6 +91,14 @@
     return new Decision.Wait(entry.outcome);
   }
 
+  /** Returns the outcome of a request that runs or has run; empty if it may be started. */
+  public synchronized Optional<CompletableFuture<OnceOutcome>> find(
+      String recordId, String bodyHash) {
+    return Optional.ofNullable(entries.get(recordId))
+        .filter(entry -> entry.bodyHash.equals(bodyHash) && !entry.mayRestart())
+        .map(entry -> entry.outcome);
+  }
+
   @GuardedBy("this")
   private Decision create(String recordId, String bodyHash) {
     removeExpired();
