vaneworksd: silence of a ticket's home does not end its callers' wait

Callers saw: home-lost after some 4 s while the home ran the request and all members knew it to be alive.

Cause: two questions without a reply (2 s each) were taken for a lost home. A link that fails in one direction, or a pause of the home, gives the same. "Does not answer" proves nothing about the run.

Failed before (ForwardedOnceRequestTest.callerWaitsWhileRepliesOfTicketHomeAreLost): ended early: Optional[home-lost (MAY_HAVE_RUN): n1~i1 does not answer] ==> expected: <false> but was: <true>

The home is now asked until members take it for gone, it left (then its successor is asked), or the caller's time is up, which is told as such. A home that is gone is still told at once or within the time that membership takes (callerIsToldThatTicketHomeIsGone). Nothing can run twice by asking again: the record decides at the home.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/once/ForwardedOnceRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/once/ForwardedOnceRequestTest.java
@@ -1,6 +1,7 @@
 package org.vaneworks.tests.once;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -65,6 +66,17 @@
     assertEquals(TOKENS, fleet.verifier().runsOf("prompt").size());
   }
 
+  // Guards against ending a caller's wait after two unanswered calls although the home of its
+  // ticket runs the request.
+  @Test
+  void callerWaitsWhileRepliesOfTicketHomeAreLost() {
+    fleet.peers().blockLink(fleet.addressOf("n1"), fleet.addressOf("n2"));
+    fleet.clock().advance(OUTAGE);
+    assertFalse(answer.isEnded(), () -> "ended early: " + answer.refusal());
+    fleet.peers().restoreLinks();
+    assertDeliveredCompletely();
+  }
+
   // Guards against a caller that waits for a node that is gone.
   @Test
   void callerIsToldThatTicketHomeIsGone() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceService.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceService.java
@@ -73,8 +73,8 @@
   /** When to report a request as still running; below {@link #HOLDER_TIMEOUT}. */
   private static final Duration STILL_RUNNING_DELAY = Duration.ofSeconds(1);
 
-  /** Number of consecutive unanswered calls after which the holder is regarded as lost. */
-  private static final int MAX_UNANSWERED_CALLS = 2;
+  /** Limits the rate of calls to a holder that refuses connections. */
+  private static final Duration UNANSWERED_RETRY_DELAY = Duration.ofMillis(200);
 
   private final Executor executor;
   private final OnceRecordTable records;
@@ -242,42 +242,57 @@
   }
 
   private CompletableFuture<OnceOutcome> forward(String holder, OnceRequest request) {
-    Optional<Member> present = currentHolder(holder);
-    if (present.isEmpty()) {
+    if (currentHolder(holder).isEmpty()) {
       counters.count(Metric.TICKETS, "home-lost");
       return refused(Refusal.mayHaveRun(Reason.HOME_LOST, holder + " is gone"));
     }
-    if (ticketIssuer.isResponsibleFor(present.get().identity()) && isSelf(present.get())) {
-      return runLocally(request, new OnceDelivery(DISCARDING_SINK));
-    }
     counters.count(Metric.TICKETS, "forwarded");
     long deadline = now() + request.deadline().orElse(DEFAULT_FORWARD_TIMEOUT).toNanos();
-    return askHolder(present.get(), request, deadline, 0);
+    return askHolder(holder, request, deadline);
   }
 
   /**
    * Sends a request to its holder and repeats the call until the outcome is known.
    *
    * <p>A holder that is still running the request replies so well within the timeout. A missing
-   * reply therefore means that the holder or the connection failed, or that the reply was lost,
-   * which is why the call is repeated once.
+   * reply says nothing about the run: the connection may have failed, or the reply may have been
+   * lost. The call is therefore repeated until the holder is known to have left or failed; if it
+   * handed its records over, their new holder is asked.
    */
   private CompletableFuture<OnceOutcome> askHolder(
-      Member holder, OnceRequest request, long deadline, int unansweredCalls) {
+      String holder, OnceRequest request, long deadline) {
+    Optional<Member> present = currentHolder(holder);
+    if (present.isEmpty()) {
+      counters.count(Metric.TICKETS, "home-lost");
+      return refused(
+          Refusal.mayHaveRun(Reason.HOME_LOST, holder + " is gone")
+              .withRetryAfter(HOLDER_LOST_RETRY_AFTER));
+    }
+    if (ticketIssuer.isResponsibleFor(present.get().identity()) && isSelf(present.get())) {
+      return runLocally(request, new OnceDelivery(DISCARDING_SINK));
+    }
     return Async.compose(
-        link.ask(holder.address(), new RunOnce(request), HOLDER_TIMEOUT),
+        link.ask(present.get().address(), new RunOnce(request), HOLDER_TIMEOUT),
         (reply, failure) -> {
           if (failure == null && reply instanceof OnceReply onceReply) {
             return CompletableFuture.completedFuture(onceReply.outcome());
           }
-          boolean running = failure == null && reply instanceof PeerMessage.StillRunning;
-          boolean mayRetry = failure != null && unansweredCalls + 1 < MAX_UNANSWERED_CALLS;
-          if ((running || mayRetry) && deadline - now() > 0) {
-            return askHolder(holder, request, deadline, running ? 0 : unansweredCalls + 1);
+          if (failure == null && !(reply instanceof PeerMessage.StillRunning)) {
+            return refused(
+                Refusal.mayHaveRun(Reason.HOME_LOST, present.get().identity() + ": " + reply)
+                    .withRetryAfter(HOLDER_LOST_RETRY_AFTER));
+          }
+          if (deadline - now() <= 0) {
+            return refused(
+                Refusal.mayHaveRun(
+                    Reason.DEADLINE, "no outcome in time of " + present.get().identity()));
+          }
+          if (failure == null) {
+            return askHolder(holder, request, deadline);
           }
-          return refused(
-              Refusal.mayHaveRun(Reason.HOME_LOST, holder.identity() + " does not answer")
-                  .withRetryAfter(HOLDER_LOST_RETRY_AFTER));
+          counters.count(Metric.TICKETS, "unanswered");
+          return Async.delay(executor, UNANSWERED_RETRY_DELAY)
+              .thenCompose(elapsed -> askHolder(holder, request, deadline));
         });
   }
 
