vaneworksd: plain calls end at their own limit

Callers saw: calls of 6 to 10 s ended with endpoint-lost while the service ran them, and a caller that allowed 30 s got 10. The service was then out of use for a while, also because a caller had allowed it only 50 ms. After a caller was told that its time is up, a repeatable call was sent on to other endpoints for nobody.

Cause: the connection had the step timeout of engines (6 s); the router's own limit was an upper bound on the caller's and did not reach the attempts.

Failed before: SlowServiceTest (both): RefusalException: endpoint-lost (MAY_HAVE_RUN): connection reset ==> expected: <true> but was: <false> ServiceRouterTest.callIsNotRepeatedAfterItsLimit, endpointIsNotEjectedForACallWhoseLimitPassed: expected: <true> but was: <false>

Each attempt now gets the time that is left of the caller's limit (10 s without one). A failure at that time is the node's own and says nothing of the endpoint. A repeatable call that was silent for 5 s, which formerly left the endpoint at 6 s, is also sent to another one; the first answer of either counts.

--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryEndpoints.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryEndpoints.java
@@ -49,6 +49,7 @@
     private boolean killed;
     private boolean frozen;
     private boolean leaving;
+    private boolean overloaded;
     private int answersToLose;
     private int answersToSwap;
     private Duration delay = Duration.ofMillis(1);
@@ -99,13 +100,25 @@
 
   /** Kills an endpoint: calls in flight fail, and new connections are refused. */
   public void kill(HostPort address) {
+    links.get(address).killed = true;
+    resetConnections(address);
+  }
+
+  /**
+   * Resets the connections to an endpoint: calls in flight fail, although the endpoint runs them.
+   */
+  public void resetConnections(HostPort address) {
     Link link = links.get(address);
-    link.killed = true;
     List<CompletableFuture<?>> failed = new ArrayList<>(link.inFlight);
     link.inFlight.clear();
     failed.forEach(answer -> answer.completeExceptionally(connectionReset().toException()));
   }
 
+  /** Makes an engine refuse to open sessions because it is overloaded, or stop refusing. */
+  public void setOverloaded(HostPort address, boolean overloaded) {
+    links.get(address).overloaded = overloaded;
+  }
+
   /** Freezes an endpoint: calls to it and its answers are queued. */
   public void freeze(HostPort address) {
     links.get(address).frozen = true;
@@ -168,8 +181,7 @@
   @Override
   public CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call) {
     Link link = links.get(endpoint.address());
-    CompletableFuture<StepReply> answer =
-        call(endpoint.address(), target -> target.engine.step(call));
+    CompletableFuture<StepReply> answer = call(endpoint.address(), target -> run(target, call));
     if (link.answersToSwap == 0) {
       return answer;
     }
@@ -188,6 +200,13 @@
     return swapped;
   }
 
+  private static CompletableFuture<StepReply> run(Link link, StepCall call) {
+    boolean opensSession = call.step() == 0 || call.rebuilds();
+    return link.overloaded && opensSession
+        ? CompletableFuture.failedFuture(new EngineRefusal(EngineJson.OVERLOADED))
+        : link.engine.step(call);
+  }
+
   private void swap(PendingReply second) {
     if (unpaired.isEmpty()) {
       unpaired.add(second);
@@ -235,9 +254,12 @@
   }
 
   @Override
-  public CompletableFuture<ServiceReply> invoke(Endpoint endpoint, ServiceCall call) {
+  public CompletableFuture<ServiceReply> invoke(
+      Endpoint endpoint, ServiceCall call, Duration timeout) {
     return call(
-        endpoint.address(), link -> CompletableFuture.completedFuture(link.service.run(call)));
+        endpoint.address(),
+        timeout,
+        link -> CompletableFuture.completedFuture(link.service.run(call)));
   }
 
   /** The processing of a call at its endpoint. */
@@ -247,6 +269,10 @@
   }
 
   private <T> CompletableFuture<T> call(HostPort address, Handler<T> handler) {
+    return call(address, CONNECTION_TIMEOUT, handler);
+  }
+
+  private <T> CompletableFuture<T> call(HostPort address, Duration timeout, Handler<T> handler) {
     CompletableFuture<T> answer = new CompletableFuture<>();
     Link link = links.get(address);
     if (link == null || link.killed) {
@@ -256,8 +282,7 @@
     }
     link.inFlight.add(answer);
     executor.schedule(() -> arrive(link, handler, answer), randomDelay(link));
-    executor.schedule(
-        () -> answer.completeExceptionally(connectionReset().toException()), CONNECTION_TIMEOUT);
+    executor.schedule(() -> answer.completeExceptionally(connectionReset().toException()), timeout);
     return answer;
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/ServiceRouter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/ServiceRouter.java
@@ -1,16 +1,19 @@
 package org.vaneworks.coordination;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
+import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.endpoints.EndpointClient;
@@ -34,7 +37,12 @@
  * repeatable, and if the retry budget allows it. Thread-safe.
  */
 public final class ServiceRouter {
-  private static final Duration MAX_CALL_DURATION = Duration.ofSeconds(10);
+  /** Limit on a call whose caller sets none. */
+  private static final Duration DEFAULT_LIMIT = Duration.ofSeconds(10);
+
+  /** When a repeatable call without an answer is also sent to another endpoint. */
+  private static final Duration BACKUP_DELAY = Duration.ofSeconds(5);
+
   private static final int MAX_ATTEMPTS = 3;
 
   private final Executor executor;
@@ -44,6 +52,10 @@
   private final Counters counters;
   private final Random random;
 
+  /** A call with the time, in nanoseconds of the executor's clock, at which it must have ended. */
+  private record PendingCall(
+      String service, ServiceCall call, boolean repeatable, long deadline, Set<EndpointId> tried) {}
+
   private ServiceRouter(
       Executor executor,
       EndpointTable table,
@@ -74,64 +86,141 @@
    * Sends a call.
    *
    * @param repeatable whether the call may run more than once
-   * @param limit how long the call may take, including retries
+   * @param limit how long the call may take, including retries; nothing is sent afterwards
    * @return the answer, or a failure that carries a refusal
    */
   public CompletableFuture<ServiceReply> call(
       String service, ServiceCall call, boolean repeatable, Optional<Duration> limit) {
     retries.deposit();
-    Duration timeout =
-        limit.filter(given -> given.compareTo(MAX_CALL_DURATION) < 0).orElse(MAX_CALL_DURATION);
-    RefusalException timeoutException =
-        Refusal.mayHaveRun(Reason.DEADLINE, "service " + service + " did not answer in " + timeout)
-            .toException();
-    return Async.withTimeout(
-        executor, timeout, attempt(service, call, repeatable, new HashSet<>()), timeoutException);
+    Duration timeout = limit.orElse(DEFAULT_LIMIT);
+    PendingCall pending =
+        new PendingCall(
+            service, call, repeatable, now() + timeout.toNanos(), ConcurrentHashMap.newKeySet());
+    return Async.withTimeout(executor, timeout, attempt(pending), timedOut(pending));
   }
 
-  private CompletableFuture<ServiceReply> attempt(
-      String service, ServiceCall call, boolean repeatable, Set<EndpointId> tried) {
-    Optional<EndpointState> chosen = choose(service, tried);
+  private static RefusalException timedOut(PendingCall pending) {
+    return Refusal.mayHaveRun(
+            Reason.DEADLINE, "service " + pending.service() + " did not answer in time")
+        .toException();
+  }
+
+  private CompletableFuture<ServiceReply> attempt(PendingCall pending) {
+    Optional<EndpointState> chosen = choose(pending);
     if (chosen.isEmpty()) {
       return CompletableFuture.failedFuture(
-          Refusal.nothingSent(Reason.NO_ENDPOINT, "no live endpoint serves " + service)
+          Refusal.nothingSent(Reason.NO_ENDPOINT, "no live endpoint serves " + pending.service())
               .withRetryAfter(Duration.ofSeconds(1))
               .toException());
     }
     EndpointState endpoint = chosen.get();
-    tried.add(endpoint.endpoint().id());
+    pending.tried().add(endpoint.endpoint().id());
     endpoint.streamStarted();
-    return Async.compose(
-        client.invoke(endpoint.endpoint(), call),
+    Duration remaining = Duration.ofNanos(pending.deadline() - now());
+    CompletableFuture<ServiceReply> reply =
+        Async.compose(
+            client.invoke(endpoint.endpoint(), pending.call(), remaining),
+            (answer, failure) -> {
+              endpoint.streamEnded();
+              if (failure != null) {
+                return retryOrFail(pending, endpoint, failure);
+              }
+              endpoint.recordSuccess();
+              return CompletableFuture.completedFuture(answer);
+            });
+    return pending.repeatable() ? withBackup(pending, reply) : reply;
+  }
+
+  /**
+   * Sends a repeatable call to another endpoint as well if it is not answered for long. Silence
+   * does not prove that the first endpoint failed, so the first answer of either counts.
+   */
+  private CompletableFuture<ServiceReply> withBackup(
+      PendingCall pending, CompletableFuture<ServiceReply> first) {
+    CompletableFuture<ServiceReply> answer = new CompletableFuture<>();
+    AtomicBoolean decided = new AtomicBoolean();
+    Runnable sendBackup =
+        () -> {
+          if (decided.compareAndSet(false, true)) {
+            boolean sent = mayRetry(pending);
+            if (sent) {
+              counters.count(Metric.RETRIES, "service-silent");
+            }
+            completeWithFirstSuccess(
+                answer, first, sent ? Optional.of(attempt(pending)) : Optional.empty());
+          }
+        };
+    Cancellable timer = executor.schedule(sendBackup, BACKUP_DELAY);
+    Async.onDone(
+        first,
+        executor,
+        (reply, failure) -> {
+          if (decided.compareAndSet(false, true)) {
+            timer.cancel();
+            completeWithFirstSuccess(answer, first, Optional.empty());
+          }
+        });
+    return answer;
+  }
+
+  private void completeWithFirstSuccess(
+      CompletableFuture<ServiceReply> answer,
+      CompletableFuture<ServiceReply> first,
+      Optional<CompletableFuture<ServiceReply>> backup) {
+    CompletableFuture<ServiceReply> second = backup.orElse(first);
+    Async.onDone(
+        first,
+        executor,
+        (reply, failure) -> {
+          if (failure == null) {
+            answer.complete(reply);
+            return;
+          }
+          Async.onDone(
+              second,
+              executor,
+              (secondReply, secondFailure) -> {
+                if (secondFailure == null) {
+                  answer.complete(secondReply);
+                } else {
+                  answer.completeExceptionally(
+                      combined(RefusalException.refusalOf(failure), secondFailure));
+                }
+              });
+        });
+    Async.onDone(
+        second,
+        executor,
         (reply, failure) -> {
-          endpoint.streamEnded();
-          if (failure != null) {
-            return retryOrFail(service, call, repeatable, tried, endpoint, failure);
+          if (failure == null) {
+            answer.complete(reply);
           }
-          endpoint.recordSuccess();
-          return CompletableFuture.completedFuture(reply);
         });
   }
 
+  private boolean mayRetry(PendingCall pending) {
+    return choose(pending).isPresent()
+        && pending.tried().size() < MAX_ATTEMPTS
+        && retries.tryWithdraw();
+  }
+
   private CompletableFuture<ServiceReply> retryOrFail(
-      String service,
-      ServiceCall call,
-      boolean repeatable,
-      Set<EndpointId> tried,
-      EndpointState endpoint,
-      Throwable failure) {
+      PendingCall pending, EndpointState endpoint, Throwable failure) {
+    if (now() - pending.deadline() >= 0) {
+      // This node closed the connection, which says nothing about the endpoint.
+      return CompletableFuture.failedFuture(timedOut(pending));
+    }
     Refusal refusal = RefusalException.refusalOf(failure);
     if (refusal.reason() != Reason.ENDPOINT_OVERLOADED) {
       table.eject(endpoint, refusal.verdict() == Verdict.NOT_RUN ? "refused" : "lost");
     }
-    boolean mayRepeat = repeatable || refusal.verdict() == Verdict.NOT_RUN;
-    boolean hasAlternative = choose(service, tried).isPresent();
-    if (!mayRepeat || !hasAlternative || tried.size() >= MAX_ATTEMPTS || !retries.tryWithdraw()) {
+    boolean mayRepeat = pending.repeatable() || refusal.verdict() == Verdict.NOT_RUN;
+    if (!mayRepeat || !mayRetry(pending)) {
       return CompletableFuture.failedFuture(refusal.toException());
     }
     counters.count(Metric.RETRIES, "service");
     return Async.compose(
-        attempt(service, call, repeatable, tried),
+        attempt(pending),
         (reply, retryFailure) ->
             retryFailure == null
                 ? CompletableFuture.completedFuture(reply)
@@ -150,11 +239,11 @@
     return Refusal.mayHaveRun(last.reason(), last.detail()).toException();
   }
 
-  private Optional<EndpointState> choose(String service, Set<EndpointId> tried) {
+  private Optional<EndpointState> choose(PendingCall pending) {
     ImmutableList<EndpointState> untried =
-        table.serving(service).stream()
+        table.serving(pending.service()).stream()
             .filter(state -> !state.endpoint().isEngine())
-            .filter(state -> !tried.contains(state.endpoint().id()))
+            .filter(state -> !pending.tried().contains(state.endpoint().id()))
             .collect(ImmutableList.toImmutableList());
     ImmutableList<EndpointState> usable = filter(untried, EndpointState::isUsable);
     if (usable.isEmpty()) {
@@ -174,4 +263,8 @@
       ImmutableList<EndpointState> states, Predicate<EndpointState> test) {
     return states.stream().filter(test).collect(ImmutableList.toImmutableList());
   }
+
+  private long now() {
+    return executor.currentTime(NANOSECONDS);
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointClient.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointClient.java
@@ -1,5 +1,6 @@
 package org.vaneworks.coordination.endpoints;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.state.Endpoint;
 import org.vaneworks.state.HostPort;
@@ -33,6 +34,10 @@
    */
   default void closeConnections(HostPort address) {}
 
-  /** Calls a plain service. */
-  CompletableFuture<ServiceReply> invoke(Endpoint endpoint, ServiceCall call);
+  /**
+   * Calls a plain service.
+   *
+   * @param timeout after which the call fails and its connection is closed
+   */
+  CompletableFuture<ServiceReply> invoke(Endpoint endpoint, ServiceCall call, Duration timeout);
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpEndpointClient.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpEndpointClient.java
@@ -80,11 +80,12 @@
   }
 
   @Override
-  public CompletableFuture<ServiceReply> invoke(Endpoint endpoint, ServiceCall call) {
+  public CompletableFuture<ServiceReply> invoke(
+      Endpoint endpoint, ServiceCall call, Duration timeout) {
     String target = EngineJson.CALL_PATH + call.path();
     HttpRequestMethod method = HttpRequestMethod.of(call.method(), methodProperties(call.method()));
     return Async.compose(
-        sender.send(endpoint.address(), method, target, call.body(), stepTimeout),
+        sender.send(endpoint.address(), method, target, call.body(), timeout),
         HttpEndpointClient::serviceReply);
   }
 
