vaneworksd: one failure does not eject an engine for the time of many

Callers saw: all streams of an engine ended with no-endpoint ten seconds after its connections broke once, or after it paused, although it had answered again long before.

Cause: each lost call doubled the time for which the engine is out of use, also when all were lost by the same reset: eight streams made 20 s of one failure, longer than a stream waits for a route (10 s). Each status call that failed during a pause doubled it too, so the time out of use began only after the engine was back.

Calls that fail during an ejection now count as one failure with the call that caused it; failed status calls eject for the minimum only and don't count. A call that fails when the engine is tried again still doubles the time.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointState.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointState.java
@@ -1,6 +1,5 @@
 package org.vaneworks.coordination.endpoints;
 
-import static java.util.concurrent.TimeUnit.MILLISECONDS;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
@@ -24,6 +23,7 @@
 public final class EndpointState {
   private static final Duration MIN_EJECTION = Duration.ofMillis(500);
   private static final Duration MAX_EJECTION = Duration.ofSeconds(20);
+  private static final int MAX_DOUBLINGS = 6;
   private static final double LINK_DECAY = 0.9;
   private static final double DEADLINE_FACTOR = 4;
   private static final double DEADLINE_DEVIATIONS = 8;
@@ -116,8 +116,12 @@
 
   @GuardedBy("this")
   private boolean isHalfOpen() {
-    boolean ejectionElapsed = clock.currentTime(NANOSECONDS) - ejectedUntil >= 0;
-    return ejectionElapsed && answeredSinceEjection && inFlight == 0;
+    return isEjectionElapsed() && answeredSinceEjection && inFlight == 0;
+  }
+
+  @GuardedBy("this")
+  private boolean isEjectionElapsed() {
+    return clock.currentTime(NANOSECONDS) - ejectedUntil >= 0;
   }
 
   /**
@@ -307,26 +311,43 @@
    * Records a failed status call and ejects the endpoint; returns whether it was not ejected
    * before.
    *
+   * <p>Failed status calls don't increase the duration of ejections: once the endpoint answers its
+   * status again, it is no longer unreachable.
+   *
    * @see #isLastResort()
    */
   synchronized boolean ejectAfterStatusFailure() {
-    boolean wasUsable = !ejected;
-    boolean newlyEjected = eject();
-    ejectedByStatusOnly = wasUsable;
+    boolean newlyEjected = !ejected;
+    ejectedByStatusOnly = newlyEjected;
+    ejectFor(MIN_EJECTION);
     return newlyEjected;
   }
 
-  /** Ejects the endpoint for a while after a failure; returns whether it was not ejected before. */
+  /**
+   * Ejects the endpoint for a while after a failed call; returns whether it was not ejected before.
+   *
+   * <p>Calls that fail during an ejection were sent before it, often over the same connection, and
+   * so count as one failure with the call that caused it.
+   */
   synchronized boolean eject() {
     boolean newlyEjected = !ejected;
     ejectedByStatusOnly = false;
+    if (newlyEjected || isEjectionElapsed()) {
+      failures++;
+    }
+    long pause = MIN_EJECTION.toMillis() << Math.min(Math.max(0, failures - 1), MAX_DOUBLINGS);
+    ejectFor(Duration.ofMillis(Math.min(pause, MAX_EJECTION.toMillis())));
+    return newlyEjected;
+  }
+
+  @GuardedBy("this")
+  private void ejectFor(Duration pause) {
+    long until = clock.currentTime(NANOSECONDS) + pause.toNanos();
+    if (!ejected || until - ejectedUntil > 0) {
+      ejectedUntil = until;
+    }
     ejected = true;
     answeredSinceEjection = false;
-    long pause = MIN_EJECTION.toMillis() << Math.min(failures, 6);
-    failures++;
-    long bounded = Math.min(pause, MAX_EJECTION.toMillis());
-    ejectedUntil = clock.currentTime(NANOSECONDS) + MILLISECONDS.toNanos(bounded);
-    return newlyEjected;
   }
 
   /** A bounded set of the prefixes that were most recently processed on the endpoint. */
