vaneworksd: a step is not given up before the time for a recovery is over

Callers saw: a stream that may not run twice, and each one under a ticket or key, ended with endpoint-lost after 5 s of silence; others ended with no-endpoint after a pause of 9 s of the only engines.

Cause: for requests that can't be repeated the step timeout ended the attempt, though nothing else could take over. For the others the stream waited longer (step timeout and time for a recovery), but the connection of the call was closed after 6 s, and so the session was lost and rebuilt or, with failed status calls, the stream cut.

Failed before (RunningStreamTest): notRepeatable...: ended early: Optional[endpoint-lost (RAN): no progress on a1/1] ==> expected: <true> but was: <false> repeatable...: ended early: Optional[no-endpoint (RAN): no live engines cover model] ==> expected: <true> but was: <false>

A call without an answer is now given up after step timeout and time for a recovery together, 15 s by default, whatever the request; the connection lasts as long. callThatNeverEndsIsAbandonedAfterStepAndRecoveryTimeouts holds as it was.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/Daemon.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/Daemon.java
@@ -33,9 +33,6 @@
 
 /** A running daemon, which owns a node, its sockets and its threads. */
 public final class Daemon {
-  /** Added to the step timeout, so that a stream's own step timeout always expires first. */
-  private static final Duration CONNECTION_TIMEOUT_MARGIN = Duration.ofSeconds(1);
-
   /** How long responses that are already written may take to be sent by the sockets. */
   private static final Duration FLUSH_TIMEOUT = Duration.ofSeconds(2);
 
@@ -75,9 +72,7 @@
             new Random(random.nextLong()),
             HttpPlatformStore.at(sender, settings.platform()),
             HttpBoxList.at(sender, settings.platform()),
-            HttpEndpointClient.create(
-                sender,
-                settings.limits().endpoints().stepTimeout().plus(CONNECTION_TIMEOUT_MARGIN)),
+            HttpEndpointClient.create(sender, settings.limits().endpoints().stepTimeout()),
             PeerClient.create(peerLoop, executor, counters),
             ConfigurationJson.create(),
             ClaimJson.create(),
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryEndpoints.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryEndpoints.java
@@ -179,9 +179,10 @@
   }
 
   @Override
-  public CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call) {
+  public CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call, Duration timeout) {
     Link link = links.get(endpoint.address());
-    CompletableFuture<StepReply> answer = call(endpoint.address(), target -> run(target, call));
+    CompletableFuture<StepReply> answer =
+        call(endpoint.address(), timeout, target -> run(target, call));
     if (link.answersToSwap == 0) {
       return answer;
     }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/endpoints/ServiceRouterTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/endpoints/ServiceRouterTest.java
@@ -271,7 +271,7 @@
     }
 
     @Override
-    public CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call) {
+    public CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call, Duration timeout) {
       throw new UnsupportedOperationException();
     }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RunningStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RunningStreamTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.NodeLimits;
@@ -35,10 +36,19 @@
   private static final Duration TIMEOUT = Duration.ofMinutes(5);
   private static final Duration UNRESPONSIVE_TIME = Duration.ofMillis(700);
   private static final Duration SHORT_UNRESPONSIVE_TIME = Duration.ofMillis(300);
+  private static final Duration LONG_UNRESPONSIVE_TIME = Duration.ofSeconds(9);
   private static final Duration OBSERVATION_TIME = Duration.ofSeconds(3);
   private static final Duration MARGIN = Duration.ofMillis(200);
   private static final Duration SETTLE_TIME = Duration.ofSeconds(10);
 
+  private static final CallerOptions NOT_REPEATABLE =
+      new CallerOptions(
+          Optional.of(false),
+          Optional.empty(),
+          Optional.empty(),
+          Optional.empty(),
+          Optional.empty());
+
   private final InMemoryFleet fleet = InMemoryFleet.create(LAYERS, SEED);
   private final EngineCore first = addEngine("a1", 0, SPLIT_LAYER);
   private RecordedAnswer answer;
@@ -168,6 +178,30 @@
     assertDeliveredCompletely();
   }
 
+  // Guards against cutting a stream that may not run twice because its engine paused for longer
+  // than the step timeout.
+  @Test
+  void notRepeatableStreamContinuesAfterPauseLongerThanStepTimeout() {
+    startStream(NodeLimits.defaults(), NOT_REPEATABLE);
+    freezeAll();
+    fleet.clock().advance(LONG_UNRESPONSIVE_TIME);
+    thawAll();
+    assertDeliveredCompletely();
+    assertNothingRebuilt();
+  }
+
+  // Guards against rebuilding a stream because its engine paused for longer than the step timeout
+  // while no other engine had its layers.
+  @Test
+  void repeatableStreamContinuesAfterPauseLongerThanStepTimeout() {
+    startStream(NodeLimits.defaults());
+    freezeAll();
+    fleet.clock().advance(LONG_UNRESPONSIVE_TIME);
+    thawAll();
+    assertDeliveredCompletely();
+    assertNothingRebuilt();
+  }
+
   // Guards against a stream that hangs forever, or ends too early, when a call to its engine never
   // ends.
   @Test
@@ -194,6 +228,10 @@
 
   /** Starts a stream after the node has learned the step times of the engines. */
   private void startStream(NodeLimits limits) {
+    startStream(limits, CallerOptions.NONE);
+  }
+
+  private void startStream(NodeLimits limits, CallerOptions options) {
     addEngine("b1", SPLIT_LAYER, LAYERS);
     var unused = fleet.addNode("n1", limits);
     fleet.settle();
@@ -202,7 +240,7 @@
       learning.add(fleet.ask("n1", "learning " + i, LEARNING_TOKENS, CallerOptions.NONE));
     }
     await(() -> learning.stream().allMatch(RecordedAnswer::isComplete));
-    answer = fleet.ask("n1", "prompt", TOKENS, CallerOptions.NONE);
+    answer = fleet.ask("n1", "prompt", TOKENS, options);
     await(() -> answer.tokens().size() >= TOKENS_BEFORE_FREEZE);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointClient.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointClient.java
@@ -15,8 +15,12 @@
   /** Requests an endpoint's status. */
   CompletableFuture<EndpointStatus> status(HostPort address);
 
-  /** Runs one step of a session. */
-  CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call);
+  /**
+   * Runs one step of a session.
+   *
+   * @param timeout after which the call fails and its connection is closed
+   */
+  CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call, Duration timeout);
 
   /** Ends a session, frees its resources and cancels a step that runs in it. */
   CompletableFuture<Void> end(Endpoint endpoint, SessionId session);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
@@ -55,6 +55,9 @@
   /** Interval between attempts to plan a migration off a leaving engine. */
   private static final Duration MIGRATION_RETRY_INTERVAL = Duration.ofMillis(250);
 
+  /** Keeps the connection of a call open until the stream itself abandons the call. */
+  private static final Duration CONNECTION_TIMEOUT_MARGIN = Duration.ofSeconds(1);
+
   /** Cause of replacements and ejections. */
   private static final String LOST = "lost";
 
@@ -208,7 +211,12 @@
     current = attempt;
     watchProgress(attempt, attempt.sentAt);
     Async.onDone(
-        context.client().step(hop.engine().endpoint(), call),
+        context
+            .client()
+            .step(
+                hop.engine().endpoint(),
+                call,
+                abandonAfter(hop.engine()).plus(CONNECTION_TIMEOUT_MARGIN)),
         context.executor(),
         (reply, failure) -> runGuarded(() -> onAnswer(attempt, reply, failure)));
   }
@@ -218,13 +226,14 @@
    *
    * <p>A slow answer is no reason to replace an engine that still answers steps of other streams:
    * the engine is busy, and the attempt may take as long as the step timeout. A request that is not
-   * repeatable always waits for the step timeout, because it can't be sent to another engine.
+   * repeatable can't be sent to another engine, so its attempt is only checked once it is to be
+   * abandoned.
    */
   @GuardedBy("this")
   private void watchProgress(Attempt attempt, long since) {
     EndpointState engine = hops.get(attempt.index).engine();
     Duration timeout =
-        request.repeatable() ? engine.progressDeadline(attempt.call) : engine.stepTimeout();
+        request.repeatable() ? engine.progressDeadline(attempt.call) : abandonAfter(engine);
     attempt.timer = after(timeout, () -> runGuarded(() -> checkProgress(attempt, engine, since)));
   }
 
@@ -248,7 +257,16 @@
   }
 
   private boolean isOverdue(Attempt attempt, EndpointState engine) {
-    return now() - attempt.sentAt >= engine.stepTimeout().toNanos();
+    return hasTaken(attempt, engine.stepTimeout());
+  }
+
+  private boolean hasTaken(Attempt attempt, Duration duration) {
+    return now() - attempt.sentAt >= duration.toNanos();
+  }
+
+  /** Returns how long after it was sent a call without an answer is abandoned. */
+  private Duration abandonAfter(EndpointState engine) {
+    return engine.stepTimeout().plus(context.limits().recoveryTimeout());
   }
 
   @GuardedBy("this")
@@ -282,7 +300,7 @@
     }
     if (isBusyWithOthers(attempt, engine, since)) {
       watchProgress(attempt, now());
-    } else if (recoveryTimedOut(since) && isOverdue(attempt, engine)) {
+    } else if (hasTaken(attempt, abandonAfter(engine))) {
       abandonAttempt(attempt, engine);
     } else if (!tryReplaceEngine(attempt, engine, since)) {
       scheduleReplacementRetry(attempt, engine, since);
--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpEndpointClient.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpEndpointClient.java
@@ -30,20 +30,20 @@
   private static final Duration END_TIMEOUT = Duration.ofSeconds(2);
 
   private final HttpSender sender;
-  private final Duration stepTimeout;
+  private final Duration copyTimeout;
 
-  private HttpEndpointClient(HttpSender sender, Duration stepTimeout) {
+  private HttpEndpointClient(HttpSender sender, Duration copyTimeout) {
     this.sender = checkNotNull(sender);
-    this.stepTimeout = checkNotNull(stepTimeout);
+    this.copyTimeout = checkNotNull(copyTimeout);
   }
 
   /**
    * Returns a client.
    *
-   * @param stepTimeout timeout of a call, after which its connection is closed
+   * @param copyTimeout timeout of the calls that copy a session out of or into an engine
    */
-  public static HttpEndpointClient create(HttpSender sender, Duration stepTimeout) {
-    return new HttpEndpointClient(sender, stepTimeout);
+  public static HttpEndpointClient create(HttpSender sender, Duration copyTimeout) {
+    return new HttpEndpointClient(sender, copyTimeout);
   }
 
   @Override
@@ -54,8 +54,9 @@
   }
 
   @Override
-  public CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call) {
-    return post(endpoint, EngineJson.STEP_PATH, EngineJson.writeStep(call), EngineJson::readReply);
+  public CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call, Duration timeout) {
+    String body = EngineJson.writeStep(call);
+    return post(endpoint, EngineJson.STEP_PATH, body, timeout, EngineJson::readReply);
   }
 
   @Override
@@ -69,14 +70,14 @@
   @Override
   public CompletableFuture<SessionExport> exportSession(Endpoint endpoint, SessionId session) {
     String body = Json.write(EngineJson.writeSession(session));
-    return post(endpoint, EngineJson.EXPORT_PATH, body, EngineJson::readExport);
+    return post(endpoint, EngineJson.EXPORT_PATH, body, copyTimeout, EngineJson::readExport);
   }
 
   @Override
   public CompletableFuture<Void> importSession(
       Endpoint endpoint, SessionId as, SessionExport export) {
     String body = EngineJson.writeImport(as, export);
-    return post(endpoint, EngineJson.IMPORT_PATH, body, text -> null);
+    return post(endpoint, EngineJson.IMPORT_PATH, body, copyTimeout, text -> null);
   }
 
   @Override
@@ -105,9 +106,9 @@
   }
 
   private <T> CompletableFuture<T> post(
-      Endpoint endpoint, String target, String body, Function<String, T> parser) {
+      Endpoint endpoint, String target, String body, Duration timeout, Function<String, T> parser) {
     return Async.compose(
-        sender.post(endpoint.address(), target, body, stepTimeout),
+        sender.post(endpoint.address(), target, body, timeout),
         (response, failure) -> parse(response, failure, parser));
   }
 
