vaneworksd: a running stream waits for room after it lost an engine

Callers saw: a stream whose engine died ended half a second later with recovery-exhausted, or retry-budget, because the only other engine had no room just then.

Cause: each refusal for overload counted as a replacement (16 a stream, one each 27 ms) and cost the node's retry budget, as if the stream's engines kept dying.

Failed before (RefusedReplacementTest.streamWaitsUntilOverloadedEngineTakesIt): ended early: Optional[recovery-exhausted (RAN): overloaded] ==> expected: <true> but was: <false>

Once a caller has a part of its answer, such refusals use up nothing; the engine is asked at intervals that double from 25 to 800 ms, until the time for a recovery is over. A request without a part is refused as before.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
@@ -52,6 +52,8 @@
   /** Interval between attempts to plan a replacement route. */
   private static final Duration RECOVERY_RETRY_INTERVAL = Duration.ofMillis(25);
 
+  private static final int MAX_RETRY_INTERVAL_DOUBLINGS = 5;
+
   /** Interval between attempts to plan a migration off a leaving engine. */
   private static final Duration MIGRATION_RETRY_INTERVAL = Duration.ofMillis(250);
 
@@ -118,6 +120,18 @@
   @GuardedBy("this")
   private int replacements;
 
+  /** Whether a lost hop has not been replaced by one that answered yet. */
+  @GuardedBy("this")
+  private boolean isRecovering;
+
+  /** When the hop that is being replaced was lost. */
+  @GuardedBy("this")
+  private long lostAt;
+
+  /** Number of engines without room in the current recovery. */
+  @GuardedBy("this")
+  private int overloadRefusals;
+
   @GuardedBy("this")
   private long lastMigrationAttempt;
 
@@ -368,6 +382,8 @@
   private void accept(Attempt attempt, StepReply reply) {
     current = null;
     combinedVerdict = Verdict.RAN;
+    isRecovering = false;
+    overloadRefusals = 0;
     Hop hop = hops.get(attempt.index);
     hop.recordStep(step);
     hop.engine().recordStep(attempt.call, Duration.ofNanos(now() - attempt.sentAt));
@@ -418,19 +434,42 @@
       context.table().eject(hop.engine(), refusal.verdict() == Verdict.NOT_RUN ? "refused" : LOST);
     }
     boolean neverRanHere = refusal.verdict() == Verdict.NOT_RUN && hop.stepsRun() == 0;
+    if (!overloaded || !isRecovering) {
+      lostAt = now();
+    }
     if (!request.repeatable() && !neverRanHere) {
       fail(Reason.ENDPOINT_LOST, refusal.detail(), Optional.empty());
+    } else if (overloaded && step > 0) {
+      replaceOverloaded(attempt.index, hop);
     } else if (overloaded && !context.retries().tryWithdraw()) {
       fail(Reason.RETRY_BUDGET, refusal.detail(), Optional.of(Duration.ofSeconds(1)));
     } else if (!replacementAllowed()) {
       fail(Reason.RECOVERY_EXHAUSTED, refusal.detail(), Optional.of(Duration.ofSeconds(1)));
     } else {
       recordReplacement(hop.engine(), overloaded ? "overloaded" : LOST, now());
+      isRecovering = true;
       hops.releaseLost(attempt.index);
-      replace(attempt.index, now());
+      replace(attempt.index, lostAt);
     }
   }
 
+  /**
+   * Replaces a hop whose engine was overloaded when it was to take over a part of a running stream.
+   *
+   * <p>The refusals of engines without room neither count as replacements nor use the retry budget,
+   * since they would cut a stream whose engines are alive. Their rate is limited instead, and the
+   * stream waits no longer than for any other lost hop.
+   */
+  @GuardedBy("this")
+  private void replaceOverloaded(int index, Hop hop) {
+    overloadRefusals++;
+    isRecovering = true;
+    excluded.add(hop.engine().endpoint().id());
+    context.counters().count(Metric.RETRIES, "overloaded-running");
+    hops.releaseLost(index);
+    replace(index, lostAt);
+  }
+
   @GuardedBy("this")
   private boolean replacementAllowed() {
     return replacements < context.limits().maxReplacements();
@@ -471,7 +510,14 @@
     excluded.clear();
     context
         .executor()
-        .schedule(() -> runGuarded(() -> replace(index, since)), RECOVERY_RETRY_INTERVAL);
+        .schedule(() -> runGuarded(() -> replace(index, since)), recoveryRetryInterval());
+  }
+
+  /** Returns an interval that doubles with each engine that was overloaded in this recovery. */
+  @GuardedBy("this")
+  private Duration recoveryRetryInterval() {
+    return RECOVERY_RETRY_INTERVAL.multipliedBy(
+        1L << Math.min(overloadRefusals, MAX_RETRY_INTERVAL_DOUBLINGS));
   }
 
   private boolean recoveryTimedOut(long since) {
