vaneworksd: a silent engine is given up once its replacement has answered

Callers saw: a stream whose engine paused was cut, or rebuilt at the price of a long gap, because the engine that was to take over had no room, was dead or paused as well.

Cause: the former attempt was dropped, its session ended and its engine ejected as soon as a replacement was planned, before it had taken the step.

Failed before (RefusedReplacementTest): streamStaysOnPausedEngineWhileTheOtherIsOverloaded: ended early: Optional[recovery-exhausted (RAN): overloaded] streamStaysOnPausedEngineThatAnswersBeforeTheOther, streamStaysOnPausedEngineWhenTheOtherIsDead: a session was rebuilt

A replacement of a hop is now sent the step under its new epoch while the former attempt goes on; whichever answers first is the stream's, the other session is ended. A replacement that fails or is silent costs its own work only. If the former breaks off meanwhile, the replacement takes over. Each layer still runs exactly once a token in the sessions that make the answer.

Not covered: a whole new route takes over at once, as it may open newer sessions on engines of the present one; of a replacement of several hops only the first has answered when it takes over.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RefusedReplacementTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/pipeline/RefusedReplacementTest.java
@@ -14,6 +14,7 @@
 import org.vaneworks.coordination.endpoints.EndpointState;
 import org.vaneworks.coordination.requests.CallerOptions;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.telemetry.Metric;
 import org.vaneworks.testlib.EngineCore;
 import org.vaneworks.testlib.InMemoryFleet;
 import org.vaneworks.testlib.LedgerEntry;
@@ -68,6 +69,57 @@
     assertDeliveredCompletely();
   }
 
+  // Guards against giving up an engine that pauses for another one that turns out to be
+  // overloaded.
+  @Test
+  void streamStaysOnPausedEngineWhileTheOtherIsOverloaded() {
+    fleet.endpoints().setOverloaded(addressOf(other), true);
+    fleet.endpoints().freeze(addressOf(current));
+    fleet.clock().advance(PAUSE);
+    fleet.endpoints().thaw(addressOf(current));
+    assertDeliveredCompletely();
+    assertNothingRebuilt();
+    assertEquals(0, fleet.counters("n1").value(Metric.EJECTIONS, "lost"));
+  }
+
+  // Guards against giving up an engine that pauses for another one that does not answer either.
+  @Test
+  void streamStaysOnPausedEngineThatAnswersBeforeTheOther() {
+    fleet.endpoints().freeze(addressOf(other));
+    fleet.endpoints().freeze(addressOf(current));
+    fleet.clock().advance(PAUSE);
+    fleet.endpoints().thaw(addressOf(current));
+    assertDeliveredCompletely();
+    fleet.endpoints().thaw(addressOf(other));
+    fleet.clock().advance(SETTLE_TIME);
+    assertNothingRebuilt();
+    assertEquals(0, other.sessions());
+    assertEquals(0, stateOf(other).inFlight());
+  }
+
+  // Guards against giving up an engine that pauses for another one whose connection breaks.
+  @Test
+  void streamStaysOnPausedEngineWhenTheOtherIsDead() {
+    fleet.endpoints().kill(addressOf(other));
+    fleet.endpoints().freeze(addressOf(current));
+    fleet.clock().advance(PAUSE);
+    fleet.endpoints().thaw(addressOf(current));
+    assertDeliveredCompletely();
+    assertNothingRebuilt();
+  }
+
+  // Guards against a stream that is cut when its engine dies after a replacement was sent its step.
+  @Test
+  void streamMovesToReplacementWhenPausedEngineDies() {
+    fleet.endpoints().setDelay(addressOf(other), Duration.ofMillis(400));
+    fleet.endpoints().freeze(addressOf(current));
+    await(() -> stateOf(other).inFlight() > 0);
+    fleet.endpoints().kill(addressOf(current));
+    fleet.endpoints().setDelay(addressOf(other), Duration.ofMillis(1));
+    assertDeliveredCompletely();
+    assertTrue(!other.ledger().isEmpty());
+  }
+
   private EndpointState stateOf(EngineCore engine) {
     return fleet.node("n1").endpoints().find(engine.options().endpoint().id()).orElseThrow();
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamHops.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamHops.java
@@ -82,9 +82,26 @@
 
   /** Replaces one lost hop by a route over the same layers, under a new epoch. */
   void replace(int index, PlannedRoute route, int step) {
+    commitReplacement(index, prepareReplacement(index, route), step);
+  }
+
+  /**
+   * Returns hops over the layers of one hop, under a new epoch, and counts them on their engines;
+   * the hop itself remains in use.
+   */
+  List<Hop> prepareReplacement(int index, PlannedRoute route) {
     epoch++;
+    return replacementFor(hops.get(index), route);
+  }
+
+  /** Releases the sessions of a replacement that was prepared but is not used. */
+  void discardReplacement(List<Hop> replacement) {
+    replacement.forEach(this::releaseHop);
+  }
+
+  /** Replaces one hop by hops that were prepared for it. */
+  void commitReplacement(int index, List<Hop> replacement, int step) {
     Hop lost = hops.get(index);
-    List<Hop> replacement = replacementFor(lost, route);
     hops.remove(index);
     hops.addAll(index, replacement);
     releaseHop(lost);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/pipeline/StreamRun.java
@@ -8,6 +8,7 @@
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -83,6 +84,28 @@
   /** A planned replacement of one hop, or of the whole route. */
   private record Replacement(int index, boolean isWholeRoute, PlannedRoute route) {}
 
+  /**
+   * A replacement of a hop whose engine is silent, which was sent the current step while the former
+   * attempt may still be answered. The stream continues with the one that answers first.
+   */
+  private static final class Trial {
+    private final Attempt attempt;
+    private final ImmutableList<Hop> hops;
+    private final EndpointState replaced;
+    private final long since;
+
+    Trial(Attempt attempt, List<Hop> hops, EndpointState replaced, long since) {
+      this.attempt = attempt;
+      this.hops = ImmutableList.copyOf(hops);
+      this.replaced = replaced;
+      this.since = since;
+    }
+
+    EndpointState engine() {
+      return hops.get(0).engine();
+    }
+  }
+
   /** A hop on a leaving engine, and the engine to which its session is migrated. */
   private record Migration(int index, EndpointState target) {}
 
@@ -108,6 +131,9 @@
   @GuardedBy("this")
   private Attempt current;
 
+  @GuardedBy("this")
+  private Optional<Trial> trial = Optional.empty();
+
   @GuardedBy("this")
   private boolean ended;
 
@@ -211,26 +237,29 @@
   private void callHop(int index, String input) {
     Hop hop = hops.get(index);
     hops.storeInput(hop, step, input);
-    ImmutableList<String> history = hop.inputsToReplay(step);
-    StepCall call =
-        new StepCall(
-            hop.session(),
-            step,
-            step == 0 ? request.promptTokens() : 1,
-            input,
-            history,
-            history.isEmpty() ? 0 : request.promptTokens() + step - 1,
-            request.priority());
-    Attempt attempt = new Attempt(index, call, now());
+    Attempt attempt = new Attempt(index, stepCall(hop, input), now());
     current = attempt;
     watchProgress(attempt, attempt.sentAt);
+    send(attempt, hop.engine());
+  }
+
+  @GuardedBy("this")
+  private StepCall stepCall(Hop hop, String input) {
+    ImmutableList<String> history = hop.inputsToReplay(step);
+    return new StepCall(
+        hop.session(),
+        step,
+        step == 0 ? request.promptTokens() : 1,
+        input,
+        history,
+        history.isEmpty() ? 0 : request.promptTokens() + step - 1,
+        request.priority());
+  }
+
+  private void send(Attempt attempt, EndpointState engine) {
+    Duration timeout = abandonAfter(engine).plus(CONNECTION_TIMEOUT_MARGIN);
     Async.onDone(
-        context
-            .client()
-            .step(
-                hop.engine().endpoint(),
-                call,
-                abandonAfter(hop.engine()).plus(CONNECTION_TIMEOUT_MARGIN)),
+        context.client().step(engine.endpoint(), attempt.call, timeout),
         context.executor(),
         (reply, failure) -> runGuarded(() -> onAnswer(attempt, reply, failure)));
   }
@@ -297,7 +326,7 @@
   private void scheduleReplacementRetry(Attempt attempt, EndpointState engine, long since) {
     attempt.timer =
         after(
-            RECOVERY_RETRY_INTERVAL,
+            recoveryRetryInterval(),
             () -> runGuarded(() -> retryReplacement(attempt, engine, since)));
   }
 
@@ -317,11 +346,19 @@
     } else if (hasTaken(attempt, abandonAfter(engine))) {
       abandonAttempt(attempt, engine);
     } else if (!tryReplaceEngine(attempt, engine, since)) {
+      excluded.clear();
       scheduleReplacementRetry(attempt, engine, since);
     }
   }
 
-  /** Replaces an engine that does not answer, if a replacement is allowed and can be planned. */
+  /**
+   * Begins to replace an engine that does not answer, if a replacement is allowed and can be
+   * planned.
+   *
+   * <p>A replacement of the hop is tried first, see {@link Trial}. A whole new route may open newer
+   * sessions on engines of the present one, which ends the present attempt, so it takes over at
+   * once.
+   */
   @GuardedBy("this")
   private boolean tryReplaceEngine(Attempt attempt, EndpointState engine, long since) {
     if (!replacementAllowed()) {
@@ -331,12 +368,102 @@
     if (replacement.isEmpty() || replacement.get().route().isLastResort()) {
       return false;
     }
+    if (replacement.get().isWholeRoute()) {
+      abandonEngine(engine, since);
+      apply(replacement.get());
+    } else {
+      startTrial(attempt, engine, since, replacement.get().route());
+    }
+    return true;
+  }
+
+  @GuardedBy("this")
+  private void abandonEngine(EndpointState engine, long since) {
     context.counters().count(Metric.HOP_CALLS, NO_PROGRESS);
     combinedVerdict = combinedVerdict.and(Verdict.MAY_HAVE_RUN);
     context.table().eject(engine, LOST);
     recordReplacement(engine, LOST, since);
-    apply(replacement.get());
-    return true;
+  }
+
+  @GuardedBy("this")
+  private void startTrial(Attempt former, EndpointState engine, long since, PlannedRoute route) {
+    List<Hop> replacement = hops.prepareReplacement(former.index, route);
+    StepCall call = stepCall(replacement.get(0), former.call.input());
+    Trial started = new Trial(new Attempt(former.index, call, now()), replacement, engine, since);
+    trial = Optional.of(started);
+    watchTrial(started, started.engine().progressDeadline(call));
+    send(started.attempt, started.engine());
+  }
+
+  @GuardedBy("this")
+  private void watchTrial(Trial watched, Duration delay) {
+    watched.attempt.timer = after(delay, () -> runGuarded(() -> checkTrial(watched)));
+  }
+
+  /** Tries another engine if the one that is tried does not answer either. */
+  private synchronized void checkTrial(Trial checked) {
+    if (ended || trial.filter(checked::equals).isEmpty()) {
+      return;
+    }
+    Attempt former = current;
+    if (hasTaken(former, abandonAfter(checked.replaced))) {
+      abandonEngine(checked.replaced, checked.since);
+      promoteTrial(checked);
+      return;
+    }
+    ImmutableSet<EndpointId> silent =
+        ImmutableSet.<EndpointId>builder()
+            .addAll(excludedIncluding(checked.replaced))
+            .add(checked.engine().endpoint().id())
+            .build();
+    Optional<Replacement> other =
+        planHopReplacement(former.index, silent).filter(found -> !found.route().isLastResort());
+    if (other.isPresent()) {
+      excluded.add(checked.engine().endpoint().id());
+      endTrial();
+      startTrial(former, checked.replaced, checked.since, other.get().route());
+    } else {
+      watchTrial(checked, RECOVERY_RETRY_INTERVAL);
+    }
+  }
+
+  /** Makes the attempt of a trial the current one. */
+  @GuardedBy("this")
+  private void promoteTrial(Trial promoted) {
+    trial = Optional.empty();
+    promoted.attempt.timer.cancel();
+    if (current != null) {
+      current.timer.cancel();
+    }
+    hops.commitReplacement(promoted.attempt.index, promoted.hops, step);
+    current = promoted.attempt;
+    watchProgress(current, now());
+  }
+
+  @GuardedBy("this")
+  private void endTrial() {
+    trial.ifPresent(
+        started -> {
+          started.attempt.timer.cancel();
+          hops.discardReplacement(started.hops);
+        });
+    trial = Optional.empty();
+  }
+
+  /** Returns to the former attempt alone if the engine that was tried does not take the stream. */
+  @GuardedBy("this")
+  private void onTrialFailed(Trial failed, Refusal refusal) {
+    endTrial();
+    combinedVerdict = combinedVerdict.and(refusal.verdict());
+    excluded.add(failed.engine().endpoint().id());
+    if (refusal.reason() == Reason.ENDPOINT_OVERLOADED) {
+      overloadRefusals++;
+    } else {
+      context
+          .table()
+          .eject(failed.engine(), refusal.verdict() == Verdict.NOT_RUN ? "refused" : LOST);
+    }
+    scheduleReplacementRetry(current, failed.replaced, failed.since);
   }
 
   @GuardedBy("this")
@@ -355,24 +482,41 @@
   // Processing answers.
 
   private synchronized void onAnswer(Attempt attempt, StepReply reply, Throwable failure) {
-    if (ended || attempt != current) {
+    Optional<Trial> answered = trial.filter(started -> started.attempt == attempt);
+    if (ended || (attempt != current && answered.isEmpty())) {
       recordDropped("late");
       return;
     }
     attempt.timer.cancel();
     if (failure != null) {
       context.counters().count(Metric.HOP_CALLS, "failed");
-      onAttemptFailed(attempt, RefusalException.refusalOf(failure));
+      onFailure(attempt, answered, RefusalException.refusalOf(failure));
     } else if (!reply.answers(attempt.call)) {
       recordDropped("foreign");
-      onAttemptFailed(
-          attempt, Refusal.mayHaveRun(Reason.ENDPOINT_LOST, "a foreign answer came back"));
+      Refusal foreign = Refusal.mayHaveRun(Reason.ENDPOINT_LOST, "a foreign answer came back");
+      onFailure(attempt, answered, foreign);
     } else {
       context.counters().count(Metric.HOP_CALLS, "answered");
+      answered.ifPresent(
+          started -> {
+            abandonEngine(started.replaced, started.since);
+            promoteTrial(started);
+            attempt.timer.cancel();
+          });
+      endTrial();
       accept(attempt, reply);
     }
   }
 
+  @GuardedBy("this")
+  private void onFailure(Attempt attempt, Optional<Trial> answered, Refusal refusal) {
+    if (answered.isPresent()) {
+      onTrialFailed(answered.get(), refusal);
+    } else {
+      onAttemptFailed(attempt, refusal);
+    }
+  }
+
   private void recordDropped(String reason) {
     context.counters().count(Metric.DROPPED_ANSWERS, reason);
     EventLog.info(Event.ANSWER_DROPPED, "stream", id, "why", reason);
@@ -429,6 +573,12 @@
     current = null;
     Hop hop = hops.get(attempt.index);
     combinedVerdict = combinedVerdict.and(refusal.verdict());
+    if (trial.isPresent()) {
+      context.table().eject(hop.engine(), refusal.verdict() == Verdict.NOT_RUN ? "refused" : LOST);
+      recordReplacement(hop.engine(), LOST, trial.get().since);
+      promoteTrial(trial.get());
+      return;
+    }
     boolean overloaded = refusal.reason() == Reason.ENDPOINT_OVERLOADED;
     if (!overloaded) {
       context.table().eject(hop.engine(), refusal.verdict() == Verdict.NOT_RUN ? "refused" : LOST);
@@ -683,6 +833,7 @@
   @GuardedBy("this")
   private void cleanUp() {
     deadline.cancel();
+    endTrial();
     if (current != null) {
       current.timer.cancel();
       current = null;
