Entry: a request that has arrived is read before its connection is closed as idle

Callers saw: a request on a kept connection ended with the connection closed, 360 to 508 ms after it was sent, without an answer and without having run.

Cause: timers that became due while sockets were read run before the remaining sockets are read. So a node that is late took its own delay for the caller's silence: the idle timeout, and the close of idle connections by a stop, closed connections with a whole request unread. The same held for the limit of a request's head.

Change: these limits act only after the sockets were polled once more; input that starts a request calls them off. A stop closes idle connections itself so, and lets the server close the rest at its next check.

Failed before (LateReadTest, with the poll left out): requestThatArrivedBeforeIdleTimeoutIsAnswered and requestThatArrivedBeforeCloseOfIdleConnectionsIsAnswered: 'IllegalState no request was received'. CallerConnectionTest and SlowCallerTest hold unchanged.

Ruled out: a fixed grace of some ms, which kept CallerConnectionTest's exact limits from holding.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -92,6 +92,7 @@
   private EntrySettings settings;
   private boolean stopping;
   private boolean closingIdleConnections;
+  private boolean closingServer;
   private boolean wasReady;
 
   private EntryNode(
@@ -388,11 +389,8 @@
     if (!plan.acceptsRequests(elapsed)) {
       forwarder.refuseNewRequests();
     }
-    if (plan.closesIdleConnections(elapsed) && !closingIdleConnections) {
-      closingIdleConnections = true;
-      // The load balancer opens no new connections by now. Idle connections close at once, and busy
-      // ones after their response.
-      callerServer.closeAsyncGracefully().subscribe();
+    if (plan.closesIdleConnections(elapsed)) {
+      closeCallerConnections();
     }
     boolean idle = activeRequests() == 0 && plan.closesIdleConnections(elapsed);
     // Callers may still be receiving the end of a response.
@@ -406,6 +404,21 @@
         () -> continueStop(startNanos, stopped), StopPlan.CHECK_INTERVAL.toNanos(), NANOSECONDS);
   }
 
+  /**
+   * Closes idle connections at once, and busy ones after their response. The load balancer opens no
+   * new connections by now.
+   */
+  private void closeCallerConnections() {
+    if (!closingIdleConnections) {
+      closingIdleConnections = true;
+      callerConnections.closeIdle();
+    } else if (!closingServer) {
+      // Only at the next check, as this closes idle connections even if a request has arrived.
+      closingServer = true;
+      callerServer.closeAsyncGracefully().subscribe();
+    }
+  }
+
   /** Returns the number of active requests, including responses buffered for slow callers. */
   private int activeRequests() {
     return Math.max(forwarder.inFlight(), callerConnections.activeCount());
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -78,6 +78,7 @@
   private final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
   final HttpServerContext server;
   private volatile boolean closing;
+  private volatile Runnable onRequest = () -> {};
   private volatile EntryLimits limits = limits(Duration.ofHours(1));
 
   private EntryFixture() throws Exception {
@@ -106,12 +107,18 @@
     limits = limits(idle);
   }
 
+  /** Runs an action on the event loop, while sockets are read, at each later request. */
+  void onRequest(Runnable action) {
+    onRequest = action;
+  }
+
   /** Makes every later response the last one of its connection. */
   void closeAfterResponses() {
     closing = true;
   }
 
   private CallerResponse.Listener receive(CallerRequest request, CallerResponse response) {
+    onRequest.run();
     ReceivedRequest next = new ReceivedRequest(response);
     received.add(next);
     return next;
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -302,7 +302,8 @@
     if (stalledNanos >= STALL_TIMEOUT.toNanos()) {
       closeWith(CloseReason.STALLED);
     } else if (idleNanos >= limits.get().idleTimeout().toNanos()) {
-      closeWith(isActive() ? CloseReason.IDLE_DURING_RESPONSE : CloseReason.IDLE);
+      runAfterRead(
+          () -> closeWith(isActive() ? CloseReason.IDLE_DURING_RESPONSE : CloseReason.IDLE));
     } else {
       scheduleIdleCheck();
     }
@@ -331,6 +332,21 @@
     timer = context.executor().schedule(action, wait.toNanos(), NANOSECONDS);
   }
 
+  /**
+   * Runs an action unless input that has already arrived starts a request. A late timer runs before
+   * such input is read, but a task that is scheduled now runs after the sockets were polled.
+   */
+  private void runAfterRead(Runnable action) {
+    schedule(Duration.ZERO, action);
+  }
+
+  /** Closes the connection if no request is in progress and none has arrived. */
+  void closeIfIdle() {
+    if (!isActive() && !headStarted && !lingering) {
+      runAfterRead(() -> closeWith(CloseReason.BETWEEN_RESPONSES));
+    }
+  }
+
   private void closeWith(CloseReason reason) {
     recordClose(reason, "timer");
     closeOrLinger(context.newPromise());
@@ -391,7 +407,8 @@
   private void trackHead(ByteBuf bytes) {
     if (!headStarted) {
       headStarted = true;
-      schedule(limits.get().headerTimeout(), () -> reject(Reason.HEADERS_TOO_SLOW));
+      schedule(
+          limits.get().headerTimeout(), () -> runAfterRead(() -> reject(Reason.HEADERS_TOO_SLOW)));
     }
     headBytes += bytes.readableBytes();
     if (!startLineEnded) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
@@ -23,6 +23,14 @@
     open.remove(connection);
   }
 
+  /**
+   * Closes the connections on which no request is in progress or has arrived. Must be called by a
+   * task of the event loop, as sockets are polled once before the connections are closed.
+   */
+  public void closeIdle() {
+    ImmutableList.copyOf(open).forEach(CallerConnection::closeIfIdle);
+  }
+
   /** Closes all connections without waiting for their callers. */
   public void closeNow() {
     ImmutableList.copyOf(open).forEach(CallerConnection::closeNow);
