Forwarding: a later incarnation of an endpoint does not end its running attempts

Seen by callers: an answer is cut, or a request that can't be repeated gets a 502, though its endpoint is just answering it.

Cause: an entry or a report of a later incarnation was taken as proof that every attempt sent to the former one was over. The list follows a restart by some hundred milliseconds. A request that is sent in between goes to the same address and id and is run by the later incarnation itself, and the news of that incarnation cancelled it. An entry that merely gains its start time counted as a restart, too.

Failed before (RestartedEndpointTest): streamThatReachedLaterIncarnationContinues, streamOfEngineWhoseEntryGainsStartTimeContinues, unsafeRequestThatReachedLaterIncarnationIsAnswered, streamFailsOverOnceAnotherEngineIsListedAfterTheRestart, each "expected: <false> but was: <true>" (cancelled).

Change: the news is evidence and begins a search, as a suspicion does; the attempt on the wire goes on until another one delivers. If its process has ended, the connection breaks, and that is proof. An attempt that has not reached the endpoint yet is sent elsewhere at once, as before; a request that can't be repeated stays. The loss still counts for the quarantine at once. A stream that stalls later looks again if an engine of its path has ended.

Tests changed: streamFailsOverOnceWhenFirstEngineRestarts held that the first attempt is cancelled with the entry; it holds that it goes on until the second delivers, and that what it says after that is dropped. unsafeRequestIsRefusedImmediatelyAsMayHaveRun held a 502 with the entry; three tests take its place: answered if the connection lives, refused with the same verdict as it breaks, sent again if it had not arrived. What the caller may do is the same in both cases (it may not repeat), so telling it earlier helped nobody. AttemptRecord took an attempt for over when a later incarnation was listed; it asks the engine that got it.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
@@ -77,17 +77,13 @@
     }
   }
 
-  /**
-   * Records that the node stopped reading the answer.
-   *
-   * @param incarnationIsOver whether the incarnation of the engine that it was sent to has ended
-   */
-  void close(boolean incarnationIsOver, long atMillis) {
+  /** Records that the node stopped reading the answer. */
+  void close(long atMillis) {
     if (!closed) {
       closedAtMillis = atMillis;
     }
     closed = true;
-    incarnationOver |= incarnationIsOver;
+    incarnationOver |= engineEnded.getAsBoolean();
     finish(Outcome.ABANDONED);
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -575,8 +575,7 @@
 
     @Override
     public void cancel() {
-      Incarnation current = engines.get(attempt.endpoint().address()).endpoint.incarnation();
-      record.close(current.isAfter(attempt.endpoint().incarnation()), nowMillis());
+      record.close(nowMillis());
       engines.values().forEach(engine -> engine.activeRequests.remove(this));
     }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -86,12 +86,12 @@
     return path.isPresent() && path.get().contains(engine);
   }
 
-  /** Returns the suspected engines of the path, in path order. */
-  ImmutableList<TrackedEndpoint> suspected() {
+  /** Returns the engines of the path that are suspected or have ended, in path order. */
+  ImmutableList<TrackedEndpoint> lost() {
     return path.stream()
         .flatMap(selection -> selection.parts().stream())
         .map(PathPart::engine)
-        .filter(TrackedEndpoint::suspected)
+        .filter(engine -> engine.suspected() || engine.hasEnded())
         .collect(ImmutableList.toImmutableList());
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -617,19 +617,32 @@
     return route.kind().idempotent() || !running().mayHaveArrived();
   }
 
-  /** Replaces an endpoint whose process has ended and which therefore can't respond any more. */
+  /**
+   * Replaces an endpoint of which a later incarnation is known. The present attempt may have
+   * reached that incarnation, in which case it continues; if not, its connection breaks.
+   */
   void endpointEnded(TrackedEndpoint endpoint) {
     if (done || attempt.isEmpty()) {
       return;
     }
-    abandonPreviousAt(endpoint);
     if (selector.target() == endpoint) {
-      abandonEndpoint(AttemptFailure.ENDPOINT_RESTARTED, endpoint.toString());
+      endpointRestarted(endpoint);
     } else if (selector.uses(endpoint)) {
       repairs.bypass(endpoint, "ended " + endpoint);
     }
   }
 
+  private void endpointRestarted(TrackedEndpoint endpoint) {
+    if (!running().mayHaveArrived()) {
+      abandonEndpoint(AttemptFailure.ENDPOINT_RESTARTED, endpoint.toString());
+      return;
+    }
+    recordLoss(endpoint);
+    if (mayAbort()) {
+      startFailover(AttemptFailure.ENDPOINT_RESTARTED, endpoint, endpoint.toString());
+    }
+  }
+
   private boolean uses(TrackedEndpoint engine) {
     return !done && selector.uses(engine);
   }
@@ -807,16 +820,6 @@
     previous.removeAll().forEach(this::abandon);
   }
 
-  private void abandonPreviousAt(TrackedEndpoint endpoint) {
-    for (PreviousAttempt earlier : previous.removeAll().reverse()) {
-      if (earlier.attempt().endpoint() == endpoint) {
-        abandon(earlier);
-      } else {
-        previous.add(earlier);
-      }
-    }
-  }
-
   private void abandon(PreviousAttempt abandoned) {
     boolean superseded = abandoned.trigger().failure() == AttemptFailure.SUPERSEDED;
     if (abandoned.attempt().mayHaveArrived() && !superseded) {
@@ -909,7 +912,7 @@
       failover.retry();
       return;
     }
-    for (TrackedEndpoint engine : selector.suspected()) {
+    for (TrackedEndpoint engine : selector.lost()) {
       // Replacing one engine may have changed the path.
       if (!failover.isActive() && uses(engine)) {
         bypass(engine);
