Forwarding: a request without a response stays on a silent engine while its caller waits

Seen by callers: a 502 some 0.55 s after the send, though the engine was only pausing and would have answered: it was silent for two probes, and attempts, budget or room allowed no other send. The engine worked for nothing, and the caller spent one of its few tries.

Cause: a search that is denied ended the request if its caller had no part of the response. The reason for telling at once was that the caller may ask again. It has missed its objective by then in either case, and is told early enough to ask again within its time limit.

Failed before: requestWithoutResponseStaysOnSilentEngineWhileItsCallerWaits, "expected: <false> but was: <true>" (cancelled); callerWithoutResponseIsRefusedBeforeItGivesUp, "expected: <Optional.empty> but was: <Optional[endpoint-lost (MAY_HAVE_RUN): engine-suspected: e1@10.0.0.1:80]>".

Change: the request stays and goes on looking for another place until 100 ms before its caller gives up, and is refused then, as "may have run". It is told at once, as before, if its engine has refused a connection after the send, or has not been reached.

Test changed: callerWithoutResponseIsRefusedImmediatelyWhenEngineIsLost held a 502 after 600 ms of silence. Four tests take its place: answered if the engine responds, refused between 1.89 and 1.91 s if it does not, in time without room as well, and at once if its box refuses connections.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -576,6 +576,7 @@
     selector.release();
     deadlineTimer.cancel();
     progress.stop();
+    failover.stop();
     leaveQueue();
     onDone.accept(this);
   }
@@ -876,17 +877,16 @@
   }
 
   /**
-   * Stays at an endpoint that does not respond, if the attempt can't be aborted without loss.
+   * Stays at an endpoint that does not respond.
    *
-   * <p>Otherwise, a caller that has no part of the response yet is refused at once, so that it can
-   * retry.
+   * <p>A caller that has no part of the response yet and can retry is refused before it gives up,
+   * and at once if the endpoint can't respond.
    */
   private void stayOrFail(Trigger trigger, ResendDenial denial) {
-    if (headSent || !mayAbort()) {
-      failover.runOncePerFailover(
-          () ->
-              ForwardLog.stayed(
-                  request, trigger.failure(), denial, requestProgress(), context.counters()));
+    long waitsUntil = deadlines.waitsUntil(Duration.ZERO);
+    boolean mayRespond = running().mayHaveArrived() && !running().hasEndpointEnded();
+    if (headSent || !mayAbort() || (mayRespond && now() < waitsUntil)) {
+      failover.runOncePerFailover(() -> stayed(trigger, denial, waitsUntil));
       return;
     }
     Verdict verdict = running().verdictIfAbandoned();
@@ -895,6 +895,14 @@
     giveUp(verdict, denial, trigger.failure().code() + ": " + trigger.cause());
   }
 
+  private void stayed(Trigger trigger, ResendDenial denial, long waitsUntil) {
+    ForwardLog.stayed(request, trigger.failure(), denial, requestProgress(), context.counters());
+    long wait = waitsUntil - now();
+    if (wait > 0) {
+      context.clock().schedule(failover::retry, wait, NANOSECONDS);
+    }
+  }
+
   private RunningAttempt running() {
     return attempt.orElseThrow();
   }
