Forwarding: an engine that refused a connection gets no request for a while

Seen by callers: a stream whose engine crashed is cut 300 ms later with "sends-used", although its caller waits for two seconds and other engines are about to have room.

Cause: a request that finds no other engine falls back to one at which it failed before. A refused connection proves that no process listens there.

Failed before: streamIsNotSentAgainToEngineThatRefusedItsConnection, "sends after the refusal ==> expected: <2> but was: <3>".

Change: an endpoint that refused a connection is avoided for the 500 ms that plain endpoints were avoided already. A connection that is reset still takes an engine out for nobody.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
@@ -4,10 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.fleet.ConnectionRefusedException;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
@@ -152,6 +154,26 @@
     assertEquals(16, node.sent.size(), "sends");
   }
 
+  // Guards against using up the sends of a stream at an engine whose box refuses connections.
+  @Test
+  void streamIsNotSentAgainToEngineThatRefusedItsConnection() {
+    node.engine(1, 0, 80);
+    startStream("/stream/x");
+    running.listener.failed(false, new IllegalStateException("reset"));
+    assertEquals(2, node.sent.size(), "sends");
+    ConnectException cause = new ConnectException("Connection refused");
+    node.lastAttempt().listener.failed(true, new ConnectionRefusedException(cause));
+    node.advance(100);
+    assertEquals(2, node.sent.size(), "sends after the refusal");
+    assertFalse(response.cut, "cut");
+    node.engine(2, 0, 80);
+    node.advance(100);
+    running = node.lastAttempt();
+    running.head(200);
+    continueFrom(2);
+    assertWhole();
+  }
+
   // Guards against cancelling a replacement because the previous engine refused the request.
   @Test
   void replacementContinuesWhenPreviousEngineRefusesRequest() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -32,8 +32,11 @@
  * the node's event loop.
  */
 final class ForwardedRequest implements CallerResponse.Listener {
-  /** Time for which a plain endpoint gets no new requests after its connection failed. */
-  private static final Duration FAILED_REPLICA_PAUSE = Duration.ofMillis(500);
+  /**
+   * Time for which an endpoint gets no new requests after it refused a connection, and a plain
+   * endpoint also after its connection failed.
+   */
+  private static final Duration FAILED_ENDPOINT_PAUSE = Duration.ofMillis(500);
 
   /**
    * Time within which a crashed endpoint can be distinguished from a lost connection. Waiting for
@@ -397,8 +400,9 @@
       recordLoss(endpoint);
     }
     recordFailure(cause, endpoint);
-    if (!selector.runsOnEngines() && (endpoint.recordFailure() > 1 || neverSent)) {
-      endpoint.avoidUntil(now() + FAILED_REPLICA_PAUSE.toNanos());
+    boolean replicaFails = !selector.runsOnEngines() && (endpoint.recordFailure() > 1 || neverSent);
+    if (replicaFails || cause instanceof ConnectionRefusedException) {
+      endpoint.avoidUntil(now() + FAILED_ENDPOINT_PAUSE.toNanos());
     }
     attemptEnded(
         neverSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
