--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAttemptTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAttemptTest.java
@@ -235,6 +235,43 @@
     assertNoCapacityReserved();
   }
 
+  @Test
+  void deadlineEndsBothAttempts() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    assertEquals(2, node.sent.size());
+    node.advance(19_400);
+    assertTrue(response.cut);
+    assertTrue(running.cancelled);
+    assertTrue(node.lastAttempt().cancelled);
+    assertNoCapacityReserved();
+  }
+
+  @Test
+  void streamEndsWhenPreviousAttemptFailsBeforeItsReplacement() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    SentAttempt replacement = node.lastAttempt();
+    running.listener.failed(false, new IllegalStateException("reset"));
+    assertFalse(response.cut);
+    replacement.listener.failed(false, new IllegalStateException("reset"));
+    assertTrue(response.cut);
+    assertEquals(2, node.sent.size());
+    assertNoCapacityReserved();
+  }
+
+  @Test
+  void streamEndsWhenReplacementFailsBeforePreviousAttempt() {
+    node.engine(2, 0, 80);
+    node.advance(600);
+    node.lastAttempt().listener.failed(false, new IllegalStateException("reset"));
+    assertFalse(response.cut);
+    running.listener.failed(false, new IllegalStateException("reset"));
+    assertTrue(response.cut);
+    assertEquals(2, node.sent.size());
+    assertNoCapacityReserved();
+  }
+
   // Guards against failing a request whose engine is about to respond.
   @Test
   void requestWithoutResponseStaysOnSilentEngineWhileItsCallerWaits() {
