--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -32,8 +32,11 @@
  * the node's event loop.
  */
 final class ForwardedRequest implements CallerResponse.Listener {
-  /** Time for which a plain endpoint gets no new requests after its connection failed. */
-  private static final Duration FAILED_REPLICA_PAUSE = Duration.ofMillis(500);
+  /**
+   * Time for which an endpoint gets no new requests after it refused a connection, and a plain
+   * endpoint also after its connection failed.
+   */
+  private static final Duration FAILED_ENDPOINT_PAUSE = Duration.ofMillis(500);
 
   /**
    * Time within which a crashed endpoint can be distinguished from a lost connection. Waiting for
@@ -397,8 +400,9 @@
       recordLoss(endpoint);
     }
     recordFailure(cause, endpoint);
-    if (!selector.runsOnEngines() && (endpoint.recordFailure() > 1 || neverSent)) {
-      endpoint.avoidUntil(now() + FAILED_REPLICA_PAUSE.toNanos());
+    boolean replicaFails = !selector.runsOnEngines() && (endpoint.recordFailure() > 1 || neverSent);
+    if (replicaFails || cause instanceof ConnectionRefusedException) {
+      endpoint.avoidUntil(now() + FAILED_ENDPOINT_PAUSE.toNanos());
     }
     attemptEnded(
         neverSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
@@ -576,6 +580,7 @@
     selector.release();
     deadlineTimer.cancel();
     progress.stop();
+    failover.stop();
     leaveQueue();
     onDone.accept(this);
   }
@@ -617,19 +622,32 @@
     return route.kind().idempotent() || !running().mayHaveArrived();
   }
 
-  /** Replaces an endpoint whose process has ended and which therefore can't respond any more. */
+  /**
+   * Replaces an endpoint of which a later incarnation is known. The present attempt may have
+   * reached that incarnation, in which case it continues; if not, its connection breaks.
+   */
   void endpointEnded(TrackedEndpoint endpoint) {
     if (done || attempt.isEmpty()) {
       return;
     }
-    abandonPreviousAt(endpoint);
     if (selector.target() == endpoint) {
-      abandonEndpoint(AttemptFailure.ENDPOINT_RESTARTED, endpoint.toString());
+      endpointRestarted(endpoint);
     } else if (selector.uses(endpoint)) {
       repairs.bypass(endpoint, "ended " + endpoint);
     }
   }
 
+  private void endpointRestarted(TrackedEndpoint endpoint) {
+    if (!running().mayHaveArrived()) {
+      abandonEndpoint(AttemptFailure.ENDPOINT_RESTARTED, endpoint.toString());
+      return;
+    }
+    recordLoss(endpoint);
+    if (mayAbort()) {
+      startFailover(AttemptFailure.ENDPOINT_RESTARTED, endpoint, endpoint.toString());
+    }
+  }
+
   private boolean uses(TrackedEndpoint engine) {
     return !done && selector.uses(engine);
   }
@@ -807,16 +825,6 @@
     previous.removeAll().forEach(this::abandon);
   }
 
-  private void abandonPreviousAt(TrackedEndpoint endpoint) {
-    for (PreviousAttempt earlier : previous.removeAll().reverse()) {
-      if (earlier.attempt().endpoint() == endpoint) {
-        abandon(earlier);
-      } else {
-        previous.add(earlier);
-      }
-    }
-  }
-
   private void abandon(PreviousAttempt abandoned) {
     boolean superseded = abandoned.trigger().failure() == AttemptFailure.SUPERSEDED;
     if (abandoned.attempt().mayHaveArrived() && !superseded) {
@@ -873,17 +881,16 @@
   }
 
   /**
-   * Stays at an endpoint that does not respond, if the attempt can't be aborted without loss.
+   * Stays at an endpoint that does not respond.
    *
-   * <p>Otherwise, a caller that has no part of the response yet is refused at once, so that it can
-   * retry.
+   * <p>A caller that has no part of the response yet and can retry is refused before it gives up,
+   * and at once if the endpoint can't respond.
    */
   private void stayOrFail(Trigger trigger, ResendDenial denial) {
-    if (headSent || !mayAbort()) {
-      failover.runOncePerFailover(
-          () ->
-              ForwardLog.stayed(
-                  request, trigger.failure(), denial, requestProgress(), context.counters()));
+    long waitsUntil = deadlines.waitsUntil(Duration.ZERO);
+    boolean mayRespond = running().mayHaveArrived() && !running().hasEndpointEnded();
+    if (headSent || !mayAbort() || (mayRespond && now() < waitsUntil)) {
+      failover.runOncePerFailover(() -> stayed(trigger, denial, waitsUntil));
       return;
     }
     Verdict verdict = running().verdictIfAbandoned();
@@ -892,6 +899,14 @@
     giveUp(verdict, denial, trigger.failure().code() + ": " + trigger.cause());
   }
 
+  private void stayed(Trigger trigger, ResendDenial denial, long waitsUntil) {
+    ForwardLog.stayed(request, trigger.failure(), denial, requestProgress(), context.counters());
+    long wait = waitsUntil - now();
+    if (wait > 0) {
+      context.clock().schedule(failover::retry, wait, NANOSECONDS);
+    }
+  }
+
   private RunningAttempt running() {
     return attempt.orElseThrow();
   }
@@ -909,7 +924,7 @@
       failover.retry();
       return;
     }
-    for (TrackedEndpoint engine : selector.suspected()) {
+    for (TrackedEndpoint engine : selector.lost()) {
       // Replacing one engine may have changed the path.
       if (!failover.isActive() && uses(engine)) {
         bypass(engine);
