Entry: complete a response that is whole before its request was read

What callers saw: an endpoint may answer before it has read a long body, keep the connection and read on later. The head and the events came through, but the end of the answer was withheld until the rest of the request had been written, and a whole answer was cut if the endpoint closed the connection instead: ServiceTalk completes a response only together with its request.

Tests over loopback with a body larger than the socket buffers, before: responseCompletesBefore RequestIsRead, emptyResponseCompletesBeforeRequestIsRead, pausedResponseIsDeliveredCompletely, restOfRequestIsWrittenBeforeNextRequest: TimeoutException, the call did not end.

Change: a handler behind the decoder notices the end of a response while bytes of its request are unwritten, and the call ends for its listener once the whole body was delivered. The rest of the request is still written, so that the next request on the connection does not follow half a body; at the time limit of the attempt the connection is closed. A response that ends only with its connection is left as it was, because a reset would make it look complete (responseWithoutLengthThatIsResetFails, incompleteResponseFails). Ordinary responses end as before.

Remains: if the endpoint resets the connection at once, the write can fail before the response is read.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -84,13 +84,17 @@
   }
 
   static Attempt attempt(InetSocketAddress to) {
+    return attempt(to, "");
+  }
+
+  static Attempt attempt(InetSocketAddress to, String text) {
     HttpRequestMetaData head =
         HttpRequestMetaDataFactory.newRequestMetaData(
             HttpProtocolVersion.HTTP_1_1,
             HttpRequestMethod.GET,
             "/",
             DefaultHttpHeadersFactory.INSTANCE.newHeaders());
-    Buffer body = BufferAllocators.PREFER_HEAP_ALLOCATOR.fromAscii("");
+    Buffer body = BufferAllocators.PREFER_HEAP_ALLOCATOR.fromAscii(text);
     FleetEndpoint endpoint =
         new FleetEndpoint(
             "e1",
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
@@ -2,22 +2,32 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.primitives.Ints;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.DuplexChannel;
+import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.context.api.ContextMap;
 import io.servicetalk.http.api.FilterableStreamingHttpConnection;
 import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpMetaData;
 import io.servicetalk.http.api.StreamingHttpConnectionFilter;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.transport.netty.internal.CloseHandler.InboundDataEndEvent;
+import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.time.Duration;
 import java.util.Optional;
 
 /**
- * A pooled connection to an endpoint, which is closed before the endpoint closes it.
+ * A pooled connection to an endpoint.
  *
- * <p>A request that crosses the endpoint's close is lost, unless it may run twice. Confined to the
- * node's event loop.
+ * <p>It is closed before the endpoint closes it, because a request that crosses that close is lost
+ * unless it may run twice. Confined to the node's event loop.
  */
 final class EndpointConnection extends StreamingHttpConnectionFilter {
   /** Context key of the user that a request belongs to. */
@@ -26,27 +36,79 @@
   /** Allows for the way from the endpoint, whose time starts earlier, and for a late timer. */
   private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(500);
 
+  private static final String EARLY_RESPONSE_HANDLER_NAME = "early-response";
+
   private static final CharSequence KEEP_ALIVE = "keep-alive";
   private static final String TIMEOUT_PARAMETER = "timeout=";
   private static final Splitter PARAMETERS = Splitter.on(',').trimResults();
 
   /** The user of a connection for one request. */
-  @FunctionalInterface
   interface User {
     /** Called before the request is written. */
     void connected(EndpointConnection connection);
+
+    /**
+     * Called when the end of the response was decoded although the request has not been written
+     * completely. The last parts of the body may not have been delivered yet.
+     *
+     * @param bodyBytes the length of the response's body
+     */
+    void respondedEarly(long bodyBytes);
   }
 
+  private Optional<User> user = Optional.empty();
   private Cancellable idleTimer = () -> {};
 
   EndpointConnection(FilterableStreamingHttpConnection connection) {
     super(connection);
+    ChannelPipeline pipeline =
+        ((NettyConnectionContext) connection.connectionContext()).nettyChannel().pipeline();
+    // Placed before ServiceTalk's last handler, which receives what was decoded. The last name in
+    // the list is the pipeline's tail.
+    String last = pipeline.names().get(pipeline.names().size() - 2);
+    pipeline.addBefore(last, EARLY_RESPONSE_HANDLER_NAME, new EarlyResponseHandler());
+  }
+
+  /**
+   * Detects responses that are complete before their request was written, as the endpoint may read
+   * the rest of a body later. ServiceTalk completes a response only after its request.
+   */
+  private final class EarlyResponseHandler extends ChannelInboundHandlerAdapter {
+    private long bodyBytes;
+
+    @Override
+    public void channelRead(ChannelHandlerContext channel, Object message) throws Exception {
+      if (message instanceof HttpMetaData) {
+        bodyBytes = 0;
+      } else if (message instanceof Buffer body) {
+        bodyBytes += body.readableBytes();
+      }
+      super.channelRead(channel, message);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext channel, Object event) throws Exception {
+      super.userEventTriggered(channel, event);
+      if (event == InboundDataEndEvent.INSTANCE && isEarly(channel.channel())) {
+        user.ifPresent(current -> current.respondedEarly(bodyBytes));
+      }
+    }
+
+    private static boolean isEarly(Channel channel) {
+      // A channel whose output was shut down has no outbound buffer.
+      ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+      boolean requestWritten = pending != null && pending.isEmpty();
+      // A response that ends with its connection is incomplete if the connection was reset.
+      boolean endsWithConnection = ((DuplexChannel) channel).isInputShutdown();
+      return !requestWritten && !endsWithConnection;
+    }
   }
 
   @Override
   public Single<StreamingHttpResponse> request(StreamingHttpRequest request) {
     idleTimer.cancel();
-    Optional.ofNullable(request.context().get(USER)).ifPresent(user -> user.connected(this));
+    user = Optional.ofNullable(request.context().get(USER));
+    user.ifPresent(next -> next.connected(this));
     return delegate().request(request);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -6,6 +6,7 @@
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.PublisherSource;
 import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.SourceAdapters;
 import io.servicetalk.http.api.EmptyHttpHeaders;
@@ -24,6 +25,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.vaneworks.coordination.fleet.ConnectionRefusedException;
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.forwarding.EndpointTransport;
@@ -73,7 +75,7 @@
     RefCountedClient<StreamingHttpClient> refCounted =
         clients.computeIfAbsent(attempt.endpoint().address(), this::newRefCountedClient);
     StreamingHttpClient client = refCounted.acquire();
-    Call call = new Call(dialect, attempt, listener, refCounted::release);
+    Call call = new Call(dialect, io, attempt, listener, refCounted::release);
     StreamingHttpRequest request = request(client, attempt);
     request.context().put(EndpointConnection.USER, call);
     SourceAdapters.toSource(client.request(request)).subscribe(call);
@@ -123,6 +125,7 @@
           SingleSource.Subscriber<StreamingHttpResponse>,
           PublisherSource.Subscriber<Buffer> {
     private final HeaderDialect dialect;
+    private final Executor executor;
     private final Attempt attempt;
     private final Listener listener;
     private final Runnable onFinished;
@@ -136,13 +139,21 @@
     private boolean requestDeferred;
     private boolean finished;
     private long receivedBytes;
+    private OptionalLong bodyBytes = OptionalLong.empty();
+    private Cancellable writeTimer = () -> {};
 
     /**
      * Creates a call that has not been sent.
      *
      * @param onFinished runs once, when the call no longer needs its client
      */
-    Call(HeaderDialect dialect, Attempt attempt, Listener listener, Runnable onFinished) {
+    Call(
+        HeaderDialect dialect,
+        Executor executor,
+        Attempt attempt,
+        Listener listener,
+        Runnable onFinished) {
+      this.executor = executor;
       this.onFinished = onFinished;
       this.dialect = dialect;
       this.attempt = attempt;
@@ -183,6 +194,7 @@
         body.cancel();
       } else {
         requestNext();
+        endIfReceived();
       }
     }
 
@@ -203,6 +215,26 @@
         listener.data(bytes);
       }
       requestNext();
+      endIfReceived();
+    }
+
+    @Override
+    public void respondedEarly(long bytes) {
+      bodyBytes = OptionalLong.of(bytes);
+      endIfReceived();
+    }
+
+    /**
+     * Ends the call for its listener once an early response was received. The rest of the request
+     * is written as long as the endpoint may still read it.
+     */
+    private void endIfReceived() {
+      boolean received = bodyBytes.isPresent() && bodyBytes.getAsLong() == receivedBytes;
+      if (received && body != null && !finished && !discarded && !cancelled) {
+        discarded = true;
+        writeTimer = executor.schedule(this::cancel, attempt.remaining());
+        listener.end();
+      }
     }
 
     @Override
@@ -272,6 +304,7 @@
     private void finish() {
       if (!finished) {
         finished = true;
+        writeTimer.cancel();
         onFinished.run();
       }
     }
