Entry: ignore empty lines between requests

What callers saw: an empty line after a request (some clients end a body with one) started the time limit of the next head, so that a kept connection got a 408 and was closed after headerTimeoutMs instead of the idle limit, and a request that crossed that close was dropped.

New test emptyLineIsNoRequestHead, before: 'expected: <true> but was: <false>' (the channel was closed). Change: the time limit starts with the first byte that is no line end (RFC 9112, 2.2). The bytes still count towards the bound of the head, and slowHeadAfterEmptyLineIsRejected keeps the limit.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
@@ -232,6 +232,28 @@
     assertTrue(channel.outboundMessages().isEmpty());
   }
 
+  // Guards against a connection closed by the head's timeout because an empty line followed a
+  // request; the next request would be lost on it.
+  @Test
+  void emptyLineIsNoRequestHead() {
+    connection.requestStarted(response);
+    connection.requestEnded(response);
+    channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {'\r', '\n'}));
+    advanceTime(IDLE_MILLIS - UNSENT_CHECK_MILLIS);
+    assertTrue(channel.isOpen());
+    assertTrue(channel.outboundMessages().isEmpty());
+    advanceTime(UNSENT_CHECK_MILLIS);
+    assertClosedFor(CloseReason.IDLE);
+  }
+
+  // Guards against a slow head that is not rejected because an empty line preceded it.
+  @Test
+  void slowHeadAfterEmptyLineIsRejected() {
+    channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {'\r', '\n', 'G'}));
+    advanceTime(IDLE_MILLIS / 2);
+    assertClosedFor(CloseReason.REJECTED);
+  }
+
   // Guards against a connection treated as idle because the previous request ended after the next
   // one had started.
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.channel.socket.ChannelOutputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
+import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
@@ -389,7 +390,8 @@
   }
 
   private void trackHead(ByteBuf bytes) {
-    if (!headStarted) {
+    // Empty lines before a request are ignored (RFC 9112, section 2.2).
+    if (!headStarted && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0) {
       headStarted = true;
       schedule(limits.get().headerTimeout(), () -> reject(Reason.HEADERS_TOO_SLOW));
     }
