--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -15,6 +16,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.vaneworks.coordination.fleet.ConnectionRefusedException;
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.EngineReport;
 import org.vaneworks.coordination.fleet.Fleet;
@@ -129,10 +131,14 @@
     }
   }
 
-  /** Reports of engines unless they are dead, and outcomes of path changes set by the test. */
+  /**
+   * Reports of engines unless they are dead or refuse connections, and outcomes of path changes set
+   * by the test.
+   */
   static final class FakeEngineControl implements EngineControl {
     final List<String> repathedPaths = new ArrayList<>();
     final List<HostPort> dead = new ArrayList<>();
+    final List<HostPort> refusing = new ArrayList<>();
     final List<HostPort> slow = new ArrayList<>();
     final List<HostPort> probed = new ArrayList<>();
     final Map<HostPort, Incarnation> started = new HashMap<>();
@@ -142,6 +148,10 @@
     @Override
     public CompletableFuture<EngineReport> report(FleetEndpoint engine, Duration limit) {
       probed.add(engine.address());
+      if (refusing.contains(engine.address())) {
+        return CompletableFuture.failedFuture(
+            new ConnectionRefusedException(new ConnectException("Connection refused")));
+      }
       return dead.contains(engine.address())
           ? CompletableFuture.failedFuture(new IllegalStateException("no answer"))
           : CompletableFuture.completedFuture(
@@ -214,6 +224,8 @@
         3,
         List.of(
             route("/stream/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 2),
+            route("/thrice/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 3),
+            route("/patient/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 2, 2000),
             route("/once/", CallKind.STREAM, MODEL, 20_000, 2),
             route("/safe/", CallKind.SAFE, PLAIN, 800, 2),
             route("/unsafe/", CallKind.UNSAFE, PLAIN, 800, 1)),
@@ -226,13 +238,23 @@
 
   private static EntryRoute route(
       String prefix, CallKind kind, String service, int timeoutMillis, int attempts) {
+    return route(prefix, kind, service, timeoutMillis, attempts, 500);
+  }
+
+  private static EntryRoute route(
+      String prefix,
+      CallKind kind,
+      String service,
+      int timeoutMillis,
+      int attempts,
+      int objectiveMillis) {
     return new EntryRoute(
         prefix,
         "host.example",
         prefix,
         kind,
         Duration.ofMillis(timeoutMillis),
-        Duration.ofMillis(500),
+        Duration.ofMillis(objectiveMillis),
         Duration.ofMillis(200),
         0,
         ImmutableList.of(new WeightedService(service, 1)),
--- a/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointClient.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointClient.java
@@ -1,5 +1,6 @@
 package org.vaneworks.coordination.endpoints;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.state.Endpoint;
 import org.vaneworks.state.HostPort;
@@ -14,8 +15,12 @@
   /** Requests an endpoint's status. */
   CompletableFuture<EndpointStatus> status(HostPort address);
 
-  /** Runs one step of a session. */
-  CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call);
+  /**
+   * Runs one step of a session.
+   *
+   * @param timeout after which the call fails and its connection is closed
+   */
+  CompletableFuture<StepReply> step(Endpoint endpoint, StepCall call, Duration timeout);
 
   /** Ends a session, frees its resources and cancels a step that runs in it. */
   CompletableFuture<Void> end(Endpoint endpoint, SessionId session);
@@ -33,6 +38,10 @@
    */
   default void closeConnections(HostPort address) {}
 
-  /** Calls a plain service. */
-  CompletableFuture<ServiceReply> invoke(Endpoint endpoint, ServiceCall call);
+  /**
+   * Calls a plain service.
+   *
+   * @param timeout after which the call fails and its connection is closed
+   */
+  CompletableFuture<ServiceReply> invoke(Endpoint endpoint, ServiceCall call, Duration timeout);
 }
