Entry: an idle connection is closed only after its socket was read

Callers saw a connection close, without an answer, some 0.4 s after they had sent a request on it.

Cause: after the event loop was held up, Netty runs the timers that came due meanwhile before it reads the sockets. An idle check that is late so finds no request, though one waits in the socket, and closes the connection. Boxes are held up for 400 ms and more while they read a large configuration; a caller may use a connection up to four fifths of the idle limit, so with a limit of 2 s 400 ms suffice.

The connection is closed only by a check that was scheduled 100 ms before; whatever had arrived by the check before it has been read in between.

Ruled out: a close by a reload or a stop (none in the log of n5), a request that was refused (no line names it).

Failed before: CallerConnectionTest.lateIdleCheckDoesNotCloseBeforeWaitingInputIsRead:220 expected: <true> but was: <false>

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerConnectionTest.java
@@ -26,6 +26,9 @@
   private static final long UNSENT_CHECK_MILLIS = 1000;
   private static final long IDLE_CHECK_MILLIS = 5000;
 
+  /** How long the event loop is held up. */
+  private static final long HOLD_UP_MILLIS = 400;
+
   private final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final EmbeddedChannel channel = new EmbeddedChannel(new ChannelInboundHandlerAdapter());
   private final CallerConnections connections = CallerConnections.create();
@@ -207,6 +210,30 @@
     assertClosedFor(CloseReason.IDLE);
   }
 
+  // Guards against closing a connection whose next request waits in the socket, because the event
+  // loop was held up: timers that came due meanwhile run before the sockets are read.
+  @Test
+  void lateIdleCheckDoesNotCloseBeforeWaitingInputIsRead() {
+    advanceTime(IDLE_MILLIS - IDLE_CHECK_MILLIS / 5);
+    channel.advanceTimeBy(IDLE_CHECK_MILLIS / 5 + HOLD_UP_MILLIS, MILLISECONDS);
+    channel.runScheduledPendingTasks();
+    assertTrue(channel.isOpen());
+    connection.requestStarted(response);
+    response.terminated = false;
+    advanceTime(2 * IDLE_MILLIS);
+    assertTrue(channel.isOpen());
+  }
+
+  // Guards against connections that stay open because their idle check was late once.
+  @Test
+  void connectionIsClosedSoonAfterALateIdleCheck() {
+    advanceTime(IDLE_MILLIS - IDLE_CHECK_MILLIS / 5);
+    channel.advanceTimeBy(IDLE_CHECK_MILLIS / 5 + HOLD_UP_MILLIS, MILLISECONDS);
+    channel.runScheduledPendingTasks();
+    advanceTime(HOLD_UP_MILLIS);
+    assertClosedFor(CloseReason.IDLE);
+  }
+
   // Guards against bytes buffered forever for a caller that does not read.
   @Test
   void stalledConnectionIsClosed() {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -58,6 +58,13 @@
    */
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofSeconds(5);
 
+  /**
+   * Interval between the last two checks before an idle connection is closed. After the event loop
+   * was held up, timers run before the sockets are read, so that input may wait unread when a check
+   * is late; the event loop reads it before the next check.
+   */
+  private static final Duration FINAL_CHECK_INTERVAL = Duration.ofMillis(100);
+
   /** Interval between checks of a connection with bytes that the caller has not read yet. */
   private static final Duration UNSENT_CHECK_INTERVAL = Duration.ofSeconds(1);
 
@@ -291,7 +298,9 @@
 
   private void scheduleIdleCheck() {
     long untilIdle = limits.get().idleTimeout().toNanos() - idleNanos;
-    long untilIdleCheck = Math.min(untilIdle, IDLE_CHECK_INTERVAL.toNanos());
+    long finalWait = FINAL_CHECK_INTERVAL.toNanos();
+    long untilIdleCheck =
+        Math.max(Math.min(untilIdle, IDLE_CHECK_INTERVAL.toNanos()) - finalWait, finalWait);
     long wait = wasActive ? UNSENT_CHECK_INTERVAL.toNanos() : untilIdleCheck;
     schedule(Duration.ofNanos(wait), () -> checkIdle(wait));
   }
@@ -299,9 +308,10 @@
   /** Closes the connection if it is stalled or idle according to the current limits. */
   private void checkIdle(long waitedNanos) {
     updateIdleTime(isActive(), waitedNanos);
+    boolean finalCheck = waitedNanos <= FINAL_CHECK_INTERVAL.toNanos();
     if (stalledNanos >= STALL_TIMEOUT.toNanos()) {
       closeWith(CloseReason.STALLED);
-    } else if (idleNanos >= limits.get().idleTimeout().toNanos()) {
+    } else if (finalCheck && idleNanos >= limits.get().idleTimeout().toNanos()) {
       closeWith(isActive() ? CloseReason.IDLE_DURING_RESPONSE : CloseReason.IDLE);
     } else {
       scheduleIdleCheck();
