HealthChecker: a late answer is a sign of life

Callers: while engines that live take 150 to 400 ms to answer a probe, as on boxes that share processors, each pause of a stream suspects its engine, and it stays suspected until an answer happens to come within 100 ms. With its streams delivered all the while, new requests find no room (503), requests without a part are told 502, and streams move.

Cause: the probe's limit was the call's limit too. An answer that came after it was thrown away: it neither ended the probes nor the suspicion, nor counted for the next limit, which grows with answers in time only. So silence within a limit outweighed the answer, for as long as the box was slow.

Change: answers are awaited for a second; the limit only says when the next probe goes out. A late answer ends the probes or the suspicion, and for 10 s extends the limit for its own engine, up to 400 ms as before. Not for others, so that a dead engine is found as soon as before; not if this node was late itself; not if a connection was refused since. Retries of suspected engines go out at the same times as before.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
@@ -193,6 +193,53 @@
     assertEquals(0, suspicions);
   }
 
+  // Guards against a live engine that stays out of use because it answers probes late.
+  @Test
+  void lateAnswerClearsSuspicion() {
+    check(Reply.answersAfter(300), Reply.TIMEOUT);
+    clock.advance(Duration.ofMillis(200));
+    assertTrue(engine.suspected());
+    clock.advance(Duration.ofMillis(100));
+    assertFalse(engine.suspected());
+  }
+
+  @Test
+  void lateAnswerEndsProbing() {
+    check(Reply.answersAfter(150), Reply.TIMEOUT);
+    clock.advance(Duration.ofSeconds(2));
+    assertEquals(0, suspicions);
+    assertEquals(2, probes);
+  }
+
+  @Test
+  void lateAnswerExtendsTimeoutOfNextProbesOfItsEngine() {
+    check(Reply.answersAfter(300), Reply.answersAfter(300));
+    clock.advance(Duration.ofSeconds(5));
+    check(Reply.answersAfter(350));
+    clock.advance(Duration.ofMillis(400));
+    assertEquals(1, suspicions);
+    TrackedEndpoint other = fleet.listed("s").get(1);
+    replies.addAll(List.of(Reply.TIMEOUT, Reply.TIMEOUT));
+    health.check(other);
+    clock.advance(Duration.ofMillis(200));
+    assertTrue(other.suspected());
+  }
+
+  @Test
+  void lateAnswerToEarlierProbeDoesNotClearSuspicionAfterRefusedConnection() {
+    check(Reply.answersAfter(300), Reply.REFUSED, Reply.REFUSED);
+    clock.advance(Duration.ofMillis(400));
+    assertTrue(engine.suspected());
+  }
+
+  // Guards against a live engine that stays out of use because it answers each probe late.
+  @Test
+  void suspectedEngineIsUsedAgainAfterLateAnswer() {
+    check(Reply.REFUSED, Reply.answersAfter(400));
+    clock.advance(Duration.ofMillis(800));
+    assertFalse(engine.suspected());
+  }
+
   @Test
   void unlistedEngineIsProbedWhileItRunsRequests() {
     engine.reserve(1);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -3,10 +3,13 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeoutException;
@@ -20,6 +23,9 @@
  * answer or are removed. An engine that is no longer listed is probed as long as requests of this
  * node run on it, because engines serve on for a while after their entry was removed.
  *
+ * <p>An answer that arrives after the timeout of its probe clears the suspicion, and extends the
+ * timeout of the next probes of its engine.
+ *
  * <p>Nothing is sent while requests make progress. If the timer of a probe fires late, the probe is
  * repeated and its timeout disregarded, because the answer may already have arrived but not been
  * read. Confined to the node's event loop.
@@ -49,6 +55,15 @@
   private static final Duration SLOWEST_ANSWER_VALIDITY = Duration.ofSeconds(1);
   private static final Duration MAX_TIMEOUT = Duration.ofMillis(400);
 
+  /**
+   * Time for which the answer to a probe is awaited. An answer that arrives after the probe's
+   * timeout still shows that the engine is alive: a busy box may answer late for long.
+   */
+  private static final Duration LATE_ANSWER_LIMIT = Duration.ofSeconds(1);
+
+  /** Time for which a late answer extends the timeout of probes of the same engine. */
+  private static final Duration LATE_ANSWER_VALIDITY = Duration.ofSeconds(10);
+
   /** An answer this recent is used for all requests that ask about the same engine. */
   private static final Duration ANSWER_VALIDITY = Duration.ofMillis(200);
 
@@ -66,6 +81,11 @@
   /** Engines with a probe in progress. Further checks of such an engine share its result. */
   private final Set<TrackedEndpoint> probing = new HashSet<>();
 
+  /** The latest answer of each engine that arrived after its timeout. */
+  private final Map<TrackedEndpoint, LateAnswer> lateAnswers = new HashMap<>();
+
+  private record LateAnswer(Duration elapsed, long at) {}
+
   private Duration slowestAnswer = Duration.ZERO;
   private long slowestAnswerAt = Long.MIN_VALUE / 2;
 
@@ -75,6 +95,7 @@
     this.control = checkNotNull(control);
     fleet.onSuspicion(engine -> scheduleRetry(engine, INITIAL_RETRY_DELAY));
     fleet.onRemoval(probedAt::remove);
+    fleet.onRemoval(lateAnswers::remove);
   }
 
   /** Creates a health checker for the engines of a fleet. */
@@ -116,53 +137,165 @@
     if (!fleet.signals().admits(engine, purpose)) {
       return;
     }
-    probe(new Probe(engine, purpose, 1, 0));
+    ProbeSeries series = new ProbeSeries(engine, purpose);
+    probing.add(engine);
+    series.probe();
   }
 
-  /**
-   * A probe of an engine.
-   *
-   * @param counted number of this probe, starting at 1 and increasing with each counted timeout
-   * @param uncounted number of preceding probes whose timeouts are disregarded because this node
-   *     was delayed
-   */
-  private record Probe(TrackedEndpoint engine, CallPurpose purpose, int counted, int uncounted) {
-    Probe next() {
-      return new Probe(engine, purpose, counted + 1, uncounted);
+  /** Consecutive probes of an engine, until one is answered or the engine is suspected. */
+  private final class ProbeSeries implements ProbeListener {
+    private final TrackedEndpoint engine;
+    private final CallPurpose purpose;
+
+    /** Probes that the engine did not answer in time. */
+    private int unanswered;
+
+    /** Probes whose timeouts are disregarded because this node was delayed. */
+    private int disregarded;
+
+    private boolean ended;
+
+    ProbeSeries(TrackedEndpoint engine, CallPurpose purpose) {
+      this.engine = engine;
+      this.purpose = purpose;
+    }
+
+    void probe() {
+      probedAt.put(engine, now());
+      // Sent even if the rate limit is exhausted, because requests may depend on the answer; it
+      // still counts against the limit.
+      fleet.signals().recordCall(engine, purpose);
+      fleet.signals().recordProbe();
+      new ProbeCall(engine, this).start();
+    }
+
+    @Override
+    public void answered(EngineReport report, boolean late) {
+      end();
+      if (!late) {
+        processReport(engine, report);
+      } else if (isFromEngine(engine, report)) {
+        clearSuspicion(engine);
+      }
     }
 
-    Probe nextUncounted() {
-      return new Probe(engine, purpose, counted, uncounted + 1);
+    @Override
+    public void failed(Duration elapsed, Duration timeout, Throwable failure) {
+      if (failure instanceof BackoffRequestedException) {
+        end();
+        clearSuspicion(engine);
+        return;
+      }
+      if (ended) {
+        return;
+      }
+      if (isUnused(engine)) {
+        end();
+        return;
+      }
+      recordRefusal(engine, failure);
+      boolean timedOut = failure instanceof TimeoutException;
+      if (timedOut && EventLoopDelay.explainsSilence(elapsed.minus(timeout), disregarded)) {
+        disregarded++;
+        fleet.signals().recordDisregardedTimeout();
+        probe();
+        return;
+      }
+      unanswered++;
+      boolean refused = failure instanceof ConnectionRefusedException;
+      if (!refused && unanswered < UNANSWERED_PROBES_TO_SUSPECT) {
+        probe();
+        return;
+      }
+      end();
+      String probes =
+          "sent " + (unanswered + disregarded) + " probes, the last " + elapsed.toMillis();
+      fleet.suspect(engine, "no answer to health checks: " + probes + " ms ago: " + failure);
     }
 
-    int number() {
-      return counted + uncounted;
+    private void end() {
+      if (!ended) {
+        ended = true;
+        probing.remove(engine);
+      }
     }
   }
 
-  private void probe(Probe probe) {
-    TrackedEndpoint engine = probe.engine();
-    long startedAt = now();
-    Duration timeout = timeout();
-    probedAt.put(engine, startedAt);
-    probing.add(engine);
-    // Sent even if the rate limit is exhausted, because requests may depend on the answer; it still
-    // counts against the limit.
-    fleet.signals().recordCall(engine, probe.purpose());
-    fleet.signals().recordProbe();
-    Async.onDone(
-        control.report(engine.endpoint(), timeout),
-        clock,
-        (report, failure) -> {
-          probing.remove(engine);
-          Duration elapsed = Duration.ofNanos(now() - startedAt);
-          if (failure == null) {
-            recordAnswerTime(elapsed);
-            processReport(engine, report);
-          } else if (!isUnused(engine)) {
-            handleFailure(probe, elapsed, timeout, failure);
-          }
-        });
+  /** Receives the outcome of one probe. */
+  private interface ProbeListener {
+    /**
+     * Called at most once, when the engine has answered.
+     *
+     * @param late whether the answer arrived after the timeout, for which {@link #failed} was
+     *     called
+     */
+    void answered(EngineReport report, boolean late);
+
+    /**
+     * Called when the probe failed or its timeout has passed; a second time if the engine requests
+     * a backoff after the timeout.
+     */
+    void failed(Duration elapsed, Duration timeout, Throwable failure);
+  }
+
+  /** A probe, whose answer is awaited beyond its timeout. */
+  private final class ProbeCall {
+    private final TrackedEndpoint engine;
+    private final ProbeListener listener;
+    private final long startedAt = now();
+    private final boolean processWasDown;
+    private final Duration usualTimeout = timeout();
+    private final Duration timeout;
+    private Cancellable timer = () -> {};
+    private boolean timedOut;
+
+    /** Whether this node was delayed when the timeout passed, so that the answer is not late. */
+    private boolean nodeDelayed;
+
+    ProbeCall(TrackedEndpoint engine, ProbeListener listener) {
+      this.engine = engine;
+      this.listener = listener;
+      processWasDown = engine.processDown();
+      timeout = timeout(engine);
+    }
+
+    void start() {
+      timer = clock.schedule(this::onTimeout, timeout);
+      Async.onDone(control.report(engine.endpoint(), LATE_ANSWER_LIMIT), clock, this::onCompletion);
+    }
+
+    private void onTimeout() {
+      timedOut = true;
+      nodeDelayed = EventLoopDelay.explainsSilence(elapsed().minus(timeout), 0);
+      listener.failed(
+          elapsed(), timeout, new TimeoutException("timeout after " + timeout.toMillis() + "ms"));
+    }
+
+    private void onCompletion(EngineReport report, Throwable failure) {
+      timer.cancel();
+      if (timedOut && engine.processDown() && !processWasDown) {
+        // A connection was refused after this probe had been sent.
+        return;
+      }
+      if (failure == null) {
+        recordAnswerTime();
+        listener.answered(report, timedOut);
+      } else if (!timedOut || failure instanceof BackoffRequestedException) {
+        listener.failed(elapsed(), timeout, failure);
+      }
+    }
+
+    private void recordAnswerTime() {
+      if (elapsed().compareTo(usualTimeout) <= 0) {
+        HealthChecker.this.recordAnswerTime(elapsed());
+      } else if (!nodeDelayed) {
+        recordLateAnswer(engine, elapsed());
+      }
+    }
+
+    private Duration elapsed() {
+      return Duration.ofNanos(now() - startedAt);
+    }
   }
 
   private void processReport(TrackedEndpoint engine, EngineReport report) {
@@ -174,25 +307,6 @@
     }
   }
 
-  private void handleFailure(Probe probe, Duration elapsed, Duration timeout, Throwable failure) {
-    TrackedEndpoint engine = probe.engine();
-    boolean timedOut = failure instanceof TimeoutException;
-    recordRefusal(engine, failure);
-    if (failure instanceof BackoffRequestedException) {
-      return;
-    }
-    boolean refused = failure instanceof ConnectionRefusedException;
-    if (timedOut && EventLoopDelay.explainsSilence(elapsed.minus(timeout), probe.uncounted())) {
-      fleet.signals().recordDisregardedTimeout();
-      probe(probe.nextUncounted());
-    } else if (!refused && probe.counted() < UNANSWERED_PROBES_TO_SUSPECT) {
-      probe(probe.next());
-    } else {
-      String probes = "sent " + probe.number() + " probes, the last " + elapsed.toMillis();
-      fleet.suspect(engine, "no answer to health checks: " + probes + " ms ago: " + failure);
-    }
-  }
-
   /** Returns whether an engine has left the list and no request of this node depends on it. */
   private static boolean isUnused(TrackedEndpoint engine) {
     return engine.hasEnded() || (engine.delisted() && engine.inFlight() == 0);
@@ -205,6 +319,17 @@
         && report.incarnation().isAfter(engine.endpoint().incarnation());
   }
 
+  private boolean isFromEngine(TrackedEndpoint engine, EngineReport report) {
+    return !isFromSuccessor(engine, report)
+        && fleet.reconcileIncarnation(engine, report.incarnation());
+  }
+
+  private void clearSuspicion(TrackedEndpoint engine) {
+    if (engine.suspected()) {
+      fleet.clearSuspicion(engine);
+    }
+  }
+
   private void recordRefusal(TrackedEndpoint engine, Throwable failure) {
     // An unlisted engine may have ended as planned, for which no request is to blame.
     if (failure instanceof ConnectionRefusedException && !engine.delisted()) {
@@ -223,9 +348,25 @@
     return now() - slowestAnswerAt > SLOWEST_ANSWER_VALIDITY.toNanos();
   }
 
+  private void recordLateAnswer(TrackedEndpoint engine, Duration elapsed) {
+    if (!engine.delisted()) {
+      lateAnswers.put(engine, new LateAnswer(elapsed, now()));
+    }
+  }
+
+  /** Returns the timeout of a probe of an engine whose answers are not known to be late. */
   private Duration timeout() {
-    Duration scaled =
-        slowestAnswerExpired() ? Duration.ZERO : slowestAnswer.multipliedBy(TIMEOUT_MULTIPLE);
+    return timeout(slowestAnswerExpired() ? Duration.ZERO : slowestAnswer);
+  }
+
+  private Duration timeout(TrackedEndpoint engine) {
+    LateAnswer late = lateAnswers.get(engine);
+    boolean valid = late != null && now() - late.at() <= LATE_ANSWER_VALIDITY.toNanos();
+    return valid ? Collections.max(List.of(timeout(), timeout(late.elapsed()))) : timeout();
+  }
+
+  private static Duration timeout(Duration slowest) {
+    Duration scaled = slowest.multipliedBy(TIMEOUT_MULTIPLE);
     Duration timeout = scaled.compareTo(MIN_TIMEOUT) > 0 ? scaled : MIN_TIMEOUT;
     return timeout.compareTo(MAX_TIMEOUT) > 0 ? MAX_TIMEOUT : timeout;
   }
@@ -303,26 +444,37 @@
     }
     fleet.signals().recordCall(engine, CallPurpose.HEALTH_CHECK);
     fleet.signals().recordProbe();
-    Async.onDone(
-        control.report(engine.endpoint(), timeout()),
-        clock,
-        (report, failure) -> {
-          if (failure == null) {
-            if (!isFromSuccessor(engine, report)
-                && fleet.reconcileIncarnation(engine, report.incarnation())) {
-              fleet.clearSuspicion(engine);
-            }
-            return;
-          }
-          if (failure instanceof BackoffRequestedException) {
-            fleet.clearSuspicion(engine);
-            return;
-          }
-          recordRefusal(engine, failure);
-          EventLog.debug(
-              Event.ENDPOINT_STILL_SILENT, "endpoint", engine.endpoint().id(), "cause", failure);
-          Duration next = previousDelay.multipliedBy(2);
-          scheduleRetry(engine, next.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : next);
-        });
+    new ProbeCall(engine, new RetryListener(engine, previousDelay)).start();
+  }
+
+  /** Handles the outcome of a probe of a suspected engine. */
+  private final class RetryListener implements ProbeListener {
+    private final TrackedEndpoint engine;
+    private final Duration previousDelay;
+
+    RetryListener(TrackedEndpoint engine, Duration previousDelay) {
+      this.engine = engine;
+      this.previousDelay = previousDelay;
+    }
+
+    @Override
+    public void answered(EngineReport report, boolean late) {
+      if (isFromEngine(engine, report)) {
+        fleet.clearSuspicion(engine);
+      }
+    }
+
+    @Override
+    public void failed(Duration elapsed, Duration timeout, Throwable failure) {
+      if (failure instanceof BackoffRequestedException) {
+        fleet.clearSuspicion(engine);
+        return;
+      }
+      recordRefusal(engine, failure);
+      EventLog.debug(
+          Event.ENDPOINT_STILL_SILENT, "endpoint", engine.endpoint().id(), "cause", failure);
+      Duration next = previousDelay.multipliedBy(2);
+      scheduleRetry(engine, next.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : next);
+    }
   }
 }
