vaneworksd: an endpoint that answers outlives a few short lists

Callers saw: no-endpoint for all new requests after three lists, three seconds, that lacked the boxes of living engines.

Cause: three lists in a row were proof enough that a box is gone, whatever its endpoint said.

Failed before (EndpointMonitorTest.endpointThatAnswersRemainsInUseAfterShortLists): refused: Optional[no-endpoint (NOT_RUN): no live engines cover model model] ==> expected: <true> but was: <false>

An endpoint that answered its last status call is removed once it was missing for 15 s; one that did not, after three lists as before. Leaving endpoints are not concerned: they get no new work as soon as anybody says so.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/endpoints/EndpointMonitor.java
@@ -50,10 +50,18 @@
    */
   private static final int MISSES_UNTIL_REMOVED = 3;
 
+  /**
+   * How long a box must be missing from the list before it is removed although its endpoint answers
+   * status calls; several lists in a row may be incomplete, for example after an outage.
+   */
+  private static final Duration ANSWERING_RETENTION = Duration.ofSeconds(15);
+
   private static final class WatchedBox {
     private final Box box;
     private Optional<EndpointId> endpointId = Optional.empty();
     private int misses;
+    private long missingSince;
+    private boolean answers;
 
     WatchedBox(Box box) {
       this.box = box;
@@ -180,7 +188,7 @@
     Set<HostPort> unlisted = new HashSet<>();
     synchronized (this) {
       for (WatchedBox watched : ImmutableList.copyOf(watchedBoxes.values())) {
-        if (!present.contains(watched.box.address()) && ++watched.misses >= MISSES_UNTIL_REMOVED) {
+        if (!present.contains(watched.box.address()) && isToBeRemoved(watched)) {
           watchedBoxes.remove(watched.box.address());
           unlisted.add(watched.box.address());
           watched.endpointId.ifPresent(removedIds::add);
@@ -191,6 +199,18 @@
     unlisted.forEach(client::closeConnections);
   }
 
+  /** Counts a list that lacks the box; returns whether the box is to be removed. */
+  @GuardedBy("this")
+  private boolean isToBeRemoved(WatchedBox watched) {
+    long now = executor.currentTime(NANOSECONDS);
+    if (watched.misses == 0) {
+      watched.missingSince = now;
+    }
+    watched.misses++;
+    boolean missingForLong = now - watched.missingSince >= ANSWERING_RETENTION.toNanos();
+    return watched.misses >= MISSES_UNTIL_REMOVED && (!watched.answers || missingForLong);
+  }
+
   private synchronized Optional<EndpointState> stateOf(WatchedBox watched) {
     return watched.endpointId.flatMap(table::find);
   }
@@ -210,6 +230,9 @@
         Async.withTimeout(executor, STATUS_TIMEOUT, client.status(watched.box.address()), timeout),
         executor,
         (status, failure) -> {
+          synchronized (this) {
+            watched.answers = failure == null;
+          }
           if (failure == null) {
             updateStatus(
                 watched, status, Duration.ofNanos(executor.currentTime(NANOSECONDS) - sentAt));
