vaneworksd: a record that is handed over twice counts once

Callers saw (read only): requests under a ticket or key might be refused with records-full below the bound.

Cause: addAll added a record's bytes also when the table had it already.

Failed before (OnceRecordTableTest.recordThatIsHandedOverTwiceCountsOnce): Unexpected type, expected: <...Decision.Start> but was: <...Decision.Wait>

--- a/vaneworks/src/main/java/org/vaneworks/coordination/once/OnceRecordTable.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/once/OnceRecordTable.java
@@ -172,14 +172,16 @@
     return records.build();
   }
 
-  /** Adds the records of another node. */
+  /** Adds the records of another node that are not in the table yet. */
   public synchronized void addAll(Iterable<OnceRecord> records) {
     for (OnceRecord record : records) {
-      Entry entry = new Entry(record.bodyHash(), now());
-      entry.running = false;
-      record.outcome().ifPresent(entry.outcome::complete);
-      bytes += record.outcome().map(OnceOutcome::size).orElse(0);
-      entries.putIfAbsent(record.recordId(), entry);
+      if (!entries.containsKey(record.recordId())) {
+        Entry entry = new Entry(record.bodyHash(), now());
+        entry.running = false;
+        record.outcome().ifPresent(entry.outcome::complete);
+        bytes += record.outcome().map(OnceOutcome::size).orElse(0);
+        entries.put(record.recordId(), entry);
+      }
     }
   }
 
