vaneworksd: a request whose caller left no longer counts in the queue

Callers saw: queue-full while the queue held requests whose callers had left.

Cause: a withdrawn request stayed in the queue until it was the first of its flow.

Failed before (WithdrawnRequestTest): refused: Optional[queue-full (NOT_RUN): limits.maxQueue is 2] ==> expected: <false> but was: <true>

It is removed as soon as its outcome is completed from outside.

--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/ServiceCore.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/ServiceCore.java
@@ -3,24 +3,33 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntFunction;
 import org.vaneworks.coordination.endpoints.ServiceCall;
 import org.vaneworks.coordination.endpoints.ServiceReply;
 
 /** An in-memory plain service that counts how often each call was run. Thread-safe. */
 public final class ServiceCore {
   private final Map<String, Integer> runs = new TreeMap<>();
+  private final IntFunction<String> body;
 
-  private ServiceCore() {}
+  private ServiceCore(IntFunction<String> body) {
+    this.body = body;
+  }
 
-  /** Returns a service that has not run any call. */
+  /** Returns a service that has not run any call and answers how often a call was run. */
   public static ServiceCore create() {
-    return new ServiceCore();
+    return new ServiceCore(times -> "{\"runs\":" + times + "}");
+  }
+
+  /** Returns a service that has not run any call and answers each call with the body. */
+  public static ServiceCore withBody(String body) {
+    return new ServiceCore(times -> body);
   }
 
   /** Runs a call. */
   public synchronized ServiceReply run(ServiceCall call) {
     int times = runs.merge(call.method() + " " + call.path() + " " + call.body(), 1, Integer::sum);
-    return new ServiceReply(200, "application/json", "{\"runs\":" + times + "}");
+    return new ServiceReply(200, "application/json", body.apply(times));
   }
 
   /** Returns how often each call was run. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/admission/AdmissionControl.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/AdmissionControl.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
+import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.endpoints.EndpointState;
 import org.vaneworks.coordination.requests.CompletionRequest;
 import org.vaneworks.coordination.routing.RoutePlanner;
@@ -122,6 +123,17 @@
         }
       }
     }
+    if (refusal.isEmpty() && granted.isEmpty()) {
+      Async.ignore(
+          queued
+              .outcome()
+              .whenComplete(
+                  (admission, failure) -> {
+                    if (failure != null) {
+                      removeWithdrawn(queued);
+                    }
+                  }));
+    }
     refusal.ifPresent(refused -> queued.outcome().completeExceptionally(refused.toException()));
     granted.ifPresent(queued.outcome()::complete);
     return queued.outcome();
@@ -140,6 +152,13 @@
     return outcome.completeExceptionally(gone.toException());
   }
 
+  /** Removes a request whose outcome was completed from outside while it was queued. */
+  private synchronized void removeWithdrawn(QueuedRequest queued) {
+    if (queueFor(queued.query()).remove(queued)) {
+      queued.expiry().cancel();
+    }
+  }
+
   /** Grants the queued requests that can start now, for example after an endpoint was found. */
   public void recheck() {
     List<Runnable> outcomes = new ArrayList<>();
