vaneworksd: a streamed answer reaches a caller that reads slowly

Callers saw: a stream was cut once 4,096 events waited for its caller. Under a ticket or key the stream is not cancelled: events beyond the bound were dropped, later ones sent, so the answer had a hole and still ended with [DONE].

Cause: a bound on buffered events below the longest answer, and a failure of a full buffer that was taken for a caller that left.

Failed before (CompletionResponseTest, real sockets): cancellations expected: <0> but was: <13461>

--- a/vaneworks/src/main/java/org/vaneworks/state/WorkspacePlan.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/WorkspacePlan.java
@@ -39,7 +39,10 @@
   private static final int MAX_LAYERS = 1_000;
   private static final int MAX_IN_FLIGHT = 100_000;
   private static final int MAX_QUEUE = 10_000;
-  private static final int MAX_TOKENS = 32_768;
+
+  /** Largest number of tokens that a workspace may allow in one answer. */
+  public static final int MAX_TOKENS = 32_768;
+
   private static final int MAX_BOUND_MS = 600_000;
   private static final int MAX_WEIGHT = 1_000;
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/CompletionResponse.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/CompletionResponse.java
@@ -14,15 +14,18 @@
 import org.vaneworks.coordination.pipeline.AnswerSink;
 import org.vaneworks.protocol.CallerJson;
 import org.vaneworks.state.Refusal;
+import org.vaneworks.state.WorkspacePlan;
 
 /**
  * Converts the tokens of a completion to an HTTP response, either streamed or as one document.
  *
- * <p>Calls never overlap, as {@link AnswerSink} requires. At most {@link #MAX_BUFFERED_EVENTS}
- * events are buffered for a caller that stops reading; the stream is cancelled beyond that.
+ * <p>Calls never overlap, as {@link AnswerSink} requires. Events that the caller has not read yet
+ * are buffered; the longest answer that a workspace may request fits, so a caller that reads slowly
+ * receives its answer completely.
  */
 final class CompletionResponse implements AnswerSink {
-  private static final int MAX_BUFFERED_EVENTS = 4096;
+  /** The tokens of the longest answer, its last chunk and the end marker. */
+  private static final int MAX_BUFFERED_EVENTS = WorkspacePlan.MAX_TOKENS + 2;
 
   private final CallerResponses responses;
   private final boolean streamed;
@@ -64,12 +67,7 @@
   }
 
   private void emit(String event) {
-    try {
-      events.onNext(responses.buffer(event));
-    } catch (RuntimeException e) {
-      // The buffer is full because the caller stopped reading.
-      cancel.get().run();
-    }
+    events.onNext(responses.buffer(event));
   }
 
   @Override
