Fleet: an entry that reappears after its last request gets a new object

Callers saw: an engine whose entry lapsed while it was suspected got no requests any more, at this node, until the node or the engine started again.

Cause: the fleet keeps the object of an unlisted endpoint on which requests run, with its suspicion. HealthChecker ends the probes of an unlisted engine with its last request. If the entry reappeared after that, the object came back suspected, and nothing asked the engine again.

Failed before (HealthCheckerTest.suspicionEndsWithLastRequestOfUnlistedEngine): expected: <false> but was: <true>

Only an endpoint on which requests run is put back; those are the engines that are still probed.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
@@ -230,6 +230,23 @@
     assertTrue(engine.suspected());
   }
 
+  // Guards against an engine that is never used again, because its probes had ended with its last
+  // request when its entry reappeared.
+  @Test
+  void suspicionEndsWithLastRequestOfUnlistedEngine() {
+    listIncarnation(1000);
+    engine.reserve(1);
+    fleet.remove("c");
+    check(Reply.TIMEOUT, Reply.TIMEOUT);
+    clock.advance(Duration.ofMillis(200));
+    assertTrue(engine.suspected());
+    engine.release(1);
+    clock.advance(Duration.ofSeconds(5));
+    listIncarnation(1000);
+    clock.advance(Duration.ofSeconds(5));
+    assertFalse(engine.suspected());
+  }
+
   @Test
   void suspectedEngineIsProbedUntilItAnswers() {
     check(Reply.REFUSED, Reply.TIMEOUT);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -219,6 +219,8 @@
   private void addNew(FleetEndpoint listed) {
     Optional<TrackedEndpoint> former =
         Optional.ofNullable(removedInUse.remove(listed.id()))
+            // An endpoint without requests is no longer probed, so its suspicion would not end.
+            .filter(endpoint -> endpoint.inFlight() > 0)
             .filter(endpoint -> isSameIncarnation(endpoint.endpoint(), listed));
     if (former.isPresent()) {
       relist(former.get(), listed);
