HealthChecker: an engine that answers is not down

Callers saw: nothing yet; found in a review.

Cause: a refused connection marks the endpoint's process as down, and only the end of a suspicion took the mark away. If the probe that follows a refused connection is answered there is no suspicion, so the mark stayed. From then on each broken connection there counts as a crash by the requests that had just begun, and two such engines suffice for the content to be quarantined; and a suspicion moves streams that are in full flow.

Failed before (HealthCheckerTest.engineThatAnswersAfterRefusedConnectionIsNotDown): expected: <false> but was: <true>

An answer of the same incarnation takes the mark away if its probe began after the refusal (answerToEarlierProbeDoesNotShowThatEngineIsUp, which held before). What was lost before the refusal still counts as ended.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
@@ -247,6 +247,27 @@
     assertFalse(engine.suspected());
   }
 
+  // Guards against a request being taken for the cause of a crash, because the box of its engine
+  // refused a connection before the engine answered.
+  @Test
+  void engineThatAnswersAfterRefusedConnectionIsNotDown() {
+    fleet.recordConnectionRefused(engine);
+    clock.advance(Duration.ofMillis(10));
+    check(Reply.ANSWERS);
+    clock.runDue();
+    assertFalse(engine.processDown());
+  }
+
+  // Control case: the answer may have been sent before the engine went down.
+  @Test
+  void answerToEarlierProbeDoesNotShowThatEngineIsUp() {
+    check(Reply.answersAfter(50));
+    clock.advance(Duration.ofMillis(10));
+    fleet.recordConnectionRefused(engine);
+    clock.advance(Duration.ofMillis(50));
+    assertTrue(engine.processDown());
+  }
+
   @Test
   void suspectedEngineIsProbedUntilItAnswers() {
     check(Reply.REFUSED, Reply.TIMEOUT);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -158,17 +158,20 @@
           Duration elapsed = Duration.ofNanos(now() - startedAt);
           if (failure == null) {
             recordAnswerTime(elapsed);
-            processReport(engine, report);
+            processReport(engine, report, startedAt);
           } else if (!isUnused(engine)) {
             handleFailure(probe, elapsed, timeout, failure);
           }
         });
   }
 
-  private void processReport(TrackedEndpoint engine, EngineReport report) {
+  private void processReport(TrackedEndpoint engine, EngineReport report, long probedAt) {
     if (isFromSuccessor(engine, report)) {
       fleet.suspect(engine, "a later incarnation answers at its address");
     } else if (fleet.reconcileIncarnation(engine, report.incarnation())) {
+      if (!engine.refusedConnectionSince(probedAt)) {
+        engine.clearConnectionRefused();
+      }
       processPace(engine, report);
       processStalls(engine, report);
     }
