Forwarding: the time of an interrupted stream does not run while it is not read

Callers saw: a caller that reads slowly loses its stream if the connection of its engine breaks while the node does not read it and no engine has room at that moment.

Cause: the time for resuming a stream begins with the last event that was read, which precedes the pause. After a pause of 1.5 s it had passed before the search began, although the caller still had events to receive. The same with a replacement that fails before its first event: starting it ended the pause without a new beginning.

Failed before (SlowCallerStreamTest.streamInterruptedWhileItIsNotReadWaitsForCapacity): cut ==> expected: <false> but was: <true>

While a response is not read its last progress is now. It still ends at the time limit.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/SlowCallerStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/SlowCallerStreamTest.java
@@ -87,6 +87,27 @@
     assertWhole();
   }
 
+  // Guards against aborting a stream that is interrupted while its caller has events left to read.
+  @Test
+  void streamInterruptedWhileItIsNotReadWaitsForCapacity() {
+    node.advance(3000);
+    node.fleet.withdraw("e1", "test");
+    node.fleet.withdraw("e2", "test");
+    node.engine(3, 0, 40);
+    node.engine(4, 40, 80);
+    node.fleet.all().forEach(any -> any.setPeerLoad(100, 1e9, 1));
+    running.listener.failed(false, new IllegalStateException("reset"));
+    node.advance(500);
+    assertFalse(response.cut, "cut");
+    node.fleet.all().forEach(any -> any.setPeerLoad(0, 0, 1));
+    node.advance(100);
+    running = node.lastAttempt();
+    running.head(200);
+    callerReads();
+    continueFrom(2);
+    assertWhole();
+  }
+
   // Guards against aborting an interrupted stream as if its slow caller had waited for events.
   @Test
   void interruptedStreamOfSlowCallerWaitsForCapacity() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
@@ -59,9 +59,9 @@
     this.longPauseNanos = pauseObjective.toNanos() * 2 / 3;
   }
 
-  /** Returns when the request last made progress. */
+  /** Returns when the request last made progress; now, if its response is not being read. */
   long lastProgress() {
-    return lastProgress;
+    return paused ? now() : lastProgress;
   }
 
   /**
@@ -93,7 +93,7 @@
    */
   void attemptStarted(boolean resumes) {
     awaitsHead = true;
-    paused = false;
+    resumed();
     if (!resumes) {
       lastProgress = now();
     }
@@ -103,7 +103,7 @@
   /** Monitors a previous attempt again, whose head had been received. */
   void previousResumed() {
     awaitsHead = false;
-    paused = false;
+    resumed();
     scheduleCheck();
   }
 
