Forwarding: the replacement of a lost engine is tried again

Callers saw: a stream whose first engine works stands still after the loss of a later engine until it is cut, although an engine that could take over became available a second after the loss.

Cause: after five path changes, which take 0.75 s, a path was not changed any more. If the stream could not fail over (not repeatable, no attempts or budget left), nothing else was tried. And if the engine had recovered in the meantime, it stayed marked as being replaced, so a later loss of it was ignored.

Failed before (InterruptedStreamTest): streamThatCannotFailOverIsReroutedWhenEngineBecomesAvailable, streamWithoutAttemptsLeftIsReroutedWhenEngineBecomesAvailable, streamIsReroutedWhenEngineIsLostAfterItRecovered: path changes ==> expected: <1> but was: <0>

While the stream is stalled and the engine is suspected, its replacement begins again, at the earliest a second after the last one failed, also while a failover for a lost path is denied or waits for room. Nothing is sent if the planner knows no other path.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
@@ -194,4 +194,68 @@
     assertEquals(1, node.sent.size(), "sends");
     assertWhole();
   }
+
+  private void suspect(FleetEndpoint engine) {
+    node.control.dead.add(engine.address());
+    node.fleet.suspect(
+        node.fleet.find(ForwardingFixture.MODEL, engine.address()).orElseThrow(), "test");
+  }
+
+  // Guards against a stream that waits for a lost engine although another one has become available.
+  @Test
+  void streamThatCannotFailOverIsReroutedWhenEngineBecomesAvailable() {
+    node.engine(5, 0, 40);
+    FleetEndpoint later = node.engine(6, 40, 80);
+    startStream("/once/x");
+    suspect(later);
+    node.advance(1500);
+    assertEquals(0, node.control.repathedPaths.size(), "path changes without another engine");
+    node.engine(7, 40, 80);
+    node.advance(1000);
+    assertEquals(1, node.control.repathedPaths.size(), "path changes");
+    continueFrom(2);
+    assertWhole();
+  }
+
+  // Guards against a stream that waits for a lost engine although another one has become available.
+  @Test
+  void streamWithoutAttemptsLeftIsReroutedWhenEngineBecomesAvailable() {
+    node.engine(1, 0, 80);
+    startStream("/stream/x");
+    node.engine(5, 0, 40);
+    FleetEndpoint later = node.engine(6, 40, 80);
+    disconnect(running);
+    node.fleet.withdraw("e1", "test");
+    running = node.lastAttempt();
+    running.head(200);
+    running.event(2);
+    suspect(later);
+    node.advance(1500);
+    assertEquals(2, node.sent.size(), "sends");
+    assertEquals(0, node.control.repathedPaths.size(), "path changes without another engine");
+    node.engine(7, 40, 80);
+    node.advance(1000);
+    assertEquals(1, node.control.repathedPaths.size(), "path changes");
+    continueFrom(3);
+    assertWhole();
+  }
+
+  // Guards against a stream that stays on a lost engine which had recovered from a suspicion
+  // before.
+  @Test
+  void streamIsReroutedWhenEngineIsLostAfterItRecovered() {
+    node.engine(5, 0, 40);
+    FleetEndpoint later = node.engine(6, 40, 80);
+    startStream("/stream/x");
+    suspect(later);
+    node.control.dead.remove(later.address());
+    node.advance(2500);
+    running.event(2);
+    node.engine(7, 40, 80);
+    suspect(later);
+    node.advance(500);
+    assertEquals(1, node.control.repathedPaths.size(), "path changes");
+    continueFrom(3);
+    assertWhole();
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -907,11 +907,13 @@
     }
     if (failover.isActive()) {
       failover.retry();
-      return;
     }
+    // Another path may have become available since the search for one ended.
+    boolean pathLost =
+        failover.isActive() && failover.trigger().failure() == AttemptFailure.PATH_LOST;
     for (TrackedEndpoint engine : selector.suspected()) {
       // Replacing one engine may have changed the path.
-      if (!failover.isActive() && uses(engine)) {
+      if ((pathLost || !failover.isActive()) && uses(engine)) {
         bypass(engine);
       }
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
@@ -1,8 +1,12 @@
 package org.vaneworks.coordination.forwarding;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.relay.EnginePath;
@@ -16,6 +20,9 @@
   /** Maximum number of path changes requested after the loss of one engine. */
   private static final int MAX_PATH_CHANGES = 5;
 
+  /** Time after which the replacement of an engine may be tried again. */
+  private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
+
   /** Operations of the request whose path is repaired. */
   interface Callbacks {
     /** Returns the current attempt; there must be one. */
@@ -46,6 +53,9 @@
   /** Engines of the current path that are being replaced. */
   private final Set<TrackedEndpoint> beingReplaced = new HashSet<>();
 
+  /** When engines of the current path whose replacement failed may be replaced again. */
+  private final Map<TrackedEndpoint, Long> retryAt = new HashMap<>();
+
   PathRepairs(
       ForwardContext context,
       CallerRequest request,
@@ -67,9 +77,10 @@
     }
   }
 
-  /** Replaces an engine that was lost, unless that is in progress. */
+  /** Replaces an engine that was lost, unless that is in progress or failed a short time ago. */
   void bypass(TrackedEndpoint lost, String cause) {
-    if (!beingReplaced.add(lost)) {
+    boolean failedRecently = now() < retryAt.getOrDefault(lost, Long.MIN_VALUE);
+    if (failedRecently || !beingReplaced.add(lost)) {
       return;
     }
     callbacks.engineLost(lost);
@@ -83,10 +94,20 @@
   /** Clears the state of an attempt that has ended. */
   void attemptEnded() {
     beingReplaced.clear();
+    retryAt.clear();
   }
 
-  private void startFailover(TrackedEndpoint lost, AttemptFailure failure, String cause) {
+  private void replacementFailed(TrackedEndpoint lost) {
     beingReplaced.remove(lost);
+    retryAt.put(lost, now() + RETRY_INTERVAL.toNanos());
+  }
+
+  private long now() {
+    return context.clock().currentTime(NANOSECONDS);
+  }
+
+  private void startFailover(TrackedEndpoint lost, AttemptFailure failure, String cause) {
+    replacementFailed(lost);
     callbacks.failOverFrom(lost, failure, cause);
   }
 
@@ -130,5 +151,10 @@
     public void failOver(AttemptFailure failure) {
       startFailover(lost, failure, "no other path was accepted");
     }
+
+    @Override
+    public void abandoned() {
+      replacementFailed(lost);
+    }
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -40,6 +40,9 @@
      * @param failure why the current attempt is to be abandoned
      */
     void failOver(AttemptFailure failure);
+
+    /** Called when no path change is requested any more and the request may not fail over. */
+    void abandoned();
   }
 
   private final ForwardContext context;
@@ -139,6 +142,8 @@
   private void fail(AttemptFailure failure) {
     if (callbacks.mayFailOver(lost)) {
       callbacks.failOver(failure);
+    } else {
+      callbacks.abandoned();
     }
   }
 
