Forwarding: a stream is not sent twice to the same engine at a time

Callers saw: nothing yet; found in a review.

Cause: a replacement that did not connect was itself replaced with a selection that only avoids engines at which the request failed. An engine that answers probes again, on which a previous attempt goes on, was selected, so the engine had the same request twice; that costs an attempt, its memory and a send.

Failed before (InterruptedStreamTest.replacementThatDidNotConnectIsNotSentToEngineOfPreviousAttempt): sends ==> expected: <2> but was: <3>

The engines of previous attempts are never selected, as for a concurrent attempt.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
@@ -201,6 +201,13 @@
         node.fleet.find(ForwardingFixture.MODEL, engine.address()).orElseThrow(), "test");
   }
 
+  private void recover(FleetEndpoint engine) {
+    node.control.dead.remove(engine.address());
+    node.advance(2500);
+    assertFalse(
+        node.fleet.find(ForwardingFixture.MODEL, engine.address()).orElseThrow().suspected());
+  }
+
   // Guards against a stream that waits for a lost engine although another one has become available.
   @Test
   void streamThatCannotFailOverIsReroutedWhenEngineBecomesAvailable() {
@@ -258,4 +265,24 @@
     continueFrom(3);
     assertWhole();
   }
+
+  // Guards against sending a stream to an engine on which a previous attempt continues.
+  @Test
+  void replacementThatDidNotConnectIsNotSentToEngineOfPreviousAttempt() {
+    FleetEndpoint first = node.engine(1, 0, 80);
+    startStream("/thrice/x");
+    FleetEndpoint second = node.engine(2, 0, 80);
+    node.advance(300);
+    suspect(first);
+    assertEquals(2, node.sent.size(), "sends");
+    SentAttempt replacement = node.lastAttempt();
+    replacement.arrived = false;
+    recover(first);
+    suspect(second);
+    node.advance(500);
+    assertEquals(2, node.sent.size(), "sends");
+    continueFrom(2);
+    assertWhole();
+    node.fleet.all().forEach(any -> assertEquals(0, any.inFlight(), any.toString()));
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -118,9 +118,11 @@
   /**
    * Selects an endpoint in place of the present one. Returns false, without any change, if none has
    * capacity now.
+   *
+   * @param inUse endpoints of other attempts, which are not selected
    */
-  boolean select() {
-    Optional<Selection> next = find();
+  boolean select(ImmutableSet<TrackedEndpoint> inUse) {
+    Optional<Selection> next = inUse.isEmpty() ? find() : findElsewhere(inUse);
     if (next.isPresent()) {
       release();
       assign(next.get());
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -217,7 +217,7 @@
   }
 
   private boolean startAttempt() {
-    if (!selector.select()) {
+    if (!selector.select(previous.endpoints())) {
       return false;
     }
     send();
@@ -730,7 +730,7 @@
   private boolean replaceAttempt() {
     Trigger trigger = failover.trigger();
     TrackedEndpoint endpoint = selector.target();
-    if (!selector.select()) {
+    if (!selector.select(previous.endpoints())) {
       return false;
     }
     context.budget().tryWithdraw();
