Placement: a silent engine does not keep a gap open

Callers saw: nothing yet; found in a review. No stream can start in the data centre while layers are not held.

Cause: the planner always takes the same engine to cover the gap. If that engine, or the only other one with its layers, does not answer and is not suspected (nothing runs there that would stall), the order is not sent, planned again and withheld again, without end, although other engines could cover the gap.

Failed before (PlacementControllerTest.gapIsCoveredByEngineWhoseOtherHolderAnswers, gapIsCoveredByEngineThatAnswers): [] ==> expected: <true> but was: <false>

For five seconds after such a failure other engines are preferred. If there are none, the same one is tried again as before (engineKeepsLayersUntilTheirOtherHolderAnswers). A requested backoff is no such failure.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -366,6 +366,35 @@
     assertEquals(List.of("a 37-71"), engines.loads);
   }
 
+  private void listGapBesideFourHolders() {
+    list("a", new HostPort("10.0.0.1", 80), Optional.of(LayerRange.of(0, 37)));
+    list("b", new HostPort("10.0.0.2", 80), Optional.of(LayerRange.of(0, 37)));
+    list("c", new HostPort("10.0.0.3", 80), Optional.of(LayerRange.of(37, 66)));
+    list("d", new HostPort("10.0.0.4", 80), Optional.of(LayerRange.of(37, 66)));
+  }
+
+  // Guards against unserved layers while one engine, which holds other layers, does not answer.
+  @Test
+  void gapIsCoveredByEngineWhoseOtherHolderAnswers() {
+    listGapBesideFourHolders();
+    engines.silent.add("b");
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(10_000);
+    assertTrue(everyLayerIsHeld(), engines.loads.toString());
+  }
+
+  // Guards against unserved layers because the engine that was to cover them does not answer.
+  @Test
+  void gapIsCoveredByEngineThatAnswers() {
+    listGapBesideFourHolders();
+    engines.silent.add("a");
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(10_000);
+    assertTrue(everyLayerIsHeld(), engines.loads.toString());
+  }
+
   @Test
   void nothingIsOrderedWithoutTheLease() {
     listEngines(5);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -17,6 +17,7 @@
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.vaneworks.coordination.concurrent.Async;
+import org.vaneworks.coordination.fleet.BackoffRequestedException;
 import org.vaneworks.coordination.fleet.CallPurpose;
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.EngineControl.OrderGuard;
@@ -85,6 +86,12 @@
    */
   private static final Duration CHANGE_DEFERRAL = Duration.ofSeconds(1);
 
+  /**
+   * Time for which other engines are preferred to one that was to give up layers but did not
+   * answer, or whose layers no other engine confirmed.
+   */
+  private static final Duration RELEASE_AVOIDANCE = Duration.ofSeconds(5);
+
   private final Executor clock;
   private final Fleet fleet;
   private final EngineControl control;
@@ -99,6 +106,9 @@
   /** When changes of held layers may be ordered again, by data centre. */
   private final Map<String, Long> changesDeferredUntil = new HashMap<>();
 
+  /** Until when engines give up layers only if no others can, as an order could not be sent. */
+  private final Map<TrackedEndpoint, Long> releasesAvoidedUntil = new HashMap<>();
+
   private OptionalLong currentFence = OptionalLong.empty();
   private long rejectedFence = -1;
 
@@ -195,6 +205,7 @@
    */
   public void start() {
     fleet.onRemoval(assignments::remove);
+    fleet.onRemoval(releasesAvoidedUntil::remove);
     engineCountChangedAt = now();
     wake();
   }
@@ -294,7 +305,7 @@
       String key, PlanInput input, ImmutableMap<String, TrackedEndpoint> enginesById) {
     ImmutableMap<String, LayerRange> plan =
         PlacementPlanner.of(input.model())
-            .plan(input.snapshots(), id -> enginesById.get(id).totalRequests());
+            .plan(input.snapshots(), id -> releaseCost(enginesById.get(id)));
     boolean deferred = areChangesDeferred(input.snapshots().get(0).dataCentre());
     plan.forEach(
         (id, layers) -> {
@@ -310,6 +321,16 @@
     }
   }
 
+  private void avoidRelease(TrackedEndpoint engine) {
+    releasesAvoidedUntil.put(engine, now() + RELEASE_AVOIDANCE.toNanos());
+  }
+
+  /** Returns how much speaks against ordering an engine to give up its layers. */
+  private double releaseCost(TrackedEndpoint engine) {
+    boolean avoided = now() < releasesAvoidedUntil.getOrDefault(engine, Long.MIN_VALUE);
+    return avoided ? Double.MAX_VALUE : engine.totalRequests();
+  }
+
   /**
    * Returns whether the list has stopped growing, so that the initial placement includes all
    * engines.
@@ -390,6 +411,9 @@
         (report, failure) -> {
           if (failure != null) {
             assignment.callPending = false;
+            if (!(failure instanceof BackoffRequestedException)) {
+              avoidRelease(engine);
+            }
             EventLog.info(
                 Event.ORDER_UNANSWERED, "endpoint", engine.endpoint().id(), "cause", failure);
           } else {
@@ -457,6 +481,7 @@
       assignment.callPending = false;
       if (!assignment.sent) {
         assignments.remove(engine, assignment);
+        avoidRelease(engine);
       }
       deferChanges(engine);
     }
