--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
@@ -277,6 +277,44 @@
     assertTrue(engine.suspected());
   }
 
+  // Guards against an engine that is never used again, because its probes had ended with its last
+  // request when its entry reappeared.
+  @Test
+  void suspicionEndsWithLastRequestOfUnlistedEngine() {
+    listIncarnation(1000);
+    engine.reserve(1);
+    fleet.remove("c");
+    check(Reply.TIMEOUT, Reply.TIMEOUT);
+    clock.advance(Duration.ofMillis(200));
+    assertTrue(engine.suspected());
+    engine.release(1);
+    clock.advance(Duration.ofSeconds(5));
+    listIncarnation(1000);
+    clock.advance(Duration.ofSeconds(5));
+    assertFalse(engine.suspected());
+  }
+
+  // Guards against a request being taken for the cause of a crash, because the box of its engine
+  // refused a connection before the engine answered.
+  @Test
+  void engineThatAnswersAfterRefusedConnectionIsNotDown() {
+    fleet.recordConnectionRefused(engine);
+    clock.advance(Duration.ofMillis(10));
+    check(Reply.ANSWERS);
+    clock.runDue();
+    assertFalse(engine.processDown());
+  }
+
+  // Control case: the answer may have been sent before the engine went down.
+  @Test
+  void answerToEarlierProbeDoesNotShowThatEngineIsUp() {
+    check(Reply.answersAfter(50));
+    clock.advance(Duration.ofMillis(10));
+    fleet.recordConnectionRefused(engine);
+    clock.advance(Duration.ofMillis(50));
+    assertTrue(engine.processDown());
+  }
+
   @Test
   void suspectedEngineIsProbedUntilItAnswers() {
     check(Reply.REFUSED, Reply.TIMEOUT);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -170,10 +170,10 @@
     }
 
     @Override
-    public void answered(EngineReport report, boolean late) {
+    public void answered(EngineReport report, long sentAt, boolean late) {
       end();
       if (!late) {
-        processReport(engine, report);
+        processReport(engine, report, sentAt);
       } else if (isFromEngine(engine, report)) {
         clearSuspicion(engine);
       }
@@ -226,10 +226,11 @@
     /**
      * Called at most once, when the engine has answered.
      *
+     * @param sentAt when the probe was sent, in nanoseconds of the executor's clock
      * @param late whether the answer arrived after the timeout, for which {@link #failed} was
      *     called
      */
-    void answered(EngineReport report, boolean late);
+    void answered(EngineReport report, long sentAt, boolean late);
 
     /**
      * Called when the probe failed or its timeout has passed; a second time if the engine requests
@@ -279,7 +280,7 @@
       }
       if (failure == null) {
         recordAnswerTime();
-        listener.answered(report, timedOut);
+        listener.answered(report, startedAt, timedOut);
       } else if (!timedOut || failure instanceof BackoffRequestedException) {
         listener.failed(elapsed(), timeout, failure);
       }
@@ -298,10 +299,13 @@
     }
   }
 
-  private void processReport(TrackedEndpoint engine, EngineReport report) {
+  private void processReport(TrackedEndpoint engine, EngineReport report, long sentAt) {
     if (isFromSuccessor(engine, report)) {
       fleet.suspect(engine, "a later incarnation answers at its address");
     } else if (fleet.reconcileIncarnation(engine, report.incarnation())) {
+      if (!engine.refusedConnectionSince(sentAt)) {
+        engine.clearConnectionRefused();
+      }
       processPace(engine, report);
       processStalls(engine, report);
     }
@@ -458,7 +462,7 @@
     }
 
     @Override
-    public void answered(EngineReport report, boolean late) {
+    public void answered(EngineReport report, long sentAt, boolean late) {
       if (isFromEngine(engine, report)) {
         fleet.clearSuspicion(engine);
       }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -220,7 +220,7 @@
   }
 
   private boolean startAttempt() {
-    if (!selector.select()) {
+    if (!selector.select(previous.endpoints())) {
       return false;
     }
     send();
@@ -748,7 +748,7 @@
   private boolean replaceAttempt() {
     Trigger trigger = failover.trigger();
     TrackedEndpoint endpoint = selector.target();
-    if (!selector.select()) {
+    if (!selector.select(previous.endpoints())) {
       return false;
     }
     context.budget().tryWithdraw();
@@ -922,11 +922,13 @@
     }
     if (failover.isActive()) {
       failover.retry();
-      return;
     }
+    // Another path may have become available since the search for one ended.
+    boolean pathLost =
+        failover.isActive() && failover.trigger().failure() == AttemptFailure.PATH_LOST;
     for (TrackedEndpoint engine : selector.lost()) {
       // Replacing one engine may have changed the path.
-      if (!failover.isActive() && uses(engine)) {
+      if ((pathLost || !failover.isActive()) && uses(engine)) {
         bypass(engine);
       }
     }
