Entry: send no second response to the body of a refused request

What callers saw: a request whose header fields together exceed maxHeaderBytes got its 431, which announces the close, and then, on the same connection, a 414: the rest of its body was taken for the next head, which is too long. Two answers for one request.

New test bodyOfRefusedRequestIsNotRejected, before: 'HTTP/1.1 431 ... HTTP/1.1 414' (the second status line instead of the end of the connection). Change: after a response that announces the close, input is not tracked as a head, and input that can't be decoded only closes the connection, lingering.

Remains: a request without an id and with a body is refused before the body is read, without an announced close; a body beyond maxHeaderBytes then meets the same path.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/UnreadInputTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/UnreadInputTest.java
@@ -29,6 +29,9 @@
   private static final String OVERSIZED_HEAD =
       "GET / HTTP/1.1\r\nX: " + "x".repeat(BODY_BYTES / 4) + "\r\n\r\n";
 
+  /** Allowed for one header field, but not for two together. */
+  private static final int LONG_FIELD_BYTES = 12_000;
+
   private static final String REJECTION =
       "HTTP/1.1 431 \r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
@@ -176,6 +179,20 @@
     }
   }
 
+  // Guards against a second response, to the body of a request that was refused after its head.
+  @Test
+  void bodyOfRefusedRequestIsNotRejected() throws Exception {
+    try (Socket caller = server.connect()) {
+      String field = "x".repeat(LONG_FIELD_BYTES) + "\r\n";
+      String head = "POST / HTTP/1.1\r\nHost: a\r\nX: " + field + "Y: " + field;
+      send(caller, head + "Content-Length: " + BODY_BYTES / 4 + "\r\n\r\n");
+      send(caller, "b".repeat(BODY_BYTES / 4));
+      String received = readToEnd(caller);
+      assertTrue(received.startsWith("HTTP/1.1 431 "), received);
+      assertEquals(received.lastIndexOf("HTTP/1.1"), 0, received);
+    }
+  }
+
   // Guards against connections that stay open because a caller ignores their end.
   @Test
   void connectionOfCallerThatDoesNotCloseIsClosed() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -379,16 +379,21 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (!isActive() && message instanceof ByteBuf bytes) {
+    if (awaitsHead() && message instanceof ByteBuf bytes) {
       trackHead(bytes);
     }
     super.channelRead(channel, message);
     // The decoder has processed these bytes: if no request has started, all belong to the head.
-    if (!isActive() && headBytes > limits.get().maxHeaderBytes()) {
+    if (awaitsHead() && headBytes > limits.get().maxHeaderBytes()) {
       reject(tooLargeReason());
     }
   }
 
+  /** Returns whether input belongs to a next head, rather than to a request that was refused. */
+  private boolean awaitsHead() {
+    return !isActive() && !lastResponse;
+  }
+
   private void trackHead(ByteBuf bytes) {
     // Empty lines before a request are ignored (RFC 9112, section 2.2).
     if (!headStarted && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0) {
@@ -415,6 +420,10 @@
       return;
     }
     rejected = true;
+    if (lastResponse) {
+      closeOrLinger(context.newPromise());
+      return;
+    }
     recordClose(CloseReason.REJECTED, reason.code());
     counters.count(Metric.REFUSALS, reason.code());
     String response =
