Known red: a stream leaves its replacement for the last events of a crashed engine

Trace (q55, two attempts allowed): the node's loop is held up until 5443 ms. It then runs its timers first and sends the suspected stream to a second engine, reads an event that the first engine had sent before, takes the first attempt back and cancels the second, and reads the break of the first connection right behind. Both attempts count, so the stream ends, with the second engine able to run it.

Not mended: a replacement that is superseded could stay until the previous attempt has delivered for a while, or a run that was cancelled before it could begin could be left uncounted. Both change what engines and the users' BUDGET rule see. The check stays as it is.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
@@ -91,6 +91,13 @@
     assertEquals(ImmutableList.of(), InFlightResponseSimulation.withReplacementFaults(seed).run());
   }
 
+  // Guards against a stream that leaves its replacement for the last events of a crashed engine,
+  // which a late node reads after it sent the replacement.
+  @Test
+  void streamKeepsReplacementOfCrashedEngineWhoseEventsAreReadLate() {
+    assertEquals(ImmutableList.of(), InFlightResponseSimulation.withReplacementFaults(2869).run());
+  }
+
   @AfterContainer
   static void report() {
     SIMULATIONS.report();
