Entry: a planned stop does not wait for a caller that never completes a request

Callers saw: nothing yet; found in a review. A node without any request stops only after its grace, as one cut by it.

Cause: a stop waits until no caller's connection is open, so that those that linger can end. But the server's graceful close keeps a connection on which the head of a request has begun, until that is complete or too slow.

Failed before (trial in UnreadInputTest: a connection with part of a request head, then closeAsyncGracefully and a wait for connections::isEmpty of 20 s): IllegalStateException: the condition did not come true

Once no request is in progress the node closes these connections itself, as all others: the output first, then the socket after a second at most.

What remains: a caller with part of a next request that has not received its previous response a second later gets a reset, as before. Without such a part it receives all of it (responseIsReceived...ByCallerThatReadsLate, which held before).

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -395,6 +395,10 @@
       callerServer.closeAsyncGracefully().subscribe();
     }
     boolean idle = activeRequests() == 0 && plan.closesIdleConnections(elapsed);
+    if (idle) {
+      // The server keeps connections on which the head of a request has begun.
+      callerConnections.closeIdle();
+    }
     // Callers may still be receiving the end of a response.
     boolean delivered = idle && callerConnections.isEmpty();
     if (delivered || plan.isExpired(elapsed)) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/UnreadInputTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/UnreadInputTest.java
@@ -200,4 +200,73 @@
     awaitOnEventLoop(server.connections::isEmpty);
     assertEquals(0, server.receivedRequests());
   }
+
+  // Guards against a planned stop that waits for a caller which never completes its next request.
+  @Test
+  void connectionWithPartOfNextRequestIsClosedByStop() throws Exception {
+    try (Socket caller = server.connect()) {
+      exchange(caller, "");
+      send(caller, "GET /next HTTP/1.1\r\nHost:");
+      // Makes it likely that the part has been read; the outcome is the same if it has not.
+      Thread.sleep(CHECK_MILLIS);
+      server.server.closeAsyncGracefully().subscribe();
+      server.io.execute(server.connections::closeIdle);
+      assertComplete(readToEnd(caller), "");
+      awaitOnEventLoop(server.connections::isEmpty);
+    }
+  }
+
+  // Guards against a reset of a closed connection whose caller has not received all of its
+  // response.
+  @Test
+  void responseIsReceivedAfterIdleTimeoutByCallerThatReadsLate() throws Exception {
+    server.setIdleTimeout(Duration.ofMillis(100));
+    try (Socket caller = server.connect()) {
+      exchange(caller, "");
+      awaitOnEventLoop(server.connections::isEmpty);
+      assertComplete(readToEnd(caller), "");
+    }
+  }
+
+  // Guards against a reset of a closed connection whose caller has not received all of its
+  // response.
+  @Test
+  void responseIsReceivedAfterRequestedCloseByCallerThatReadsLate() throws Exception {
+    try (Socket caller = server.connect()) {
+      exchange(caller, "Connection: close\r\n");
+      awaitOnEventLoop(server.connections::isEmpty);
+      assertComplete(readToEnd(caller), "");
+    }
+  }
+
+  // Guards against a reset of a closed connection whose caller has not received all of its
+  // response.
+  @Test
+  void responseIsReceivedAfterStopByCallerThatReadsLate() throws Exception {
+    try (Socket caller = server.connect()) {
+      exchange(caller, "");
+      server.startClosing();
+      awaitOnEventLoop(server.connections::isEmpty);
+      assertComplete(readToEnd(caller), "");
+    }
+  }
+
+  @Test
+  void closeOfIdleConnectionsSparesResponseInProgress() throws Exception {
+    try (Socket caller = server.connect()) {
+      EntryFixture.sendRequest(caller);
+      EntryFixture.ReceivedRequest request = server.next();
+      server.runOnEventLoop(
+          () -> {
+            server.connections.closeIdle();
+            request.response.head(EntryFixture.responseHead());
+            request.response.data(new byte[BODY_BYTES]);
+            request.response.end();
+          });
+      server.closeAfterResponses();
+      awaitOnEventLoop(() -> server.connections.activeCount() == 0);
+      server.io.execute(server.connections::closeIdle);
+      assertComplete(readToEnd(caller), "");
+    }
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -336,6 +336,14 @@
     closeOrLinger(context.newPromise());
   }
 
+  /** Closes the connection unless a request or response is in progress. */
+  void closeIfIdle() {
+    if (!isActive() && !lingering) {
+      recordCloseByNode();
+      closeOrLinger(context.newPromise());
+    }
+  }
+
   /** Closes the connection without waiting for the caller. */
   void closeNow() {
     recordCloseByNode();
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
@@ -23,6 +23,14 @@
     open.remove(connection);
   }
 
+  /**
+   * Closes the connections without a request or response in progress, once their callers have
+   * received the previous response or {@link CallerConnection} stops waiting for them.
+   */
+  public void closeIdle() {
+    ImmutableList.copyOf(open).forEach(CallerConnection::closeIfIdle);
+  }
+
   /** Closes all connections without waiting for their callers. */
   public void closeNow() {
     ImmutableList.copyOf(open).forEach(CallerConnection::closeNow);
