KeepAliveTest: leave time for the second request

The test of a connection in use sent its second request within half a second of the first response; on a busy machine the node closes the connection before that, as it should, and the test fails. The endpoint now states four seconds. What is checked is the same: a connection in use outlives the stated time.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/KeepAliveTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/KeepAliveTest.java
@@ -23,8 +23,13 @@
   /** Only bounds a failing test. */
   private static final int TIMEOUT_SECONDS = 20;
 
+  private static final int SHORT_KEEP_ALIVE_SECONDS = 1;
+
+  /** Leaves time for the next request on a busy machine. */
+  private static final int LONG_KEEP_ALIVE_SECONDS = 4;
+
   private static final String RESPONSE =
-      "HTTP/1.1 200 OK\r\nkeep-alive: timeout=1, max=100\r\ncontent-length: 2\r\n\r\nok";
+      "HTTP/1.1 200 OK\r\nkeep-alive: timeout=%d, max=100\r\ncontent-length: 2\r\n\r\nok";
 
   private final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
   private final EndpointConnections connections =
@@ -88,8 +93,8 @@
     }
   }
 
-  private static void respond(Socket socket) throws IOException {
-    socket.getOutputStream().write(RESPONSE.getBytes(US_ASCII));
+  private static void respond(Socket socket, int keepAliveSeconds) throws IOException {
+    socket.getOutputStream().write(RESPONSE.formatted(keepAliveSeconds).getBytes(US_ASCII));
   }
 
   // Guards against requests that are lost because the endpoint closes the connection, as it has
@@ -100,7 +105,7 @@
     try (Socket socket = endpoint.accept()) {
       socket.setSoTimeout(TIMEOUT_SECONDS * 1000);
       awaitRequest(socket);
-      respond(socket);
+      respond(socket, SHORT_KEEP_ALIVE_SECONDS);
       assertEquals("complete", outcome.result());
       assertEquals(-1, socket.getInputStream().read());
     }
@@ -113,12 +118,12 @@
     try (Socket socket = endpoint.accept()) {
       socket.setSoTimeout(TIMEOUT_SECONDS * 1000);
       awaitRequest(socket);
-      respond(socket);
+      respond(socket, LONG_KEEP_ALIVE_SECONDS);
       assertEquals("complete", first.result());
       Outcome second = send();
       awaitRequest(socket);
-      Thread.sleep(1200);
-      respond(socket);
+      Thread.sleep(LONG_KEEP_ALIVE_SECONDS * 1000 + 200);
+      respond(socket, LONG_KEEP_ALIVE_SECONDS);
       assertEquals("complete", second.result());
     }
   }
