--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -393,6 +393,10 @@
       closeCallerConnections();
     }
     boolean idle = activeRequests() == 0 && plan.closesIdleConnections(elapsed);
+    if (idle) {
+      // The server keeps connections on which the head of a request has begun.
+      callerConnections.closeIdle();
+    }
     // Callers may still be receiving the end of a response.
     boolean delivered = idle && callerConnections.isEmpty();
     if (delivered || plan.isExpired(elapsed)) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -341,18 +341,18 @@
     schedule(Duration.ZERO, action);
   }
 
-  /** Closes the connection if no request is in progress and none has arrived. */
-  void closeIfIdle() {
-    if (!isActive() && !headStarted && !lingering) {
-      runAfterRead(() -> closeWith(CloseReason.BETWEEN_RESPONSES));
-    }
-  }
-
   private void closeWith(CloseReason reason) {
     recordClose(reason, "timer");
     closeOrLinger(context.newPromise());
   }
 
+  /** Closes the connection unless a request or response is in progress, or a request arrived. */
+  void closeIfIdle() {
+    if (!isActive() && !lingering) {
+      runAfterRead(() -> closeWith(CloseReason.BETWEEN_RESPONSES));
+    }
+  }
+
   /** Closes the connection without waiting for the caller. */
   void closeNow() {
     recordCloseByNode();
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
@@ -24,8 +24,9 @@
   }
 
   /**
-   * Closes the connections on which no request is in progress or has arrived. Must be called by a
-   * task of the event loop, as sockets are polled once before the connections are closed.
+   * Closes the connections without a request or response in progress, once their callers have
+   * received the previous response or {@link CallerConnection} stops waiting for them. A request
+   * that has arrived is read first; for that, this must be called by a task of the event loop.
    */
   public void closeIdle() {
     ImmutableList.copyOf(open).forEach(CallerConnection::closeIfIdle);
