vaneworksd: a planned stop waits until answers are written

Callers saw: the end of a complete answer was cut by a planned stop with most of its grace left; the node said that it had cut nothing.

Cause: a request ends for the node when its answer is known. Bytes that were buffered for a slow caller had two seconds from then; after that the connection was closed hard.

The stop now waits until all responses are written to their sockets, at most until stop.deadlineMs; then VW1007 and the exit code say so. Waiting for ServiceTalk's graceful close instead was tried: it waits for callers to close as well, so one that keeps its connection open would hold each stop for the whole time.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/Daemon.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/Daemon.java
@@ -1,5 +1,7 @@
 package org.vaneworks.daemon;
 
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -30,16 +32,18 @@
 import org.vaneworks.transport.HttpSender;
 import org.vaneworks.transport.PeerClient;
 import org.vaneworks.transport.PeerServer;
+import org.vaneworks.transport.ResponseDeliveries;
 
 /** A running daemon, which owns a node, its sockets and its threads. */
 public final class Daemon {
-  /** How long responses that are already written may take to be sent by the sockets. */
-  private static final Duration FLUSH_TIMEOUT = Duration.ofSeconds(2);
+  /** How long callers may take to close connections after their last response. */
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
 
   private final Node node;
   private final Executor executor;
   private final HttpSender sender;
   private final HttpServerContext callerServer;
+  private final ResponseDeliveries deliveries;
   private final PeerServer peerServer;
   private final EventLoopGroup peerLoop;
 
@@ -48,12 +52,14 @@
       Executor executor,
       HttpSender sender,
       HttpServerContext callerServer,
+      ResponseDeliveries deliveries,
       PeerServer peerServer,
       EventLoopGroup peerLoop) {
     this.node = node;
     this.executor = executor;
     this.sender = sender;
     this.callerServer = callerServer;
+    this.deliveries = deliveries;
     this.peerServer = peerServer;
     this.peerLoop = peerLoop;
   }
@@ -90,10 +96,17 @@
     Node node =
         Node.create(settings.nodeSettings(incarnation, secret, peerServer.address()), dependencies);
     nodeFuture.complete(node);
+    ResponseDeliveries deliveries = ResponseDeliveries.create(executor);
     HttpServerContext callerServer =
         CallerServer.listen(
-            settings.callers(), node, executor, settings.maxBodyBytes(), registry::scrape);
-    Daemon daemon = new Daemon(node, executor, sender, callerServer, peerServer, peerLoop);
+            settings.callers(),
+            node,
+            executor,
+            settings.maxBodyBytes(),
+            registry::scrape,
+            deliveries);
+    Daemon daemon =
+        new Daemon(node, executor, sender, callerServer, deliveries, peerServer, peerLoop);
     EventLog.info(
         Event.STARTED,
         "node",
@@ -119,9 +132,22 @@
     return node;
   }
 
-  /** Performs a planned stop; the future completes with the number of requests that were cut. */
+  /**
+   * Performs a planned stop. Callers may read their responses until the stop deadline.
+   *
+   * @return the number of requests that were cut; at least 1 if a response was not read in time
+   */
   public CompletableFuture<Integer> stop() {
+    long deadline =
+        executor.currentTime(NANOSECONDS) + node.settings().limits().stop().deadline().toNanos();
     return node.stop()
+        .thenCompose(
+            cutRequests -> {
+              long remaining = deadline - executor.currentTime(NANOSECONDS);
+              return deliveries
+                  .awaitWritten(Duration.ofNanos(Math.max(0, remaining)))
+                  .thenApply(written -> written ? cutRequests : countUnread(cutRequests));
+            })
         .thenApply(
             cutRequests -> {
               closeSockets();
@@ -129,13 +155,18 @@
             });
   }
 
+  private static int countUnread(int cutRequests) {
+    EventLog.warn(Event.STOP_CUT, "cause", "callers did not read their responses in time");
+    return Math.max(1, cutRequests);
+  }
+
   private void closeSockets() {
     try {
-      // A graceful close lets each connection finish the response in progress.
+      // A graceful close lets callers read what is in their sockets and close first.
       callerServer
           .closeAsyncGracefully()
           .toFuture()
-          .get(FLUSH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+          .get(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     } catch (TimeoutException e) {
       callerServer.closeAsync().subscribe();
     } catch (InterruptedException e) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/CallerServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/CallerServer.java
@@ -4,6 +4,7 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.primitives.Ints;
+import io.netty.channel.Channel;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -16,14 +17,13 @@
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.Lifecycle.Phase;
 import org.vaneworks.coordination.Node;
 import org.vaneworks.coordination.endpoints.ServiceCall;
-import org.vaneworks.coordination.endpoints.ServiceReply;
 import org.vaneworks.coordination.requests.CallerOptions;
 import org.vaneworks.protocol.CallerJson;
 import org.vaneworks.protocol.InvalidFieldException;
@@ -45,12 +45,19 @@
   private final Executor executor;
   private final int maxBodyBytes;
   private final Supplier<String> metrics;
+  private final ResponseDeliveries deliveries;
 
-  private CallerServer(Node node, Executor executor, int maxBodyBytes, Supplier<String> metrics) {
+  private CallerServer(
+      Node node,
+      Executor executor,
+      int maxBodyBytes,
+      Supplier<String> metrics,
+      ResponseDeliveries deliveries) {
     this.node = checkNotNull(node);
     this.executor = checkNotNull(executor);
     this.maxBodyBytes = maxBodyBytes;
     this.metrics = checkNotNull(metrics);
+    this.deliveries = checkNotNull(deliveries);
   }
 
   /**
@@ -58,11 +65,17 @@
    *
    * @param maxBodyBytes maximum size of a request body
    * @param metrics returns the text served at {@code /metrics}
+   * @param deliveries keeps track of the answers to callers
    */
   public static HttpServerContext listen(
-      HostPort address, Node node, Executor executor, int maxBodyBytes, Supplier<String> metrics)
+      HostPort address,
+      Node node,
+      Executor executor,
+      int maxBodyBytes,
+      Supplier<String> metrics,
+      ResponseDeliveries deliveries)
       throws Exception {
-    CallerServer server = new CallerServer(node, executor, maxBodyBytes, metrics);
+    CallerServer server = new CallerServer(node, executor, maxBodyBytes, metrics, deliveries);
     return HttpServers.forAddress(new InetSocketAddress(address.host(), address.port()))
         .executor(executor)
         .executionStrategy(HttpExecutionStrategies.offloadNone())
@@ -76,7 +89,7 @@
       StreamingHttpResponseFactory factory) {
     CallerResponses responses = new CallerResponses(factory, context, () -> isStopping());
     try {
-      return route(request, responses)
+      return route(context, request, responses)
           .onErrorResume(failure -> handleFailure(request, responses, failure));
     } catch (RuntimeException e) {
       return handleFailure(request, responses, e);
@@ -115,13 +128,14 @@
   }
 
   private Single<StreamingHttpResponse> route(
-      StreamingHttpRequest request, CallerResponses responses) {
+      HttpServiceContext context, StreamingHttpRequest request, CallerResponses responses) {
+    Channel channel = ((NettyConnectionContext) context).nettyChannel();
     List<String> path = Splitter.on('/').omitEmptyStrings().splitToList(request.path());
     if (path.size() == 4 && isWorkspacePath(path) && path.get(3).equals("completions")) {
-      return completion(path.get(2), request, responses);
+      return completion(path.get(2), channel, request, responses);
     }
     if (path.size() >= 5 && isWorkspacePath(path) && path.get(3).equals("services")) {
-      return service(path, request, responses);
+      return service(path, channel, request, responses);
     }
     return switch (request.path()) {
       case TICKETS_PATH -> tickets(request, responses);
@@ -138,7 +152,7 @@
   }
 
   private Single<StreamingHttpResponse> completion(
-      String workspace, StreamingHttpRequest request, CallerResponses responses) {
+      String workspace, Channel channel, StreamingHttpRequest request, CallerResponses responses) {
     checkMethod(request);
     requireJson(request);
     CallerOptions options = CallerHeaders.read(request.headers());
@@ -147,14 +161,18 @@
             text -> {
               CallerJson.ParsedCompletion parsed = CallerJson.readCompletion(text);
               CompletionResponse response = new CompletionResponse(responses, parsed.stream());
-              Runnable cancel =
-                  node.dispatcher().complete(workspace, parsed.body(), options, response);
-              return response.response(cancel);
+              Single<StreamingHttpResponse> answer =
+                  Single.defer(
+                      () ->
+                          response.response(
+                              node.dispatcher()
+                                  .complete(workspace, parsed.body(), options, response)));
+              return deliveries.track(channel, answer);
             });
   }
 
   private Single<StreamingHttpResponse> service(
-      List<String> path, StreamingHttpRequest request, CallerResponses responses) {
+      List<String> path, Channel channel, StreamingHttpRequest request, CallerResponses responses) {
     CallerOptions options = CallerHeaders.read(request.headers());
     String prefix = "/v1/workspaces/" + path.get(2) + "/services/" + path.get(4);
     String rest = request.requestTarget().substring(prefix.length());
@@ -164,11 +182,14 @@
             text -> {
               ServiceCall call =
                   new ServiceCall(request.method().name(), target, text, responses.requestId());
-              CompletableFuture<ServiceReply> reply =
-                  node.dispatcher().call(path.get(2), path.get(4), call, options);
-              return Single.fromStage(reply)
-                  .map(responses::serviceReply)
-                  .onErrorReturn(responses::alreadyCounted);
+              Single<StreamingHttpResponse> answer =
+                  Single.defer(
+                          () ->
+                              Single.fromStage(
+                                  node.dispatcher().call(path.get(2), path.get(4), call, options)))
+                      .map(responses::serviceReply)
+                      .onErrorReturn(responses::alreadyCounted);
+              return deliveries.track(channel, answer);
             });
   }
 
