vaneworksd: a reply too large for peers fails alone

Callers saw: the answer of a plain service above 8 MiB under a ticket, asked for at another node, broke the connection between the nodes; all requests that waited on it got "the connection broke", and asking again broke it again.

Cause: the receiver closes the connection on a frame above its bound; the sender did not look.

The sender now replies that the answer is too large; the caller gets home-lost, may have run.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/peers/package-info.java
@@ -0,0 +1,2 @@
+/** Tests over sockets of the connections between nodes. */
+package org.vaneworks.tests.peers;
--- a/vaneworks/src/main/java/org/vaneworks/transport/PeerFrames.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/PeerFrames.java
@@ -15,7 +15,7 @@
 /** Framing of peer connections: a four-byte length, followed by the message. */
 final class PeerFrames {
   private static final int LENGTH_BYTES = 4;
-  private static final int MAX_FRAME_BYTES = 8 << 20;
+  static final int MAX_FRAME_BYTES = 8 << 20;
 
   private PeerFrames() {}
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/PeerServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/PeerServer.java
@@ -97,10 +97,20 @@
                     PeerMessage response =
                         failure == null ? reply : new PeerMessage.Failed(failure.toString());
                     ChannelFuture unused =
-                        context.writeAndFlush(PeerCodec.encode(request.id(), response));
+                        context.writeAndFlush(encodeWithinLimit(request.id(), response));
                   }));
     }
 
+    /** Replaces a message that is too large, on which the peer would close the connection. */
+    private static byte[] encodeWithinLimit(long id, PeerMessage response) {
+      byte[] frame = PeerCodec.encode(id, response);
+      if (frame.length <= PeerFrames.MAX_FRAME_BYTES) {
+        return frame;
+      }
+      String problem = "the reply is too large: " + frame.length + " bytes";
+      return PeerCodec.encode(id, new PeerMessage.Failed(problem));
+    }
+
     /** Closes the connection of a peer that sent an unreadable frame. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
