--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/callers/CallerSocketTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/callers/CallerSocketTest.java
@@ -220,6 +220,18 @@
     }
   }
 
+  // Guards against a connection reset that destroys a refusal: the rest of the body was unread.
+  @Test
+  void callerOfOversizedBodyReceivesItsRefusal() throws Exception {
+    try (Socket caller = connect()) {
+      send(caller, OVERSIZED_CALL);
+      sendUntilClosed(caller, "y".repeat(BODY_BYTES));
+      String response = readUntilClosed(caller.getInputStream());
+      assertTrue(response.startsWith("HTTP/1.1 413 "), () -> tail(response));
+      assertTrue(response.contains("body-too-large"), () -> tail(response));
+    }
+  }
+
   // Guards against cutting the answer to a caller that reads slowly while its connection is open.
   @Test
   void slowCallerReceivesItsAnswerAndThenTheNext() throws Exception {
