vaneworksd: records are handed over in messages that peers accept

Callers saw (by test): after a planned stop of its home every ticket was home-lost, if 200 records together were larger than a message between nodes (8 MiB), or one answer alone was; and a repeat could not get the answer that the home had.

Cause: parts were cut by the number of records only. The receiver closes the connection on a longer message, and an unanswered part ends the hand-over, since the receiver may have it.

Failed before (LargeHandOverTest, with the bound in the stand-in links): recordsThatExceedOneMessageAreHandedOver: home-lost (MAY_HAVE_RUN): n1~i1 is gone answerThatExceedsOneMessageIsNotRunAgain: expected: <RAN> but was: <MAY_HAVE_RUN>

Parts now end by size too. An answer that fits into no message is handed over as one that ran and whose record is gone.

--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryFleet.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryFleet.java
@@ -169,8 +169,12 @@
 
   /** Adds a ready plain service and its entry in the box list. */
   public ServiceCore addService(String box, String name) {
+    return addService(box, name, ServiceCore.create());
+  }
+
+  /** Adds a ready plain service and its entry in the box list; returns the service. */
+  public ServiceCore addService(String box, String name, ServiceCore service) {
     HostPort address = nextAddress(box);
-    ServiceCore service = ServiceCore.create();
     endpoints.add(
         new Endpoint(new EndpointId(box, "1"), address, "dc1", name, Optional.empty(), "", false),
         service);
--- a/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryPeers.java
+++ b/vaneworks-testlib/src/main/java/org/vaneworks/testlib/InMemoryPeers.java
@@ -119,6 +119,13 @@
       return reply;
     }
     byte[] frame = recordSent(PeerCodec.encode(0, request));
+    if (frame.length > PeerCodec.MAX_MESSAGE_BYTES) {
+      // The receiver closes the connection.
+      executor.schedule(
+          () -> reply.completeExceptionally(PeerException.unanswered("the connection broke")),
+          randomDelay());
+      return reply;
+    }
     if (!blocked.contains(new Direction(from, to))) {
       executor.schedule(() -> arrive(from, to, frame, reply), randomDelay());
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/OnceService.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/OnceService.java
@@ -1,19 +1,21 @@
 package org.vaneworks.coordination;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.Lists;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.membership.Member;
 import org.vaneworks.coordination.membership.MemberStatus;
@@ -65,6 +67,15 @@
   private static final Duration HOLDER_LOST_RETRY_AFTER = Duration.ofSeconds(1);
   private static final int RECORDS_PER_PART = 200;
 
+  /** Maximum encoded size of the records in one part; messages between peers end at 8 MiB. */
+  private static final int MAX_PART_BYTES = 7 << 20;
+
+  /** Upper bound on the encoded size of a record without the texts of its outcome. */
+  private static final int RECORD_OVERHEAD_BYTES = 1024;
+
+  /** Upper bound on the encoded size of a text's tag and length. */
+  private static final int TEXT_OVERHEAD_BYTES = 8;
+
   /** Maximum number of hand-overs that are followed to find the current holder of a record. */
   private static final int MAX_SUCCESSORS = 8;
 
@@ -408,19 +419,60 @@
   }
 
   private List<RecordsPart> parts() {
-    List<List<OnceRecord>> chunks = Lists.partition(records.records(), RECORDS_PER_PART);
-    int count = Math.max(1, chunks.size());
+    List<ImmutableList<OnceRecord>> chunks = chunks();
     ImmutableList.Builder<RecordsPart> parts = ImmutableList.builder();
-    for (int i = 0; i < count; i++) {
-      ImmutableList<OnceRecord> records =
-          i < chunks.size() ? ImmutableList.copyOf(chunks.get(i)) : ImmutableList.of();
+    for (int i = 0; i < chunks.size(); i++) {
       ImmutableList<TicketAuthority> authorities =
-          i == count - 1 ? ticketIssuer.authorities() : ImmutableList.of();
-      parts.add(new RecordsPart(members.self().identity(), i, count, authorities, records));
+          i == chunks.size() - 1 ? ticketIssuer.authorities() : ImmutableList.of();
+      parts.add(
+          new RecordsPart(members.self().identity(), i, chunks.size(), authorities, chunks.get(i)));
     }
     return parts.build();
   }
 
+  /** Divides the records into chunks that each fit into one message; there is at least one. */
+  private List<ImmutableList<OnceRecord>> chunks() {
+    List<ImmutableList<OnceRecord>> chunks = new ArrayList<>();
+    List<OnceRecord> chunk = new ArrayList<>();
+    long bytes = 0;
+    for (OnceRecord each : records.records()) {
+      OnceRecord record = encodedBytes(each) <= MAX_PART_BYTES ? each : withoutAnswer(each);
+      if (chunk.size() == RECORDS_PER_PART || bytes + encodedBytes(record) > MAX_PART_BYTES) {
+        chunks.add(ImmutableList.copyOf(chunk));
+        chunk.clear();
+        bytes = 0;
+      }
+      chunk.add(record);
+      bytes += encodedBytes(record);
+    }
+    chunks.add(ImmutableList.copyOf(chunk));
+    return chunks;
+  }
+
+  /** Returns an upper bound on the encoded size of a record. */
+  private static long encodedBytes(OnceRecord record) {
+    Stream<String> texts = record.outcome().map(OnceService::textsOf).orElse(Stream.empty());
+    return RECORD_OVERHEAD_BYTES
+        + texts.mapToLong(text -> text.getBytes(UTF_8).length + TEXT_OVERHEAD_BYTES).sum();
+  }
+
+  private static Stream<String> textsOf(OnceOutcome outcome) {
+    if (outcome instanceof OnceOutcome.Tokens answer) {
+      return answer.tokens().stream();
+    }
+    return outcome instanceof OnceOutcome.Replied answer
+        ? Stream.of(answer.reply().body())
+        : Stream.of(((OnceOutcome.Refused) outcome).refusal().detail());
+  }
+
+  /** Replaces an answer that fits into no message; the record still prevents a second run. */
+  private static OnceRecord withoutAnswer(OnceRecord record) {
+    Refusal tooLarge =
+        Refusal.ran(Reason.RECORD_GONE, "its answer was too large to be handed over");
+    return new OnceRecord(
+        record.recordId(), record.bodyHash(), Optional.of(new OnceOutcome.Refused(tooLarge)));
+  }
+
   private CompletableFuture<Optional<String>> handOverTo(
       List<Member> candidates, int index, List<RecordsPart> parts) {
     if (index == candidates.size()) {
--- a/vaneworks/src/main/java/org/vaneworks/protocol/PeerCodec.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/PeerCodec.java
@@ -22,6 +22,9 @@
 
 /** Encodes the messages between nodes as protobuf; {@code peer.proto} is the schema. */
 public final class PeerCodec {
+  /** Maximum length of an encoded message; a peer closes the connection on a longer one. */
+  public static final int MAX_MESSAGE_BYTES = 8 << 20;
+
   private PeerCodec() {}
 
   /**
--- a/vaneworks/src/main/java/org/vaneworks/transport/PeerFrames.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/PeerFrames.java
@@ -9,13 +9,13 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.bytes.ByteArrayDecoder;
 import io.netty.handler.codec.bytes.ByteArrayEncoder;
+import org.vaneworks.protocol.PeerCodec;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Metric;
 
 /** Framing of peer connections: a four-byte length, followed by the message. */
 final class PeerFrames {
   private static final int LENGTH_BYTES = 4;
-  static final int MAX_FRAME_BYTES = 8 << 20;
 
   private PeerFrames() {}
 
@@ -23,7 +23,8 @@
     pipeline
         .addLast(new ByteCounter(counters))
         .addLast(
-            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+            new LengthFieldBasedFrameDecoder(
+                PeerCodec.MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
         .addLast(new ByteArrayDecoder())
         .addLast(new ByteArrayEncoder());
--- a/vaneworks/src/main/java/org/vaneworks/transport/PeerServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/PeerServer.java
@@ -104,7 +104,7 @@
     /** Replaces a message that is too large, on which the peer would close the connection. */
     private static byte[] encodeWithinLimit(long id, PeerMessage response) {
       byte[] frame = PeerCodec.encode(id, response);
-      if (frame.length <= PeerFrames.MAX_FRAME_BYTES) {
+      if (frame.length <= PeerCodec.MAX_MESSAGE_BYTES) {
         return frame;
       }
       String problem = "the reply is too large: " + frame.length + " bytes";
