OnceStreamSchedule checks a refusal when its caller receives it

The trace: both callers were refused at 27.877 and 30.197 s with no-endpoint, NOT_RUN, when no engine had run a step of the prompt (runs so far 0); such a request may be started again, and a third call ran it. So the verdicts were true, and the check took them for all time.

The check is now made at the moment of the refusal, as OnceSchedule does; that no prompt runs twice, and that answers are right, is checked at the end as before.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/once/OnceStreamSchedule.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/once/OnceStreamSchedule.java
@@ -6,10 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import org.vaneworks.coordination.Node;
+import org.vaneworks.coordination.pipeline.AnswerSink;
 import org.vaneworks.coordination.requests.CallerOptions;
+import org.vaneworks.coordination.requests.CompletionBody;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.Refusal;
 import org.vaneworks.testlib.InMemoryFleet;
 import org.vaneworks.testlib.RecordedAnswer;
 import org.vaneworks.tests.Schedules;
@@ -116,21 +120,51 @@
   }
 
   private void ask(Node node, Request request) {
-    String name =
-        fleet.nodes().stream()
-            .filter(node::equals)
-            .map(each -> each.settings().name())
-            .findFirst()
-            .orElseThrow();
-    RecordedAnswer answer = fleet.ask(name, request.prompt(), request.tokens(), request.options());
+    RecordedAnswer answer = RecordedAnswer.to(request.prompt());
+    var unused =
+        node.dispatcher()
+            .complete(
+                InMemoryFleet.WORKSPACE,
+                new CompletionBody(request.prompt(), OptionalInt.of(request.tokens())),
+                request.options(),
+                checkingRefusals(answer));
     calls.add(new Call(node, request, answer));
   }
 
+  /**
+   * Checks a refusal at the time when the caller receives it: a request that was refused as not run
+   * may be started by a later call.
+   */
+  private AnswerSink checkingRefusals(RecordedAnswer answer) {
+    return new AnswerSink() {
+      @Override
+      public void token(String text) {
+        answer.token(text);
+      }
+
+      @Override
+      public void complete() {
+        answer.complete();
+      }
+
+      @Override
+      public void failed(Refusal refusal) {
+        answer.failed(refusal);
+        problems.addAll(
+            fleet.verifier().problemsOf(answer, MAX_TOKENS, false).stream()
+                .map(problem -> answer.prompt() + ": " + problem)
+                .toList());
+      }
+    };
+  }
+
   private void checkAnswer(Call call) {
-    problems.addAll(
-        fleet.verifier().problemsOf(call.answer(), call.request().tokens(), false).stream()
-            .map(problem -> call.request().prompt() + ": " + problem)
-            .toList());
+    if (call.answer().refusal().isEmpty()) {
+      problems.addAll(
+          fleet.verifier().problemsOf(call.answer(), call.request().tokens(), false).stream()
+              .map(problem -> call.request().prompt() + ": " + problem)
+              .toList());
+    }
   }
 
   private void checkRuns(Request request) {
