--- a/vaneworks/src/main/java/org/vaneworks/transport/ResponseDeliveries.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/ResponseDeliveries.java
@@ -4,6 +4,8 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -34,6 +36,30 @@
   /** Number of responses whose end was not passed to their channel yet. */
   private final AtomicInteger unfinished = new AtomicInteger();
 
+  /** One response; it ends with its channel if it does not end before. */
+  private final class Delivery implements ChannelFutureListener {
+    private final Channel channel;
+    private final AtomicBoolean finished = new AtomicBoolean();
+
+    Delivery(Channel channel) {
+      this.channel = channel;
+    }
+
+    void finish() {
+      if (finished.compareAndSet(false, true)) {
+        unfinished.decrementAndGet();
+        // Otherwise the listeners of all responses would accumulate on a connection that stays
+        // open.
+        channel.closeFuture().removeListener(this);
+      }
+    }
+
+    @Override
+    public void operationComplete(ChannelFuture closed) {
+      finish();
+    }
+  }
+
   private ResponseDeliveries(Executor executor) {
     this.executor = checkNotNull(executor);
   }
@@ -45,19 +71,13 @@
 
   /** Returns the response, which counts as unfinished from now until its end or the channel's. */
   Single<StreamingHttpResponse> track(Channel channel, Single<StreamingHttpResponse> response) {
-    AtomicBoolean finished = new AtomicBoolean();
-    Runnable finish =
-        () -> {
-          if (finished.compareAndSet(false, true)) {
-            unfinished.decrementAndGet();
-          }
-        };
+    Delivery delivery = new Delivery(channel);
     unfinished.incrementAndGet();
     channels.add(channel);
-    channel.closeFuture().addListener(closed -> finish.run());
+    channel.closeFuture().addListener(delivery);
     return response
-        .map(head -> head.transformPayloadBody(body -> body.beforeFinally(finish)))
-        .beforeOnError(failure -> finish.run());
+        .map(head -> head.transformPayloadBody(body -> body.beforeFinally(delivery::finish)))
+        .beforeOnError(failure -> delivery.finish());
   }
 
   /**
