Forwarding: a stream waits to learn whether the engine that it lost has crashed

Callers saw: a stream is cut in the moment in which its engine crashes, with 'attempts-used', although other engines have room.

Cause: runs at engines that have ended don't count, but that is known only 10 to 150 ms after the connection broke, when the engine's box has refused a connection. The stream was judged at once.

Change: a stream that is interrupted with its attempts used up waits 100 ms, the time that a request near its quarantine waits already, and is judged then. A caller of a stream waits for two seconds at least.

InterruptedStreamTest.streamContinuesAfterCrashThatIsKnownLater: the former code cuts within the same call, so its first assertion can't hold; it was not run there.

Tests changed: four control cases (streamRunsOnNoMoreLiveEnginesThanRouteAllows, streamRunsOnNoMoreEnginesThanRouteAllows, streamEndsWhenPreviousAttemptFailsBeforeItsReplacement, streamEndsWhenReplacementFailsBeforePreviousAttempt) assert the same cut and the same two sends, 100 ms later.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/InterruptedStreamTest.java
@@ -101,10 +101,35 @@
     running.head(200);
     running.event(2);
     disconnect(running);
+    node.advance(100);
     assertEquals(2, node.sent.size(), "sends");
     assertTrue(response.cut, "cut");
   }
 
+  // Guards against aborting a stream before it is known that the engine that it lost has crashed.
+  @Test
+  void streamContinuesAfterCrashThatIsKnownLater() {
+    for (int number = 1; number <= 3; number++) {
+      node.engine(number, 0, 80);
+    }
+    startStream("/stream/x");
+    disconnect(running);
+    running = node.lastAttempt();
+    running.head(200);
+    running.event(2);
+    disconnect(running);
+    assertFalse(response.cut, "cut");
+    FleetEndpoint crashed = running.attempt.endpoint();
+    node.fleet.recordConnectionRefused(
+        node.fleet.find(ForwardingFixture.MODEL, crashed.address()).orElseThrow());
+    node.advance(100);
+    assertEquals(3, node.sent.size(), "sends");
+    running = node.lastAttempt();
+    running.head(200);
+    continueFrom(3);
+    assertWhole();
+  }
+
   // Guards against aborting an interrupted stream although its caller still waits.
   @Test
   void streamWaitsForCapacityAsLongAsItsCaller() {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAttemptTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RunningAttemptTest.java
@@ -16,6 +16,9 @@
 
 /** Checks that an attempt is not aborted before another endpoint has accepted the request. */
 final class RunningAttemptTest {
+  /** Time after which an engine that crashed with its connection is known to have ended. */
+  private static final int CRASH_DETECTION_MILLIS = 100;
+
   private final ForwardingFixture node = new ForwardingFixture();
   private FleetEndpoint engine;
   private RecordedResponse response;
@@ -220,6 +223,7 @@
     node.advance(600);
     running.event(2);
     running.listener.failed(false, new IllegalStateException("reset"));
+    node.advance(CRASH_DETECTION_MILLIS);
     assertEquals(2, node.sent.size());
     assertTrue(response.cut);
     assertNoCapacityReserved();
@@ -255,6 +259,7 @@
     running.listener.failed(false, new IllegalStateException("reset"));
     assertFalse(response.cut);
     replacement.listener.failed(false, new IllegalStateException("reset"));
+    node.advance(CRASH_DETECTION_MILLIS);
     assertTrue(response.cut);
     assertEquals(2, node.sent.size());
     assertNoCapacityReserved();
@@ -267,6 +272,7 @@
     node.lastAttempt().listener.failed(false, new IllegalStateException("reset"));
     assertFalse(response.cut);
     running.listener.failed(false, new IllegalStateException("reset"));
+    node.advance(CRASH_DETECTION_MILLIS);
     assertTrue(response.cut);
     assertEquals(2, node.sent.size());
     assertNoCapacityReserved();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -40,7 +40,8 @@
 
   /**
    * Time within which a crashed endpoint can be distinguished from a lost connection. Waiting for
-   * it prevents a request that crashes endpoints from being sent to another one.
+   * it prevents a request that crashes endpoints from being sent to another one, and an interrupted
+   * stream from being aborted because of runs that do not count.
    */
   private static final Duration FAILURE_DETECTION_DELAY = Duration.ofMillis(100);
 
@@ -428,16 +429,48 @@
       return;
     }
     selector.release();
-    Optional<ResendDenial> denial = denial(verdict, countedRuns());
+    Ended ended = new Ended(verdict, failure, cause, triedAt, detail);
+    boolean exhausted =
+        denial(verdict, countedRuns()).equals(Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED));
+    if (exhausted && headSent && selector.runsOnEngines()) {
+      // If the engine crashed, its run does not count.
+      context
+          .clock()
+          .schedule(
+              () -> resendOrGiveUpIfInterrupted(ended),
+              FAILURE_DETECTION_DELAY.toNanos(),
+              NANOSECONDS);
+    } else {
+      resendOrGiveUp(ended);
+    }
+  }
+
+  /**
+   * An attempt that ended without a complete response.
+   *
+   * @param triedAt the endpoint
+   * @param detail the cause, including whether a partial event was dropped
+   */
+  private record Ended(
+      Verdict verdict, AttemptFailure failure, String cause, String triedAt, String detail) {}
+
+  private void resendOrGiveUpIfInterrupted(Ended ended) {
+    if (!done && !selector.isSelected()) {
+      resendOrGiveUp(ended);
+    }
+  }
+
+  private void resendOrGiveUp(Ended ended) {
+    Optional<ResendDenial> denial = denial(ended.verdict(), countedRuns());
     if (denial.isEmpty() && !context.budget().tryWithdraw()) {
       denial = Optional.of(ResendDenial.BUDGET_EXHAUSTED);
     }
     if (denial.isPresent()) {
-      giveUp(verdict, denial.get(), failure.code() + ": " + cause);
+      giveUp(ended.verdict(), denial.get(), ended.failure().code() + ": " + ended.cause());
       return;
     }
-    logSentAgain(triedAt, failure, detail);
-    retry(verdict);
+    logSentAgain(ended.triedAt(), ended.failure(), ended.detail());
+    retry(ended.verdict());
   }
 
   /**
