Entry: the idle timer of a connection to an endpoint ends with the connection

Found in the review: the timer that closes an idle connection was not cancelled when the connection closed, and was also set for one that closes after its response, so it kept closed connections in memory for the time that endpoints state. By reading; no test (the timer is not visible from outside).

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
@@ -58,6 +58,7 @@
 
   private Optional<User> user = Optional.empty();
   private Cancellable idleTimer = () -> {};
+  private boolean closed;
 
   EndpointConnection(FilterableStreamingHttpConnection connection) {
     super(connection);
@@ -67,6 +68,13 @@
     // the list is the pipeline's tail.
     String last = pipeline.names().get(pipeline.names().size() - 2);
     pipeline.addBefore(last, EARLY_RESPONSE_HANDLER_NAME, new EarlyResponseHandler());
+    connection.onClose().whenFinally(this::closed).subscribe();
+  }
+
+  private void closed() {
+    closed = true;
+    // The timer would keep the connection in memory.
+    idleTimer.cancel();
   }
 
   /**
@@ -114,7 +122,9 @@
 
   /** Records that a response with these headers was received completely. */
   void rested(HttpHeaders headers) {
-    keepAliveTimeout(headers).ifPresent(this::closeAfterIdle);
+    if (!closed) {
+      keepAliveTimeout(headers).ifPresent(this::closeAfterIdle);
+    }
   }
 
   private void closeAfterIdle(Duration timeout) {
