--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -429,7 +429,7 @@
       return;
     }
     selector.release();
-    Ended ended = new Ended(verdict, failure, cause, triedAt, detail);
+    EndedAttempt ended = new EndedAttempt(verdict, failure, cause, triedAt, detail);
     boolean exhausted =
         denial(verdict, countedRuns()).equals(Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED));
     if (exhausted && headSent && selector.runsOnEngines()) {
@@ -451,16 +451,16 @@
    * @param triedAt the endpoint
    * @param detail the cause, including whether a partial event was dropped
    */
-  private record Ended(
+  private record EndedAttempt(
       Verdict verdict, AttemptFailure failure, String cause, String triedAt, String detail) {}
 
-  private void resendOrGiveUpIfInterrupted(Ended ended) {
+  private void resendOrGiveUpIfInterrupted(EndedAttempt ended) {
     if (!done && !selector.isSelected()) {
       resendOrGiveUp(ended);
     }
   }
 
-  private void resendOrGiveUp(Ended ended) {
+  private void resendOrGiveUp(EndedAttempt ended) {
     Optional<ResendDenial> denial = denial(ended.verdict(), countedRuns());
     if (denial.isEmpty() && !context.budget().tryWithdraw()) {
       denial = Optional.of(ResendDenial.BUDGET_EXHAUSTED);
