Forwarding: an interrupted stream waits for the retry budget; a retry is withdrawn as it is sent

Cause: PendingResend's predecessor in ForwardedRequest asked the budget once, at the end of the attempt. It also withdrew the repeat there. One that then waited for capacity went out together with repeats that requests had earned in the meantime: more sends in a moment than the reserve.

Change: the stream waits in ResendQueue, in order of priority and arrival, for as long as it would wait for capacity (for both together), and not at all if the budget can't recover. While one waits, no other request of the node gets a repeat: the others can be asked again by their callers, or still have an attempt. A repeat is reserved when it is allowed, which deposits don't reduce, and withdrawn when it is sent, if limits and live nodes still allow it; a reservation that is not used is free again. What follows an attempt's end moved from ForwardedRequest to PendingResend.

A third kind of course breaks connections of live engines: no stream is cut while its caller waits and an attempt is left, and the sum over nodes is held against the fleet's budget.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
@@ -1,6 +1,7 @@
 package org.vaneworks.daemon.entry;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.vaneworks.state.HostPort;
@@ -55,6 +56,11 @@
     return eventTimes.contains(millis);
   }
 
+  /** Returns when the node received the last event; empty if it received none. */
+  OptionalLong lastEventAt() {
+    return eventTimes.stream().mapToLong(Long::longValue).max();
+  }
+
   /** Records that the request is sent elsewhere. */
   void recordNextAttempt() {
     endedBeforeNextAttempt |= engineEnded.getAsBoolean();
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulation.java
@@ -49,20 +49,30 @@
 
   private static final int AMPLE_RESERVE = 12;
 
-  /** The fraction of its part of the reserve that a node grants. */
-  private static final double RESERVE_FRACTION = 0.6;
+  /** In simulations with broken connections, one action in this many breaks connections. */
+  private static final int BROKEN_CONNECTIONS_ONE_IN = 2;
 
   /** Longer than the longest request timeout plus the longest pause, and any cleanup after them. */
   private static final int SETTLE_MILLIS = 26_000;
 
+  /** Which faults a simulation has. */
+  private enum Faults {
+    BASIC,
+    /** Replacements of silent engines fail as well. */
+    REPLACEMENTS,
+    /** Connections of live engines break, which interrupts more streams than budgets allow. */
+    CONNECTIONS
+  }
+
   private final Random random;
   private final int nodes;
   private final SimulatedCluster cluster;
-  private final boolean replacementFaults;
+  private final Faults faults;
   private final ImmutableList<EntryRoute> routes;
   private final Map<String, SimulatedCaller> callers = new HashMap<>();
   private final List<SimulatedCaller> callersInOrder = new ArrayList<>();
   private final List<RetryBudgetChecker> budgets = new ArrayList<>();
+  private final RetryBudgetChecker fleetBudget;
   private final List<String> problems = new ArrayList<>();
   private ForwardingLimits limits;
   private int version = 1;
@@ -71,7 +81,7 @@
   private final boolean crashing;
 
   InFlightResponseSimulation(long seed) {
-    this(seed, false);
+    this(seed, Faults.BASIC);
   }
 
   /**
@@ -79,12 +89,21 @@
    * answers, pause for about as long as it takes to suspect them, and get bursts of streams.
    */
   static InFlightResponseSimulation withReplacementFaults(long seed) {
-    return new InFlightResponseSimulation(seed, true);
+    return new InFlightResponseSimulation(seed, Faults.REPLACEMENTS);
   }
 
-  private InFlightResponseSimulation(long seed, boolean replacementFaults) {
-    this.replacementFaults = replacementFaults;
-    routes = SimulationConfiguration.routes(replacementFaults ? 3 : 2);
+  /**
+   * Creates a simulation in which the connections of live engines break and bursts of streams
+   * compete for small retry budgets. Nodes do not restart, so that the budget of all nodes together
+   * is checked as well.
+   */
+  static InFlightResponseSimulation withBrokenConnections(long seed) {
+    return new InFlightResponseSimulation(seed, Faults.CONNECTIONS);
+  }
+
+  private InFlightResponseSimulation(long seed, Faults faults) {
+    this.faults = faults;
+    routes = SimulationConfiguration.routes(faults == Faults.BASIC ? 2 : 3);
     random = new Random(seed);
     nodes = 1 + random.nextInt(MAX_NODES);
     limits = randomLimits();
@@ -92,10 +111,11 @@
         new SimulatedCluster(nodes, seed, SimulationConfiguration.of(version, 15_000), limits);
     tokens = 100 + random.nextInt(1000);
     requestIntervalMillis = 8 + random.nextInt(60);
-    crashing = random.nextInt(8) == 0;
+    crashing = random.nextInt(8) == 0 && faults != Faults.CONNECTIONS;
     for (int i = 0; i < nodes; i++) {
       budgets.add(new RetryBudgetChecker(limits, nodes, cluster::nowMillis));
     }
+    fleetBudget = new RetryBudgetChecker(limits, 1, cluster::nowMillis);
     startEndpoints();
     cluster.onAttempt(this::beforeAttempt);
     cluster.advance(2000);
@@ -103,9 +123,13 @@
 
   /** Draws a retry budget; the reserve is mostly small, at most three retries per node. */
   private ForwardingLimits randomLimits() {
+    if (faults == Faults.CONNECTIONS) {
+      double reserve = nodes * (1 + random.nextInt(3)) / RetryBudgetChecker.RESERVE_FRACTION;
+      return new ForwardingLimits(Duration.ofMillis(4750), 0.2, reserve);
+    }
     double share = random.nextInt(2) * 0.2;
     int reservePerNode = random.nextInt(4) == 0 ? AMPLE_RESERVE : random.nextInt(4);
-    double reserve = nodes * reservePerNode / RESERVE_FRACTION;
+    double reserve = nodes * reservePerNode / RetryBudgetChecker.RESERVE_FRACTION;
     return new ForwardingLimits(Duration.ofMillis(4750), share, reserve);
   }
 
@@ -130,6 +154,9 @@
     cluster.advance(SETTLE_MILLIS);
     for (SimulatedCaller caller : callersInOrder) {
       problems.addAll(caller.problems(cluster.attemptsOf(caller.id())));
+      if (faults == Faults.CONNECTIONS && caller.wasAbortedEarly(cluster.attemptsOf(caller.id()))) {
+        problems.add("aborted while its caller waited: " + caller);
+      }
     }
     problems.addAll(cluster.unreleasedState());
     return ImmutableList.copyOf(problems);
@@ -189,7 +216,7 @@
         moved += cluster.attemptsOf(caller.id()).size() - 1;
       }
     }
-    long allowed = Math.round(limits.retryReserve() * RESERVE_FRACTION / nodes);
+    long allowed = Math.round(limits.retryReserve() * RetryBudgetChecker.RESERVE_FRACTION / nodes);
     if (moved < Math.min(running, allowed)) {
       problems.add(
           "node " + node + " moved " + moved + " of " + running + " streams, allowed " + allowed);
@@ -220,6 +247,7 @@
     callers.put(id, caller);
     callersInOrder.add(caller);
     cluster.runAtNode(node, budgets.get(node)::recordRequest);
+    cluster.runAtNode(node, fleetBudget::recordRequest);
     cluster.sendRequest(node, request, caller, caller::onAccepted);
   }
 
@@ -229,11 +257,19 @@
     if (attempts.size() > 1 && !budgets.get(node).recordRetry()) {
       problems.add("retries of node " + node + " exceed the budget with " + id);
     }
+    if (attempts.size() > 1 && !fleetBudget.recordRetry() && faults == Faults.CONNECTIONS) {
+      problems.add("retries of all nodes exceed the budget with " + id);
+    }
   }
 
   private void randomAction() {
+    if (faults == Faults.CONNECTIONS) {
+      breakConnections();
+      return;
+    }
     int node = random.nextInt(nodes);
-    switch (random.nextInt(replacementFaults ? ACTIONS + REPLACEMENT_FAULT_ACTIONS : ACTIONS)) {
+    boolean replacements = faults == Faults.REPLACEMENTS;
+    switch (random.nextInt(replacements ? ACTIONS + REPLACEMENT_FAULT_ACTIONS : ACTIONS)) {
       case 0, 1, 2, 3, 4, 5 -> atEngine(this::pause);
       case 6 -> atEngine(cluster::crashEngine);
       case 7 -> atEngine(cluster::stopEngineSilently);
@@ -260,6 +296,21 @@
     }
   }
 
+  private void breakConnections() {
+    if (random.nextInt(BROKEN_CONNECTIONS_ONE_IN) == 0) {
+      atEngine(cluster::abortRequests);
+      return;
+    }
+    int node = random.nextInt(nodes);
+    switch (random.nextInt(6)) {
+      case 0, 1 -> sendBurst(node);
+      case 2 -> atEngine(this::pause);
+      case 3 -> cluster.stallNode(node, random.nextInt(MAX_STALL_MILLIS));
+      case 4 -> configure();
+      default -> disconnectSomeCallers();
+    }
+  }
+
   /** Applies an action to a random engine that runs. */
   private void atEngine(IntConsumer action) {
     ImmutableList<Integer> working = cluster.workingEngines();
@@ -306,12 +357,17 @@
     int idleMillis = 5000 + random.nextInt(20_000);
     for (int node = 0; node < nodes; node++) {
       RetryBudgetChecker budget = budgets.get(node);
-      cluster.runAtNode(node, () -> budget.updateLimits(next));
+      cluster.runAtNode(node, () -> updateLimits(budget, next));
       cluster.configure(node, SimulationConfiguration.of(version, idleMillis), next);
       cluster.stallNode(node, random.nextInt(MAX_STALL_MILLIS));
     }
   }
 
+  private void updateLimits(RetryBudgetChecker budget, ForwardingLimits next) {
+    budget.updateLimits(next);
+    fleetBudget.updateReserve(budgets.stream().mapToDouble(RetryBudgetChecker::nodeReserve).sum());
+  }
+
   private void disconnectSomeCallers() {
     callersInOrder.stream().filter(caller -> random.nextInt(4) == 0).forEach(this::disconnect);
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
@@ -22,6 +22,7 @@
 final class InFlightResponseSimulationTest {
   private static final Schedules SIMULATIONS = new Schedules("in-flight response");
   private static final Schedules REPLACEMENTS = new Schedules("replacement fault");
+  private static final Schedules INTERRUPTIONS = new Schedules("broken connection");
 
   @Property(
       tries = Schedules.TRIES,
@@ -53,6 +54,23 @@
         });
   }
 
+  // Guards against interrupted streams that are aborted while they could wait for the retry budget,
+  // and against nodes that together send more retries than the budget allows.
+  @Property(
+      tries = Schedules.TRIES,
+      seed = "20261205",
+      shrinking = ShrinkingMode.OFF,
+      afterFailure = AfterFailureMode.PREVIOUS_SEED)
+  void interruptedStreamsWaitForRetryBudget(@ForAll long seed) {
+    INTERRUPTIONS.run(
+        seed,
+        each -> {
+          InFlightResponseSimulation simulation =
+              InFlightResponseSimulation.withBrokenConnections(each);
+          return new Schedules.Result(simulation.run(), simulation.counts());
+        });
+  }
+
   // Guards against a stream that is aborted because it left a live engine for one that rejected it.
   @Test
   void streamKeepsItsEngineIfAnotherEngineRejectsIt() {
@@ -98,9 +116,17 @@
     assertEquals(ImmutableList.of(), InFlightResponseSimulation.withReplacementFaults(2869).run());
   }
 
+  // Control case: a node sends a retry shortly after the budget was lowered, before which other
+  // nodes had sent more retries than the lower budget allows.
+  @Test
+  void nodesObeyBudgetThatIsLowered() {
+    assertEquals(ImmutableList.of(), InFlightResponseSimulation.withBrokenConnections(39).run());
+  }
+
   @AfterContainer
   static void report() {
     SIMULATIONS.report();
     REPLACEMENTS.report();
+    INTERRUPTIONS.report();
   }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
@@ -33,6 +33,9 @@
    */
   private static final int FIRST_EVENT_TIMEOUT_MILLIS = 2000;
 
+  /** The time after the last event within which an interrupted stream must be resumed. */
+  private static final int RESUMABLE_MILLIS = 1500;
+
   /** The tolerance for a node that reads a backlog after its event loop was stalled. */
   private static final int STALL_TOLERANCE_MILLIS = 50;
 
@@ -277,6 +280,25 @@
     lastKept.ifPresent(last -> checkAbort(last, attempts));
   }
 
+  /**
+   * Returns whether a stream was aborted although its caller still waited, it could be resumed and
+   * its route allows another attempt; engines must not have crashed or rejected it.
+   */
+  boolean wasAbortedEarly(ImmutableList<AttemptRecord> attempts) {
+    boolean inTime = finishedAt < acceptedAt + request.timeout().toMillis();
+    boolean resumable = route.kind().idempotent() && route.kind().streamed();
+    long lastEventAt =
+        attempts.stream()
+            .flatMapToLong(attempt -> attempt.lastEventAt().stream())
+            .max()
+            .orElse(headAt);
+    return response.cut
+        && inTime
+        && resumable
+        && attempts.size() < route.attempts()
+        && finishedAt < lastEventAt + RESUMABLE_MILLIS;
+  }
+
   /**
    * Checks that, once the response had started, engines were abandoned only for others that
    * delivered at that time.
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -54,6 +54,9 @@
   static final String PLAIN = "records";
   static final String KEY = "secret";
 
+  /** The key of a caller whose requests are less urgent. */
+  static final String PATIENT_KEY = "patient";
+
   /** The incarnation of all endpoints that a test registers without another one. */
   static final Incarnation FIRST_START = Incarnation.startedAt(1000);
 
@@ -232,7 +235,11 @@
         List.of(
             new ServiceProfile(MODEL, 1000, Optional.of(Models.eightyLayers())),
             new ServiceProfile(PLAIN, 100, Optional.empty())),
-        Map.of(KEY, new Caller("ward", OptionalInt.empty())),
+        Map.of(
+            KEY,
+            new Caller("ward", OptionalInt.empty()),
+            PATIENT_KEY,
+            new Caller("archive", OptionalInt.of(3))),
         new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
@@ -22,6 +22,7 @@
  * @param transport sends attempts to endpoints
  * @param queues requests that wait for capacity
  * @param budget limits repeated sends
+ * @param resends interrupted streams that wait for the budget
  * @param quarantine contents of requests that are not sent
  * @param crashDetector attributes the crash of an endpoint to the requests that it had just begun
  * @param dataCentre this node's data centre
@@ -37,6 +38,7 @@
     EndpointTransport transport,
     CapacityQueues queues,
     ResendBudget budget,
+    ResendQueue resends,
     Quarantine quarantine,
     CrashDetector crashDetector,
     String dataCentre,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -12,6 +12,7 @@
 import org.vaneworks.coordination.fleet.RequestSchedule;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.Failover.Trigger;
+import org.vaneworks.coordination.forwarding.PendingResend.EndedAttempt;
 import org.vaneworks.coordination.forwarding.PreviousAttempts.PreviousAttempt;
 import org.vaneworks.coordination.relay.EnginePath;
 import org.vaneworks.state.Reason;
@@ -38,13 +39,6 @@
    */
   private static final Duration FAILED_ENDPOINT_PAUSE = Duration.ofMillis(500);
 
-  /**
-   * Time within which a crashed endpoint can be distinguished from a lost connection. Waiting for
-   * it prevents a request that crashes endpoints from being sent to another one, and an interrupted
-   * stream from being aborted because of runs that do not count.
-   */
-  private static final Duration FAILURE_DETECTION_DELAY = Duration.ofMillis(100);
-
   private static final int SERVER_ERROR = 500;
   private static final int MISDIRECTED = 421;
 
@@ -67,6 +61,7 @@
   private final RequestQuarantine quarantine;
   private final Failover failover;
   private final PathRepairs repairs;
+  private final PendingResend resend;
 
   /** The current attempt, if one is in progress. */
   private Optional<RunningAttempt> attempt = Optional.empty();
@@ -113,6 +108,7 @@
     this.progress = new ProgressMonitor(context, selector, route.pauseObjective(), this::onStall);
     this.failover = new Failover(context.clock(), new FailoverCallbacks());
     this.repairs = new PathRepairs(context, request, selector, quarantine, new RepairCallbacks());
+    this.resend = new PendingResend(context, new ResendCallbacks());
     this.startedAt = now();
     this.deadlines = CallerDeadlines.of(route, request.callerTimeout(), startedAt);
     this.deadline = deadlines.deadline();
@@ -173,7 +169,7 @@
 
     @Override
     public boolean mayStart() {
-      return !failover.isActive() || denialIfAbandoned().isEmpty();
+      return failover.isActive() ? denialIfAbandoned().isEmpty() : resend.maySend();
     }
 
     @Override
@@ -183,6 +179,10 @@
         failover.capacityRefused();
         return;
       }
+      if (!resend.maySend()) {
+        resend.awaitBudget();
+        return;
+      }
       giveUp(
           Verdict.NOT_RUN,
           ResendDenial.NO_CAPACITY,
@@ -221,9 +221,10 @@
   }
 
   private boolean startAttempt() {
-    if (!selector.select(previous.endpoints())) {
+    if (!resend.maySend() || !selector.select(previous.endpoints())) {
       return false;
     }
+    resend.sent();
     send();
     return true;
   }
@@ -429,48 +430,55 @@
       return;
     }
     selector.release();
-    EndedAttempt ended = new EndedAttempt(verdict, failure, cause, triedAt, detail);
-    boolean exhausted =
-        denial(verdict, countedRuns()).equals(Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED));
-    if (exhausted && headSent && selector.runsOnEngines()) {
-      // If the engine crashed, its run does not count.
-      context
-          .clock()
-          .schedule(
-              () -> resendOrGiveUpIfInterrupted(ended),
-              FAILURE_DETECTION_DELAY.toNanos(),
-              NANOSECONDS);
-    } else {
-      resendOrGiveUp(ended);
-    }
+    resend.start(new EndedAttempt(verdict, failure, cause, triedAt, detail));
   }
 
-  /**
-   * An attempt that ended without a complete response.
-   *
-   * @param triedAt the endpoint
-   * @param detail the cause, including whether a partial event was dropped
-   */
-  private record EndedAttempt(
-      Verdict verdict, AttemptFailure failure, String cause, String triedAt, String detail) {}
+  /** Operations for resends. */
+  private final class ResendCallbacks implements PendingResend.Callbacks {
+    @Override
+    public Optional<ResendDenial> denial(Verdict verdict) {
+      return ForwardedRequest.this.denial(verdict, countedRuns());
+    }
 
-  private void resendOrGiveUpIfInterrupted(EndedAttempt ended) {
-    if (!done && !selector.isSelected()) {
-      resendOrGiveUp(ended);
+    @Override
+    public boolean runsOnEngines() {
+      return selector.runsOnEngines();
     }
-  }
 
-  private void resendOrGiveUp(EndedAttempt ended) {
-    Optional<ResendDenial> denial = denial(ended.verdict(), countedRuns());
-    if (denial.isEmpty() && !context.budget().tryWithdraw()) {
-      denial = Optional.of(ResendDenial.BUDGET_EXHAUSTED);
+    @Override
+    public boolean isInterrupted() {
+      return headSent;
     }
-    if (denial.isPresent()) {
-      giveUp(ended.verdict(), denial.get(), ended.failure().code() + ": " + ended.cause());
-      return;
+
+    @Override
+    public boolean isOneCrashFromQuarantine() {
+      return quarantine.isOneCrashFromQuarantine();
+    }
+
+    @Override
+    public long waitsUntil() {
+      return waiter.waitsUntil();
+    }
+
+    @Override
+    public int priority() {
+      return waiter.priority();
+    }
+
+    @Override
+    public void allowed(EndedAttempt ended) {
+      logSentAgain(ended.triedAt(), ended.failure(), ended.detail());
+    }
+
+    @Override
+    public void acquireEndpoint() {
+      ForwardedRequest.this.acquireEndpoint();
+    }
+
+    @Override
+    public void denied(EndedAttempt ended, ResendDenial denial) {
+      giveUp(ended.verdict(), denial, ended.failure().code() + ": " + ended.cause());
     }
-    logSentAgain(ended.triedAt(), ended.failure(), ended.detail());
-    retry(ended.verdict());
   }
 
   /**
@@ -492,25 +500,6 @@
     ForwardLog.sentAgain(request, failure, sends, triedAt, millis, detail, context.counters());
   }
 
-  /** Acquires another endpoint, after a delay if this loss may quarantine the request. */
-  private void retry(Verdict verdict) {
-    if (verdict == Verdict.NOT_RUN || !quarantine.isOneCrashFromQuarantine()) {
-      acquireEndpoint();
-      return;
-    }
-    context
-        .clock()
-        .schedule(
-            this::acquireEndpointIfUnassigned, FAILURE_DETECTION_DELAY.toNanos(), NANOSECONDS);
-  }
-
-  private void acquireEndpointIfUnassigned() {
-    // If the endpoint crashed, the request has been quarantined and refused in the meantime.
-    if (!done && !selector.isSelected()) {
-      acquireEndpoint();
-    }
-  }
-
   /** Returns why the request may not be sent again, regardless of retry budget and capacity. */
   private Optional<ResendDenial> denial(Verdict verdict, int runsSoFar) {
     if (headSent && !(route.kind().idempotent() && route.kind().streamed())) {
@@ -614,6 +603,7 @@
     deadlineTimer.cancel();
     progress.stop();
     failover.stop();
+    resend.cancel();
     leaveQueue();
     onDone.accept(this);
   }
@@ -730,7 +720,7 @@
     Duration wait = Duration.ZERO;
     if (running().mayHaveArrived() && quarantine.isOneCrashFromQuarantine()) {
       recordLoss(selector.target());
-      wait = FAILURE_DETECTION_DELAY;
+      wait = PendingResend.FAILURE_DETECTION_DELAY;
     }
     failover.start(new Trigger(failure, unresponsive, cause), wait);
   }
@@ -840,7 +830,7 @@
       Duration wait =
           verdict == Verdict.NOT_RUN || !quarantine.isOneCrashFromQuarantine()
               ? Duration.ZERO
-              : FAILURE_DETECTION_DELAY;
+              : PendingResend.FAILURE_DETECTION_DELAY;
       failover.start(trigger, wait);
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -112,6 +112,7 @@
       IntSupplier sharingNodes,
       String dataCentre,
       Counters counters) {
+    ResendBudget budget = ResendBudget.of(limits, sharingNodes);
     ForwardContext context =
         new ForwardContext(
             clock,
@@ -122,7 +123,8 @@
             control,
             transport,
             new CapacityQueues(clock),
-            ResendBudget.of(limits, sharingNodes),
+            budget,
+            new ResendQueue(clock, budget),
             quarantine.quarantine(),
             quarantine.crashDetector(),
             dataCentre,
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
@@ -0,0 +1,184 @@
+package org.vaneworks.coordination.forwarding;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import io.servicetalk.concurrent.Cancellable;
+import java.time.Duration;
+import java.util.Optional;
+import org.vaneworks.state.Verdict;
+
+/**
+ * Decides whether and when a request whose attempt has ended is sent again.
+ *
+ * <p>Before that, the request waits until it is known whether its engine has crashed, if that
+ * matters, and for the retry budget, if its caller has a part of the response. The retry is
+ * reserved then, and withdrawn from the budget when the request is sent. Confined to the node's
+ * event loop.
+ */
+final class PendingResend {
+  /**
+   * Time within which a crashed endpoint can be distinguished from a lost connection. Waiting for
+   * it prevents a request that crashes endpoints from being sent to another one, and an interrupted
+   * stream from being aborted because of runs that do not count.
+   */
+  static final Duration FAILURE_DETECTION_DELAY = Duration.ofMillis(100);
+
+  /**
+   * An attempt that ended without a complete response.
+   *
+   * @param triedAt the endpoint
+   * @param detail the cause, including whether a partial event was dropped
+   */
+  record EndedAttempt(
+      Verdict verdict, AttemptFailure failure, String cause, String triedAt, String detail) {}
+
+  /** Operations of the request that is to be sent again. */
+  interface Callbacks {
+    /**
+     * Returns why the request may not be sent again, regardless of retry budget and capacity.
+     *
+     * @param verdict whether the ended attempt ran
+     */
+    Optional<ResendDenial> denial(Verdict verdict);
+
+    /** Returns whether engines run the request, as opposed to a plain service. */
+    boolean runsOnEngines();
+
+    /** Returns whether the caller has received a part of the response. */
+    boolean isInterrupted();
+
+    /** Returns whether one more crash would quarantine the request. */
+    boolean isOneCrashFromQuarantine();
+
+    /**
+     * Returns until when an interrupted stream may wait, in nanoseconds of the executor's clock.
+     */
+    long waitsUntil();
+
+    /** Returns the priority; 0 is the most urgent. */
+    int priority();
+
+    /** Called when the request may be sent again, before an endpoint is acquired. */
+    void allowed(EndedAttempt ended);
+
+    /** Acquires an endpoint, or waits in the queue for capacity. */
+    void acquireEndpoint();
+
+    /** Called when the request is not sent again. */
+    void denied(EndedAttempt ended, ResendDenial denial);
+  }
+
+  private final ForwardContext context;
+  private final Callbacks callbacks;
+  private final ResendQueue.Waiter waiter = new BudgetWaiter();
+  private Optional<EndedAttempt> ended = Optional.empty();
+  private Cancellable timer = () -> {};
+  private boolean reserved;
+
+  PendingResend(ForwardContext context, Callbacks callbacks) {
+    this.context = checkNotNull(context);
+    this.callbacks = checkNotNull(callbacks);
+  }
+
+  /** Sends the request again or denies it, now or later, unless cancelled before. */
+  void start(EndedAttempt attempt) {
+    ended = Optional.of(attempt);
+    boolean exhausted =
+        callbacks.denial(attempt.verdict()).equals(Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED));
+    if (exhausted && callbacks.isInterrupted() && callbacks.runsOnEngines()) {
+      // If the engine crashed, its run does not count.
+      runDelayed(this::awaitBudget);
+    } else {
+      awaitBudget();
+    }
+  }
+
+  /** Returns whether the request may be sent: for the first time, or within the retry budget. */
+  boolean maySend() {
+    return !reserved || context.budget().canWithdrawReserved();
+  }
+
+  /**
+   * Reserves a retry or denies the request; an interrupted stream waits for the budget. A retry
+   * that was reserved before is released.
+   */
+  void awaitBudget() {
+    release();
+    Optional<ResendDenial> denial = callbacks.denial(ended().verdict());
+    if (denial.isPresent()) {
+      callbacks.denied(ended(), denial.get());
+    } else if (callbacks.isInterrupted()) {
+      context.resends().join(waiter);
+    } else if (context.budget().tryReserve()) {
+      reserved();
+    } else {
+      callbacks.denied(ended(), ResendDenial.BUDGET_EXHAUSTED);
+    }
+  }
+
+  /** An interrupted stream while it waits for the retry budget. */
+  private final class BudgetWaiter implements ResendQueue.Waiter {
+    @Override
+    public void granted() {
+      reserved();
+    }
+
+    @Override
+    public void refused() {
+      callbacks.denied(ended(), ResendDenial.BUDGET_EXHAUSTED);
+    }
+
+    @Override
+    public long waitsUntil() {
+      return callbacks.waitsUntil();
+    }
+
+    @Override
+    public int priority() {
+      return callbacks.priority();
+    }
+  }
+
+  /** Acquires another endpoint, after a delay if this loss may quarantine the request. */
+  private void reserved() {
+    reserved = true;
+    callbacks.allowed(ended());
+    if (ended().verdict() == Verdict.NOT_RUN || !callbacks.isOneCrashFromQuarantine()) {
+      callbacks.acquireEndpoint();
+    } else {
+      // If the endpoint crashed, the request is quarantined and refused in the meantime.
+      runDelayed(callbacks::acquireEndpoint);
+    }
+  }
+
+  /** Records that the request is sent; withdraws the reserved retry from the budget. */
+  void sent() {
+    if (reserved) {
+      reserved = false;
+      context.budget().withdrawReserved();
+    }
+  }
+
+  /** Stops waiting and releases the reserved retry. */
+  void cancel() {
+    timer.cancel();
+    context.resends().leave(waiter);
+    release();
+  }
+
+  private void release() {
+    if (reserved) {
+      reserved = false;
+      context.budget().releaseReserved();
+    }
+  }
+
+  private void runDelayed(Runnable task) {
+    timer = context.clock().schedule(task, FAILURE_DETECTION_DELAY.toNanos(), NANOSECONDS);
+  }
+
+  private EndedAttempt ended() {
+    return ended.orElseThrow();
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
@@ -1,6 +1,7 @@
 package org.vaneworks.coordination.forwarding;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkState;
 
 import java.util.function.IntSupplier;
 
@@ -9,7 +10,9 @@
  *
  * <p>Each request deposits a fraction of a retry. A reserve, divided by the number of live nodes,
  * covers the first failures. In any time window, a node sends again at most the configured share of
- * the requests of that window plus its reserve. Confined to the node's event loop.
+ * the requests of that window plus its reserve. A retry is withdrawn when it is sent; one that has
+ * to wait before, for example for capacity, is reserved in the meantime. Confined to the node's
+ * event loop.
  */
 public final class ResendBudget {
   /**
@@ -26,6 +29,8 @@
   private double share;
   private double fleetReserve;
   private double spentBeyondShare;
+  private int reserved;
+  private int awaited;
 
   private ResendBudget(IntSupplier liveNodes) {
     this.liveNodes = liveNodes;
@@ -50,9 +55,9 @@
     spentBeyondShare = Math.max(0, spentBeyondShare - share);
   }
 
-  /** Returns whether the budget allows another retry. */
+  /** Returns whether the budget allows another retry besides those reserved or awaited. */
   boolean canWithdraw() {
-    return spentBeyondShare + 1 <= fleetReserve / liveNodes.getAsInt();
+    return allows(reserved + awaited + 1);
   }
 
   /** Withdraws one retry; returns false, and withdraws nothing, if the budget is exhausted. */
@@ -63,4 +68,71 @@
     spentBeyondShare += 1;
     return true;
   }
+
+  /** Reserves one retry; returns false, and reserves nothing, if the budget is exhausted. */
+  boolean tryReserve() {
+    if (!canWithdraw()) {
+      return false;
+    }
+    reserved++;
+    return true;
+  }
+
+  /** Records that an interrupted stream awaits a retry, which nobody else can withdraw. */
+  void startAwaiting() {
+    awaited++;
+  }
+
+  /** Records that an interrupted stream awaits a retry no longer. */
+  void stopAwaiting() {
+    checkState(awaited > 0, "nothing is awaited");
+    awaited--;
+  }
+
+  /** Reserves a retry that is awaited; returns false if the budget does not allow it yet. */
+  boolean tryReserveAwaited() {
+    if (!allows(reserved + 1)) {
+      return false;
+    }
+    stopAwaiting();
+    reserved++;
+    return true;
+  }
+
+  /**
+   * Returns whether a reserved retry can be withdrawn; not if limits or live nodes have changed
+   * since.
+   */
+  boolean canWithdrawReserved() {
+    return allows(1);
+  }
+
+  /** Withdraws a retry that was reserved; {@link #canWithdrawReserved} must hold. */
+  void withdrawReserved() {
+    checkState(canWithdrawReserved(), "withdrawal beyond the budget: %s spent", spentBeyondShare);
+    releaseReserved();
+    spentBeyondShare += 1;
+  }
+
+  /** Releases a retry that was reserved. */
+  void releaseReserved() {
+    checkState(reserved > 0, "nothing is reserved");
+    reserved--;
+  }
+
+  /**
+   * Returns whether an exhausted budget can allow a retry again: through deposits, or because
+   * reserved retries are released.
+   */
+  boolean canRecover() {
+    return reservePerNode() >= 1 && (share > 0 || allows(1));
+  }
+
+  private boolean allows(int retries) {
+    return spentBeyondShare + retries <= reservePerNode();
+  }
+
+  private double reservePerNode() {
+    return fleetReserve / liveNodes.getAsInt();
+  }
 }
