An engine that another one's report names is suspected only if it is silent itself

What callers saw: an engine that answered this node was out of use as soon as one report of a first engine named it; requests without a part that had it as first engine were sent elsewhere or told 502, and every stream through it without progress got another path.

Cause: HealthChecker.processStalls suspected on the report alone. A report is up to some hundred ms old and tells only what that first engine sees.

Now the report counts as one of the two silences: the node's own probe, begun if none is in progress, has to go unanswered once. The requests that the report names change their paths at once if they are stalled here (PathRepairs); others only on the suspicion. A path change that was refused is not repeated once its stream flows again, and a change that failed before the suspicion may be tried again after it.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -135,14 +135,19 @@
   }
 
   /**
-   * Reports of engines unless they are dead or refuse connections, and outcomes of path changes set
-   * by the test.
+   * Reports of engines unless they are dead, silent or refuse connections, and outcomes of path
+   * changes set by the test.
    */
   static final class FakeEngineControl implements EngineControl {
     final List<String> repathedPaths = new ArrayList<>();
     final List<HostPort> dead = new ArrayList<>();
     final List<HostPort> refusing = new ArrayList<>();
+    final List<HostPort> silent = new ArrayList<>();
     final List<HostPort> slow = new ArrayList<>();
+
+    /** The stalled requests that each engine reports, with the engines they wait for. */
+    final Map<HostPort, ImmutableMap<String, HostPort>> stalls = new HashMap<>();
+
     final List<HostPort> probed = new ArrayList<>();
     final Map<HostPort, Incarnation> started = new HashMap<>();
     double pace = 1;
@@ -155,6 +160,9 @@
         return CompletableFuture.failedFuture(
             new ConnectionRefusedException(new ConnectException("Connection refused")));
       }
+      if (silent.contains(engine.address())) {
+        return new CompletableFuture<>();
+      }
       return dead.contains(engine.address())
           ? CompletableFuture.failedFuture(new IllegalStateException("no answer"))
           : CompletableFuture.completedFuture(
@@ -163,7 +171,7 @@
                   false,
                   engine.layers(),
                   slow.contains(engine.address()) ? 12 : pace,
-                  ImmutableMap.of(),
+                  stalls.getOrDefault(engine.address(), ImmutableMap.of()),
                   started.getOrDefault(engine.address(), FIRST_START)));
     }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -3,18 +3,21 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.concurrent.EventLoopDelay;
+import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
@@ -41,7 +44,8 @@
    * Consecutive unanswered probes after which an engine is suspected. A single one proves nothing:
    * a node that has just started opens a dozen connections at once, so its own delay may look like
    * the engine's, and an idle connection may have been closed. After a refused connection no second
-   * probe is needed.
+   * probe is needed. A report of another engine that waits for this one counts as one unanswered
+   * probe, because it may be out of date.
    */
   private static final int UNANSWERED_PROBES_TO_SUSPECT = 2;
 
@@ -78,8 +82,10 @@
   private final EngineControl control;
   private final Map<TrackedEndpoint, Long> probedAt = new HashMap<>();
 
-  /** Engines with a probe in progress. Further checks of such an engine share its result. */
-  private final Set<TrackedEndpoint> probing = new HashSet<>();
+  /** Probes in progress. Further checks of such an engine share the result. */
+  private final Map<TrackedEndpoint, ProbeSeries> probing = new HashMap<>();
+
+  private final List<StallListener> stallListeners = new ArrayList<>();
 
   /** The latest answer of each engine that arrived after its timeout. */
   private final Map<TrackedEndpoint, LateAnswer> lateAnswers = new HashMap<>();
@@ -98,6 +104,24 @@
     fleet.onRemoval(lateAnswers::remove);
   }
 
+  /** Receives the stalled requests that an engine reports. */
+  @FunctionalInterface
+  public interface StallListener {
+    /**
+     * Called when an engine reports stalled requests. The report may be out of date, and the
+     * engines that the requests wait for may answer this node.
+     *
+     * @param reporter the first engine of the requests
+     * @param blockingEngines the engine that each stalled request waits for, by request ID
+     */
+    void onStalls(TrackedEndpoint reporter, ImmutableMap<String, TrackedEndpoint> blockingEngines);
+  }
+
+  /** Registers a listener that is called when an engine reports stalled requests. */
+  public void onStalls(StallListener listener) {
+    stallListeners.add(listener);
+  }
+
   /** Creates a health checker for the engines of a fleet. */
   public static HealthChecker create(Executor clock, Fleet fleet, EngineControl control) {
     return new HealthChecker(clock, fleet, control);
@@ -128,7 +152,7 @@
   }
 
   private void probeUnlessInProgress(TrackedEndpoint engine, CallPurpose purpose) {
-    if (probing.contains(engine) || engine.suspected() || isUnused(engine)) {
+    if (probing.containsKey(engine) || engine.suspected() || isUnused(engine)) {
       return;
     }
     if (engine.delisted() && purpose == CallPurpose.PACE) {
@@ -138,7 +162,7 @@
       return;
     }
     ProbeSeries series = new ProbeSeries(engine, purpose);
-    probing.add(engine);
+    probing.put(engine, series);
     series.probe();
   }
 
@@ -153,6 +177,9 @@
     /** Probes whose timeouts are disregarded because this node was delayed. */
     private int disregarded;
 
+    /** Another engine whose requests are stalled on this one, if any reported so. */
+    private Optional<TrackedEndpoint> waitingEngine = Optional.empty();
+
     private boolean ended;
 
     ProbeSeries(TrackedEndpoint engine, CallPurpose purpose) {
@@ -203,14 +230,37 @@
       }
       unanswered++;
       boolean refused = failure instanceof ConnectionRefusedException;
-      if (!refused && unanswered < UNANSWERED_PROBES_TO_SUSPECT) {
+      if (!refused && !isUnresponsive()) {
         probe();
         return;
       }
       end();
       String probes =
           "sent " + (unanswered + disregarded) + " probes, the last " + elapsed.toMillis();
-      fleet.suspect(engine, "no answer to health checks: " + probes + " ms ago: " + failure);
+      fleet.suspect(
+          engine, "no answer to health checks: " + probes + " ms ago: " + failure + stalls());
+    }
+
+    /** Records that requests at another engine are stalled on this one. */
+    void stallReported(TrackedEndpoint reporter) {
+      if (ended) {
+        return;
+      }
+      waitingEngine = Optional.of(reporter);
+      if (isUnresponsive()) {
+        end();
+        fleet.suspect(engine, "no answer to " + unanswered + " health checks" + stalls());
+      }
+    }
+
+    private boolean isUnresponsive() {
+      return unanswered + (waitingEngine.isPresent() ? 1 : 0) >= UNANSWERED_PROBES_TO_SUSPECT;
+    }
+
+    private String stalls() {
+      return waitingEngine
+          .map(waiting -> ", and requests at " + waiting.address() + " are stalled on it")
+          .orElse("");
     }
 
     private void end() {
@@ -420,18 +470,33 @@
   }
 
   private void processStalls(TrackedEndpoint engine, EngineReport report) {
-    report.stalledOn().values().stream()
-        .distinct()
-        .filter(address -> !address.equals(engine.address()))
+    Map<HostPort, Optional<TrackedEndpoint>> found = new HashMap<>();
+    ImmutableMap.Builder<String, TrackedEndpoint> builder = ImmutableMap.builder();
+    report
+        .stalledOn()
         .forEach(
-            address ->
-                fleet
-                    .find(engine.endpoint().service(), address)
-                    .ifPresent(
-                        blockingEngine ->
-                            fleet.suspect(
-                                blockingEngine,
-                                "requests at " + engine.address() + " are stalled on it")));
+            (requestId, address) ->
+                found
+                    .computeIfAbsent(address, key -> findOther(engine, key))
+                    .ifPresent(blocking -> builder.put(requestId, blocking)));
+    ImmutableMap<String, TrackedEndpoint> blockingEngines = builder.buildOrThrow();
+    if (blockingEngines.isEmpty()) {
+      return;
+    }
+    ImmutableSet.copyOf(blockingEngines.values()).forEach(blocking -> check(blocking, engine));
+    stallListeners.forEach(listener -> listener.onStalls(engine, blockingEngines));
+  }
+
+  private Optional<TrackedEndpoint> findOther(TrackedEndpoint engine, HostPort address) {
+    return fleet
+        .find(engine.endpoint().service(), address)
+        .filter(other -> !address.equals(engine.address()));
+  }
+
+  /** Probes an engine on which requests at another engine are stalled. */
+  private void check(TrackedEndpoint blocking, TrackedEndpoint reporter) {
+    check(blocking);
+    Optional.ofNullable(probing.get(blocking)).ifPresent(series -> series.stallReported(reporter));
   }
 
   private void scheduleRetry(TrackedEndpoint engine, Duration delay) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -2,6 +2,7 @@
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.collect.ImmutableMap;
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -620,12 +621,30 @@
     if (!uses(engine)) {
       return;
     }
+    repairs.engineSuspected(engine);
     boolean delivers = headSent && progress.hasRecentProgress();
     if (engine.processDown() || !delivers) {
       bypass(engine);
     }
   }
 
+  /**
+   * Replaces a later engine of the path that does not respond to the first one, if the request is
+   * stalled.
+   *
+   * @param blockingEngines the engine that each stalled request at the reporter waits for, by
+   *     request ID
+   */
+  void stallReported(
+      TrackedEndpoint reporter, ImmutableMap<String, TrackedEndpoint> blockingEngines) {
+    if (done || attempt.isEmpty() || selector.target() != reporter || !progress.isStalled()) {
+      return;
+    }
+    Optional.ofNullable(blockingEngines.get(request.id()))
+        .filter(selector::uses)
+        .ifPresent(engine -> repairs.bypass(engine, "stalled on " + engine));
+  }
+
   /** Stops a failover from an engine that responds again. */
   void engineRecovered(TrackedEndpoint engine) {
     failover.engineRecovered(engine);
@@ -687,6 +706,11 @@
       return ForwardedRequest.this.isCurrent(candidate);
     }
 
+    @Override
+    public boolean isStalled() {
+      return progress.isStalled();
+    }
+
     @Override
     public boolean mayAbort() {
       return ForwardedRequest.this.mayAbort();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -79,6 +79,12 @@
             endpoint ->
                 ImmutableList.copyOf(inFlight)
                     .forEach(forwarded -> forwarded.endpointEnded(endpoint)));
+    context
+        .health()
+        .onStalls(
+            (reporter, blockingEngines) ->
+                ImmutableList.copyOf(inFlight)
+                    .forEach(forwarded -> forwarded.stallReported(reporter, blockingEngines)));
     context.fleet().onLeaving(this::migrateFrom);
     context
         .quarantine()
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
@@ -31,6 +31,9 @@
     /** Returns whether an attempt is the current one. */
     boolean isCurrent(RunningAttempt attempt);
 
+    /** Returns whether the request makes no progress. */
+    boolean isStalled();
+
     /** Returns whether the attempt may be aborted without losing the request. */
     boolean mayAbort();
 
@@ -77,7 +80,15 @@
     }
   }
 
-  /** Replaces an engine that was lost, unless that is in progress or failed a short time ago. */
+  /** Allows the replacement of an engine again, if it failed before the engine was suspected. */
+  void engineSuspected(TrackedEndpoint engine) {
+    retryAt.remove(engine);
+  }
+
+  /**
+   * Replaces an engine that was lost or blocks the request, unless that is in progress or failed a
+   * short time ago.
+   */
   void bypass(TrackedEndpoint lost, String cause) {
     boolean failedRecently = now() < retryAt.getOrDefault(lost, Long.MIN_VALUE);
     if (failedRecently || !beingReplaced.add(lost)) {
@@ -102,6 +113,10 @@
     retryAt.put(lost, now() + RETRY_INTERVAL.toNanos());
   }
 
+  private static boolean isLost(TrackedEndpoint engine) {
+    return engine.suspected() || engine.hasEnded();
+  }
+
   private long now() {
     return context.clock().currentTime(NANOSECONDS);
   }
@@ -143,8 +158,7 @@
     @Override
     public boolean mayFailOver(TrackedEndpoint engine) {
       // An engine that is only leaving still works; its end will be detected.
-      boolean isLost = engine.suspected() || engine.hasEnded();
-      return isLost && callbacks.mayAbort();
+      return isLost(engine) && callbacks.mayAbort();
     }
 
     @Override
@@ -152,6 +166,11 @@
       startFailover(lost, failure, "no other path was accepted");
     }
 
+    @Override
+    public boolean isNeeded() {
+      return isLost(lost) || lost.endpoint().leaving() || callbacks.isStalled();
+    }
+
     @Override
     public void abandoned() {
       replacementFailed(lost);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -31,6 +31,9 @@
     /** Called when the first engine has accepted the path. */
     void replaced(EnginePath next);
 
+    /** Returns whether the request still needs another path; an engine may respond again. */
+    boolean isNeeded();
+
     /** Returns whether the request may fail over to other engines instead. */
     boolean mayFailOver(TrackedEndpoint lost);
 
@@ -90,6 +93,10 @@
   }
 
   private void requestPathChange(ImmutableList<TrackedEndpoint> excluded) {
+    if (!callbacks.isNeeded()) {
+      callbacks.abandoned();
+      return;
+    }
     if (attemptsLeft <= 0 || quarantined.getAsBoolean()) {
       fail(AttemptFailure.PATH_LOST);
       return;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
@@ -72,6 +72,11 @@
     return paused || now() - lastProgress < STALL_TIMEOUT.toNanos();
   }
 
+  /** Returns whether the request made no progress for so long that its engines are probed. */
+  boolean isStalled() {
+    return !paused && now() - lastProgress >= stallTimeout().toNanos();
+  }
+
   /** Records that the response is not read until {@link #resumed}. */
   void paused() {
     paused = true;
@@ -168,7 +173,7 @@
     if (selector.path().isEmpty()) {
       return;
     }
-    boolean stalled = !paused && now() - lastProgress >= stallTimeout().toNanos();
+    boolean stalled = isStalled();
     if (stalled && EventLoopDelay.explainsSilence(delay, ignoredStalls)) {
       ignoredStalls++;
       context.counters().count(Metric.UNCOUNTED_SILENCES, "look");
