A request without a part keeps its attempt until another one delivers

What callers saw: a request without any part of an answer was cancelled at its silent engine in the step that took another place. If that one refused, failed or fell silent, nothing was left of an attempt that its engine, which had only paused, would have answered.

Cause: failOver kept the present attempt only for callers with a part.

Now it keeps it for every request that may be sent again, within the route's attempts, which already counted both. Whichever attempt responds first serves the caller: the head of a stream is held until the first event of its own attempt, so that head and events come from one run; any other head ends the other attempts. A 5xx of one attempt is not passed on while another is under way, and a successor whose box refuses a connection gives way to the former attempt instead of ending the request. Requests that have not arrived, or whose engine refused a connection since, are cancelled as before. Those that can't be repeated never get here.

The cost, weighed: two engines work at once until the first event.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RecordedResponse.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RecordedResponse.java
@@ -11,6 +11,7 @@
 public final class RecordedResponse implements CallerResponse {
   public Optional<Integer> status = Optional.empty();
   public Optional<Refusal> refusal = Optional.empty();
+  public int heads;
   public String body = "";
   public boolean whole;
   public boolean cut;
@@ -19,6 +20,7 @@
 
   @Override
   public void head(ResponseHead head) {
+    heads++;
     status = Optional.of(head.status());
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -67,7 +67,7 @@
   /** The current attempt, if one is in progress. */
   private Optional<RunningAttempt> attempt = Optional.empty();
 
-  /** The attempts that are abandoned as soon as the current one gets an event. */
+  /** The attempts that are abandoned as soon as the current one delivers. */
   private final PreviousAttempts previous = new PreviousAttempts();
 
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
@@ -292,6 +292,7 @@
     public void end() {
       if (isOrBecomesCurrent()) {
         running.endpoint().recordSuccess();
+        passHeldHeadOn(running);
         finish();
       }
     }
@@ -337,19 +338,43 @@
     } else if (headSent) {
       resumed(head, running);
     } else {
+      passOn(head, running);
+    }
+  }
+
+  /**
+   * Passes the head of the response on and abandons the other attempts. The head of a successful
+   * stream delivers nothing: it is passed on with the first event if there are other attempts.
+   */
+  private void passOn(ResponseHead head, RunningAttempt running) {
+    if (isStream(head) && !previous.isEmpty()) {
+      running.holdHead(head);
+      return;
+    }
+    headSent = true;
+    response.head(head);
+    abandonPrevious();
+  }
+
+  private boolean isStream(ResponseHead head) {
+    return route.kind().streamed() && head.success();
+  }
+
+  private void passHeldHeadOn(RunningAttempt running) {
+    Optional<ResponseHead> head = running.takeHead();
+    if (head.isPresent() && !headSent) {
       headSent = true;
-      response.head(head);
+      response.head(head.get());
     }
   }
 
   private void serverError(ResponseHead head, RunningAttempt running) {
     boolean retry = !headSent && resendDenial(Verdict.RAN, countedRuns(running)).isEmpty();
-    if (retry || headSent) {
+    if (retry || headSent || !previous.isEmpty()) {
       running.discard();
       attemptEnded(Verdict.RAN, AttemptFailure.ENDPOINT_ERROR, "status " + head.status());
     } else {
-      headSent = true;
-      response.head(head);
+      passOn(head, running);
     }
   }
 
@@ -370,6 +395,7 @@
     if (whole.length == 0) {
       return;
     }
+    passHeldHeadOn(running);
     abandonPrevious();
     if (!response.data(whole)) {
       running.pause();
@@ -782,13 +808,18 @@
 
   /** Replaces the attempt by one at another endpoint, if one has capacity now. */
   private boolean failOver() {
-    boolean delivers = headSent && running().mayHaveArrived();
-    if (!delivers) {
+    boolean ended = running().hasEndpointEnded() && !headSent;
+    if (ended || !running().mayHaveArrived()) {
       return replaceAttempt();
     }
-    boolean unknown = failover.trigger().failure() == AttemptFailure.REQUEST_UNKNOWN;
+    AttemptFailure failure = failover.trigger().failure();
     // An engine also forgets a request that it has completed; the rest may not have been read yet.
-    boolean lost = unknown && !progress.hasRecentProgress();
+    boolean lost =
+        failure == AttemptFailure.REQUEST_UNKNOWN
+            ? !progress.hasRecentProgress()
+            : failure == AttemptFailure.PATH_LOST && !headSent;
+    // The attempt is only replaced where the same first engine may take the request on another
+    // path.
     return startConcurrentAttempt() || (lost && replaceAttempt());
   }
 
@@ -863,7 +894,7 @@
     attempt = Optional.of(resumed.attempt());
     runs.remove(resumed.attempt());
     splitter.restorePartial(resumed.partOfEvent());
-    progress.previousResumed();
+    progress.previousResumed(headSent || resumed.attempt().hasHead());
     resumed.attempt().resume();
   }
 
@@ -885,7 +916,11 @@
     selector.release(cancelled.selection());
   }
 
-  /** Handles the head of a previous attempt, which had none when its replacement was sent. */
+  /**
+   * Handles the head of a previous attempt, which had none when its replacement was sent. Unless
+   * the caller has a head already, a response other than a stream or a failure is passed on instead
+   * of that of the replacement.
+   */
   private void previousHead(ResponseHead head, RunningAttempt running) {
     if (!head.matches()) {
       drop(running, AttemptFailure.MISMATCHED_RESPONSE);
@@ -894,9 +929,16 @@
       drop(running, AttemptFailure.ENDPOINT_REFUSED);
       running.discard();
       runs.remove(running);
-    } else if (!head.success()) {
-      drop(running, AttemptFailure.RESUME_REFUSED);
+    } else if (headSent ? !head.success() : head.status() >= SERVER_ERROR) {
+      drop(running, headSent ? AttemptFailure.RESUME_REFUSED : AttemptFailure.ENDPOINT_ERROR);
       running.discard();
+    } else if (!headSent && isStream(head)) {
+      running.holdHead(head);
+    } else if (!headSent) {
+      supersedeReplacement(running);
+      progress.headReceived();
+      failover.stop();
+      passOn(head, running);
     }
   }
 
@@ -940,6 +982,10 @@
       failover.runOncePerFailover(() -> stayed(trigger, denial, waitsUntil));
       return;
     }
+    if (!previous.isEmpty() && now() < waitsUntil) {
+      abandonEndpoint(trigger.failure(), trigger.cause());
+      return;
+    }
     Verdict verdict = running().verdictIfAbandoned();
     abortAttempt(trigger, selector.target());
     selector.release();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
@@ -105,9 +105,13 @@
     scheduleCheck();
   }
 
-  /** Monitors a previous attempt again, whose head had been received. */
-  void previousResumed() {
-    awaitsHead = false;
+  /**
+   * Monitors a previous attempt again.
+   *
+   * @param headReceived whether the head was received, so that only events are awaited
+   */
+  void previousResumed(boolean headReceived) {
+    awaitsHead = !headReceived;
     resumed();
     scheduleCheck();
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RunningAttempt.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RunningAttempt.java
@@ -18,6 +18,7 @@
   private final long sentAt;
   private OptionalLong firstPartAt = OptionalLong.empty();
   private Optional<EndpointCall> call = Optional.empty();
+  private Optional<ResponseHead> heldHead = Optional.empty();
 
   RunningAttempt(TrackedEndpoint endpoint, long sentAt) {
     this.endpoint = checkNotNull(endpoint);
@@ -46,6 +47,23 @@
     }
   }
 
+  /** Holds a head that is to be passed on with the first event. */
+  void holdHead(ResponseHead head) {
+    heldHead = Optional.of(head);
+  }
+
+  /** Returns whether a head is held. */
+  boolean hasHead() {
+    return heldHead.isPresent();
+  }
+
+  /** Removes and returns the held head, if any. */
+  Optional<ResponseHead> takeHead() {
+    Optional<ResponseHead> head = heldHead;
+    heldHead = Optional.empty();
+    return head;
+  }
+
   /** Returns the time since the first part of the response; empty if there was none. */
   Optional<Duration> sinceFirstPart(long now) {
     return firstPartAt.isPresent()
