A connection to an endpoint with a surplus is not used again

What callers saw: a request that may not be repeated was lost (outcome unknown), because the answer to it was a surplus one of the connection's former request, which its id gives away.

Cause: the decoder keeps, or passes on, what arrives behind a whole response, and the next request on that connection takes it for its answer. Input of an idle connection was not read until then. With ServiceTalk's assertions on (as in tests), a whole surplus response fails one of them, so that only a part of one shows it; a process runs without them.

Change: a handler before the decoder sees what is left of the bytes that ended a response, and any input after that; such a connection is closed as soon as its response is delivered, VW4019 tells it. An idle connection is read. If the decoder had a part of a line when the last bytes came, what it keeps of them can't be seen, and the connection isn't used again either. A request that is sent while those bytes are being decoded (as a place becomes free) waits until they are; one that finds its connection unfit is sent on another, before a byte was written.

Left: a surplus that is in the kernel, unread, as the next request is written on an idle connection is still taken for its answer, which the check of the id catches.

--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -77,6 +77,8 @@
       4017, "a caller's connection was closed before its response was delivered"),
   ENDPOINT_CONNECTION_ENDED(
       4018, "a connection to an endpoint ended before the response to its request was complete"),
+  ENDPOINT_SENT_SURPLUS(
+      4019, "a connection to an endpoint is not used again, as more than a response arrived"),
   MEMBER_JOINED(5001, "a node joined"),
   MEMBER_SUSPECTED(5002, "a node does not answer"),
   MEMBER_LEFT(5003, "a node left or was declared dead"),
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
@@ -1,13 +1,18 @@
 package org.vaneworks.transport.entry;
 
+import static com.google.common.collect.MoreCollectors.onlyElement;
+
 import com.google.common.base.Splitter;
+import com.google.common.collect.Streams;
 import com.google.common.primitives.Ints;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.util.ReferenceCountUtil;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Single;
@@ -18,16 +23,25 @@
 import io.servicetalk.http.api.StreamingHttpConnectionFilter;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.transport.api.RetryableException;
+import io.servicetalk.transport.netty.internal.ByteToMessageDecoder;
 import io.servicetalk.transport.netty.internal.CloseHandler.InboundDataEndEvent;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
+import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
+import org.vaneworks.telemetry.Event;
+import org.vaneworks.telemetry.EventLog;
 
 /**
  * A pooled connection to an endpoint.
  *
  * <p>It is closed before the endpoint closes it, because a request that crosses that close is lost
- * unless it may run twice. Confined to the node's event loop.
+ * unless it may run twice. It is not used again either if anything arrives beyond the response to
+ * its latest request, as that would be taken for the next response.
+ *
+ * <p>Confined to the node's event loop.
  */
 final class EndpointConnection extends StreamingHttpConnectionFilter {
   /** Context key of the user that a request belongs to. */
@@ -36,12 +50,22 @@
   /** Allows for the way from the endpoint, whose time starts earlier, and for a late timer. */
   private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(500);
 
-  private static final String EARLY_RESPONSE_HANDLER_NAME = "early-response";
+  private static final String INPUT_HANDLER_NAME = "endpoint-input";
+  private static final String RESPONSE_HANDLER_NAME = "endpoint-response";
 
   private static final CharSequence KEEP_ALIVE = "keep-alive";
   private static final String TIMEOUT_PARAMETER = "timeout=";
   private static final Splitter PARAMETERS = Splitter.on(',').trimResults();
 
+  /** Reports that a request was not written, because its connection can't be used again. */
+  static final class NotReusableException extends IOException implements RetryableException {
+    private static final long serialVersionUID = 1;
+
+    private NotReusableException() {
+      super("input may have arrived beyond the previous response");
+    }
+  }
+
   /** The user of a connection for one request. */
   interface User {
     /** Called before the request is written. */
@@ -58,34 +82,108 @@
 
   private Optional<User> user = Optional.empty();
   private Cancellable idleTimer = () -> {};
+  private final Channel channel;
+  private boolean awaitingResponse;
+  private boolean decoding;
+  private boolean reusable = true;
+  private boolean resting = true;
   private boolean closed;
 
   EndpointConnection(FilterableStreamingHttpConnection connection) {
     super(connection);
-    ChannelPipeline pipeline =
-        ((NettyConnectionContext) connection.connectionContext()).nettyChannel().pipeline();
+    channel = ((NettyConnectionContext) connection.connectionContext()).nettyChannel();
+    ChannelPipeline pipeline = channel.pipeline();
     // Placed before ServiceTalk's last handler, which receives what was decoded. The last name in
     // the list is the pipeline's tail.
     String last = pipeline.names().get(pipeline.names().size() - 2);
-    pipeline.addBefore(last, EARLY_RESPONSE_HANDLER_NAME, new EarlyResponseHandler());
+    pipeline.addBefore(last, RESPONSE_HANDLER_NAME, new ResponseHandler());
+    pipeline.addBefore(decoderName(pipeline), INPUT_HANDLER_NAME, new InputHandler());
     connection.onClose().whenFinally(this::closed).subscribe();
   }
 
+  private static String decoderName(ChannelPipeline pipeline) {
+    return Streams.stream(pipeline)
+        .filter(handler -> handler.getValue() instanceof ByteToMessageDecoder)
+        .map(Map.Entry::getKey)
+        .collect(onlyElement());
+  }
+
   private void closed() {
     closed = true;
     // The timer would keep the connection in memory.
     idleTimer.cancel();
   }
 
+  /** Detects input beyond the response to a request. */
+  private final class InputHandler extends ChannelInboundHandlerAdapter {
+    /**
+     * Whether the decoder may have kept the start of a line. It then copies later input to that, so
+     * that what it keeps of it is not known.
+     */
+    private boolean mayBeBuffered;
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+      if (!awaitingResponse) {
+        ReferenceCountUtil.release(message);
+        surplusReceived();
+        return;
+      }
+      ByteBuf bytes = ((ByteBuf) message).retain();
+      boolean hasRest;
+      decoding = true;
+      try {
+        super.channelRead(context, bytes);
+        hasRest = bytes.isReadable();
+      } finally {
+        decoding = false;
+        bytes.release();
+      }
+      if (awaitingResponse) {
+        mayBeBuffered |= hasRest;
+      } else if (hasRest) {
+        surplusReceived();
+      } else if (mayBeBuffered) {
+        // A surplus can't be excluded.
+        doNotReuse();
+      }
+    }
+  }
+
+  private void surplusReceived() {
+    if (reusable) {
+      EventLog.info(Event.ENDPOINT_SENT_SURPLUS, "address", channel.remoteAddress());
+    }
+    doNotReuse();
+  }
+
+  private void doNotReuse() {
+    reusable = false;
+    if (resting) {
+      closeUnlessReusable();
+    }
+  }
+
+  private void closeUnlessReusable() {
+    if (!reusable && !closed) {
+      closeAsync().subscribe();
+    }
+  }
+
   /**
-   * Detects responses that are complete before their request was written, as the endpoint may read
+   * Detects the ends of responses, also before their request was written, as the endpoint may read
    * the rest of a body later. ServiceTalk completes a response only after its request.
    */
-  private final class EarlyResponseHandler extends ChannelInboundHandlerAdapter {
+  private final class ResponseHandler extends ChannelInboundHandlerAdapter {
     private long bodyBytes;
 
     @Override
     public void channelRead(ChannelHandlerContext channel, Object message) throws Exception {
+      if (!awaitingResponse) {
+        ReferenceCountUtil.release(message);
+        surplusReceived();
+        return;
+      }
       if (message instanceof HttpMetaData) {
         bodyBytes = 0;
       } else if (message instanceof Buffer body) {
@@ -97,8 +195,11 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext channel, Object event) throws Exception {
       super.userEventTriggered(channel, event);
-      if (event == InboundDataEndEvent.INSTANCE && isEarly(channel.channel())) {
-        user.ifPresent(current -> current.respondedEarly(bodyBytes));
+      if (event == InboundDataEndEvent.INSTANCE) {
+        awaitingResponse = false;
+        if (isEarly(channel.channel())) {
+          user.ifPresent(current -> current.respondedEarly(bodyBytes));
+        }
       }
     }
 
@@ -115,6 +216,18 @@
   @Override
   public Single<StreamingHttpResponse> request(StreamingHttpRequest request) {
     idleTimer.cancel();
+    if (decoding) {
+      // The response has ended, but a surplus after it is not known yet.
+      return executionContext()
+          .ioExecutor()
+          .submit(() -> {})
+          .concat(Single.defer(() -> request(request)));
+    }
+    if (!reusable) {
+      return Single.failed(new NotReusableException());
+    }
+    resting = false;
+    awaitingResponse = true;
     user = Optional.ofNullable(request.context().get(USER));
     user.ifPresent(next -> next.connected(this));
     return delegate().request(request);
@@ -122,7 +235,11 @@
 
   /** Records that a response with these headers was received completely. */
   void rested(HttpHeaders headers) {
+    resting = true;
+    closeUnlessReusable();
     if (!closed) {
+      // Input that arrives from now on is surplus; without a request nobody else reads it.
+      channel.read();
       keepAliveTimeout(headers).ifPresent(this::closeAfterIdle);
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -78,7 +78,12 @@
     Call call = new Call(dialect, io, attempt, listener, refCounted::release);
     StreamingHttpRequest request = request(client, attempt);
     request.context().put(EndpointConnection.USER, call);
-    SourceAdapters.toSource(client.request(request)).subscribe(call);
+    // Each such failure takes a connection from the pool, so that a fresh one is used at last.
+    SourceAdapters.toSource(
+            client
+                .request(request)
+                .retry((count, cause) -> cause instanceof EndpointConnection.NotReusableException))
+        .subscribe(call);
     return call;
   }
 
