A response that arrived before its connection's reset is delivered

What callers saw: an answer that the endpoint had written in full was lost, and its request failed or was sent again, if the endpoint closed its connection without having read all of the request: such a close is a reset.

Cause: netty writes before it reads, so that the first thing the node sees of the reset is a write that fails; ServiceTalk then closes the connection without reading what the kernel still has.

Change: a handler withholds failures of writes, and the event that the output was shut down, until the response was received or the input has ended; then they are reported as before, so that an incomplete response still fails with its reset (EarlyResponseTest, EndpointConnectionEndTest unchanged).

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
@@ -50,6 +50,7 @@
   /** Allows for the way from the endpoint, whose time starts earlier, and for a late timer. */
   private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(500);
 
+  private static final String WRITE_FAILURES_NAME = "endpoint-write-failures";
   private static final String INPUT_HANDLER_NAME = "endpoint-input";
   private static final String RESPONSE_HANDLER_NAME = "endpoint-response";
 
@@ -83,6 +84,7 @@
   private Optional<User> user = Optional.empty();
   private Cancellable idleTimer = () -> {};
   private final Channel channel;
+  private final WriteFailures writeFailures = new WriteFailures();
   private boolean awaitingResponse;
   private boolean decoding;
   private boolean reusable = true;
@@ -98,6 +100,7 @@
     String last = pipeline.names().get(pipeline.names().size() - 2);
     pipeline.addBefore(last, RESPONSE_HANDLER_NAME, new ResponseHandler());
     pipeline.addBefore(decoderName(pipeline), INPUT_HANDLER_NAME, new InputHandler());
+    pipeline.addFirst(WRITE_FAILURES_NAME, writeFailures);
     connection.onClose().whenFinally(this::closed).subscribe();
   }
 
@@ -228,12 +231,20 @@
     }
     resting = false;
     awaitingResponse = true;
+    writeFailures.withhold();
     user = Optional.ofNullable(request.context().get(USER));
     user.ifPresent(next -> next.connected(this));
     return delegate().request(request);
   }
 
-  /** Records that a response with these headers was received completely. */
+  /** Records that a response was received completely, but its request may not be written yet. */
+  void received() {
+    writeFailures.release();
+  }
+
+  /**
+   * Records that a response with these headers was received completely, and its request written.
+   */
   void rested(HttpHeaders headers) {
     resting = true;
     closeUnlessReusable();
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -238,6 +238,7 @@
       if (received && body != null && !finished && !discarded && !cancelled) {
         discarded = true;
         writeTimer = executor.schedule(this::cancel, attempt.remaining());
+        connection.ifPresent(EndpointConnection::received);
         listener.end();
       }
     }
