A suspected engine is probed until the run that is listed answers

What callers saw: an engine that answers was out of use for good on one node, until its entry changed.

Cause: the retries of a suspected engine end with any answer that came in time, but the suspicion only with one of the listed run. An answer of a former run, or of the successor at the address of an engine whose entry is missing, ended the one and not the other.

Now such an answer schedules the next retry as silence does; one that comes after its timeout does not, as the timeout has scheduled it.

Failed before, on the parent commit (HealthCheckerTest): answerOfFormerIncarnationDoesNotEndProbesOfSuspectedEngine: expected: <false> but was: <true> answerOfSuccessorDoesNotEndProbesOfUnlistedEngine: expected: <false> but was: <true> lateAnswerOfFormerIncarnationCausesNoFurtherProbe passed before and guards against two series of retries.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
@@ -397,6 +397,52 @@
     assertFalse(fleet.find("s", engine.address()).get().suspected());
   }
 
+  // Guards against a live engine that is never used again, because a former incarnation answered
+  // the probe that would have cleared the suspicion.
+  @Test
+  void answerOfFormerIncarnationDoesNotEndProbesOfSuspectedEngine() {
+    listIncarnation(2000);
+    check(Reply.REFUSED);
+    clock.runDue();
+    reportedIncarnation = Incarnation.startedAt(1000);
+    clock.advance(Duration.ofMillis(500));
+    assertEquals(2, probes);
+    assertTrue(engine.suspected());
+    reportedIncarnation = Incarnation.startedAt(2000);
+    clock.advance(Duration.ofSeconds(1));
+    assertFalse(engine.suspected());
+    assertEquals(3, probes);
+  }
+
+  // Guards against two series of probes of one engine.
+  @Test
+  void lateAnswerOfFormerIncarnationCausesNoFurtherProbe() {
+    listIncarnation(2000);
+    check(Reply.REFUSED, Reply.answersAfter(300), Reply.TIMEOUT, Reply.TIMEOUT);
+    reportedIncarnation = Incarnation.startedAt(1000);
+    // The suspected engine is probed after 400 ms, 1300 ms and 3300 ms.
+    clock.advance(Duration.ofMillis(3200));
+    assertTrue(engine.suspected());
+    assertEquals(3, probes);
+  }
+
+  // Guards against an engine that is never used again, because a later process answered at its
+  // address while its entry was missing.
+  @Test
+  void answerOfSuccessorDoesNotEndProbesOfUnlistedEngine() {
+    listIncarnation(1000);
+    engine.reserve(1);
+    fleet.remove("c");
+    reportedIncarnation = Incarnation.startedAt(2000);
+    check(Reply.ANSWERS);
+    clock.advance(Duration.ofSeconds(1));
+    assertTrue(engine.suspected());
+    reportedIncarnation = Incarnation.startedAt(1000);
+    listIncarnation(1000);
+    clock.advance(Duration.ofSeconds(2));
+    assertFalse(engine.suspected());
+  }
+
   @Test
   void paceOfFormerIncarnationIsIgnored() {
     listIncarnation(2000);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -530,6 +530,8 @@
     public void answered(EngineReport report, long sentAt, boolean late) {
       if (isFromEngine(engine, report)) {
         fleet.clearSuspicion(engine);
+      } else if (!late) {
+        stillSilent("answer of another incarnation");
       }
     }
 
@@ -540,8 +542,12 @@
         return;
       }
       recordRefusal(engine, failure);
+      stillSilent(failure);
+    }
+
+    private void stillSilent(Object cause) {
       EventLog.debug(
-          Event.ENDPOINT_STILL_SILENT, "endpoint", engine.endpoint().id(), "cause", failure);
+          Event.ENDPOINT_STILL_SILENT, "endpoint", engine.endpoint().id(), "cause", cause);
       Duration next = previousDelay.multipliedBy(2);
       scheduleRetry(engine, next.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : next);
     }
