A response's head may have 64 KiB, and is bounded by it

What callers saw: a request whose answer had a header field over 8,192 bytes failed.

Cause: the default limit of ServiceTalk's client, which nobody stated.

EndpointConnectionEndTest on the code before: Tests run: 9, Failures: 1 responseWithLongHeaderFieldIsDelivered expected: <true> but was: <false> responseWithTooManyFieldsIsLogged and responseWithHeadOverTheLimitIsLogged were written with the change; they were not run on the code before.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionEndTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionEndTest.java
@@ -155,6 +155,40 @@
     }
   }
 
+  private static String headWithField(int bytes) {
+    return "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-a: "
+        + "a".repeat(bytes)
+        + "\r\n\r\n";
+  }
+
+  // Guards against a call that fails because of a long header field, such as a list of sources.
+  @Test
+  void responseWithLongHeaderFieldIsDelivered() throws Exception {
+    try (Socket socket = send()) {
+      write(socket, headWithField(60_000) + FIRST_CHUNK + LAST_CHUNK);
+      assertEquals(true, outcome.isComplete());
+    }
+    assertEquals(0, events.count(Event.ENDPOINT_CONNECTION_ENDED));
+  }
+
+  // Guards against the head of a response that is buffered without a bound.
+  @Test
+  void responseWithHeadOverTheLimitIsLogged() throws Exception {
+    try (Socket socket = send()) {
+      write(socket, "HTTP/1.1 200 OK\r\nx-a: " + "a".repeat(100_000));
+      assertLogged("node", "head-too-large", "head", 0);
+    }
+  }
+
+  // Guards against a head without a bound that arrives in many fields.
+  @Test
+  void responseWithTooManyFieldsIsLogged() throws Exception {
+    try (Socket socket = send()) {
+      write(socket, "HTTP/1.1 200 OK\r\n" + "x-a: a\r\n".repeat(12_000));
+      assertLogged("node", "head-too-large", "head", 0);
+    }
+  }
+
   // Guards against a refused connection that can't be told from a lost one.
   @Test
   void refusedConnectionIsLogged() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/ConnectionEnd.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/ConnectionEnd.java
@@ -3,6 +3,7 @@
 import com.google.common.base.Throwables;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.TooLongFrameException;
 import io.servicetalk.transport.netty.internal.CloseHandler.CloseEvent;
 import io.servicetalk.transport.netty.internal.CloseHandler.CloseEventObservedException;
 import java.io.IOException;
@@ -31,6 +32,9 @@
   /** The node closed the connection because the response was not valid HTTP. */
   MALFORMED("malformed", "node"),
 
+  /** The node closed the connection because the head of the response was over its bound. */
+  HEAD_TOO_LARGE("head-too-large", "node"),
+
   /** The cause does not tell. */
   UNKNOWN("unknown", "unknown");
 
@@ -61,6 +65,9 @@
     if (contains(chain, ConnectException.class)) {
       return REFUSED;
     }
+    if (contains(chain, TooLongFrameException.class)) {
+      return HEAD_TOO_LARGE;
+    }
     if (contains(chain, DecoderException.class)) {
       return MALFORMED;
     }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.ReferenceCountUtil;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
@@ -50,6 +51,9 @@
   /** Allows for the way from the endpoint, whose time starts earlier, and for a late timer. */
   private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(500);
 
+  /** Maximum number of bytes of a response's head that are buffered before its end arrives. */
+  static final int MAX_HEAD_BYTES = 64 << 10;
+
   private static final String WRITE_FAILURES_NAME = "endpoint-write-failures";
   private static final String INPUT_HANDLER_NAME = "endpoint-input";
   private static final String RESPONSE_HANDLER_NAME = "endpoint-response";
@@ -86,6 +90,8 @@
   private final Channel channel;
   private final WriteFailures writeFailures = new WriteFailures();
   private boolean awaitingResponse;
+  private boolean awaitingHead;
+  private long headBytes;
   private boolean decoding;
   private boolean reusable = true;
   private boolean resting = true;
@@ -133,6 +139,7 @@
         return;
       }
       ByteBuf bytes = ((ByteBuf) message).retain();
+      headBytes += bytes.readableBytes();
       boolean hasRest;
       decoding = true;
       try {
@@ -144,6 +151,9 @@
       }
       if (awaitingResponse) {
         mayBeBuffered |= hasRest;
+        if (awaitingHead && headBytes > MAX_HEAD_BYTES) {
+          rejectHead(context);
+        }
       } else if (hasRest) {
         surplusReceived();
       } else if (mayBeBuffered) {
@@ -151,6 +161,12 @@
         doNotReuse();
       }
     }
+
+    private void rejectHead(ChannelHandlerContext context) {
+      var cause = new TooLongFrameException("head of a response: over " + MAX_HEAD_BYTES);
+      context.fireExceptionCaught(cause);
+      var unused = context.close();
+    }
   }
 
   private void surplusReceived() {
@@ -188,6 +204,7 @@
         return;
       }
       if (message instanceof HttpMetaData) {
+        awaitingHead = false;
         bodyBytes = 0;
       } else if (message instanceof Buffer body) {
         bodyBytes += body.readableBytes();
@@ -231,6 +248,8 @@
     }
     resting = false;
     awaitingResponse = true;
+    awaitingHead = true;
+    headBytes = 0;
     writeFailures.withhold();
     user = Optional.ofNullable(request.context().get(USER));
     user.ifPresent(next -> next.connected(this));
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -116,7 +116,12 @@
         .loadBalancerFactory(SingleAddressLoadBalancer.withoutOutlierDetection())
         .executionStrategy(HttpExecutionStrategies.offloadNone())
         .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
-        .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
+        .protocols(
+            HttpProtocolConfigs.h1()
+                .maxPipelinedRequests(1)
+                // Never reached: the connection bounds all fields together.
+                .maxHeaderFieldLength(4 * EndpointConnection.MAX_HEAD_BYTES)
+                .build())
         .hostHeaderFallback(false)
         .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
         .appendConnectionFilter(EndpointConnection::new)
