A late reader gets its whole answer despite a part of a next request

What callers saw: a caller that had sent a part of its next request when the node closed the connection in a stop, and that read later than a second after, lost the end of its answer.

Cause: ServiceTalk sets SO_LINGER to zero when it closes a connection on which a part of a request has arrived. The node's close lingers first, for a second; its end then was a reset, which drops what the kernel has not sent. Without the part the option stays unset, and the kernel sends the rest.

Change: the close at the end of lingering unsets the option. Responses that are aborted don't linger and are reset as before.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/UnreadInputTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/UnreadInputTest.java
@@ -26,6 +26,8 @@
   private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
   private static final String NEXT_REQUEST = "GET /next HTTP/1.1\r\nHost: a\r\n\r\n";
 
+  private static final String PART_OF_REQUEST = "GET /next HTTP/1.1\r\nHost:";
+
   private static final String OVERSIZED_HEAD =
       "GET / HTTP/1.1\r\nX: " + "x".repeat(BODY_BYTES / 4) + "\r\n\r\n";
 
@@ -223,7 +225,7 @@
   void connectionWithPartOfNextRequestIsClosedByStop() throws Exception {
     try (Socket caller = server.connect()) {
       exchange(caller, "");
-      send(caller, "GET /next HTTP/1.1\r\nHost:");
+      send(caller, PART_OF_REQUEST);
       // Makes it likely that the part has been read; the outcome is the same if it has not.
       Thread.sleep(CHECK_MILLIS);
       server.server.closeAsyncGracefully().subscribe();
@@ -268,6 +270,57 @@
     }
   }
 
+  // Guards against a reset of a connection with a part of a next request, whose caller has not
+  // received all of its response.
+  @Test
+  void responseIsReceivedAfterStopDespitePartOfNextRequestByCallerThatReadsLate() throws Exception {
+    try (Socket caller = server.connect()) {
+      exchange(caller, "");
+      send(caller, PART_OF_REQUEST);
+      // Makes it likely that the part has been read; the outcome is the same if it has not.
+      Thread.sleep(CHECK_MILLIS);
+      server.startClosing();
+      awaitOnEventLoop(server.connections::isEmpty);
+      assertComplete(readToEnd(caller), "");
+    }
+  }
+
+  // Guards against a reset of a connection with a part of a next request, whose caller has not
+  // received all of its response.
+  @Test
+  void responseIsReceivedAfterCloseOfIdleDespitePartOfNextRequestByCallerThatReadsLate()
+      throws Exception {
+    try (Socket caller = server.connect()) {
+      exchange(caller, "");
+      send(caller, PART_OF_REQUEST);
+      Thread.sleep(CHECK_MILLIS);
+      server.server.closeAsyncGracefully().subscribe();
+      server.io.execute(server.connections::closeIdle);
+      awaitOnEventLoop(server.connections::isEmpty);
+      assertComplete(readToEnd(caller), "");
+    }
+  }
+
+  // Guards against a reset of a connection with a part of a next request, whose caller has not
+  // received all of its response.
+  @Test
+  void lastResponseIsReceivedDespitePartOfNextRequestByCallerThatReadsLate() throws Exception {
+    server.closeAfterResponses();
+    try (Socket caller = server.connect()) {
+      EntryFixture.sendRequest(caller);
+      EntryFixture.ReceivedRequest request = server.next();
+      send(caller, PART_OF_REQUEST);
+      server.runOnEventLoop(
+          () -> {
+            request.response.head(EntryFixture.responseHead());
+            request.response.data(new byte[BODY_BYTES]);
+            request.response.end();
+          });
+      awaitOnEventLoop(server.connections::isEmpty);
+      assertComplete(readToEnd(caller), "");
+    }
+  }
+
   @Test
   void closeOfIdleConnectionsSparesResponseInProgress() throws Exception {
     try (Socket caller = server.connect()) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
@@ -72,6 +73,9 @@
   /** Maximum time between the shutdown of a connection's output and its close. */
   private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
 
+  /** The kernel sends what was written after the close. */
+  private static final int SO_LINGER_OFF = -1;
+
   private static final PendingResponse NO_RESPONSE =
       new PendingResponse() {
         @Override
@@ -356,6 +360,12 @@
   /** Closes the connection without waiting for the caller. */
   void closeNow() {
     recordCloseByNode();
+    if (lingering) {
+      // ServiceTalk has set it to zero if a part of a request had arrived; the kernel would then
+      // drop
+      // the end of the response.
+      context.channel().config().setOption(ChannelOption.SO_LINGER, SO_LINGER_OFF);
+    }
     var unused = context.close();
   }
 
