--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -361,8 +361,7 @@
   void closeNow() {
     recordCloseByNode();
     if (lingering) {
-      // ServiceTalk has set it to zero if a part of a request had arrived; the kernel would then
-      // drop
+      // ServiceTalk sets it to zero if a part of a request has arrived, and the kernel then drops
       // the end of the response.
       context.channel().config().setOption(ChannelOption.SO_LINGER, SO_LINGER_OFF);
     }
