An event of a stream is bounded, and copied linearly

What callers saw: nothing yet; a node could lose its memory, and with it all its callers, to one endpoint that doesn't end an event, and a long event took time with the square of its pieces.

Cause: EventSplitter kept a part of an event without a bound and copied all of it, twice, with each piece.

The bound is one of a stream, not of all streams together.

--- a/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/EventSplitterTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/EventSplitterTest.java
@@ -2,12 +2,17 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 /** Tests splitting of a stream after its last complete event, and the id of that event. */
 final class EventSplitterTest {
+  private static final int PIECES = 2048;
+
   private final EventSplitter splitter = new EventSplitter();
 
   private String append(String text) {
@@ -59,4 +64,38 @@
     assertEquals("", append("id: 1"));
     assertEquals(Optional.empty(), splitter.lastId());
   }
+
+  // Guards against an event in many pieces that is copied with each of them.
+  @Test
+  void eventInPiecesIsCopiedLinearly() {
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    byte[] piece = "x".repeat(1024).getBytes(UTF_8);
+    splitter.append(piece);
+    long before = threads.getCurrentThreadAllocatedBytes();
+    for (int i = 1; i < PIECES; i++) {
+      splitter.append(piece);
+    }
+    byte[] event = splitter.append("\n\n".getBytes(UTF_8));
+    long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+    assertEquals(PIECES * piece.length + 2, event.length);
+    assertTrue(allocated < 8L * event.length, "allocated: " + allocated);
+  }
+
+  @Test
+  void endOfEventInTwoPiecesIsFound() {
+    assertEquals("", append("data: a\n"));
+    assertEquals("data: a\n\n", append("\ndata: b\r\n\r"));
+    assertEquals("data: b\r\n\r\n", append("\nid"));
+    assertEquals("id: 3\n\n", append(": 3\n\n"));
+    assertEquals(Optional.of("3"), splitter.lastId());
+  }
+
+  @Test
+  void restoredPartIsCompleted() {
+    append("data: a");
+    byte[] part = splitter.takePartial();
+    append("other");
+    splitter.restorePartial(part);
+    assertEquals("data: a\n\n", append("\n\n"));
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
@@ -10,6 +10,8 @@
   RESUME_REFUSED("resume-refused", false),
   /** The response belongs to another request. */
   MISMATCHED_RESPONSE("foreign-answer", false),
+  /** An event of the stream is longer than any may be. */
+  EVENT_TOO_LONG("event-too-long", true),
   /** No connection to the endpoint could be opened. */
   NOT_CONNECTED("not-connected", false),
   /** The connection was lost. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -393,6 +393,7 @@
   private void passOn(byte[] bytes, RunningAttempt running) {
     byte[] whole = route.kind().streamed() ? splitter.append(bytes) : bytes;
     if (whole.length == 0) {
+      endIfEventTooLong(running);
       return;
     }
     passHeldHeadOn(running);
@@ -403,6 +404,14 @@
     }
   }
 
+  private void endIfEventTooLong(RunningAttempt running) {
+    if (splitter.isTooLong()) {
+      running.cancel();
+      String cause = "an event of over " + EventSplitter.MAX_EVENT_BYTES + " bytes";
+      attemptEnded(Verdict.RAN, AttemptFailure.EVENT_TOO_LONG, cause);
+    }
+  }
+
   @Override
   public void drained() {
     if (!done) {
