--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ConcurrentAttemptTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ConcurrentAttemptTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
 
 /**
@@ -155,6 +156,22 @@
     assertTrue(moved.successor.cancelled);
   }
 
+  // An engine does not get a request twice at the same time.
+  @Test
+  void attemptWithLostPathIsReplacedAtSameFirstEngine() {
+    node.engine(1, 0, 40);
+    FleetEndpoint later = node.engine(2, 40, 80);
+    node.request("/stream/x");
+    SentAttempt former = node.lastAttempt();
+    node.engine(3, 40, 80);
+    node.control.dead.add(later.address());
+    node.control.repathOutcome = new RepathOutcome(RepathOutcome.Kind.REFUSED, Optional.empty());
+    node.advance(1900);
+    assertEquals(2, node.sent.size(), "sends");
+    assertEquals("e1", node.lastAttempt().attempt.endpoint().id());
+    assertTrue(former.cancelled, "cancelled");
+  }
+
   // A response that is not a stream comes from one endpoint, so its head ends the other attempt.
   @Test
   void headOfPlainResponseEndsOtherAttempt() {
