HttpSender sends no call over a client that is being closed

What callers saw: a call to an endpoint, or to the store, failed without being sent, if its address was closed between the look for its client and the count of the call.

Cause: RefCountedClient.acquire counted calls also after the last reference had closed the client.

HttpSenderTest.callsSucceedWhileConnectionsAreClosed on the code before: Execution StacklessNoAvailableHostException: DefaultLoadBalancer{...}: No hosts are available to connect.

Change: tryAcquire counts a call unless the client has been closed; HttpSender then takes a new client.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/HttpSenderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/HttpSenderTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.state.HostPort;
@@ -28,6 +29,8 @@
   /** More than the failed connections after which ServiceTalk ejects an address by default. */
   private static final int FAILED_CALLS = 12;
 
+  private static final int CALLS_DURING_CLOSES = 1000;
+
   /** Only bounds a failing test; a call on loopback takes a few ms. */
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
@@ -68,6 +71,40 @@
     }
   }
 
+  // Guards against a call that fails because its address is closed while it is being sent.
+  @Test
+  void callsSucceedWhileConnectionsAreClosed() throws Exception {
+    HttpServer server =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.createContext(
+        "/",
+        exchange -> {
+          exchange.sendResponseHeaders(200, 2);
+          exchange.getResponseBody().write("ok".getBytes(UTF_8));
+          exchange.close();
+        });
+    server.start();
+    HostPort address = hostPort(server.getAddress());
+    AtomicBoolean done = new AtomicBoolean();
+    Thread closer =
+        new Thread(
+            () -> {
+              while (!done.get()) {
+                sender.closeConnections(address);
+              }
+            });
+    closer.start();
+    try {
+      for (int i = 0; i < CALLS_DURING_CLOSES; i++) {
+        assertEquals("ok", sender.get(address, "/", TIMEOUT).get().body());
+      }
+    } finally {
+      done.set(true);
+      closer.join();
+      server.stop(0);
+    }
+  }
+
   private static HostPort hostPort(InetSocketAddress address) {
     return new HostPort(address.getHostString(), address.getPort());
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
@@ -92,9 +92,8 @@
   /** Sends a request; if it fails, the future fails with ServiceTalk's exception. */
   public CompletableFuture<Response> send(
       HostPort to, HttpRequestMethod method, String target, String body, Duration timeout) {
-    RefCountedClient<HttpClient> refCounted =
-        clients.computeIfAbsent(to, this::newRefCountedClient);
-    HttpClient client = refCounted.acquire();
+    RefCountedClient<HttpClient> refCounted = acquire(to);
+    HttpClient client = refCounted.client();
     HttpRequest request = client.newRequest(method, target);
     if (!body.isEmpty()) {
       BufferAllocator allocator = client.executionContext().bufferAllocator();
@@ -110,6 +109,16 @@
         .toCompletableFuture();
   }
 
+  /** Counts a call and returns its client, which is not closed before the call ends. */
+  private RefCountedClient<HttpClient> acquire(HostPort to) {
+    RefCountedClient<HttpClient> client;
+    do {
+      // One that closes its connections was removed before.
+      client = clients.computeIfAbsent(to, this::newRefCountedClient);
+    } while (!client.tryAcquire());
+    return client;
+  }
+
   private static Response readResponse(HttpResponse response) {
     CharSequence contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, JSON);
     CharSequence refusal = response.headers().get(EngineJson.REFUSED_HEADER, "");
--- a/vaneworks/src/main/java/org/vaneworks/transport/RefCountedClient.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/RefCountedClient.java
@@ -27,10 +27,13 @@
     return new RefCountedClient<>(client);
   }
 
-  /** Returns the client for a call, which must call {@link #release} exactly once when it ends. */
-  public C acquire() {
-    references.incrementAndGet();
-    return client;
+  /**
+   * Counts a call, which must call {@link #release} exactly once when it ends.
+   *
+   * @return whether the client can be used; {@code false} once it closes its connections
+   */
+  public boolean tryAcquire() {
+    return references.getAndUpdate(count -> count == 0 ? 0 : count + 1) > 0;
   }
 
   /** Records the end of a call, whether it succeeded or not. */
@@ -40,15 +43,12 @@
     }
   }
 
-  /**
-   * Closes the connections once no call is in progress. Must be called at most once, and {@link
-   * #acquire} must not be called afterwards.
-   */
+  /** Closes the connections once no call is in progress. Must be called at most once. */
   public void closeWhenIdle() {
     release();
   }
 
-  /** Returns the client without counting a call, so that it can be closed immediately. */
+  /** Returns the client, for a call that was counted or to close it immediately. */
   public C client() {
     return client;
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -1,6 +1,7 @@
 package org.vaneworks.transport.entry;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.base.Preconditions.checkState;
 
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
@@ -74,7 +75,9 @@
   public EndpointCall send(Attempt attempt, Listener listener) {
     RefCountedClient<StreamingHttpClient> refCounted =
         clients.computeIfAbsent(attempt.endpoint().address(), this::newRefCountedClient);
-    StreamingHttpClient client = refCounted.acquire();
+    // Can't fail: a client that closes its connections was removed before, on the same event loop.
+    checkState(refCounted.tryAcquire(), "closed: %s", attempt.endpoint().address());
+    StreamingHttpClient client = refCounted.client();
     Call call = new Call(dialect, io, attempt, listener, refCounted::release);
     StreamingHttpRequest request = request(client, attempt);
     request.context().put(EndpointConnection.USER, call);
