Forwarding: an engine that the path has left can be replaced again

Callers saw: a stream stood still until its time limit although another path was free, when an engine of its path was lost for the second time. Cause: two engines of a path are lost together, one path change drops both; the other's replacement then ends without a result, so its engine stayed in the set of those being replaced, and bypass ignored its later losses. It was never failed over either, as that begins in bypass. Evidence: RepeatedPathChangeTest failed before: "path changes ==> expected: not equal but was: <3>". Now a path change clears the marks of all engines that the path has left.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
@@ -151,7 +151,8 @@
     @Override
     public void replaced(EnginePath next) {
       selector.replace(next);
-      beingReplaced.remove(lost);
+      // The replacements of other engines that the path has left end without a result.
+      beingReplaced.removeIf(engine -> !selector.uses(engine));
       callbacks.repaired();
     }
 
