Forwarding: a path that the first engine has accepted is always recorded

Callers saw: a stream stood still until its time limit when an engine of its path was lost, although another path was free. Cause: two engines lost together are replaced by two orders. If the path of the first order has left both, the acceptance of the second one was ignored, as its engine was not used any more. The first engine runs the request on that path all the same, so the node watched, probed and reserved another path than the one in use, and disregarded losses and stall reports of its engines. Evidence: RepeatedPathChangeTest.engineOfThePathAcceptedLastIsReplaced failed before: "path changes ==> expected: not equal but was: <2>". Now an acceptance counts as long as the same attempt is current.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathRepairs.java
@@ -134,6 +134,7 @@
             selector,
             lost,
             cause,
+            () -> callbacks.isCurrent(attempt),
             () -> callbacks.isCurrent(attempt) && selector.uses(lost),
             quarantine::isQuarantined,
             MAX_PATH_CHANGES,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -53,6 +53,7 @@
   private final EndpointSelector selector;
   private final TrackedEndpoint lost;
   private final String cause;
+  private final BooleanSupplier attemptCurrent;
   private final BooleanSupplier stillRelevant;
   private final BooleanSupplier quarantined;
   private final Callbacks callbacks;
@@ -63,6 +64,7 @@
    *
    * @param lost the engine to replace
    * @param cause the reason, for the log
+   * @param attemptCurrent whether the same attempt is current
    * @param stillRelevant whether the same attempt still uses that engine
    * @param quarantined whether the request must not start on other engines
    * @param attempts the maximum number of path changes to request
@@ -73,6 +75,7 @@
       EndpointSelector selector,
       TrackedEndpoint lost,
       String cause,
+      BooleanSupplier attemptCurrent,
       BooleanSupplier stillRelevant,
       BooleanSupplier quarantined,
       int attempts,
@@ -82,6 +85,7 @@
     this.selector = selector;
     this.lost = lost;
     this.cause = cause;
+    this.attemptCurrent = attemptCurrent;
     this.stillRelevant = stillRelevant;
     this.quarantined = quarantined;
     this.attemptsLeft = attempts;
@@ -119,7 +123,9 @@
         context.control().repath(selector.target().endpoint(), request.id(), pathText),
         context.clock(),
         (outcome, failure) -> {
-          if (stillRelevant.getAsBoolean()) {
+          // An accepted path is in use even if the engine has left the path in the meantime.
+          boolean accepted = failure == null && outcome.kind() == RepathOutcome.Kind.ACCEPTED;
+          if (accepted ? attemptCurrent.getAsBoolean() : stillRelevant.getAsBoolean()) {
             ForwardLog.pathChanged(request, cause, failure == null ? outcome : failure, pathText);
             onOutcome(next.get(), outcome, failure);
           }
