Test: a call whose write failed ends although no response comes

WriteFailures withholds failed writes until the input was read. Nothing checked that they are reported when the response never comes or stays incomplete. Both tests pass on the present code; with a WriteFailures that never reports what it withheld both failed (TimeoutException).

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/ResetAfterResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/ResetAfterResponseTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
@@ -187,4 +188,31 @@
         });
     assertEquals("onetwo", outcome.result());
   }
+
+  // Guards against a call that never ends because the failure of its write is withheld for ever.
+  @Test
+  void resetWithoutResponseEndsTheCall() throws Exception {
+    send(REQUEST_BYTES);
+    Socket socket = accept();
+    runWhileEventLoopStands(socket::close);
+    assertFailedAfter("");
+  }
+
+  // The same if a part of the response arrived.
+  @Test
+  void resetBeforeEndOfResponseEndsTheCall() throws Exception {
+    send(REQUEST_BYTES);
+    Socket socket = accept();
+    runWhileEventLoopStands(
+        () -> {
+          write(socket, HEAD + CHUNKS);
+          socket.close();
+        });
+    assertFailedAfter("onetwo");
+  }
+
+  private void assertFailedAfter(String text) throws Exception {
+    String result = outcome.result();
+    assertTrue(result.startsWith(text + " then "), result);
+  }
 }
