Reachability of all endpoints is checked, logged and counted

ReachabilityMonitor opens new connections to other endpoints when failures suggest that: VW3016 and VW3017, vaneworks.reachability.checks. No decision uses it yet. SimulatedCluster can cut a node off from all endpoints: everything hangs, connections are reset, only new ones are refused, or only answers are held back.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.HealthChecker;
+import org.vaneworks.coordination.fleet.ReachabilityMonitor;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.Forwarder;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
@@ -38,6 +39,7 @@
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 import org.vaneworks.transport.entry.CallerConnections;
+import org.vaneworks.transport.entry.ConnectionProbes;
 import org.vaneworks.transport.entry.EndpointConnections;
 import org.vaneworks.transport.entry.EntryServer;
 import org.vaneworks.transport.entry.LoadDatagrams;
@@ -177,12 +179,15 @@
     lease.onControllerWon(placement::wake);
     connections = EndpointConnections.create(io, adapters.headers());
     fleet.onRemoval(this::closeConnections);
+    ReachabilityMonitor reachability =
+        ReachabilityMonitor.create(io, random, fleet, ConnectionProbes.on(io), counters);
     forwarder =
         Forwarder.create(
             io,
             random,
             fleet,
-            HealthChecker.create(io, fleet, adapters.engines()),
+            HealthChecker.create(io, fleet, adapters.engines(), reachability),
+            reachability,
             adapters.engines(),
             connections,
             quarantine,
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Iterables;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.ConnectTimeoutException;
 import java.net.ConnectException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
@@ -26,6 +27,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.vaneworks.coordination.concurrent.Async;
@@ -37,6 +39,7 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.HealthChecker;
 import org.vaneworks.coordination.fleet.Incarnation;
+import org.vaneworks.coordination.fleet.ReachabilityMonitor;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.Attempt;
@@ -106,6 +109,7 @@
   private static final int REPLACEMENT_DELAY_MILLIS = 3000;
   private static final int RELIST_DELAY_MILLIS = 800;
   private static final int NETWORK_DELAY_MILLIS = 1;
+  private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final Duration REPATH_TIMEOUT = Duration.ofMillis(100);
   private static final int BLOCKED_POLL_MILLIS = 20;
   private static final int FAILURE = 500;
@@ -166,8 +170,18 @@
   /** Creates nodes without endpoints; engines that are started later simulate faults in detail. */
   SimulatedCluster(
       int nodes, long seed, EntryConfiguration configuration, ForwardingLimits limits) {
+    this(nodes, 1, seed, configuration, limits);
+  }
+
+  /** Does so with nodes and engines distributed over the data centres round-robin. */
+  SimulatedCluster(
+      int nodes,
+      int dataCentres,
+      long seed,
+      EntryConfiguration configuration,
+      ForwardingLimits limits) {
     this.seed = seed;
-    this.dataCentres = 1;
+    this.dataCentres = dataCentres;
     this.configuration = configuration;
     this.limits = limits;
     detailed = true;
@@ -409,12 +423,22 @@
       }
     }
 
+    /** Resets the connections of a node. */
+    private void abortRequestsOf(Node node) {
+      abortRequests(request -> request.sender == node);
+    }
+
     /** Aborts all requests of this engine. */
     private void abortRequests() {
+      abortRequests(request -> true);
+    }
+
+    private void abortRequests(Predicate<EngineRequest> selected) {
       List<EngineRequest> lost =
-          ImmutableList.copyOf(Iterables.concat(activeRequests, unreadRequests));
-      activeRequests.clear();
-      unreadRequests.clear();
+          ImmutableList.copyOf(
+              Iterables.filter(Iterables.concat(activeRequests, unreadRequests), selected::test));
+      activeRequests.removeAll(lost);
+      unreadRequests.removeAll(lost);
       lost.forEach(request -> request.record.finish(AttemptRecord.Outcome.ENGINE_ABORTED));
       lost.forEach(
           request ->
@@ -513,6 +537,8 @@
 
   /** One attempt of a request at an engine. */
   private final class EngineRequest implements EndpointTransport.EndpointCall {
+    private boolean connected = true;
+    private boolean cancelled;
     private final int node;
     private final Node sender;
     private final Attempt attempt;
@@ -557,7 +583,34 @@
 
     /** Runs a callback on the event loop of the node that sent the request. */
     void deliver(Runnable callback) {
-      sender.eventLoop.receive(callback);
+      sender.receiveFromEngines(callback);
+    }
+
+    /** Sends the request over a new or an open connection of its node. */
+    void send(Engine engine) {
+      boolean open = sender.hasOpenConnection();
+      if (open) {
+        sender.sendToEngines(() -> engine.receive(this));
+      } else if (sender.cut == EndpointCut.HANG || sender.cut == EndpointCut.ANSWERS_HELD) {
+        connected = false;
+        failToConnect(CONNECT_TIMEOUT_MILLIS, new ConnectTimeoutException());
+      } else {
+        connected = false;
+        failToConnect(2 * NETWORK_DELAY_MILLIS, refused());
+      }
+    }
+
+    private void failToConnect(int afterMillis, Throwable cause) {
+      record.finish(AttemptRecord.Outcome.ENGINE_ABORTED);
+      schedule(
+          afterMillis,
+          () ->
+              sender.eventLoop.receive(
+                  () -> {
+                    if (!cancelled) {
+                      listener.failed(true, cause);
+                    }
+                  }));
     }
 
     int firstEvent() {
@@ -575,11 +628,12 @@
 
     @Override
     public boolean mayHaveArrived() {
-      return true;
+      return connected;
     }
 
     @Override
     public void cancel() {
+      cancelled = true;
       record.close(nowMillis());
       engines.values().forEach(engine -> engine.activeRequests.remove(this));
     }
@@ -635,6 +689,12 @@
     private final Forwarder forwarder;
     private final LoadExchange exchange;
     private final int index;
+    private EndpointCut cut = EndpointCut.NONE;
+    private final Random connections;
+
+    /** What is held back by a cut until it ends. */
+    private final List<Runnable> heldBack = new ArrayList<>();
+
     private BiConsumer<FleetEndpoint, EndpointSignal> signalListener = (engine, signal) -> {};
 
     /** Starts a new incarnation of the node at an index. */
@@ -642,6 +702,7 @@
       this.index = index;
       int number = incarnations++;
       Random random = new Random(seed + number);
+      connections = new Random(seed - number);
       Counters counters = Counters.in(meters);
       fleet = Fleet.create(eventLoop, counters, EntryNode.RELIST_GRACE);
       onSignal(fleet.signals()::recordCallAnswer);
@@ -677,12 +738,20 @@
                       QUARANTINE,
                       quarantine)),
               time.suspensionDetector());
+      ReachabilityMonitor reachability =
+          ReachabilityMonitor.create(
+              eventLoop,
+              new Random(seed + number),
+              fleet,
+              (address, timeout) -> connect(address),
+              counters);
       forwarder =
           Forwarder.create(
               eventLoop,
               random,
               fleet,
-              HealthChecker.create(eventLoop, fleet, this),
+              HealthChecker.create(eventLoop, fleet, this, reachability),
+              reachability,
               this,
               (attempt, listener) -> sendAttempt(index, this, attempt, listener),
               quarantine,
@@ -696,6 +765,63 @@
       exchange.start();
     }
 
+    /** Cuts the node off from all engines, or ends that. */
+    private void cutFromEngines(EndpointCut next) {
+      cut = next;
+      if (next == EndpointCut.RESET) {
+        for (Engine engine : engines.values()) {
+          engine.abortRequestsOf(this);
+        }
+      }
+      if (next == EndpointCut.NONE) {
+        List<Runnable> released = ImmutableList.copyOf(heldBack);
+        heldBack.clear();
+        released.forEach(Runnable::run);
+      }
+    }
+
+    /** Receives something from an engine, unless a cut holds it back. */
+    private void receiveFromEngines(Runnable callback) {
+      if (cut == EndpointCut.HANG || cut == EndpointCut.ANSWERS_HELD) {
+        heldBack.add(() -> eventLoop.receive(callback));
+      } else {
+        eventLoop.receive(callback);
+      }
+    }
+
+    private void sendToEngines(Runnable arrival) {
+      if (cut == EndpointCut.HANG) {
+        heldBack.add(arrival);
+      } else {
+        schedule(NETWORK_DELAY_MILLIS, arrival);
+      }
+    }
+
+    /** Returns whether a request goes over an open connection; half of them do during a cut. */
+    private boolean hasOpenConnection() {
+      return switch (cut) {
+        case NONE -> true;
+        case HANG, ANSWERS_HELD -> connections.nextBoolean();
+        case RESET, NEW_REFUSED -> false;
+      };
+    }
+
+    private CompletableFuture<?> connect(HostPort address) {
+      CompletableFuture<Void> connected = new CompletableFuture<>();
+      Engine engine = engines.get(address);
+      boolean silent = engine.unresponsiveUntil == FOREVER;
+      schedule(
+          2 * NETWORK_DELAY_MILLIS,
+          () -> {
+            if (cut == EndpointCut.RESET || cut == EndpointCut.NEW_REFUSED || engine.stopped) {
+              connected.completeExceptionally(refused());
+            } else if (cut == EndpointCut.NONE && !silent) {
+              connected.complete(null);
+            }
+          });
+      return connected;
+    }
+
     private int sendReport(HostPort peer, LoadReport report) {
       byte[] bytes = LoadCodec.encode(report);
       if (dropLoadReports) {
@@ -750,6 +876,9 @@
 
     private CompletableFuture<EngineReport> reportNow(FleetEndpoint endpoint) {
       Engine engine = engines.get(endpoint.address());
+      if (cut == EndpointCut.RESET) {
+        return CompletableFuture.failedFuture(refused());
+      }
       if (engine.stopped) {
         return CompletableFuture.failedFuture(refused());
       }
@@ -771,8 +900,7 @@
         FleetEndpoint endpoint, Duration timeout, Supplier<CompletableFuture<T>> answer) {
       CompletableFuture<T> result = new CompletableFuture<>();
       eventLoop.schedule(() -> result.completeExceptionally(new TimeoutException()), timeout);
-      schedule(
-          NETWORK_DELAY_MILLIS,
+      sendToEngines(
           () -> {
             Engine engine = engines.get(endpoint.address());
             engine.whenResponsive(
@@ -786,7 +914,7 @@
       schedule(
           NETWORK_DELAY_MILLIS + delayMillis,
           () ->
-              eventLoop.receive(
+              receiveFromEngines(
                   () ->
                       Async.ignore(
                           answer.whenComplete(
@@ -914,7 +1042,7 @@
     if (nodes.get(index) == sender) { // Drops the requests of an incarnation that has stopped.
       attempts.computeIfAbsent(attempt.request().id(), id -> new ArrayList<>()).add(request.record);
       attemptListener.accept(index, attempt.request().id());
-      schedule(NETWORK_DELAY_MILLIS, () -> engine.receive(request));
+      request.send(engine);
     }
     return request;
   }
@@ -1057,6 +1185,11 @@
     return unreleased.build();
   }
 
+  /** Cuts a node off from all endpoints, but not from its callers, the store and its peers. */
+  void cutFromEndpoints(int node, EndpointCut cut) {
+    nodes.get(node).cutFromEngines(cut);
+  }
+
   /** Restarts a node; the new incarnation starts without the state of the former one. */
   void restartNode(int node) {
     nodes.get(node).exchange.stop();
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/DelayedHealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/DelayedHealthCheckerTest.java
@@ -8,6 +8,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.BeforeEach;
@@ -18,6 +19,7 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.HealthChecker;
 import org.vaneworks.coordination.fleet.Incarnation;
+import org.vaneworks.coordination.fleet.ReachabilityMonitor;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.HostPort;
@@ -42,7 +44,17 @@
   private final PausedExecutor clock = PausedExecutor.create();
   private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
   private final Fleet fleet = Fleet.create(clock, Counters.in(meters), Duration.ofMillis(2500));
-  private final HealthChecker health = HealthChecker.create(clock, fleet, new Engine());
+  private final HealthChecker health =
+      HealthChecker.create(
+          clock,
+          fleet,
+          new Engine(),
+          ReachabilityMonitor.create(
+              clock,
+              new Random(1),
+              fleet,
+              (address, timeout) -> CompletableFuture.completedFuture(null),
+              Counters.in(meters)));
   private TrackedEndpoint engine;
   private int probes;
   private int suspicions;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,6 +27,7 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.HealthChecker;
 import org.vaneworks.coordination.fleet.Incarnation;
+import org.vaneworks.coordination.fleet.ReachabilityMonitor;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.AdvertisedRateLimit;
@@ -61,7 +63,17 @@
   private final Fleet fleet =
       Fleet.create(clock, Counters.in(new SimpleMeterRegistry()), Duration.ofMillis(2500));
   private final Queue<Reply> replies = new ArrayDeque<>();
-  private final HealthChecker health = HealthChecker.create(clock, fleet, new Engine());
+  private final HealthChecker health =
+      HealthChecker.create(
+          clock,
+          fleet,
+          new Engine(),
+          ReachabilityMonitor.create(
+              clock,
+              new Random(1),
+              fleet,
+              (address, timeout) -> CompletableFuture.completedFuture(null),
+              Counters.in(new SimpleMeterRegistry())));
   private TrackedEndpoint engine;
   private int probes;
   private int suspicions;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -23,6 +23,7 @@
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.HealthChecker;
 import org.vaneworks.coordination.fleet.Incarnation;
+import org.vaneworks.coordination.fleet.ReachabilityMonitor;
 import org.vaneworks.coordination.fleet.RepathOutcome;
 import org.vaneworks.coordination.forwarding.Attempt;
 import org.vaneworks.coordination.forwarding.CallerRequest;
@@ -202,12 +203,16 @@
   ForwardingFixture() {
     Counters counters = Counters.in(meters);
     fleet = Fleet.create(clock, counters, Duration.ofMillis(2500));
+    ReachabilityMonitor reachability =
+        ReachabilityMonitor.create(
+            clock, new Random(9), fleet, (address, timeout) -> connect(address), counters);
     forwarder =
         Forwarder.create(
             clock,
             new Random(7),
             fleet,
-            HealthChecker.create(clock, fleet, control),
+            HealthChecker.create(clock, fleet, control, reachability),
+            reachability,
             control,
             (attempt, listener) -> {
               SentAttempt made = new SentAttempt(attempt, listener);
@@ -230,6 +235,13 @@
             counters);
   }
 
+  /** Endpoints accept connections unless they refuse them. */
+  private CompletableFuture<?> connect(HostPort address) {
+    return control.refusing.contains(address)
+        ? CompletableFuture.failedFuture(new ConnectException("Connection refused"))
+        : CompletableFuture.completedFuture(null);
+  }
+
   static EntryConfiguration configuration() {
     return EntryConfiguration.of(
         3,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -80,6 +80,7 @@
   private final Executor clock;
   private final Fleet fleet;
   private final EngineControl control;
+  private final ReachabilityMonitor reachability;
   private final Map<TrackedEndpoint, Long> probedAt = new HashMap<>();
 
   /** Probes in progress. Further checks of such an engine share the result. */
@@ -95,10 +96,12 @@
   private Duration slowestAnswer = Duration.ZERO;
   private long slowestAnswerAt = Long.MIN_VALUE / 2;
 
-  private HealthChecker(Executor clock, Fleet fleet, EngineControl control) {
+  private HealthChecker(
+      Executor clock, Fleet fleet, EngineControl control, ReachabilityMonitor reachability) {
     this.clock = checkNotNull(clock);
     this.fleet = checkNotNull(fleet);
     this.control = checkNotNull(control);
+    this.reachability = checkNotNull(reachability);
     fleet.onSuspicion(engine -> scheduleRetry(engine, INITIAL_RETRY_DELAY));
     fleet.onRemoval(probedAt::remove);
     fleet.onRemoval(lateAnswers::remove);
@@ -123,8 +126,9 @@
   }
 
   /** Creates a health checker for the engines of a fleet. */
-  public static HealthChecker create(Executor clock, Fleet fleet, EngineControl control) {
-    return new HealthChecker(clock, fleet, control);
+  public static HealthChecker create(
+      Executor clock, Fleet fleet, EngineControl control, ReachabilityMonitor reachability) {
+    return new HealthChecker(clock, fleet, control, reachability);
   }
 
   /**
@@ -230,6 +234,9 @@
       }
       unanswered++;
       boolean refused = failure instanceof ConnectionRefusedException;
+      if (!refused) {
+        reachability.recordUnanswered(engine);
+      }
       if (!refused && !isUnresponsive()) {
         probe();
         return;
@@ -387,6 +394,7 @@
   private void recordRefusal(TrackedEndpoint engine, Throwable failure) {
     // An unlisted engine may have ended as planned, for which no request is to blame.
     if (failure instanceof ConnectionRefusedException && !engine.delisted()) {
+      reachability.recordRefused(engine);
       fleet.recordConnectionRefused(engine);
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
@@ -5,6 +5,7 @@
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.HealthChecker;
+import org.vaneworks.coordination.fleet.ReachabilityMonitor;
 import org.vaneworks.coordination.quarantine.CrashDetector;
 import org.vaneworks.coordination.quarantine.Quarantine;
 import org.vaneworks.coordination.relay.PathPlanner;
@@ -18,6 +19,7 @@
  * @param fleet all endpoints
  * @param planner chooses paths
  * @param health probes engines
+ * @param reachability determines whether this node is cut off from all endpoints
  * @param control changes the paths of running requests
  * @param transport sends attempts to endpoints
  * @param queues requests that wait for capacity
@@ -34,6 +36,7 @@
     Fleet fleet,
     PathPlanner planner,
     HealthChecker health,
+    ReachabilityMonitor reachability,
     EngineControl control,
     EndpointTransport transport,
     CapacityQueues queues,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -450,7 +450,10 @@
 
   private void recordFailure(Throwable cause, TrackedEndpoint endpoint) {
     if (cause instanceof ConnectionRefusedException) {
+      context.reachability().recordRefused(endpoint);
       context.fleet().recordConnectionRefused(endpoint);
+    } else {
+      context.reachability().recordUnanswered(endpoint);
     }
     if (selector.runsOnEngines()) {
       context.health().checkAfterDisconnect(endpoint);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -16,6 +16,7 @@
 import org.vaneworks.coordination.fleet.EngineControl;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.HealthChecker;
+import org.vaneworks.coordination.fleet.ReachabilityMonitor;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.quarantine.SharedQuarantine;
 import org.vaneworks.coordination.relay.PathPlanner;
@@ -109,6 +110,7 @@
       Random random,
       Fleet fleet,
       HealthChecker health,
+      ReachabilityMonitor reachability,
       EngineControl control,
       EndpointTransport transport,
       SharedQuarantine quarantine,
@@ -126,6 +128,7 @@
             fleet,
             PathPlanner.create(random),
             health,
+            reachability,
             control,
             transport,
             new CapacityQueues(clock),
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -49,6 +49,8 @@
   ENDPOINT_LIMIT_UNREADABLE(3013, "an endpoint's rate limit could not be read"),
   ENDPOINT_BACKOFF(3014, "an endpoint requested a backoff from this node"),
   ENDPOINT_BACKOFF_UNREADABLE(3015, "an endpoint's requested backoff could not be read"),
+  NODE_ISOLATED(3016, "this node reaches no endpoint; new connections to several failed"),
+  NODE_REACHES_ENDPOINTS(3017, "this node reaches endpoints again"),
   PLACEMENT_CONTROLLER(3101, "this node is the controller that assigns layers to engines"),
   PLACEMENT_DECIDED(3102, "an engine is assigned other layers"),
   ORDER_ANSWERED(3103, "an engine answered an order"),
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -23,6 +23,9 @@
   STORE_ERAS("vaneworks.store.eras", "times that the store came back from an older copy"),
   ORDERS("vaneworks.orders", "orders to engines, by outcome"),
   EJECTIONS("vaneworks.ejections", "endpoints ejected, by cause"),
+  REACHABILITY_CHECKS(
+      "vaneworks.reachability.checks",
+      "checks whether this node can open a connection to any endpoint, by result"),
   ENDPOINT_ENTRIES("vaneworks.endpoint.entries", "entries of endpoints not taken, by cause"),
   ENDPOINT_LIMITS(
       "vaneworks.endpoint.limits", "limits of requests that endpoints named, by what changed"),
