--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
@@ -0,0 +1,179 @@
+package org.vaneworks.daemon.entry;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.entry.CallKind;
+import org.vaneworks.state.entry.EntryRoute;
+
+/**
+ * One random simulation of nodes of which some are cut off from all endpoints for a while. Callers
+ * send requests to all nodes alike and do not retry.
+ */
+final class IsolatedNodeSimulation {
+  /** From the start of a cut until callers of the nodes that are cut off must be served. */
+  private static final int CONTACT_MILLIS = 3000;
+
+  private static final int CUT_MILLIS = 9000;
+  private static final int STEP_MILLIS = 10;
+  private static final int SETTLE_MILLIS = 26_000;
+  private static final int ENGINES = 6;
+  private static final int REPLICAS = 4;
+  private static final int DATA_CENTRES = 3;
+  private static final double RESERVE_PER_NODE = 15;
+
+  /** The fraction of the other callers' success rate that callers of isolated nodes must have. */
+  private static final double MIN_RELATIVE_SUCCESS = 2 / 3.0;
+
+  private static final int TOLERATED_FAILURES = 10;
+  private static final double TOLERATED_FAILURE_FRACTION = 1 / 50.0;
+
+  private final Random random;
+  private final int nodes;
+  private final ImmutableSet<Integer> isolated;
+  private final EndpointCut cut;
+  private final SimulatedCluster cluster;
+  private final Map<String, SimulatedCaller> callers = new HashMap<>();
+  private final List<SimulatedCaller> duringCut = new ArrayList<>();
+  private final List<String> problems = new ArrayList<>();
+  private final ImmutableList<EntryRoute> routes =
+      ImmutableList.of(
+          SimulationConfiguration.route(CallKind.RESUMABLE_STREAM, 2),
+          SimulationConfiguration.route(CallKind.RESUMABLE_STREAM, 2),
+          SimulationConfiguration.route(CallKind.RESUMABLE_STREAM, 3),
+          SimulationConfiguration.route(CallKind.UNSAFE, 1),
+          SimulationConfiguration.route(CallKind.SAFE, 2));
+
+  /** Creates a simulation with a random way of cutting off a random part of the nodes. */
+  IsolatedNodeSimulation(long seed) {
+    this(seed, EndpointCut.values()[1 + new Random(seed).nextInt(EndpointCut.values().length - 1)]);
+  }
+
+  /** Creates a simulation in which a random part of the nodes, but not all, is cut off. */
+  IsolatedNodeSimulation(long seed, EndpointCut cut) {
+    this.cut = cut;
+    random = new Random(seed);
+    nodes = 2 + random.nextInt(7);
+    ImmutableSet.Builder<Integer> chosen = ImmutableSet.builder();
+    int count = 1 + random.nextInt(nodes - 1);
+    random.ints(0, nodes).distinct().limit(count).forEach(chosen::add);
+    isolated = chosen.build();
+    ForwardingLimits limits =
+        new ForwardingLimits(
+            Duration.ofMillis(4750),
+            0.2,
+            nodes * RESERVE_PER_NODE / RetryBudgetChecker.RESERVE_FRACTION);
+    cluster =
+        new SimulatedCluster(
+            nodes, DATA_CENTRES, seed, SimulationConfiguration.of(1, 15_000), limits);
+    for (int i = 0; i < ENGINES; i++) {
+      cluster.startEngine(0, 80);
+    }
+    for (int i = 0; i < REPLICAS; i++) {
+      cluster.startReplica();
+    }
+    cluster.onAttempt(this::beforeAttempt);
+    cluster.advance(2000);
+  }
+
+  private void beforeAttempt(int node, String id) {
+    SimulatedCaller caller = callers.get(id);
+    if (caller != null) {
+      caller.beforeAttempt(cluster.attemptsOf(id));
+    }
+  }
+
+  /** Runs the simulation; returns the problems found. */
+  ImmutableList<String> run() {
+    sendFor(2000, new ArrayList<>());
+    isolated.forEach(node -> cluster.cutFromEndpoints(node, cut));
+    sendFor(CONTACT_MILLIS, new ArrayList<>());
+    sendFor(CUT_MILLIS - CONTACT_MILLIS, duringCut);
+    isolated.forEach(node -> cluster.cutFromEndpoints(node, EndpointCut.NONE));
+    sendFor(1000, new ArrayList<>());
+    List<SimulatedCaller> afterwards = new ArrayList<>();
+    sendFor(2000, afterwards);
+    cluster.advance(SETTLE_MILLIS);
+    checkService(duringCut, "during the cut");
+    checkService(afterwards, "after the cut");
+    callers.values().forEach(each -> problems.addAll(each.problems(cluster.attemptsOf(each.id()))));
+    problems.addAll(cluster.unreleasedState());
+    return ImmutableList.copyOf(problems);
+  }
+
+  private void sendFor(int millis, List<SimulatedCaller> sent) {
+    for (int i = 0; i < millis / STEP_MILLIS; i++) {
+      if (random.nextInt(2) == 0) {
+        sent.add(send());
+      }
+      cluster.advance(STEP_MILLIS);
+    }
+  }
+
+  private SimulatedCaller send() {
+    EntryRoute route = routes.get(random.nextInt(routes.size()));
+    int node = random.nextInt(nodes);
+    SimulatedCluster.SimulatedRequest request =
+        new SimulatedCluster.SimulatedRequest(
+            "r" + callers.size(), route.pathPrefix(), "", route.timeout(), new RequestSize(80, 20));
+    SimulatedCaller caller =
+        new SimulatedCaller(
+            request, route, node, cluster::nowMillis, () -> cluster.stalledMillis(node));
+    callers.put(request.id(), caller);
+    cluster.sendRequest(node, request, caller, caller::onAccepted);
+    return caller;
+  }
+
+  private void checkService(List<SimulatedCaller> sent, String when) {
+    int isolatedTotal = 0;
+    int isolatedServed = 0;
+    int otherTotal = 0;
+    int otherServed = 0;
+    for (SimulatedCaller caller : sent) {
+      int served = caller.isComplete() ? 1 : 0;
+      if (isolated.contains(caller.node())) {
+        isolatedTotal++;
+        isolatedServed += served;
+      } else {
+        otherTotal++;
+        otherServed += served;
+      }
+    }
+    int failed = isolatedTotal - isolatedServed;
+    double successRate = (double) isolatedServed / Math.max(1, isolatedTotal);
+    double otherSuccessRate = (double) otherServed / Math.max(1, otherTotal);
+    boolean tooFew = successRate < MIN_RELATIVE_SUCCESS * otherSuccessRate;
+    boolean tooMany = failed > TOLERATED_FAILURES + TOLERATED_FAILURE_FRACTION * isolatedTotal;
+    if (tooFew && tooMany) {
+      problems.add(
+          String.format(
+              "%s (%s, %s of %s nodes): nodes that were cut off served %s of %s, others %s of %s",
+              when,
+              cut,
+              isolated.size(),
+              nodes,
+              isolatedServed,
+              isolatedTotal,
+              otherServed,
+              otherTotal));
+    }
+  }
+
+  /** Returns the number of requests by node and outcome, for reports. */
+  Map<String, Integer> counts() {
+    Map<String, Integer> counts = new TreeMap<>();
+    for (SimulatedCaller caller : duringCut) {
+      String where = isolated.contains(caller.node()) ? "isolated " : "other ";
+      counts.merge(where + caller.outcome(), 1, Integer::sum);
+    }
+    return counts;
+  }
+}
