--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -10,8 +10,10 @@
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.transport.api.IoExecutor;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.vaneworks.coordination.fleet.Fleet;
@@ -20,6 +22,7 @@
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.Forwarder;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.coordination.forwarding.PeerNodes;
 import org.vaneworks.coordination.load.LoadExchange;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.coordination.load.LoadSender;
@@ -28,6 +31,7 @@
 import org.vaneworks.coordination.quarantine.SharedQuarantine;
 import org.vaneworks.coordination.shared.MeasuredStore;
 import org.vaneworks.coordination.shared.NodeLease;
+import org.vaneworks.coordination.shared.PeerRelay;
 import org.vaneworks.coordination.shared.PrefixFollower;
 import org.vaneworks.coordination.shared.PrefixRouter;
 import org.vaneworks.coordination.shared.SharedStore;
@@ -90,7 +94,12 @@
   private HttpServerContext callerServer;
   private HttpServerContext readinessServer;
   private Optional<HttpServerContext> metricsServer = Optional.empty();
+  private Optional<HttpServerContext> peerServer = Optional.empty();
   private Optional<LoadDatagrams> loadDatagrams = Optional.empty();
+
+  /** Proves to this node that a sender is one of its peers. */
+  private final String peerToken;
+
   private EntrySettings settings;
   private boolean stopping;
   private boolean closingIdleConnections;
@@ -106,6 +115,7 @@
     this.settings = settings;
     this.adapters = adapters;
     this.io = io;
+    peerToken = randomToken();
     counters = Counters.in(meters);
     fleet = Fleet.create(io, counters, RELIST_GRACE);
     adapters.engines().onSignal(fleet.signals()::recordCallAnswer);
@@ -123,7 +133,8 @@
             settings.name(),
             settings.dataCentre(),
             incarnationId,
-            this::loadReportsAddress);
+            this::loadReportsAddress,
+            () -> peerServer.map(server -> new PeerRelay(address(server), peerToken)));
     loadExchange =
         LoadExchange.create(
             io,
@@ -167,20 +178,27 @@
                     QUARANTINE_PREFIX,
                     quarantine)),
             suspensionDetector);
+    ReachabilityMonitor reachability =
+        ReachabilityMonitor.create(io, random, fleet, ConnectionProbes.on(io), counters);
+    PeerNodes peerNodes =
+        PeerNodes.create(
+            io,
+            random,
+            lease::peers,
+            settings.dataCentre(),
+            EndpointConnections.toPeers(io, adapters.headers()));
     placement =
         PlacementController.create(
             io,
             fleet,
             adapters.engines(),
             configuration::newest,
-            lease::controllerFence,
+            () -> reachability.isChecking() ? OptionalLong.empty() : lease.controllerFence(),
             () -> watchTiming().pause(),
             counters);
     lease.onControllerWon(placement::wake);
     connections = EndpointConnections.create(io, adapters.headers());
     fleet.onRemoval(this::closeConnections);
-    ReachabilityMonitor reachability =
-        ReachabilityMonitor.create(io, random, fleet, ConnectionProbes.on(io), counters);
     forwarder =
         Forwarder.create(
             io,
@@ -188,6 +206,7 @@
             fleet,
             HealthChecker.create(io, fleet, adapters.engines(), reachability),
             reachability,
+            peerNodes,
             adapters.engines(),
             connections,
             quarantine,
@@ -199,6 +218,11 @@
             counters);
   }
 
+  private static String randomToken() {
+    SecureRandom secure = new SecureRandom();
+    return Long.toHexString(secure.nextLong()) + Long.toHexString(secure.nextLong());
+  }
+
   private void closeConnections(TrackedEndpoint endpoint) {
     connections.closeConnections(endpoint.address());
     adapters.engines().closeConnections(endpoint.address());
@@ -266,12 +290,29 @@
         settings
             .peers()
             .map(address -> LoadDatagrams.listen(address, io, this::receiveLoadReport, counters));
+    if (settings.peers().isPresent()) {
+      peerServer = Optional.of(listenForPeers(settings.peers().get()));
+    }
     if (settings.metrics().isPresent()) {
       metricsServer =
           Optional.of(EntryServer.listenMetrics(settings.metrics().get(), io, meters::scrape));
     }
   }
 
+  private HttpServerContext listenForPeers(HostPort address) throws Exception {
+    return EntryServer.listenForPeers(
+        address,
+        io,
+        peerToken,
+        forwarder::forwardForPeer,
+        adapters.headers(),
+        settings.maxHeaderBytes(),
+        this::limits,
+        () -> stopping,
+        callerConnections,
+        counters);
+  }
+
   /** Exchanges load reports through the datagram socket, if the settings have one. */
   private final class DatagramLoadSender implements LoadSender {
     @Override
@@ -322,6 +363,11 @@
     return loadDatagrams.map(LoadDatagrams::address);
   }
 
+  /** Returns the address on which the node accepts requests that peers forward, if it does. */
+  public Optional<HostPort> peersAddress() {
+    return peerServer.map(EntryNode::address);
+  }
+
   private static HostPort address(HttpServerContext context) {
     InetSocketAddress address = (InetSocketAddress) context.listenAddress();
     return new HostPort(address.getAddress().getHostAddress(), address.getPort());
@@ -425,6 +471,7 @@
       // Only at the next check, as this closes idle connections even if a request has arrived.
       closingServer = true;
       callerServer.closeAsyncGracefully().subscribe();
+      peerServer.ifPresent(server -> server.closeAsyncGracefully().subscribe());
     }
   }
 
@@ -439,6 +486,7 @@
     loadExchange.stop();
     loadDatagrams.ifPresent(LoadDatagrams::close);
     metricsServer.ifPresent(server -> server.closeAsync().subscribe());
+    peerServer.ifPresent(server -> server.closeAsync().subscribe());
     callerConnections.closeNow();
     callerServer
         .closeAsync()
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -112,6 +112,7 @@
         Optional.empty(),
         Duration.ofSeconds(TIMEOUT_SECONDS),
         Optional.empty(),
+        Optional.empty(),
         Optional.empty());
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
@@ -10,6 +10,7 @@
 import io.servicetalk.http.api.DefaultStreamingHttpRequestResponseFactory;
 import io.servicetalk.http.api.HttpProtocolVersion;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.forwarding.CallerResponse;
 
@@ -24,6 +25,7 @@
               ALLOCATOR, DefaultHttpHeadersFactory.INSTANCE, HttpProtocolVersion.HTTP_1_1),
           ALLOCATOR,
           () -> false,
+          Optional.empty(),
           connection);
 
   private static final class RecordingConnection implements EntryResponse.ConnectionListener {
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/StubHeaderDialect.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/StubHeaderDialect.java
@@ -33,6 +33,9 @@
   @Override
   public void rewriteForEndpoint(HttpHeaders headers, Attempt attempt) {}
 
+  @Override
+  public void rewriteForPeer(HttpHeaders headers, Attempt attempt) {}
+
   @Override
   public boolean notRun(int status, HttpHeaders headers) {
     return false;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -537,11 +537,24 @@
    * without free capacity.
    */
   public boolean coversAllLayers(String service, int layers) {
+    return cover(serving(service), layers);
+  }
+
+  /**
+   * Returns whether the endpoints of a service would hold every layer together if none of them were
+   * suspected.
+   */
+  public boolean listsAllLayers(String service, int layers) {
+    return cover(
+        listed(service).stream()
+            .filter(endpoint -> !endpoint.endpoint().leaving())
+            .collect(ImmutableList.toImmutableList()),
+        layers);
+  }
+
+  private static boolean cover(ImmutableList<TrackedEndpoint> endpoints, int layers) {
     boolean[] covered = new boolean[layers];
-    for (TrackedEndpoint endpoint : listed(service)) {
-      if (!endpoint.serving()) {
-        continue;
-      }
+    for (TrackedEndpoint endpoint : endpoints) {
       endpoint
           .endpoint()
           .layers()
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/RequestSchedule.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/RequestSchedule.java
@@ -18,7 +18,7 @@
  */
 public record RequestSchedule(long firstAt, double perSecond) {
   /** Requests may be sent at any time. */
-  static final RequestSchedule ALWAYS =
+  public static final RequestSchedule ALWAYS =
       new RequestSchedule(Long.MIN_VALUE, Double.POSITIVE_INFINITY);
 
   /** No request may be sent. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -26,6 +26,7 @@
   /** Requests last a few seconds, so a shortage has mostly passed after two half-lives. */
   private static final double SHORTAGE_HALF_LIFE_NANOS = 1e9;
 
+  private final boolean peer;
   private FleetEndpoint endpoint;
   private int inFlight;
   private double reservedTokenLayers;
@@ -51,8 +52,24 @@
   private final IncarnationSignals signals;
 
   TrackedEndpoint(FleetEndpoint endpoint, IncarnationSignals signals) {
+    this(endpoint, signals, false);
+  }
+
+  private TrackedEndpoint(FleetEndpoint endpoint, IncarnationSignals signals, boolean peer) {
     this.endpoint = checkNotNull(endpoint);
     this.signals = checkNotNull(signals);
+    this.peer = peer;
+  }
+
+  /** Returns a peer node, which forwards requests to endpoints of all services. */
+  public static TrackedEndpoint ofPeer(FleetEndpoint description) {
+    return new TrackedEndpoint(
+        description, new IncarnationSignals(description.incarnation()), true);
+  }
+
+  /** Returns whether this is a peer node; it is not part of the {@link Fleet}. */
+  public boolean isPeer() {
+    return peer;
   }
 
   /** Returns the endpoint's latest description. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Attempt.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Attempt.java
@@ -14,6 +14,7 @@
  * @param workspace the workspace that the request belongs to; empty if the route is open
  * @param resumeAfter the id of the last event that the caller received; empty to use the position
  *     in the caller's own request
+ * @param hop what the endpoint is told if it is a peer; empty for endpoints
  */
 public record Attempt(
     CallerRequest request,
@@ -21,4 +22,5 @@
     Optional<String> path,
     Duration remaining,
     Optional<String> workspace,
-    Optional<String> resumeAfter) {}
+    Optional<String> resumeAfter,
+    Optional<PeerHop> hop) {}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
@@ -4,6 +4,14 @@
 enum AttemptFailure {
   /** The endpoint answered that it did not run the request. */
   ENDPOINT_REFUSED("endpoint-refused", false),
+  /** The peer did not take the request; another one may. */
+  PEER_DECLINED("peer-declined", false),
+  /** The peer responded that the request may have run, but failed. */
+  PEER_FAILED("peer-failed", false),
+  /** The peer sent nothing for long. */
+  PEER_SILENT("peer-silent", true),
+  /** This node is isolated from all endpoints. */
+  NODE_ISOLATED("node-isolated", true),
   /** The endpoint responded with a server error. */
   ENDPOINT_ERROR("endpoint-error", false),
   /** The endpoint refused to resume a stream. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -40,16 +40,24 @@
   private final String service;
   private final Optional<ModelProfile> model;
   private final RequestSize size;
+  private final boolean mayUsePeers;
   private final Set<TrackedEndpoint> tried = new HashSet<>();
   private final Set<TrackedEndpoint> failed = new HashSet<>();
   private Optional<EnginePath> path = Optional.empty();
   private Optional<TrackedEndpoint> target = Optional.empty();
 
+  /**
+   * Creates a selector without a selection.
+   *
+   * @param mayUsePeers whether a peer may be selected while this node is isolated
+   */
   EndpointSelector(
       ForwardContext context,
       String service,
       Optional<ModelProfile> model,
-      Optional<RequestSize> size) {
+      Optional<RequestSize> size,
+      boolean mayUsePeers) {
+    this.mayUsePeers = mayUsePeers;
     this.context = context;
     this.service = service;
     this.model = model;
@@ -122,7 +130,7 @@
    * @param inUse endpoints of other attempts, which are not selected
    */
   boolean select(ImmutableSet<TrackedEndpoint> inUse) {
-    Optional<Selection> next = inUse.isEmpty() ? find() : findElsewhere(inUse);
+    Optional<Selection> next = findReachable(inUse);
     if (next.isPresent()) {
       release();
       assign(next.get());
@@ -138,7 +146,7 @@
    */
   Optional<Selection> selectAdditional(ImmutableSet<TrackedEndpoint> inUse) {
     Selection previous = new Selection(target(), path);
-    Optional<Selection> next = findElsewhere(Sets.union(inUse, ImmutableSet.of(target())));
+    Optional<Selection> next = findReachable(Sets.union(inUse, ImmutableSet.of(target())));
     next.ifPresent(this::assign);
     return next.map(selection -> previous);
   }
@@ -158,6 +166,37 @@
     path = previous.path();
   }
 
+  /**
+   * Finds an endpoint, or a peer if this node reaches too few endpoints; nothing while it is
+   * checked whether it is isolated, as attempts would be wasted.
+   */
+  private Optional<Selection> findReachable(Set<TrackedEndpoint> inUse) {
+    if (context.reachability().isChecking()) {
+      return Optional.empty();
+    }
+    if (mayUsePeers && context.reachability().isIsolated()) {
+      Optional<Selection> peer = findPeer(inUse);
+      if (peer.isPresent()) {
+        return peer;
+      }
+    }
+    Optional<Selection> direct = inUse.isEmpty() ? find() : findElsewhere(inUse);
+    return direct.isEmpty() && mayUsePeers && isServiceLost() ? findPeer(inUse) : direct;
+  }
+
+  private Optional<Selection> findPeer(Set<TrackedEndpoint> inUse) {
+    return context.peers().select(inUse).map(node -> new Selection(node, Optional.empty()));
+  }
+
+  /**
+   * Returns whether no path is left because this node suspects engines, which its peers may reach.
+   */
+  private boolean isServiceLost() {
+    return model.isPresent()
+        && !context.fleet().coversAllLayers(service, model.get().layers())
+        && context.fleet().listsAllLayers(service, model.get().layers());
+  }
+
   private Optional<Selection> find() {
     if (model.isEmpty()) {
       return leastLoaded().map(replica -> new Selection(replica, Optional.empty()));
@@ -206,6 +245,9 @@
   }
 
   private void recordSend(TrackedEndpoint endpoint) {
+    if (endpoint.isPeer()) {
+      return;
+    }
     CallPurpose purpose = tried.isEmpty() ? CallPurpose.FIRST_SEND : CallPurpose.REPEATED_SEND;
     context.fleet().signals().recordCall(endpoint, purpose);
   }
@@ -216,11 +258,18 @@
 
   /** Returns when the endpoints of the service accept requests again, capacity aside. */
   RequestSchedule requestSchedule() {
+    if (context.reachability().isChecking() || canUsePeer()) {
+      return RequestSchedule.ALWAYS;
+    }
     return model
         .map(profile -> context.fleet().requestSchedule(service, profile.layers()))
         .orElseGet(() -> context.fleet().requestSchedule(service));
   }
 
+  private boolean canUsePeer() {
+    return mayUsePeers && context.reachability().isIsolated() && context.peers().isAnyAvailable();
+  }
+
   /** Returns an alternative path with the same first part that avoids the given engines. */
   Optional<EnginePath> alternativePath(ImmutableList<TrackedEndpoint> excluded) {
     PathPart first = path.orElseThrow().parts().get(0);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
@@ -20,6 +20,7 @@
  * @param planner chooses paths
  * @param health probes engines
  * @param reachability determines whether this node is cut off from all endpoints
+ * @param peers forward requests while this node is isolated
  * @param control changes the paths of running requests
  * @param transport sends attempts to endpoints
  * @param queues requests that wait for capacity
@@ -37,6 +38,7 @@
     PathPlanner planner,
     HealthChecker health,
     ReachabilityMonitor reachability,
+    PeerNodes peers,
     EngineControl control,
     EndpointTransport transport,
     CapacityQueues queues,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -34,6 +34,15 @@
  * the node's event loop.
  */
 final class ForwardedRequest implements CallerResponse.Listener {
+  /** Sends of a request that peers declined; each is answered within milliseconds. */
+  private static final int MAX_DECLINED_SENDS = 10;
+
+  /** Time without progress after which a stream is sent to another peer as well. */
+  private static final Duration PEER_STALL_TIMEOUT = Duration.ofMillis(700);
+
+  /** The same before the head of the response, as the request may wait for capacity there. */
+  private static final Duration PEER_HEAD_TIMEOUT = Duration.ofMillis(1200);
+
   /**
    * Time for which an endpoint gets no new requests after it refused a connection, and a plain
    * endpoint also after its connection failed.
@@ -48,6 +57,7 @@
   private final Optional<Caller> caller;
   private final CallerRequest request;
   private final CallerResponse response;
+  private final Optional<PeerHop> hop;
   private final Consumer<ForwardedRequest> onDone;
   private final String service;
   private final EndpointSelector selector;
@@ -73,6 +83,9 @@
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int sends;
 
+  /** The sends that peers declined, or that reached no peer. */
+  private int declinedSends;
+
   /** The attempts that ran or may have run, apart from the current one. */
   private final List<RunningAttempt> runs = new ArrayList<>();
 
@@ -90,20 +103,25 @@
       Optional<Caller> caller,
       CallerRequest request,
       CallerResponse response,
+      Optional<PeerHop> hop,
       Consumer<ForwardedRequest> onDone) {
     this.context = context;
     this.route = route;
     this.caller = caller;
     this.request = request;
     this.response = response;
+    this.hop = hop;
     this.onDone = onDone;
-    this.service = route.selectService(context.random().nextDouble());
+    this.service =
+        hop.map(PeerHop::service)
+            .orElseGet(() -> route.selectService(context.random().nextDouble()));
     this.selector =
         new EndpointSelector(
             context,
             service,
             configuration.service(service).flatMap(ServiceProfile::model),
-            request.size());
+            request.size(),
+            hop.isEmpty());
     this.quarantine = new RequestQuarantine(context, request, caller.map(Caller::workspace));
     this.queue = context.queues().of(service);
     this.progress = new ProgressMonitor(context, selector, route.pauseObjective(), this::onStall);
@@ -116,6 +134,11 @@
     this.metrics = new ResponseMetrics(context.counters(), route.kind().streamed(), startedAt);
   }
 
+  /**
+   * Creates a request that is not started.
+   *
+   * @param hop present if a peer forwarded the request
+   */
   static ForwardedRequest create(
       ForwardContext context,
       EntryConfiguration configuration,
@@ -123,14 +146,19 @@
       Optional<Caller> caller,
       CallerRequest request,
       CallerResponse response,
+      Optional<PeerHop> hop,
       Consumer<ForwardedRequest> onDone) {
-    return new ForwardedRequest(context, configuration, route, caller, request, response, onDone);
+    return new ForwardedRequest(
+        context, configuration, route, caller, request, response, hop, onDone);
   }
 
   void start() {
     deadlineTimer =
         context.clock().schedule(this::onDeadline, Math.max(0, deadline - startedAt), NANOSECONDS);
-    context.budget().deposit();
+    if (hop.isEmpty()) {
+      // The peer that forwarded it has deposited its share.
+      context.budget().deposit();
+    }
     if (quarantine.isQuarantined()) {
       refuseQuarantined();
       return;
@@ -192,12 +220,12 @@
 
     @Override
     public boolean continues() {
-      return headSent;
+      return continuesResponse();
     }
 
     @Override
     public boolean isInterrupted() {
-      return headSent && attempt.isEmpty();
+      return continuesResponse() && attempt.isEmpty();
     }
 
     @Override
@@ -207,8 +235,8 @@
 
     @Override
     public long waitsUntil() {
-      if (headSent) {
-        return deadlines.resumableUntil(progress.lastProgress());
+      if (continuesResponse()) {
+        return deadlines.resumableUntil(headSent ? progress.lastProgress() : startedAt);
       }
       return deadlines.waitsUntil(queue.firstPartTime());
     }
@@ -221,6 +249,11 @@
     }
   }
 
+  /** Returns whether the caller has a part of the response, from this node or from a peer. */
+  private boolean continuesResponse() {
+    return headSent || hop.filter(PeerHop::continues).isPresent();
+  }
+
   private boolean startAttempt() {
     if (!resend.maySend() || !selector.select(previous.endpoints())) {
       return false;
@@ -243,11 +276,22 @@
             selector.path().map(EnginePath::text),
             Duration.ofNanos(Math.max(0, deadline - now())),
             caller.map(Caller::workspace),
-            splitter.lastId());
+            splitter.lastId(),
+            hopTo(running.endpoint()));
     ForwardLog.sent(request, sent, sends);
     progress.attemptStarted(headSent);
+    EndpointTransport transport =
+        running.endpoint().isPeer() ? context.peers().transport() : context.transport();
     // The attempt may have ended when send returns, and another one may be in progress.
-    running.setCall(context.transport().send(sent, new AttemptListener(running)));
+    running.setCall(transport.send(sent, new AttemptListener(running)));
+  }
+
+  private Optional<PeerHop> hopTo(TrackedEndpoint endpoint) {
+    if (!endpoint.isPeer()) {
+      return Optional.empty();
+    }
+    context.counters().count(Metric.PEER_HOPS, "sent");
+    return Optional.of(new PeerHop(context.peers().tokenOf(endpoint), service, headSent));
   }
 
   /** Handles the events of one attempt; ignores them once another attempt is current. */
@@ -318,12 +362,20 @@
 
   /** Records the endpoint's signals, unless another endpoint may have responded in its place. */
   private void recordSignal(ResponseHead head, TrackedEndpoint endpoint) {
-    if (head.matches() && head.status() != MISDIRECTED) {
+    if (!endpoint.isPeer() && head.matches() && head.status() != MISDIRECTED) {
       context.fleet().signals().recordAnswer(endpoint, head.signal());
     }
   }
 
   private void head(ResponseHead head, RunningAttempt running) {
+    if (head.peerRefusal().isPresent()) {
+      running.discard();
+      peerRefused(head.peerRefusal().get(), running);
+      return;
+    }
+    if (running.endpoint().isPeer()) {
+      context.peers().recordTaken();
+    }
     if (!head.matches()) {
       running.cancel();
       attemptEnded(
@@ -342,6 +394,36 @@
     }
   }
 
+  private void peerRefused(PeerRefusal refusal, RunningAttempt running) {
+    String cause = "refused by the peer: " + refusal.reason().code();
+    if (refusal.verdict() != Verdict.NOT_RUN) {
+      attemptEnded(refusal.verdict(), AttemptFailure.PEER_FAILED, cause);
+    } else if (refusal.isDeclined()) {
+      context.peers().recordDeclined(running.endpoint());
+      attemptEnded(Verdict.NOT_RUN, AttemptFailure.PEER_DECLINED, cause);
+    } else {
+      peerHasNoCapacity(refusal, cause);
+    }
+  }
+
+  /** The peer has waited for capacity as long as is useful, and others would not do better. */
+  private void peerHasNoCapacity(PeerRefusal refusal, String cause) {
+    closeAttempt(Verdict.NOT_RUN, AttemptFailure.ENDPOINT_REFUSED, cause);
+    if (!previous.isEmpty()) {
+      fallBackToPrevious(Verdict.NOT_RUN);
+      return;
+    }
+    selector.release();
+    if (headSent || !runs.isEmpty()) {
+      giveUp(Verdict.MAY_HAVE_RUN, ResendDenial.NO_CAPACITY, cause);
+      return;
+    }
+    close();
+    refuse(
+        Refusal.nothingSent(refusal.reason(), cause)
+            .withRetryAfter(refusal.retryAfter().orElseGet(this::retryAfter)));
+  }
+
   /**
    * Passes the head of the response on and abandons the other attempts. The head of a successful
    * stream delivers nothing: it is passed on with the first event if there are other attempts.
@@ -434,6 +516,11 @@
 
   private void failed(boolean neverSent, Throwable cause, TrackedEndpoint endpoint) {
     selector.recordFailure();
+    if (endpoint.isPeer()) {
+      context.peers().recordFailure(endpoint);
+      attemptFailed(neverSent, cause);
+      return;
+    }
     if (!neverSent) {
       recordLoss(endpoint);
     }
@@ -442,6 +529,10 @@
     if (replicaFails || cause instanceof ConnectionRefusedException) {
       endpoint.avoidUntil(now() + FAILED_ENDPOINT_PAUSE.toNanos());
     }
+    attemptFailed(neverSent, cause);
+  }
+
+  private void attemptFailed(boolean neverSent, Throwable cause) {
     attemptEnded(
         neverSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
         neverSent ? AttemptFailure.NOT_CONNECTED : AttemptFailure.CONNECTION_LOST,
@@ -449,9 +540,14 @@
   }
 
   private void recordFailure(Throwable cause, TrackedEndpoint endpoint) {
+    if (endpoint.isPeer()) {
+      return;
+    }
     if (cause instanceof ConnectionRefusedException) {
       context.reachability().recordRefused(endpoint);
-      context.fleet().recordConnectionRefused(endpoint);
+      context
+          .reachability()
+          .unlessIsolated(() -> context.fleet().recordConnectionRefused(endpoint));
     } else {
       context.reachability().recordUnanswered(endpoint);
     }
@@ -462,6 +558,7 @@
 
   /** Retries or fails the request after an attempt that ended without a complete response. */
   private void attemptEnded(Verdict verdict, AttemptFailure failure, String cause) {
+    boolean viaPeer = selector.target().isPeer();
     String triedAt = selector.target().toString();
     String detail = closeAttempt(verdict, failure, cause);
     if (!previous.isEmpty()) {
@@ -469,9 +566,25 @@
       return;
     }
     selector.release();
+    if (viaPeer && verdict == Verdict.NOT_RUN) {
+      sendElsewhere(triedAt, failure, detail);
+      return;
+    }
     resend.start(new EndedAttempt(verdict, failure, cause, triedAt, detail));
   }
 
+  /** Sends a request again that reached no endpoint, so that it needs no retry budget. */
+  private void sendElsewhere(String triedAt, AttemptFailure failure, String detail) {
+    declinedSends++;
+    Optional<ResendDenial> denial = denial(Verdict.NOT_RUN, countedRuns());
+    if (denial.isPresent()) {
+      giveUp(Verdict.NOT_RUN, denial.get(), failure.code() + ": " + detail);
+      return;
+    }
+    logSentAgain(triedAt, failure, detail);
+    acquireEndpoint();
+  }
+
   /** Operations for resends. */
   private final class ResendCallbacks implements PendingResend.Callbacks {
     @Override
@@ -486,7 +599,7 @@
 
     @Override
     public boolean isInterrupted() {
-      return headSent;
+      return continuesResponse();
     }
 
     @Override
@@ -567,7 +680,12 @@
     if (now() >= deadline) {
       return Optional.of(ResendDenial.DEADLINE_EXCEEDED);
     }
-    return ResendRule.denial(route.kind(), verdict, runsSoFar, route.attempts(), sends);
+    if (declinedSends >= MAX_DECLINED_SENDS) {
+      return Optional.of(ResendDenial.SENDS_EXHAUSTED);
+    }
+    // What a peer runs is repeated by the node that forwarded it, if at all.
+    int attempts = hop.isPresent() ? 1 : route.attempts();
+    return ResendRule.denial(route.kind(), verdict, runsSoFar, attempts, sends - declinedSends);
   }
 
   private void giveUp(Verdict lastVerdict, ResendDenial denial, String detail) {
@@ -683,6 +801,43 @@
         .ifPresent(engine -> repairs.bypass(engine, "stalled on " + engine));
   }
 
+  /**
+   * Leaves an endpoint that this node, which is isolated, can't reach. A response that arrives over
+   * a connection that lives on continues.
+   */
+  void nodeIsolated() {
+    if (done) {
+      return;
+    }
+    if (hop.isPresent()) {
+      returnToSender();
+    } else if (attempt.isPresent() && (!running().mayHaveArrived() || progress.isStalled())) {
+      moveToPeer();
+    }
+  }
+
+  private void moveToPeer() {
+    if (!selector.target().isPeer() && mayAbort()) {
+      startFailover(
+          AttemptFailure.NODE_ISOLATED, selector.target(), "this node reaches no endpoint");
+    }
+  }
+
+  /** Refuses a request that a peer forwarded to this node, unless a part of it may have run. */
+  private void returnToSender() {
+    boolean unsent = attempt.isEmpty() || !running().mayHaveArrived();
+    if (unsent && runs.isEmpty() && !headSent) {
+      attempt.ifPresent(RunningAttempt::cancel);
+      close();
+      // Arrivals that endpoints rejected count against the retry budget, so the sender may not
+      // send the request again.
+      Reason reason = sends == 0 ? Reason.NODE_ISOLATED : Reason.ENDPOINT_OVERLOADED;
+      refuse(
+          Refusal.nothingSent(reason, "this node reaches no endpoint")
+              .withRetryAfter(retryAfter()));
+    }
+  }
+
   /** Stops a failover from an engine that responds again. */
   void engineRecovered(TrackedEndpoint engine) {
     failover.engineRecovered(engine);
@@ -892,7 +1047,11 @@
     selector.revertTo(resumed.selection());
     restore(resumed);
     Trigger trigger = resumed.trigger();
-    boolean lost = trigger.unresponsive().suspected() || trigger.unresponsive().hasEnded();
+    boolean lost =
+        trigger.unresponsive().suspected()
+            || trigger.unresponsive().hasEnded()
+            || (trigger.failure() == AttemptFailure.NODE_ISOLATED
+                && context.reachability().isIsolated());
     if (lost) {
       Duration wait =
           verdict == Verdict.NOT_RUN || !quarantine.isOneCrashFromQuarantine()
@@ -993,7 +1152,9 @@
   private void stayOrFail(Trigger trigger, ResendDenial denial) {
     long waitsUntil = deadlines.waitsUntil(Duration.ZERO);
     boolean mayRespond = running().mayHaveArrived() && !running().hasEndpointEnded();
-    if (headSent || !mayAbort() || (mayRespond && now() < waitsUntil)) {
+    // A request of a peer stays: its sender decides when its caller has waited long enough.
+    boolean stays = mayRespond && (hop.isPresent() || now() < waitsUntil);
+    if (headSent || !mayAbort() || stays) {
       failover.runOncePerFailover(() -> stayed(trigger, denial, waitsUntil));
       return;
     }
@@ -1030,6 +1191,17 @@
     }
     if (failover.isActive()) {
       failover.retry();
+      if (done || attempt.isEmpty()) {
+        return;
+      }
+    }
+    if (selector.target().isPeer()) {
+      peerStalled();
+      return;
+    }
+    if (context.reachability().isIsolated()) {
+      nodeIsolated();
+      return;
     }
     // Another path may have become available since the search for one ended.
     boolean pathLost =
@@ -1042,6 +1214,16 @@
     }
   }
 
+  /** Sends the request to another peer as well if this one has been silent for long. */
+  private void peerStalled() {
+    Duration limit = headSent ? PEER_STALL_TIMEOUT : PEER_HEAD_TIMEOUT;
+    boolean silent = now() - progress.lastProgress() >= limit.toNanos();
+    if (silent && route.kind().streamed() && !failover.isActive() && mayAbort()) {
+      context.peers().recordFailure(selector.target());
+      startFailover(AttemptFailure.PEER_SILENT, selector.target(), "no progress at the peer");
+    }
+  }
+
   /** Aborts the attempt; whether the request is sent again depends on what may have run. */
   private void abandonEndpoint(AttemptFailure failure, String cause) {
     Verdict verdict = running().verdictIfAbandoned();
@@ -1063,6 +1245,9 @@
 
   /** Records the loss of an endpoint that has the attempt or is on its path. */
   private void recordLoss(RunningAttempt affected, TrackedEndpoint endpoint) {
+    if (endpoint.isPeer() || context.reachability().isIsolated()) {
+      return;
+    }
     long now = now();
     Duration sinceSent = Duration.ofNanos(now - affected.sentAt());
     quarantine.recordLoss(endpoint, sinceSent, affected.sinceFirstPart(now));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -25,6 +25,7 @@
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryRoute;
+import org.vaneworks.state.entry.ServiceProfile;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Metric;
 
@@ -86,6 +87,15 @@
             (reporter, blockingEngines) ->
                 ImmutableList.copyOf(inFlight)
                     .forEach(forwarded -> forwarded.stallReported(reporter, blockingEngines)));
+    context
+        .reachability()
+        .onChange(
+            isolated -> {
+              if (isolated) {
+                context.crashDetector().discardLosses();
+                ImmutableList.copyOf(inFlight).forEach(ForwardedRequest::nodeIsolated);
+              }
+            });
     context.fleet().onLeaving(this::migrateFrom);
     context
         .quarantine()
@@ -98,6 +108,8 @@
   /**
    * Returns a forwarder.
    *
+   * @param reachability determines whether this node is isolated from all endpoints
+   * @param peers take requests while it is
    * @param quarantine contents of requests that are not sent because endpoints crashed while
    *     running them
    * @param configuration the latest configuration known to the node
@@ -111,6 +123,7 @@
       Fleet fleet,
       HealthChecker health,
       ReachabilityMonitor reachability,
+      PeerNodes peers,
       EngineControl control,
       EndpointTransport transport,
       SharedQuarantine quarantine,
@@ -129,6 +142,7 @@
             PathPlanner.create(random),
             health,
             reachability,
+            peers,
             control,
             transport,
             new CapacityQueues(clock),
@@ -150,13 +164,25 @@
   /** Forwards a request whose body has been read; returns the listener for its caller's events. */
   public CallerResponse.Listener forward(CallerRequest request, CallerResponse response) {
     if (configuration.get().isPresent()) {
-      return admit(request, response);
+      return admit(request, response, Optional.empty());
     }
     PendingRequest pending = new PendingRequest();
     waitForConfiguration(request, response, pending, clock.currentTime(NANOSECONDS));
     return pending;
   }
 
+  /**
+   * Forwards a request that a peer, which is isolated from all endpoints, received from a caller.
+   * It is not forwarded to another peer, so that it can't circulate.
+   */
+  public CallerResponse.Listener forwardForPeer(
+      CallerRequest request, CallerResponse response, PeerHop hop) {
+    if (context.reachability().isIsolated()) {
+      return refuse(request, response, Reason.NODE_ISOLATED, "forwarded by a peer");
+    }
+    return admit(request, response, Optional.of(hop));
+  }
+
   private void waitForConfiguration(
       CallerRequest request, CallerResponse response, PendingRequest pending, long arrivedAt) {
     if (pending.isDisconnected()) {
@@ -165,7 +191,7 @@
     boolean timedOut =
         clock.currentTime(NANOSECONDS) - arrivedAt >= CONFIGURATION_TIMEOUT.toNanos();
     if (configuration.get().isPresent() || timedOut) {
-      pending.delegateTo(admit(request, response));
+      pending.delegateTo(admit(request, response, Optional.empty()));
       return;
     }
     clock.schedule(
@@ -174,7 +200,8 @@
         NANOSECONDS);
   }
 
-  private CallerResponse.Listener admit(CallerRequest request, CallerResponse response) {
+  private CallerResponse.Listener admit(
+      CallerRequest request, CallerResponse response, Optional<PeerHop> hop) {
     Optional<EntryConfiguration> known = configuration.get();
     if (known.isEmpty()) {
       return refuse(request, response, Reason.NOT_READY, "no configuration has been read yet");
@@ -191,6 +218,12 @@
     if (route.isEmpty()) {
       return refuse(request, response, Reason.UNKNOWN_PATH, request.host() + request.path());
     }
+    if (hop.isPresent() && !route.get().hasService(hop.get().service())) {
+      return refuse(request, response, Reason.UNKNOWN_SERVICE, hop.get().service());
+    }
+    if (hop.isPresent() && !reachesService(configured, hop.get().service())) {
+      return refuse(request, response, Reason.NODE_ISOLATED, hop.get().service());
+    }
     Optional<Caller> caller = request.key().flatMap(configured::caller);
     boolean keyed = configured.needsKeys() && !route.get().open();
     if (keyed && caller.isEmpty()) {
@@ -204,6 +237,7 @@
             keyed ? caller : Optional.empty(),
             request,
             response,
+            hop,
             inFlight::remove);
     inFlight.add(forwarded);
     context.counters().count(Metric.REQUESTS, route.get().kind().name());
@@ -211,6 +245,15 @@
     return forwarded;
   }
 
+  /** Returns whether this node reaches engines that together hold every layer, if it has any. */
+  private boolean reachesService(EntryConfiguration configured, String service) {
+    return configured
+        .service(service)
+        .flatMap(ServiceProfile::model)
+        .map(model -> context.fleet().coversAllLayers(service, model.layers()))
+        .orElse(true);
+  }
+
   /** Migrates requests from an engine that is leaving, except those that complete soon. */
   private void migrateFrom(TrackedEndpoint engine) {
     clock.schedule(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
@@ -4,13 +4,15 @@
 
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
+import java.util.Optional;
 import org.vaneworks.coordination.concurrent.EventLoopDelay;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.relay.EnginePath;
 import org.vaneworks.coordination.relay.PathPart;
 import org.vaneworks.telemetry.Metric;
 
 /**
- * Monitors the progress of a request on engines and probes the engines when it stalls.
+ * Monitors the progress of a request and probes its engines when it stalls.
  *
  * <p>Only engines through which no request made progress are probed, so a single slow stream causes
  * no probes. A check that runs late does not prove a stall, as events may be unread in the socket:
@@ -154,7 +156,7 @@
 
   private void scheduleCheck() {
     timer.cancel();
-    if (!selector.runsOnEngines() || !selector.isSelected()) {
+    if (!selector.isSelected()) {
       return;
     }
     long wait = stallTimeout().toNanos() - (now() - lastProgress);
@@ -174,7 +176,7 @@
   private void check() {
     Duration delay = Duration.ofNanos(now() - checkDueAt);
     context.counters().record(Metric.LATE_CHECKS, delay);
-    if (selector.path().isEmpty()) {
+    if (!selector.isSelected()) {
       return;
     }
     boolean stalled = isStalled();
@@ -186,9 +188,13 @@
     }
     ignoredStalls = 0;
     if (stalled) {
-      EnginePath path = selector.path().get();
+      Optional<EnginePath> path = selector.path();
+      TrackedEndpoint target = selector.target();
       onStall.run();
-      probeSilentEngines(path);
+      path.ifPresent(this::probeSilentEngines);
+      if (path.isEmpty() && !target.isPeer()) {
+        context.reachability().recordUnanswered(target);
+      }
     }
     scheduleCheck();
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResponseHead.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResponseHead.java
@@ -24,6 +24,11 @@
   /** Returns the signals that the endpoint reports about itself. */
   EndpointSignal signal();
 
+  /** Returns the refusal of the peer that the request was forwarded to, if it refused. */
+  default Optional<PeerRefusal> peerRefusal() {
+    return Optional.empty();
+  }
+
   /** Returns whether the status is 2xx. */
   default boolean success() {
     return status() >= 200 && status() < 300;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -67,7 +67,7 @@
   private static final char RUN_SEPARATOR = '/';
   private static final char ERA_SEPARATOR = '.';
 
-  /** Separates the address from the data centre in a node's entry. */
+  /** Separates address, data centre, port for forwarded requests and token in a node's entry. */
   private static final char FIELD_SEPARATOR = ' ';
 
   private static final String CONTROLLER_KEY = "controller";
@@ -86,6 +86,7 @@
   private String node;
 
   private final Supplier<Optional<HostPort>> address;
+  private final Supplier<Optional<PeerRelay>> relay;
 
   /** The live nodes by key, with their peer address if they accept peer connections. */
   private final Map<String, Optional<Peer>> nodes = new TreeMap<>();
@@ -110,6 +111,7 @@
   private int nodesBeforeOutage = 1;
 
   private boolean controllerPresent;
+  private boolean mayControl = true;
   private boolean loaded;
   private boolean stopped;
 
@@ -121,7 +123,8 @@
       String prefix,
       String run,
       String dataCentre,
-      Supplier<Optional<HostPort>> address) {
+      Supplier<Optional<HostPort>> address,
+      Supplier<Optional<PeerRelay>> relay) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
     this.store = checkNotNull(store);
@@ -130,6 +133,7 @@
     node = run;
     this.dataCentre = checkNotNull(dataCentre);
     this.address = checkNotNull(address);
+    this.relay = checkNotNull(relay);
     entry =
         new AutoRenewedLease(
             clock,
@@ -158,7 +162,8 @@
    * @param box name of the box
    * @param dataCentre data centre of the box
    * @param run identifies this run of the process; unique among all runs
-   * @param address address on which this node accepts peer connections, if it does
+   * @param address address on which this node receives load reports, if it does
+   * @param relay where this node accepts requests that peers forward, if it does
    */
   public static NodeLease create(
       Executor clock,
@@ -169,9 +174,11 @@
       String box,
       String dataCentre,
       String run,
-      Supplier<Optional<HostPort>> address) {
+      Supplier<Optional<HostPort>> address,
+      Supplier<Optional<PeerRelay>> relay) {
     String node = box + RUN_SEPARATOR + run;
-    return new NodeLease(clock, random, store, suspensions, prefix, node, dataCentre, address);
+    return new NodeLease(
+        clock, random, store, suspensions, prefix, node, dataCentre, address, relay);
   }
 
   /** Adds a listener that runs each time this node becomes the controller. */
@@ -192,6 +199,20 @@
     entry.end();
   }
 
+  /**
+   * Sets whether this node may be the controller. If not, it ends the lease if it holds it, so that
+   * another node takes over.
+   */
+  public void setMayControl(boolean value) {
+    mayControl = value;
+    if (!mayControl) {
+      fence = OptionalLong.empty();
+      controller.end();
+    } else if (!controllerPresent) {
+      scheduleClaim();
+    }
+  }
+
   /** Returns the number of live nodes, including this one. */
   public int liveNodes() {
     return liveNodes;
@@ -260,8 +281,7 @@
   }
 
   private void writeEntry(long lease) {
-    String value =
-        address.get().map(own -> own.toString() + FIELD_SEPARATOR + dataCentre).orElse("");
+    String value = address.get().map(this::entryValue).orElse("");
     Async.onDone(
         store.create(prefix + NODES_PREFIX + node, value, lease),
         clock,
@@ -279,6 +299,20 @@
         });
   }
 
+  private String entryValue(HostPort own) {
+    String value = own.toString() + FIELD_SEPARATOR + dataCentre;
+    return relay
+        .get()
+        .map(
+            accepts ->
+                value
+                    + FIELD_SEPARATOR
+                    + accepts.address().port()
+                    + FIELD_SEPARATOR
+                    + accepts.token())
+        .orElse(value);
+  }
+
   private void rewriteEntry(long lease) {
     if (entry.id().equals(OptionalLong.of(lease))) {
       writeEntry(lease);
@@ -299,7 +333,7 @@
   }
 
   private void claim() {
-    if (loaded && !controllerPresent && !stopped) {
+    if (loaded && mayControl && !controllerPresent && !stopped) {
       controller.start();
     }
   }
@@ -423,16 +457,27 @@
       return Optional.empty();
     }
     String box = boxOf(entry.key().substring(prefix.length() + NODES_PREFIX.length()));
-    List<String> parts = Splitter.on(FIELD_SEPARATOR).limit(2).splitToList(entry.value());
+    List<String> parts = Splitter.on(FIELD_SEPARATOR).splitToList(entry.value());
     try {
       HostPort listenAddress = HostPort.parse(parts.get(0));
-      return Optional.of(new Peer(box, parts.size() > 1 ? parts.get(1) : "", listenAddress));
+      String peerDataCentre = parts.size() > 1 ? parts.get(1) : "";
+      return Optional.of(
+          new Peer(box, peerDataCentre, listenAddress, parseRelay(listenAddress, parts)));
     } catch (IllegalArgumentException e) {
       EventLog.warn(Event.PEER_ADDRESS_NOT_READ, "entry", entry.key(), "cause", e.getMessage());
       return Optional.empty();
     }
   }
 
+  /** Returns where a node accepts forwarded requests: on the same box, under another port. */
+  private static Optional<PeerRelay> parseRelay(HostPort address, List<String> parts) {
+    if (parts.size() < 4) {
+      return Optional.empty();
+    }
+    HostPort relayAddress = HostPort.parse(address.host() + ":" + parts.get(2));
+    return Optional.of(new PeerRelay(relayAddress, parts.get(3)));
+  }
+
   private void handleControllerChange(StoredItem item, boolean removed) {
     if (fence.isPresent() && item.changedAt().toLong() < fence.getAsLong()) {
       return; // The change concerns an earlier controller.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/Peer.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/Peer.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Optional;
 import org.vaneworks.state.HostPort;
 
 /**
@@ -9,14 +10,21 @@
  *
  * @param box name of the box that it runs on
  * @param dataCentre data centre of the box; empty if the node did not publish it
- * @param address address on which it accepts peer connections
+ * @param address address on which it receives load reports
+ * @param relay where it accepts requests that peers forward, if it does
  */
-public record Peer(String box, String dataCentre, HostPort address) {
+public record Peer(String box, String dataCentre, HostPort address, Optional<PeerRelay> relay) {
   /** Checks that no component is null. */
   public Peer {
     checkNotNull(box);
     checkNotNull(dataCentre);
     checkNotNull(address);
+    checkNotNull(relay);
+  }
+
+  /** Creates a peer that accepts no forwarded requests. */
+  public Peer(String box, String dataCentre, HostPort address) {
+    this(box, dataCentre, address, Optional.empty());
   }
 
   // Written out: the generated methods of a record are linked through method handles, whose classes
@@ -27,7 +35,8 @@
     return other instanceof Peer that
         && address.equals(that.address)
         && box.equals(that.box)
-        && dataCentre.equals(that.dataCentre);
+        && dataCentre.equals(that.dataCentre)
+        && relay.equals(that.relay);
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/state/Reason.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/Reason.java
@@ -34,6 +34,8 @@
   NOT_STARTED_IN_TIME(503, "no endpoint could begin before the time limit"),
   NOT_READY(503, "no configuration has been read yet"),
   STOPPING(503, "the node is stopping"),
+  NODE_ISOLATED(503, "the node reaches no endpoint"),
+  UNKNOWN_PEER(403, "the sender did not show that it is a node of this fleet"),
   STORE_UNAVAILABLE(503, "the platform's store does not answer"),
   ENDPOINT_LOST(502, "an endpoint was lost and the request may not be run again"),
   ENDPOINT_OVERLOADED(503, "endpoints refuse for overload"),
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/EntryRoute.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/EntryRoute.java
@@ -33,6 +33,11 @@
     ImmutableList<WeightedService> services,
     int attempts,
     boolean open) {
+  /** Returns whether requests of the route may go to a service. */
+  public boolean hasService(String name) {
+    return services.stream().anyMatch(service -> service.service().equals(name));
+  }
+
   /** Checks kind, services, attempts and timeout. */
   public EntryRoute {
     checkNotNull(kind);
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -88,7 +88,9 @@
   LEASE_WON(5005, "this node acquired the controller's lease"),
   LEASE_LOST(5006, "this node's lease in the store ended"),
   PEER_ADDRESS_NOT_READ(5007, "a node's entry has no readable address"),
-  PEER_REPORT_NOT_READ(5008, "a peer's load report could not be read");
+  PEER_REPORT_NOT_READ(5008, "a peer's load report could not be read"),
+  PEER_REQUEST_TAKEN(5009, "a request was taken that a peer forwarded"),
+  PEER_REQUEST_REJECTED(5010, "a request on the port for peers had no valid token");
 
   private final int number;
   private final String text;
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -38,6 +38,8 @@
       "silences that were not counted as this node was late itself, by how they were found"),
   PEER_MESSAGES("vaneworks.peer.messages", "messages to peers, by type"),
   PEER_BYTES("vaneworks.peer.bytes", "bytes to and from peers, by direction"),
+  PEER_HOPS(
+      "vaneworks.peer.hops", "requests forwarded to peers and taken from peers, by what happened"),
   LOAD_REPORTS("vaneworks.load.reports", "reports of load between nodes, by outcome"),
   QUARANTINE("vaneworks.quarantine", "requests under which endpoints ended, by step"),
   SUSPENSIONS("vaneworks.suspensions", "times that the box may have slept, by the time of day"),
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -63,6 +63,15 @@
     return new EndpointConnections(io, dialect);
   }
 
+  /**
+   * Returns an empty pool of connections to peers.
+   *
+   * @param dialect the headers of callers
+   */
+  public static EndpointConnections toPeers(IoExecutor io, HeaderDialect dialect) {
+    return new EndpointConnections(io, new PeerHeaderDialect(dialect));
+  }
+
   /** Closes the connections to a removed endpoint once the calls in progress have ended. */
   public void closeConnections(HostPort address) {
     RefCountedClient<StreamingHttpClient> client = clients.remove(address);
@@ -97,6 +106,7 @@
     HttpHeaders headers = request.headers();
     headers.set(head.headers());
     HopByHopHeaders.remove(headers);
+    PeerHeaders.removeFromRequest(headers);
     dialect.rewriteForEndpoint(headers, attempt);
     Buffer body = callerRequest.body();
     boolean hasBody =
@@ -196,7 +206,8 @@
               dialect.notRun(status, headers),
               dialect.matches(headers, attempt.request().id()),
               dialect.obstacle(headers),
-              dialect.signal(status, headers)));
+              dialect.signal(status, headers),
+              dialect.peerRefusal(headers)));
       SourceAdapters.toSource(response.payloadBody()).subscribe(this);
     }
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
@@ -10,6 +10,8 @@
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import java.nio.channels.ClosedChannelException;
+import java.time.Duration;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.vaneworks.coordination.forwarding.CallerResponse;
 import org.vaneworks.coordination.forwarding.ResponseHead;
@@ -33,9 +35,12 @@
     void aborted();
   }
 
+  private static final CharSequence KEEP_ALIVE = "keep-alive";
+
   private final StreamingHttpResponseFactory factory;
   private final BufferAllocator allocator;
   private final BooleanSupplier closing;
+  private final Optional<Duration> peerKeepAlive;
   private final SingleSource.Processor<StreamingHttpResponse, StreamingHttpResponse> response =
       Processors.newSingleProcessor();
   private final ResponseBody body =
@@ -52,17 +57,20 @@
    * Creates a response that waits for its head.
    *
    * @param closing returns whether the connection is to be closed after this response
+   * @param peerKeepAlive how long an idle connection stays open, if a peer forwarded the request
    * @param connection receives the events that concern the caller's connection
    */
   EntryResponse(
       StreamingHttpResponseFactory factory,
       BufferAllocator allocator,
       BooleanSupplier closing,
+      Optional<Duration> peerKeepAlive,
       ConnectionListener connection) {
     this.connection = connection;
     this.factory = factory;
     this.allocator = allocator;
     this.closing = closing;
+    this.peerKeepAlive = peerKeepAlive;
   }
 
   /** Sets the caller's id of the request, for log lines. */
@@ -139,13 +147,15 @@
     StreamingHttpResponse callerResponse = factory.newResponse(endpointResponse.status());
     callerResponse.headers().set(endpointResponse.headers());
     HopByHopHeaders.remove(callerResponse.headers());
-    addCloseHeaderIfNeeded(callerResponse);
+    addConnectionHeaders(callerResponse);
     headSent = true;
     callerResponse.payloadBody(SourceAdapters.fromSource(body));
     response.onSuccess(callerResponse);
   }
 
-  private void addCloseHeaderIfNeeded(StreamingHttpResponse callerResponse) {
+  private void addConnectionHeaders(StreamingHttpResponse callerResponse) {
+    peerKeepAlive.ifPresent(
+        timeout -> callerResponse.headers().set(KEEP_ALIVE, "timeout=" + timeout.toSeconds()));
     if (closeAfterwards || closing.getAsBoolean()) {
       callerResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       connection.closesAfterResponse();
@@ -174,7 +184,10 @@
   public void refuse(Refusal refusal) {
     recordEnd();
     StreamingHttpResponse callerResponse = Refusals.response(factory, allocator, refusal);
-    addCloseHeaderIfNeeded(callerResponse);
+    if (peerKeepAlive.isPresent()) {
+      PeerHeaders.write(callerResponse.headers(), refusal);
+    }
+    addConnectionHeaders(callerResponse);
     response.onSuccess(callerResponse);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -22,12 +22,14 @@
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.forwarding.CallerRequest;
 import org.vaneworks.coordination.forwarding.CallerResponse;
+import org.vaneworks.coordination.forwarding.PeerHop;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.entry.EntryLimits;
@@ -44,6 +46,19 @@
     CallerResponse.Listener handle(CallerRequest request, CallerResponse response);
   }
 
+  /** Handles requests that peers forward, whose body has been read completely. */
+  @FunctionalInterface
+  public interface ForwardedRequestHandler {
+    /** Handles a request; the returned listener receives later events of the caller. */
+    CallerResponse.Listener handle(CallerRequest request, CallerResponse response, PeerHop hop);
+  }
+
+  /** Time for which an idle connection of a peer stays open; peers close them before. */
+  private static final Duration PEER_IDLE_TIMEOUT = Duration.ofSeconds(10);
+
+  /** What a peer adds to the headers of a caller, at most. */
+  private static final int PEER_HEADER_BYTES = 1024;
+
   /** Colon, space, CR and LF of a header line. */
   private static final int HEADER_OVERHEAD_BYTES = 4;
 
@@ -56,14 +71,17 @@
   private final CallerConnections connections;
   private final Counters counters;
   private final BooleanSupplier closing;
+  private final Optional<Duration> peerKeepAlive;
 
   private EntryServer(
       RequestHandler handler,
       HeaderDialect dialect,
       Supplier<EntryLimits> limits,
       BooleanSupplier closing,
+      Optional<Duration> peerKeepAlive,
       CallerConnections connections,
       Counters counters) {
+    this.peerKeepAlive = checkNotNull(peerKeepAlive);
     this.connections = checkNotNull(connections);
     this.counters = checkNotNull(counters);
     this.handler = checkNotNull(handler);
@@ -92,15 +110,58 @@
       CallerConnections connections,
       Counters counters)
       throws Exception {
-    EntryServer server = new EntryServer(handler, dialect, limits, closing, connections, counters);
+    return new EntryServer(
+            handler, dialect, limits, closing, Optional.empty(), connections, counters)
+        .listen(address, io, maxHeaderBytes);
+  }
+
+  /**
+   * Starts the server for requests that peers forward. A request without the token is refused.
+   *
+   * @param token the token that this node published for its peers
+   * @see #listen
+   */
+  public static HttpServerContext listenForPeers(
+      HostPort address,
+      IoExecutor io,
+      String token,
+      ForwardedRequestHandler handler,
+      HeaderDialect dialect,
+      int maxHeaderBytes,
+      Supplier<EntryLimits> limits,
+      BooleanSupplier closing,
+      CallerConnections connections,
+      Counters counters)
+      throws Exception {
+    return new EntryServer(
+            new PeerRequestHandler(token, handler, counters),
+            dialect,
+            () -> limitsOfPeers(limits.get()),
+            closing,
+            Optional.of(PEER_IDLE_TIMEOUT),
+            connections,
+            counters)
+        .listen(address, io, maxHeaderBytes);
+  }
+
+  private static EntryLimits limitsOfPeers(EntryLimits callers) {
+    return new EntryLimits(
+        callers.maxHeaderBytes() + PEER_HEADER_BYTES,
+        callers.maxBodyBytes(),
+        callers.headerTimeout(),
+        PEER_IDLE_TIMEOUT);
+  }
+
+  private HttpServerContext listen(HostPort address, IoExecutor io, int maxHeaderBytes)
+      throws Exception {
     return eventLoopServer(address, io)
         .protocols(
             HttpProtocolConfigs.h1()
                 .maxStartLineLength(maxHeaderBytes)
                 .maxHeaderFieldLength(maxHeaderBytes)
                 .build())
-        .appendLateConnectionAcceptor(EventLoopConnectionAcceptor.onEventLoop(server::accept))
-        .listenStreamingAndAwait(server::handle);
+        .appendLateConnectionAcceptor(EventLoopConnectionAcceptor.onEventLoop(this::accept))
+        .listenStreamingAndAwait(this::handle);
   }
 
   private Completable accept(ConnectionInfo connection) {
@@ -152,7 +213,11 @@
     CallerConnection connection = CallerConnection.of(channel);
     EntryResponse response =
         new EntryResponse(
-            factory, context.executionContext().bufferAllocator(), closing, connection);
+            factory,
+            context.executionContext().bufferAllocator(),
+            closing,
+            peerKeepAlive,
+            connection);
     connection.requestStarted(response);
     Optional<String> id = dialect.requestId(request.headers());
     if (id.isEmpty()) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/HeaderDialect.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/HeaderDialect.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.vaneworks.coordination.forwarding.Attempt;
+import org.vaneworks.coordination.forwarding.PeerRefusal;
 import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.state.EndpointSignal;
 import org.vaneworks.state.HostPort;
@@ -29,6 +30,18 @@
    */
   void rewriteForEndpoint(HttpHeaders headers, Attempt attempt);
 
+  /**
+   * Rewrites a caller's headers in place for a peer, which reads them like those of a caller.
+   *
+   * @param headers copy of the caller's headers that will be sent with the attempt
+   */
+  void rewriteForPeer(HttpHeaders headers, Attempt attempt);
+
+  /** Returns the refusal of the peer that a request was forwarded to, if the response is one. */
+  default Optional<PeerRefusal> peerRefusal(HttpHeaders headers) {
+    return Optional.empty();
+  }
+
   /** Returns whether a response reports that the request was not run. */
   boolean notRun(int status, HttpHeaders headers);
 
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaders.java
@@ -0,0 +1,92 @@
+package org.vaneworks.transport.entry;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import com.google.common.primitives.Longs;
+import io.servicetalk.http.api.HttpHeaders;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+import org.vaneworks.coordination.forwarding.PeerHop;
+import org.vaneworks.coordination.forwarding.PeerRefusal;
+import org.vaneworks.state.Reason;
+import org.vaneworks.state.Refusal;
+import org.vaneworks.state.Verdict;
+
+/**
+ * Headers with which nodes forward requests to each other. Neither callers nor endpoints see them.
+ */
+final class PeerHeaders {
+  private static final CharSequence TOKEN = "vaneworks-peer-token";
+  private static final CharSequence SERVICE = "vaneworks-service";
+  private static final CharSequence CONTINUES = "vaneworks-continues";
+  private static final CharSequence REASON = "vaneworks-refusal";
+  private static final CharSequence VERDICT = "vaneworks-verdict";
+  private static final CharSequence RETRY_AFTER_MILLIS = "vaneworks-retry-after-ms";
+
+  private static final ImmutableList<CharSequence> REQUEST_HEADERS =
+      ImmutableList.of(TOKEN, SERVICE, CONTINUES);
+  private static final ImmutableMap<String, Reason> REASONS =
+      Maps.uniqueIndex(Arrays.asList(Reason.values()), Reason::code);
+  private static final ImmutableMap<String, Verdict> VERDICTS =
+      Maps.uniqueIndex(Arrays.asList(Verdict.values()), Verdict::name);
+
+  private PeerHeaders() {}
+
+  static void write(HttpHeaders headers, PeerHop hop) {
+    headers.set(TOKEN, hop.token());
+    headers.set(SERVICE, hop.service());
+    headers.set(CONTINUES, Boolean.toString(hop.continues()));
+  }
+
+  /** Reads the headers of a forwarded request; empty if one of them is missing. */
+  static Optional<PeerHop> read(HttpHeaders headers) {
+    Optional<String> token = text(headers, TOKEN);
+    Optional<String> service = text(headers, SERVICE);
+    Optional<String> continues = text(headers, CONTINUES);
+    if (token.isEmpty() || service.isEmpty() || continues.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new PeerHop(token.get(), service.get(), Boolean.parseBoolean(continues.get())));
+  }
+
+  /** Removes the headers of a forwarded request. */
+  static void removeFromRequest(HttpHeaders headers) {
+    REQUEST_HEADERS.forEach(headers::remove);
+  }
+
+  static void write(HttpHeaders headers, Refusal refusal) {
+    headers.set(REASON, refusal.reason().code());
+    headers.set(VERDICT, refusal.verdict().name());
+    refusal
+        .retryAfter()
+        .ifPresent(wait -> headers.set(RETRY_AFTER_MILLIS, Long.toString(wait.toMillis())));
+  }
+
+  /**
+   * Reads the refusal of a peer; empty if the response is that of an endpoint.
+   *
+   * <p>A refusal that can't be read counts as one of a request that may have run.
+   */
+  static Optional<PeerRefusal> readRefusal(HttpHeaders headers) {
+    Optional<String> reason = text(headers, REASON);
+    if (reason.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<Duration> retryAfter =
+        text(headers, RETRY_AFTER_MILLIS)
+            .map(Longs::tryParse)
+            .filter(millis -> millis >= 0)
+            .map(Duration::ofMillis);
+    Verdict verdict =
+        VERDICTS.getOrDefault(text(headers, VERDICT).orElse(""), Verdict.MAY_HAVE_RUN);
+    return Optional.of(
+        new PeerRefusal(REASONS.getOrDefault(reason.get(), Reason.INTERNAL), verdict, retryAfter));
+  }
+
+  private static Optional<String> text(HttpHeaders headers, CharSequence name) {
+    return Optional.ofNullable(headers.get(name)).map(CharSequence::toString);
+  }
+}
