A node that is cut off from the endpoints does not assign layers

A node gives the controller's lease up while it is isolated, and while peers serve requests for which it found no path; another node takes over. Tests: ControlEligibilityTest, NodeLeaseTest.nodeThatMayNotControlHandsOver (neither compiles on the former code).

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -180,6 +180,8 @@
             suspensionDetector);
     ReachabilityMonitor reachability =
         ReachabilityMonitor.create(io, random, fleet, ConnectionProbes.on(io), counters);
+    ControlEligibility eligibility = new ControlEligibility(io, lease::setMayControl);
+    reachability.onChange(eligibility::isolationChanged);
     PeerNodes peerNodes =
         PeerNodes.create(
             io,
@@ -187,6 +189,7 @@
             lease::peers,
             settings.dataCentre(),
             EndpointConnections.toPeers(io, adapters.headers()));
+    peerNodes.onTaken(eligibility::servedByPeer);
     placement =
         PlacementController.create(
             io,
