--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
@@ -29,6 +29,9 @@
   private static final int REPLICAS = 4;
   private static final int DATA_CENTRES = 3;
   private static final double RESERVE_PER_NODE = 15;
+  private static final int OTHER_FAULT_ONE_IN = 100;
+  private static final int MAX_STALL_MILLIS = 300;
+  private static final int MAX_ENGINE_PAUSE_MILLIS = 1500;
 
   /** The fraction of the other callers' success rate that callers of isolated nodes must have. */
   private static final double MIN_RELATIVE_SUCCESS = 2 / 3.0;
@@ -40,10 +43,12 @@
   private final int nodes;
   private final ImmutableSet<Integer> isolated;
   private final EndpointCut cut;
+  private final boolean otherFaults;
   private final SimulatedCluster cluster;
   private final Map<String, SimulatedCaller> callers = new HashMap<>();
   private final List<SimulatedCaller> duringCut = new ArrayList<>();
   private final List<String> problems = new ArrayList<>();
+  private boolean cutNow;
   private final ImmutableList<EntryRoute> routes =
       ImmutableList.of(
           SimulationConfiguration.route(CallKind.RESUMABLE_STREAM, 2),
@@ -52,14 +57,24 @@
           SimulationConfiguration.route(CallKind.UNSAFE, 1),
           SimulationConfiguration.route(CallKind.SAFE, 2));
 
-  /** Creates a simulation with a random way of cutting off a random part of the nodes. */
-  IsolatedNodeSimulation(long seed) {
-    this(seed, EndpointCut.values()[1 + new Random(seed).nextInt(EndpointCut.values().length - 1)]);
+  /**
+   * Creates a simulation with a random way of cutting off a random part of the nodes, in which
+   * nodes also restart and stall, and engines pause.
+   */
+  static IsolatedNodeSimulation withOtherFaults(long seed) {
+    EndpointCut[] cuts = EndpointCut.values();
+    return new IsolatedNodeSimulation(
+        seed, cuts[1 + (int) Math.floorMod(seed, cuts.length - 1)], true);
   }
 
   /** Creates a simulation in which a random part of the nodes, but not all, is cut off. */
   IsolatedNodeSimulation(long seed, EndpointCut cut) {
+    this(seed, cut, false);
+  }
+
+  private IsolatedNodeSimulation(long seed, EndpointCut cut, boolean otherFaults) {
     this.cut = cut;
+    this.otherFaults = otherFaults;
     random = new Random(seed);
     nodes = 2 + random.nextInt(7);
     ImmutableSet.Builder<Integer> chosen = ImmutableSet.builder();
@@ -95,9 +110,11 @@
   ImmutableList<String> run() {
     sendFor(2000, new ArrayList<>());
     isolated.forEach(node -> cluster.cutFromEndpoints(node, cut));
+    cutNow = true;
     sendFor(CONTACT_MILLIS, new ArrayList<>());
     sendFor(CUT_MILLIS - CONTACT_MILLIS, duringCut);
     isolated.forEach(node -> cluster.cutFromEndpoints(node, EndpointCut.NONE));
+    cutNow = false;
     sendFor(1000, new ArrayList<>());
     List<SimulatedCaller> afterwards = new ArrayList<>();
     sendFor(2000, afterwards);
@@ -114,10 +131,34 @@
       if (random.nextInt(2) == 0) {
         sent.add(send());
       }
+      if (otherFaults && random.nextInt(OTHER_FAULT_ONE_IN) == 0) {
+        injectOtherFault();
+      }
       cluster.advance(STEP_MILLIS);
     }
   }
 
+  private void injectOtherFault() {
+    int node = random.nextInt(nodes);
+    switch (random.nextInt(4)) {
+      case 0 -> restart(node);
+      case 1 -> cluster.stallNode(node, random.nextInt(MAX_STALL_MILLIS));
+      default ->
+          cluster.pauseEngine(random.nextInt(ENGINES), random.nextInt(MAX_ENGINE_PAUSE_MILLIS));
+    }
+  }
+
+  /** Restarts a node, which ends the connections of its callers; a cut goes on. */
+  private void restart(int node) {
+    callers.values().stream()
+        .filter(caller -> caller.node() == node)
+        .forEach(SimulatedCaller::onNodeStopped);
+    cluster.restartNode(node);
+    if (cutNow && isolated.contains(node)) {
+      cluster.cutFromEndpoints(node, cut);
+    }
+  }
+
   private SimulatedCaller send() {
     EntryRoute route = routes.get(random.nextInt(routes.size()));
     int node = random.nextInt(nodes);
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulationTest.java
@@ -3,10 +3,17 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import net.jqwik.api.AfterFailureMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.lifecycle.AfterContainer;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.tests.Schedules;
 
 final class IsolatedNodeSimulationTest {
+  private static final Schedules SIMULATIONS = new Schedules("isolated node");
   private static final int SEEDS = 5;
 
   // Guards against nodes that refuse what their peers could serve, because they can't reach any
@@ -23,4 +30,25 @@
     }
     Assertions.assertEquals(ImmutableList.of(), problems);
   }
+
+  // Guards against the same, and against lost or repeated runs, while peers restart and stall and
+  // engines pause.
+  @Property(
+      tries = 40,
+      seed = "20261206",
+      shrinking = ShrinkingMode.OFF,
+      afterFailure = AfterFailureMode.PREVIOUS_SEED)
+  void callersAreServedWhilePeersRestart(@ForAll long seed) {
+    SIMULATIONS.run(
+        seed,
+        each -> {
+          IsolatedNodeSimulation simulation = IsolatedNodeSimulation.withOtherFaults(each);
+          return new Schedules.Result(simulation.run(), simulation.counts());
+        });
+  }
+
+  @AfterContainer
+  static void report() {
+    SIMULATIONS.report();
+  }
 }
