A request that no peer takes is refused at once; the only peer is asked again after it failed

A suspicion stands now, and is probed as the isolation ends; refused connections are still no ends of processes. - A peer that failed once was left out for 0.7 s even if it was the only one, and requests went to endpoints that could not be reached. It is the last choice now.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
@@ -35,6 +35,7 @@
   private boolean endedBeforeNextAttempt;
   private long closedAtMillis;
   private final Set<Long> eventTimes = new HashSet<>();
+  private final Set<Long> headTimes = new HashSet<>();
   private Outcome outcome = Outcome.PENDING;
 
   /**
@@ -58,6 +59,16 @@
     return eventTimes.contains(millis);
   }
 
+  /** Records that the node received the head of the answer. */
+  void recordHead(long atMillis) {
+    headTimes.add(atMillis);
+  }
+
+  /** Returns whether the node received the head of the answer at a time. */
+  boolean hadHeadAt(long millis) {
+    return headTimes.contains(millis);
+  }
+
   /** Returns when the node received the last event; empty if it received none. */
   OptionalLong lastEventAt() {
     return eventTimes.stream().mapToLong(Long::longValue).max();
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
@@ -109,6 +109,13 @@
     assertEquals(ImmutableList.of(), InFlightResponseSimulation.withReplacementFaults(seed).run());
   }
 
+  // Control case: the head of a response that is not a stream ends the former attempt, and the
+  // response breaks off after it.
+  @Test
+  void headOfPlainResponseEndsFormerAttempt() {
+    assertEquals(ImmutableList.of(), InFlightResponseSimulation.withReplacementFaults(-6577).run());
+  }
+
   // Guards against a stream that leaves its replacement for the last events of a crashed engine,
   // which a late node reads after it sent the replacement.
   @Test
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulationTest.java
@@ -47,6 +47,14 @@
         });
   }
 
+  // Guards against a node whose only peer restarts, and which then tries endpoints that it can't
+  // reach.
+  @Test
+  void requestsGoToTheOnlyPeerAfterItsRestart() {
+    Assertions.assertEquals(
+        ImmutableList.of(), IsolatedNodeSimulation.withOtherFaults(-10787765).run());
+  }
+
   @AfterContainer
   static void report() {
     SIMULATIONS.report();
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
@@ -253,6 +253,7 @@
               .anyMatch(
                   other ->
                       other.deliveredAt(at)
+                          || (!route.kind().streamed() && other.hadHeadAt(at))
                           || (other.engine().equals(attempt.engine())
                               && other.sentAtMillis() == at));
       check(!attempt.wasAbandoned() || finished || replaced, "abandoned before another delivered");
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -376,7 +376,11 @@
       }
       FakeResponseHead head =
           FakeResponseHead.of(200, signal(request.node, request.isSenderAlive()));
-      request.deliver(() -> request.listener.head(head));
+      request.deliver(
+          () -> {
+            request.record.recordHead(nowMillis());
+            request.listener.head(head);
+          });
       arrivals.recordAnswer(request.node, nowMillis());
       if (request.crashes()) {
         schedule(CRASH_DELAY_MILLIS, this::crash);
@@ -1155,7 +1159,13 @@
 
     @Override
     public void head(ResponseHead head) {
-      toSender(() -> listener.head(head));
+      toSender(
+          () -> {
+            if (!records.isEmpty()) {
+              records.get(records.size() - 1).recordHead(nowMillis());
+            }
+            listener.head(head);
+          });
     }
 
     @Override
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
@@ -196,9 +196,26 @@
     node.advance(500);
     assertEquals(Optional.empty(), streaming.refusal);
     assertTrue(node.fleet.all().stream().noneMatch(endpoint -> endpoint.processDown()));
+    node.control.refusing.clear();
+    node.advance(1000);
     assertTrue(node.fleet.all().stream().noneMatch(endpoint -> endpoint.suspected()));
   }
 
+  // Guards against attempts at endpoints that can't be reached, one after the other, if no peer can
+  // help either.
+  @Test
+  void requestIsRefusedAtOnceIfNoNodeReachesAnEndpoint() {
+    node.peers = ImmutableList.of();
+    for (int i = 0; i < 4; i++) {
+      isolate("/stream/");
+    }
+    node.advance(500);
+    int sentBefore = node.sent.size();
+    RecordedResponse response = node.request("/stream/");
+    assertEquals(sentBefore, node.sent.size());
+    assertEquals(Reason.NO_ENDPOINT, response.refusal.get().reason());
+  }
+
   @Test
   void endpointsAreUsedAgainAfterIsolation() {
     isolate("/stream/");
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -245,7 +245,7 @@
       end();
       String probes =
           "sent " + (unanswered + disregarded) + " probes, the last " + elapsed.toMillis();
-      suspectUnlessIsolated(
+      suspectWhenChecked(
           engine, "no answer to health checks: " + probes + " ms ago: " + failure + stalls());
     }
 
@@ -257,7 +257,7 @@
       waitingEngine = Optional.of(reporter);
       if (isUnresponsive()) {
         end();
-        suspectUnlessIsolated(engine, "no answer to " + unanswered + " health checks" + stalls());
+        suspectWhenChecked(engine, "no answer to " + unanswered + " health checks" + stalls());
       }
     }
 
@@ -400,14 +400,16 @@
     }
   }
 
-  /** Suspects an engine unless this node itself is cut off, which explains the silence. */
-  private void suspectUnlessIsolated(TrackedEndpoint engine, String cause) {
-    reachability.unlessIsolated(() -> fleet.suspect(engine, cause));
+  /**
+   * Suspects an engine once it is known whether this node is isolated, so that its requests move to
+   * peers and not to engines that it can't reach either.
+   */
+  private void suspectWhenChecked(TrackedEndpoint engine, String cause) {
+    reachability.whenChecked(() -> fleet.suspect(engine, cause));
   }
 
   private void isolationChanged(boolean isolated) {
     if (!isolated) {
-      // Engines that were suspected before this node was known to be isolated.
       fleet.all().stream()
           .filter(TrackedEndpoint::suspected)
           .forEach(engine -> retry(engine, INITIAL_RETRY_DELAY));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
@@ -74,7 +74,7 @@
   private final Counters counters;
   private final List<Consumer<Boolean>> listeners = new ArrayList<>();
 
-  /** Actions that wait for the result of the check in progress, and are dropped if isolated. */
+  /** Actions that wait for the result of the check in progress. */
   private final Deque<Runnable> undecided = new ArrayDeque<>();
 
   /** The latest failure of each endpoint, in nanoseconds of the clock. */
@@ -117,18 +117,28 @@
     return checking;
   }
 
-  /**
-   * Runs an action unless this node is isolated: now, or after the check in progress, which takes a
-   * fraction of a second. Failures of endpoints prove nothing about them while it is.
-   */
-  public void unlessIsolated(Runnable action) {
+  /** Runs an action now, or after the check in progress, which takes a fraction of a second. */
+  public void whenChecked(Runnable action) {
     if (checking) {
       undecided.add(action);
-    } else if (!isolated) {
+    } else {
       action.run();
     }
   }
 
+  /**
+   * Does so unless this node is isolated. A failure of an endpoint proves nothing about its process
+   * while it is.
+   */
+  public void unlessIsolated(Runnable action) {
+    whenChecked(
+        () -> {
+          if (!isolated) {
+            action.run();
+          }
+        });
+  }
+
   /** Records that a connection to an endpoint was refused. */
   public void recordRefused(TrackedEndpoint endpoint) {
     recordFailure(endpoint);
@@ -208,7 +218,7 @@
     }
     ImmutableList<Runnable> decided = ImmutableList.copyOf(undecided);
     undecided.clear();
-    decided.forEach(this::unlessIsolated);
+    decided.forEach(this::whenChecked);
   }
 
   private void becomeIsolated(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerNodes.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerNodes.java
@@ -26,9 +26,9 @@
  * The peers to which this node forwards requests while it does not reach enough endpoints.
  *
  * <p>Peers of the same data centre come first, and requests are spread over several peers. A peer
- * that declines, because it is isolated itself or stops, or that can't be reached, is avoided for a
- * while. Nothing is sent to peers, and no connection is open, while no request is forwarded.
- * Confined to the node's event loop.
+ * that declines, because it is isolated itself or stops, is avoided for a while; one that can't be
+ * reached is taken only if there is no other. Nothing is sent to peers, and no connection is open,
+ * while no request is forwarded. Confined to the node's event loop.
  */
 public final class PeerNodes {
   /** Maximum number of peers of the same data centre, and of others, that are considered. */
@@ -37,8 +37,11 @@
   /** Requests in flight that a peer of another data centre counts as having in addition. */
   private static final int REMOTE_PENALTY = 2;
 
-  /** Time for which a peer that failed or fell silent is avoided. */
-  private static final Duration FAILURE_AVOIDANCE = Duration.ofMillis(700);
+  /** Time for which a peer that failed or fell silent is taken only if there is no other. */
+  private static final Duration FAILURE_PENALTY_TIME = Duration.ofMillis(700);
+
+  /** Requests in flight that such a peer counts as having in addition. */
+  private static final int FAILURE_PENALTY = 1000;
 
   /** Time for which a peer that declined a request is avoided. */
   private static final Duration DECLINE_AVOIDANCE = Duration.ofMillis(1500);
@@ -58,6 +61,7 @@
   private final EndpointTransport transport;
   private final Map<Peer, Candidate> candidates = new HashMap<>();
   private final Map<TrackedEndpoint, PeerRelay> relays = new HashMap<>();
+  private final Map<TrackedEndpoint, Long> penaltyUntil = new HashMap<>();
   private ImmutableList<Peer> listed = ImmutableList.of();
   private Runnable onTaken = () -> {};
   private int consecutiveDeclines;
@@ -142,6 +146,7 @@
       }
       double load = candidate.endpoint().inFlight() + random.nextDouble();
       load += candidate.remote() ? REMOTE_PENALTY : 0;
+      load += now < penaltyUntil.getOrDefault(candidate.endpoint(), now) ? FAILURE_PENALTY : 0;
       if (load < leastLoad) {
         leastLoad = load;
         best = Optional.of(candidate.endpoint());
@@ -171,12 +176,13 @@
     }
   }
 
-  /** Avoids a peer for a while, because it can't be reached or does not respond. */
+  /** Prefers other peers for a while, because this one can't be reached or does not respond. */
   void recordFailure(TrackedEndpoint peer) {
-    peer.avoidUntil(now() + FAILURE_AVOIDANCE.toNanos());
+    penaltyUntil.put(peer, now() + FAILURE_PENALTY_TIME.toNanos());
   }
 
   private void update() {
+    penaltyUntil.values().removeIf(until -> until <= now());
     ImmutableList<Peer> current = peers.get();
     if (current.equals(listed)) {
       return;
