A response of an endpoint can't be taken for a refusal of a peer

Found by reading the diff. A peer passed all headers of an endpoint's response on, and a header "vaneworks-refusal" among them made the sender read a refusal, by default of a request that may have run. A peer removes these headers from endpoints' responses now. Test: EntryResponseTest.responseOfEndpointIsNoRefusalOfPeer (failed before).

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
@@ -10,6 +10,7 @@
 import io.servicetalk.http.api.DefaultStreamingHttpRequestResponseFactory;
 import io.servicetalk.http.api.HttpProtocolVersion;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.forwarding.CallerResponse;
@@ -19,14 +20,17 @@
   private static final BufferAllocator ALLOCATOR = BufferAllocators.PREFER_HEAP_ALLOCATOR;
 
   private final RecordingConnection connection = new RecordingConnection();
-  private final EntryResponse entryResponse =
-      new EntryResponse(
-          new DefaultStreamingHttpRequestResponseFactory(
-              ALLOCATOR, DefaultHttpHeadersFactory.INSTANCE, HttpProtocolVersion.HTTP_1_1),
-          ALLOCATOR,
-          () -> false,
-          Optional.empty(),
-          connection);
+  private final EntryResponse entryResponse = newResponse(Optional.empty());
+
+  private EntryResponse newResponse(Optional<Duration> peerKeepAlive) {
+    return new EntryResponse(
+        new DefaultStreamingHttpRequestResponseFactory(
+            ALLOCATOR, DefaultHttpHeadersFactory.INSTANCE, HttpProtocolVersion.HTTP_1_1),
+        ALLOCATOR,
+        () -> false,
+        peerKeepAlive,
+        connection);
+  }
 
   private static final class RecordingConnection implements EntryResponse.ConnectionListener {
     private int ends;
@@ -74,4 +78,15 @@
     assertEquals(1, listener.disconnects);
     assertEquals(1, connection.ends);
   }
+
+  // Guards against a response of an endpoint that the sender takes for a refusal of its peer.
+  @Test
+  void responseOfEndpointIsNoRefusalOfPeer() throws Exception {
+    EntryResponse toPeer = newResponse(Optional.of(Duration.ofSeconds(10)));
+    EndpointResponseHead head = EntryFixture.responseHead();
+    head.response().headers().set("vaneworks-refusal", "no-endpoint");
+    var responseFuture = toPeer.response().toFuture();
+    toPeer.head(head);
+    assertTrue(PeerHeaders.readRefusal(responseFuture.get().headers()).isEmpty());
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
@@ -147,6 +147,9 @@
     StreamingHttpResponse callerResponse = factory.newResponse(endpointResponse.status());
     callerResponse.headers().set(endpointResponse.headers());
     HopByHopHeaders.remove(callerResponse.headers());
+    if (peerKeepAlive.isPresent()) {
+      PeerHeaders.removeFromResponse(callerResponse.headers());
+    }
     addConnectionHeaders(callerResponse);
     headSent = true;
     callerResponse.payloadBody(SourceAdapters.fromSource(body));
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaders.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaders.java
@@ -27,6 +27,8 @@
 
   private static final ImmutableList<CharSequence> REQUEST_HEADERS =
       ImmutableList.of(TOKEN, SERVICE, CONTINUES);
+  private static final ImmutableList<CharSequence> RESPONSE_HEADERS =
+      ImmutableList.of(REASON, VERDICT, RETRY_AFTER_MILLIS);
   private static final ImmutableMap<String, Reason> REASONS =
       Maps.uniqueIndex(Arrays.asList(Reason.values()), Reason::code);
   private static final ImmutableMap<String, Verdict> VERDICTS =
@@ -57,6 +59,11 @@
     REQUEST_HEADERS.forEach(headers::remove);
   }
 
+  /** Removes the headers of a peer's refusal, which a response of an endpoint must not have. */
+  static void removeFromResponse(HttpHeaders headers) {
+    RESPONSE_HEADERS.forEach(headers::remove);
+  }
+
   static void write(HttpHeaders headers, Refusal refusal) {
     headers.set(REASON, refusal.reason().code());
     headers.set(VERDICT, refusal.verdict().name());
