Engines that stay dead are probed as often after isolations as before

Found by reading the diff. The end of an isolation started another chain of repeated probes for each suspected engine, beside the one that its suspicion had started: 20 probes of a dead engine in ten seconds after three isolations, 5 before. It now probes each once, unless the engine asked for a backoff.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.vaneworks.coordination.concurrent.Async;
 import org.vaneworks.coordination.concurrent.EventLoopDelay;
 import org.vaneworks.state.HostPort;
@@ -412,7 +413,8 @@
     if (!isolated) {
       fleet.all().stream()
           .filter(TrackedEndpoint::suspected)
-          .forEach(engine -> retry(engine, INITIAL_RETRY_DELAY));
+          .filter(engine -> fleet.signals().admits(engine, CallPurpose.HEALTH_CHECK))
+          .forEach(engine -> probeSuspected(engine, cause -> {}));
     }
   }
 
@@ -536,19 +538,34 @@
       scheduleRetry(engine, previousDelay);
       return;
     }
+    probeSuspected(engine, cause -> stillSilent(engine, cause, previousDelay));
+  }
+
+  /**
+   * Probes a suspected engine once, which clears the suspicion if it answers.
+   *
+   * @param onSilence receives the cause if it does not
+   */
+  private void probeSuspected(TrackedEndpoint engine, Consumer<Object> onSilence) {
     fleet.signals().recordCall(engine, CallPurpose.HEALTH_CHECK);
     fleet.signals().recordProbe();
-    new ProbeCall(engine, new RetryListener(engine, previousDelay)).start();
+    new ProbeCall(engine, new SuspectedListener(engine, onSilence)).start();
+  }
+
+  private void stillSilent(TrackedEndpoint engine, Object cause, Duration previousDelay) {
+    EventLog.debug(Event.ENDPOINT_STILL_SILENT, "endpoint", engine.endpoint().id(), "cause", cause);
+    Duration next = previousDelay.multipliedBy(2);
+    scheduleRetry(engine, next.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : next);
   }
 
   /** Handles the outcome of a probe of a suspected engine. */
-  private final class RetryListener implements ProbeListener {
+  private final class SuspectedListener implements ProbeListener {
     private final TrackedEndpoint engine;
-    private final Duration previousDelay;
+    private final Consumer<Object> onSilence;
 
-    RetryListener(TrackedEndpoint engine, Duration previousDelay) {
+    SuspectedListener(TrackedEndpoint engine, Consumer<Object> onSilence) {
       this.engine = engine;
-      this.previousDelay = previousDelay;
+      this.onSilence = onSilence;
     }
 
     @Override
@@ -556,7 +573,7 @@
       if (isFromEngine(engine, report)) {
         fleet.clearSuspicion(engine);
       } else if (!late) {
-        stillSilent("answer of another incarnation");
+        onSilence.accept("answer of another incarnation");
       }
     }
 
@@ -567,14 +584,7 @@
         return;
       }
       recordRefusal(engine, failure);
-      stillSilent(failure);
-    }
-
-    private void stillSilent(Object cause) {
-      EventLog.debug(
-          Event.ENDPOINT_STILL_SILENT, "endpoint", engine.endpoint().id(), "cause", cause);
-      Duration next = previousDelay.multipliedBy(2);
-      scheduleRetry(engine, next.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : next);
+      onSilence.accept(failure);
     }
   }
 }
