--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
@@ -252,4 +252,52 @@
     partial.advance(20);
     assertEquals(1, partial.toPeers.size());
   }
+
+  // Guards against a refusal of a request that joins others in the queue, while a peer can serve
+  // it.
+  @Test
+  void queuedRequestsGoToPeersIfSuspectedEnginesLeaveNoPath() {
+    ForwardingFixture partial = new ForwardingFixture();
+    partial.peers = ImmutableList.of(NEAR);
+    FleetEndpoint lost = partial.engine(1, 0, 40);
+    partial.engine(2, 40, 80);
+    RecordedResponse first = partial.request("/stream/");
+    partial.control.refusing.add(lost.address());
+    partial.lastAttempt().listener.failed(true, refused());
+    partial.advance(5);
+    assertTrue(partial.fleet.find(ForwardingFixture.MODEL, lost.address()).get().suspected());
+    RecordedResponse second = partial.request("/stream/");
+    partial.advance(40);
+    assertEquals(Optional.empty(), first.refusal);
+    assertEquals(Optional.empty(), second.refusal);
+    assertEquals(2, partial.toPeers.size());
+  }
+
+  // Guards against probes of an engine that increase with each isolation of the node.
+  @Test
+  void deadEngineIsProbedAsOftenAfterIsolationsAsBefore() {
+    HostPort dead = new HostPort("10.0.0.1", 80);
+    node.control.refusing.add(dead);
+    node.fleet.suspect(node.fleet.find(ForwardingFixture.MODEL, dead).get(), "dead");
+    node.advance(10_000);
+    int before = probesDuring10Seconds(dead);
+    for (int i = 0; i < 3; i++) {
+      // Not during the check that follows a refused probe.
+      node.advance(100);
+      node.confirmedAt = node.now();
+      isolate("/unsafe/");
+      node.control.refusing.clear();
+      node.control.refusing.add(dead);
+      node.advance(3000);
+    }
+    node.advance(10_000);
+    assertTrue(before > 0);
+    assertEquals(before, probesDuring10Seconds(dead), 1);
+  }
+
+  private int probesDuring10Seconds(HostPort engine) {
+    node.control.probed.clear();
+    node.advance(10_000);
+    return (int) node.control.probed.stream().filter(engine::equals).count();
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -267,7 +267,9 @@
   }
 
   private boolean canUsePeer() {
-    return mayUsePeers && context.reachability().isIsolated() && context.peers().isAnyAvailable();
+    return mayUsePeers
+        && (context.reachability().isIsolated() || isServiceLost())
+        && context.peers().isAnyAvailable();
   }
 
   /** Returns an alternative path with the same first part that avoids the given engines. */
