Names and comments after reading the diff

ForwardedRequest.incomingHop tells what a peer sent from what is sent to one; Fleet.holdAllLayers says what it returns. No change of behaviour.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulationTest.java
@@ -1,5 +1,7 @@
 package org.vaneworks.daemon.entry;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +10,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.lifecycle.AfterContainer;
-import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.tests.Schedules;
 
@@ -28,7 +29,7 @@
         }
       }
     }
-    Assertions.assertEquals(ImmutableList.of(), problems);
+    assertEquals(ImmutableList.of(), problems);
   }
 
   // Guards against the same, and against lost or repeated runs, while peers restart and stall and
@@ -51,8 +52,7 @@
   // reach.
   @Test
   void requestsGoToTheOnlyPeerAfterItsRestart() {
-    Assertions.assertEquals(
-        ImmutableList.of(), IsolatedNodeSimulation.withOtherFaults(-10787765).run());
+    assertEquals(ImmutableList.of(), IsolatedNodeSimulation.withOtherFaults(-10787765).run());
   }
 
   @AfterContainer
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -537,7 +537,7 @@
    * without free capacity.
    */
   public boolean coversAllLayers(String service, int layers) {
-    return cover(serving(service), layers);
+    return holdAllLayers(serving(service), layers);
   }
 
   /**
@@ -545,14 +545,14 @@
    * suspected.
    */
   public boolean listsAllLayers(String service, int layers) {
-    return cover(
+    return holdAllLayers(
         listed(service).stream()
             .filter(endpoint -> !endpoint.endpoint().leaving())
             .collect(ImmutableList.toImmutableList()),
         layers);
   }
 
-  private static boolean cover(ImmutableList<TrackedEndpoint> endpoints, int layers) {
+  private static boolean holdAllLayers(ImmutableList<TrackedEndpoint> endpoints, int layers) {
     boolean[] covered = new boolean[layers];
     for (TrackedEndpoint endpoint : endpoints) {
       endpoint
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
@@ -296,6 +296,7 @@
 
     void start() {
       completeAfter(timeout, 0);
+      // One to spare, as a single one may be down.
       open(enough + 1);
       clock.schedule(this::openRest, SECOND_STAGE_DELAY.toNanos(), NANOSECONDS);
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -57,7 +57,10 @@
   private final Optional<Caller> caller;
   private final CallerRequest request;
   private final CallerResponse response;
-  private final Optional<PeerHop> hop;
+
+  /** Present if a peer forwarded the request to this node. */
+  private final Optional<PeerHop> incomingHop;
+
   private final Consumer<ForwardedRequest> onDone;
   private final String service;
   private final EndpointSelector selector;
@@ -103,17 +106,18 @@
       Optional<Caller> caller,
       CallerRequest request,
       CallerResponse response,
-      Optional<PeerHop> hop,
+      Optional<PeerHop> incomingHop,
       Consumer<ForwardedRequest> onDone) {
     this.context = context;
     this.route = route;
     this.caller = caller;
     this.request = request;
     this.response = response;
-    this.hop = hop;
+    this.incomingHop = incomingHop;
     this.onDone = onDone;
     this.service =
-        hop.map(PeerHop::service)
+        incomingHop
+            .map(PeerHop::service)
             .orElseGet(() -> route.selectService(context.random().nextDouble()));
     this.selector =
         new EndpointSelector(
@@ -121,7 +125,7 @@
             service,
             configuration.service(service).flatMap(ServiceProfile::model),
             request.size(),
-            hop.isEmpty());
+            incomingHop.isEmpty());
     this.quarantine = new RequestQuarantine(context, request, caller.map(Caller::workspace));
     this.queue = context.queues().of(service);
     this.progress = new ProgressMonitor(context, selector, route.pauseObjective(), this::onStall);
@@ -137,7 +141,7 @@
   /**
    * Creates a request that is not started.
    *
-   * @param hop present if a peer forwarded the request
+   * @param incomingHop present if a peer forwarded the request
    */
   static ForwardedRequest create(
       ForwardContext context,
@@ -146,16 +150,16 @@
       Optional<Caller> caller,
       CallerRequest request,
       CallerResponse response,
-      Optional<PeerHop> hop,
+      Optional<PeerHop> incomingHop,
       Consumer<ForwardedRequest> onDone) {
     return new ForwardedRequest(
-        context, configuration, route, caller, request, response, hop, onDone);
+        context, configuration, route, caller, request, response, incomingHop, onDone);
   }
 
   void start() {
     deadlineTimer =
         context.clock().schedule(this::onDeadline, Math.max(0, deadline - startedAt), NANOSECONDS);
-    if (hop.isEmpty()) {
+    if (incomingHop.isEmpty()) {
       // The peer that forwarded it has deposited its share.
       context.budget().deposit();
     }
@@ -251,7 +255,7 @@
 
   /** Returns whether the caller has a part of the response, from this node or from a peer. */
   private boolean continuesResponse() {
-    return headSent || hop.filter(PeerHop::continues).isPresent();
+    return headSent || incomingHop.filter(PeerHop::continues).isPresent();
   }
 
   private boolean startAttempt() {
@@ -684,7 +688,7 @@
       return Optional.of(ResendDenial.SENDS_EXHAUSTED);
     }
     // What a peer runs is repeated by the node that forwarded it, if at all.
-    int attempts = hop.isPresent() ? 1 : route.attempts();
+    int attempts = incomingHop.isPresent() ? 1 : route.attempts();
     return ResendRule.denial(route.kind(), verdict, runsSoFar, attempts, sends - declinedSends);
   }
 
@@ -809,7 +813,7 @@
     if (done) {
       return;
     }
-    if (hop.isPresent()) {
+    if (incomingHop.isPresent()) {
       returnToSender();
     } else if (attempt.isPresent() && (!running().mayHaveArrived() || progress.isStalled())) {
       moveToPeer();
@@ -1153,7 +1157,7 @@
     long waitsUntil = deadlines.waitsUntil(Duration.ZERO);
     boolean mayRespond = running().mayHaveArrived() && !running().hasEndpointEnded();
     // A request of a peer stays: its sender decides when its caller has waited long enough.
-    boolean stays = mayRespond && (hop.isPresent() || now() < waitsUntil);
+    boolean stays = mayRespond && (incomingHop.isPresent() || now() < waitsUntil);
     if (headSent || !mayAbort() || stays) {
       failover.runOncePerFailover(() -> stayed(trigger, denial, waitsUntil));
       return;
