--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -734,16 +734,18 @@
       String body,
       Duration timeout,
       RequestSize expectedSize,
-      Optional<String> resumeAfter)
+      Optional<String> resumeAfter,
+      ImmutableList<String> sharedPromptParts)
       implements CallerRequest {
     SimulatedRequest(
         String id, String path, String body, Duration timeout, RequestSize expectedSize) {
-      this(id, path, body, timeout, expectedSize, Optional.empty());
+      this(id, path, body, timeout, expectedSize, Optional.empty(), ImmutableList.of());
     }
 
     /** Returns the request as a peer gets it that a node forwards it to. */
     SimulatedRequest afterHop(Duration remaining, Optional<String> lastEvent) {
-      return new SimulatedRequest(id, path, body, remaining, expectedSize, lastEvent);
+      return new SimulatedRequest(
+          id, path, body, remaining, expectedSize, lastEvent, sharedPromptParts);
     }
 
     @Override
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -140,6 +140,11 @@
       return Optional.of(new RequestSize(800, 200));
     }
 
+    @Override
+    public ImmutableList<String> sharedPromptParts() {
+      return ImmutableList.of();
+    }
+
     @Override
     public RequestContent content(Optional<String> workspace) {
       return RequestContent.of(workspace, "POST", host, path, new byte[0]);
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/StubHeaderDialect.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/StubHeaderDialect.java
@@ -1,5 +1,6 @@
 package org.vaneworks.transport.entry;
 
+import com.google.common.collect.ImmutableList;
 import io.servicetalk.http.api.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
@@ -30,6 +31,11 @@
     return Optional.empty();
   }
 
+  @Override
+  public ImmutableList<String> sharedPromptParts(HttpHeaders headers) {
+    return ImmutableList.of();
+  }
+
   @Override
   public void rewriteForEndpoint(HttpHeaders headers, Attempt attempt) {}
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.vaneworks.coordination.forwarding;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.Optional;
 import org.vaneworks.coordination.relay.RequestSize;
@@ -25,6 +26,12 @@
   /** Returns the expected size, if the request states one. */
   Optional<RequestSize> size();
 
+  /**
+   * Returns the ids of the parts of the prompt that other requests may share, in the order of the
+   * prompt.
+   */
+  ImmutableList<String> sharedPromptParts();
+
   /**
    * Returns a digest of the request's content.
    *
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
@@ -1,5 +1,6 @@
 package org.vaneworks.coordination.forwarding;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ObjectArrays;
 import java.time.Duration;
 import java.util.Locale;
@@ -100,12 +101,14 @@
   /**
    * Logs that an endpoint was lost while it had a request.
    *
+   * @param promptParts the parts of its prompt that other requests may share
    * @param sinceSent the time since the request was sent there
    * @param sinceFirstPart the time since the first part of its response; empty if there was none
    */
   static void lostEndpoint(
       CallerRequest request,
       RequestContent content,
+      ImmutableList<String> promptParts,
       TrackedEndpoint endpoint,
       Duration sinceSent,
       Optional<Duration> sinceFirstPart) {
@@ -115,6 +118,8 @@
         request.id(),
         "content",
         content,
+        "promptParts",
+        String.join(",", promptParts),
         "endpoint",
         endpoint,
         "sentMsAgo",
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RequestQuarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RequestQuarantine.java
@@ -56,7 +56,8 @@
 
   /** Records the loss of an endpoint to which the request was sent or which was on its path. */
   void recordLoss(TrackedEndpoint endpoint, Duration sinceSent, Optional<Duration> sinceFirstPart) {
-    ForwardLog.lostEndpoint(request, content(), endpoint, sinceSent, sinceFirstPart);
+    ForwardLog.lostEndpoint(
+        request, content(), request.sharedPromptParts(), endpoint, sinceSent, sinceFirstPart);
     if (start.isEmpty()) {
       start = Optional.of(RequestStart.of(content()));
     }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryRequest.java
@@ -1,5 +1,6 @@
 package org.vaneworks.transport.entry;
 
+import com.google.common.collect.ImmutableList;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpRequestMetaData;
@@ -65,6 +66,11 @@
     return dialect.size(head.headers());
   }
 
+  @Override
+  public ImmutableList<String> sharedPromptParts() {
+    return dialect.sharedPromptParts(head.headers());
+  }
+
   @Override
   public RequestContent content(Optional<String> workspace) {
     Buffer view = body();
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/HeaderDialect.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/HeaderDialect.java
@@ -1,5 +1,6 @@
 package org.vaneworks.transport.entry;
 
+import com.google.common.collect.ImmutableList;
 import io.servicetalk.http.api.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
@@ -23,6 +24,12 @@
   /** Returns the expected size of the request. */
   Optional<RequestSize> size(HttpHeaders headers);
 
+  /**
+   * Returns the ids of the parts of the prompt that other requests may share, in the order of the
+   * prompt; none if the request states no parts or they are malformed.
+   */
+  ImmutableList<String> sharedPromptParts(HttpHeaders headers);
+
   /**
    * Rewrites a caller's headers in place for an endpoint.
    *
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaderDialect.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaderDialect.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import io.servicetalk.http.api.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
@@ -43,6 +44,11 @@
     return platform.size(headers);
   }
 
+  @Override
+  public ImmutableList<String> sharedPromptParts(HttpHeaders headers) {
+    return platform.sharedPromptParts(headers);
+  }
+
   @Override
   public void rewriteForEndpoint(HttpHeaders headers, Attempt attempt) {
     platform.rewriteForPeer(headers, attempt);
