--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulation.java
@@ -246,8 +246,8 @@
     // Some callers have a short timeout.
     int timeoutMillis =
         size == tokens && random.nextInt(8) == 0 ? 200 + random.nextInt(3000) : 20_000;
-    SimulatedCluster.SimulatedRequest request =
-        new SimulatedCluster.SimulatedRequest(
+    SimulatedRequest request =
+        new SimulatedRequest(
             id,
             route.pathPrefix(),
             body,
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
@@ -162,8 +162,8 @@
   private SimulatedCaller send() {
     EntryRoute route = routes.get(random.nextInt(routes.size()));
     int node = random.nextInt(nodes);
-    SimulatedCluster.SimulatedRequest request =
-        new SimulatedCluster.SimulatedRequest(
+    SimulatedRequest request =
+        new SimulatedRequest(
             "r" + callers.size(), route.pathPrefix(), "", route.timeout(), new RequestSize(80, 20));
     SimulatedCaller caller =
         new SimulatedCaller(
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/LateReportSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/LateReportSimulation.java
@@ -149,8 +149,8 @@
     CallKind kind = random.nextInt(4) == 0 ? CallKind.STREAM : CallKind.RESUMABLE_STREAM;
     EntryRoute route = SimulationConfiguration.route(kind, 1 + random.nextInt(2));
     String id = "q" + callersInOrder.size();
-    SimulatedCluster.SimulatedRequest request =
-        new SimulatedCluster.SimulatedRequest(
+    SimulatedRequest request =
+        new SimulatedRequest(
             id,
             route.pathPrefix(),
             "letter " + id,
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
@@ -39,7 +39,7 @@
   /** The tolerance for a node that reads a backlog after its event loop was stalled. */
   private static final int STALL_TOLERANCE_MILLIS = 50;
 
-  private final SimulatedCluster.SimulatedRequest request;
+  private final SimulatedRequest request;
   private final EntryRoute route;
   private final int node;
   private final LongSupplier clock;
@@ -65,7 +65,7 @@
    * @param stalled for how long its node's event loop has been stalled in total, in milliseconds
    */
   SimulatedCaller(
-      SimulatedCluster.SimulatedRequest request,
+      SimulatedRequest request,
       EntryRoute route,
       int node,
       LongSupplier clock,
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -68,7 +68,6 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.Refusal;
-import org.vaneworks.state.RequestContent;
 import org.vaneworks.state.RequestedBackoff;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.Verdict;
@@ -92,13 +91,17 @@
 /**
  * A cluster of nodes that share engines and a store, under a paused clock.
  *
- * <p>An engine crashes 60 ms after it started a request whose body is {@link #CRASHING}, and loses
- * all requests that it runs. A replacement with a new id starts three seconds later. Unless a test
- * starts engines with fewer layers, every engine holds all layers.
+ * <p>An engine crashes 60 ms after it started a request whose body is {@link #CRASHING}, or whose
+ * prompt has the part {@link #CRASHING_PART}, and loses all requests that it runs. A replacement
+ * with a new id starts three seconds later. Unless a test starts engines with fewer layers, every
+ * engine holds all layers.
  */
 final class SimulatedCluster {
   static final String CRASHING = "crashing";
 
+  /** The part of a prompt that crashes engines, whatever else the request holds. */
+  static final String CRASHING_PART = "dead";
+
   static final String SERVICE = "writer";
   static final String REPLICATED = "records";
   static final String KEY = "secret";
@@ -112,7 +115,6 @@
   /** From the arrival of a request until an engine starts it. */
   private static final int START_DELAY_MILLIS = 40;
 
-  private static final int EVENT_INTERVAL_MILLIS = 20;
   private static final int CRASH_DELAY_MILLIS = 60;
   private static final int REPLACEMENT_DELAY_MILLIS = 3000;
   private static final int RELIST_DELAY_MILLIS = 800;
@@ -154,6 +156,9 @@
   private EntryConfiguration configuration = CONFIGURATION;
   private ForwardingLimits limits = new ForwardingLimits(Duration.ofMillis(4750), 0.2, 100);
 
+  /** The time between two events of a stream. */
+  int eventIntervalMillis = 20;
+
   /** Whether all load reports between nodes are lost. */
   boolean dropLoadReports;
 
@@ -463,7 +468,7 @@
             });
       }
       if (number < eventCount()) {
-        schedule(EVENT_INTERVAL_MILLIS, () -> sendEvent(request, number + 1));
+        schedule(eventIntervalMillis, () -> sendEvent(request, number + 1));
       } else {
         activeRequests.remove(request);
         request.record.finish(AttemptRecord.Outcome.COMPLETED);
@@ -701,7 +706,8 @@
     }
 
     boolean crashes() {
-      return ((SimulatedRequest) attempt.request()).body().equals(CRASHING);
+      SimulatedRequest request = (SimulatedRequest) attempt.request();
+      return request.body().equals(CRASHING) || request.sharedPromptParts().contains(CRASHING_PART);
     }
 
     @Override
@@ -727,53 +733,6 @@
     public void resume() {}
   }
 
-  /** A caller's request. Callers that repeat a request give it a new id. */
-  record SimulatedRequest(
-      String id,
-      String path,
-      String body,
-      Duration timeout,
-      RequestSize expectedSize,
-      Optional<String> resumeAfter,
-      ImmutableList<String> sharedPromptParts)
-      implements CallerRequest {
-    SimulatedRequest(
-        String id, String path, String body, Duration timeout, RequestSize expectedSize) {
-      this(id, path, body, timeout, expectedSize, Optional.empty(), ImmutableList.of());
-    }
-
-    /** Returns the request as a peer gets it that a node forwards it to. */
-    SimulatedRequest afterHop(Duration remaining, Optional<String> lastEvent) {
-      return new SimulatedRequest(
-          id, path, body, remaining, expectedSize, lastEvent, sharedPromptParts);
-    }
-
-    @Override
-    public String host() {
-      return "host.example";
-    }
-
-    @Override
-    public Optional<String> key() {
-      return Optional.of(KEY);
-    }
-
-    @Override
-    public Optional<Duration> callerTimeout() {
-      return Optional.of(timeout);
-    }
-
-    @Override
-    public Optional<RequestSize> size() {
-      return Optional.of(expectedSize);
-    }
-
-    @Override
-    public RequestContent content(Optional<String> workspace) {
-      return RequestContent.of(workspace, "POST", host(), path(), body.getBytes(UTF_8));
-    }
-  }
-
   /** One incarnation of a node. */
   private final class Node implements EngineControl {
     private final SimulatedEventLoop eventLoop =
