--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartSimulation.java
@@ -32,12 +32,16 @@
   private static final int FIRST_PARTS = 3;
   private static final int MIDDLE_PARTS = 40;
 
+  /** Small, so that engines have room for all requests that run at the same time. */
+  private static final RequestSize SIZE = new RequestSize(80, 20);
+
   /** A node that had no fault for this long is in contact with the others. */
   private static final int CONTACT_MILLIS = 3000;
 
   private static final int TOLERATED_CRASHES = 5;
   private static final int MAX_LATER_ARRIVALS = 3;
   private static final double MIN_RELATIVE_STARTS = 0.5;
+  private static final double MIN_STARTS_BEFORE = 0.99;
   private static final int MIN_REQUESTS = 20;
 
   private static final String ROUTE = "/" + CallKind.RESUMABLE_STREAM + "/2/";
@@ -135,13 +139,7 @@
   private String send(int node, ImmutableList<String> parts, RecordedResponse response) {
     String id = "r" + requests++;
     SimulatedRequest request =
-        new SimulatedRequest(
-            id,
-            ROUTE + id,
-            "prompt " + id,
-            Duration.ofSeconds(20),
-            new RequestSize(800, 200),
-            parts);
+        new SimulatedRequest(id, ROUTE + id, "prompt " + id, Duration.ofSeconds(20), SIZE, parts);
     cluster.sendRequest(node, request, response, listener -> {});
     return id;
   }
@@ -226,7 +224,10 @@
   }
 
   private void count(Map<String, int[]> counts, SoundRequest request) {
-    int[] count = counts.computeIfAbsent(request.firstPart(), part -> new int[2]);
+    count(counts.computeIfAbsent(request.firstPart(), part -> new int[2]), request);
+  }
+
+  private void count(int[] count, SoundRequest request) {
     count[0]++;
     count[1] +=
         cluster.attemptsOf(request.id()).stream().anyMatch(AttemptRecord::wasStarted) ? 1 : 0;
@@ -236,6 +237,13 @@
     return (double) count[1] / count[0];
   }
 
+  /** Returns the share of requests that reached an engine before the first crash. */
+  private double startsBefore() {
+    int[] counts = new int[2];
+    sound.stream().filter(r -> r.sentAt() < stormBeganAt).forEach(r -> count(counts, r));
+    return share(counts);
+  }
+
   /** Returns how many sound requests of the storm were answered, broken off, and refused. */
   ImmutableMap<String, Long> outcomes() {
     List<SoundRequest> stormy = sound.stream().filter(r -> r.sentAt() >= stormBeganAt).toList();
@@ -249,6 +257,9 @@
   /** Returns the bounds that were exceeded. */
   List<String> problems() {
     List<String> problems = new ArrayList<>();
+    if (startsBefore() < MIN_STARTS_BEFORE) {
+      problems.add("only " + startsBefore() + " of the requests started before the first crash");
+    }
     if (laterArrivals() > MAX_LATER_ARRIVALS) {
       problems.add(laterArrivals() + " sends after five crashes, " + crashes() + " crashes in all");
     }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
@@ -1,12 +1,20 @@
 package org.vaneworks.daemon.entry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.vaneworks.state.PromptPart;
+import org.vaneworks.state.Reason;
+import org.vaneworks.state.Refusal;
+import org.vaneworks.state.Verdict;
+import org.vaneworks.tests.forwarding.RecordedResponse;
 
 /**
  * Checks that requests which share a part of their prompts that crashes engines are quarantined,
@@ -34,6 +42,48 @@
     assertEquals(List.of(), problems(crashingPerSecond, false));
   }
 
+  /** Guards against nodes that refuse sound requests, as another node lacks what they know. */
+  @Test
+  void nodesObjectToTheQuarantineOfPartWithWhichTheirRequestsRan() {
+    SimulatedCluster cluster = new SimulatedCluster(3, 4, 7);
+    String part = "a0";
+    cluster.eventIntervalMillis = 100;
+    RecordedResponse ran = cluster.sendRequest(0, "letter", ImmutableList.of(part));
+    cluster.advance(3000);
+    assertTrue(ran.whole);
+    cluster.store.put("quarantine/held/" + PromptPart.of(SimulatedCluster.SERVICE, part), "");
+    cluster.advance(2000);
+    for (int node = 0; node < 3; node++) {
+      cluster.restartNode(node);
+      cluster.advance(1000);
+      RecordedResponse response =
+          cluster.sendRequest(node, "letter " + node, ImmutableList.of(part));
+      cluster.advance(3000);
+      assertEquals(Optional.empty(), response.refusal);
+      assertTrue(response.whole);
+    }
+  }
+
+  @Test
+  void requestWithQuarantinedPartIsRefusedWithTheTimeThatIsLeft() {
+    SimulatedCluster cluster = new SimulatedCluster(2, 4, 7);
+    cluster.store.put(
+        "quarantine/held/"
+            + PromptPart.of(SimulatedCluster.SERVICE, SimulatedCluster.CRASHING_PART),
+        "");
+    cluster.advance(60_000);
+    RecordedResponse response =
+        cluster.sendRequest(0, "letter", ImmutableList.of(SimulatedCluster.CRASHING_PART));
+    cluster.advance(1000);
+    Refusal refusal = response.refusal.orElseThrow();
+    assertEquals(Reason.QUARANTINED, refusal.reason());
+    assertEquals(Verdict.NOT_RUN, refusal.verdict());
+    // A node learns of a quarantine within two seconds.
+    long seconds = refusal.retryAfter().orElseThrow().toSeconds();
+    assertTrue(seconds >= 540 && seconds <= 542, "retry after " + seconds + " s");
+    assertEquals(0, cluster.crashingArrivalsFrom(0));
+  }
+
   @Test
   void partIsQuarantinedDespiteRestartsOfNodesAndOutagesOfTheStore() {
     assertEquals(List.of(), problems(2, true));
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -1316,11 +1316,21 @@
 
   /** Sends a node a request with the given body; returns the response as it arrives. */
   RecordedResponse sendRequest(int node, String body) {
+    return sendRequest(node, body, ImmutableList.of());
+  }
+
+  /** Sends a node a request with shared parts in its prompt. */
+  RecordedResponse sendRequest(int node, String body, ImmutableList<String> promptParts) {
     RecordedResponse response = new RecordedResponse();
     RequestSize expectedSize = new RequestSize(800, 200);
     SimulatedRequest request =
         new SimulatedRequest(
-            "q" + sentRequests++, "/letters/", body, Duration.ofSeconds(20), expectedSize);
+            "q" + sentRequests++,
+            "/letters/",
+            body,
+            Duration.ofSeconds(20),
+            expectedSize,
+            promptParts);
     nodes.get(node % nodes.size()).forwarder.forward(request, response);
     return response;
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/CrashDetectorTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/CrashDetectorTest.java
@@ -31,7 +31,7 @@
   private final Fleet fleet =
       Fleet.create(clock, Counters.in(new SimpleMeterRegistry()), Duration.ofSeconds(3));
   private final List<EndpointCrash> crashes = new ArrayList<>();
-  private final CrashDetector detector = CrashDetector.watch(clock, fleet, crashes::add);
+  private final CrashDetector detector = CrashDetector.watch(clock, fleet, crashes::addAll);
   private final TrackedEndpoint endpoint = list(1000);
 
   private TrackedEndpoint list(long startedAt) {
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/PromptPartQuarantineTest.java
@@ -0,0 +1,184 @@
+package org.vaneworks.tests.quarantine;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.quarantine.EndpointCrash;
+import org.vaneworks.coordination.quarantine.Quarantine;
+import org.vaneworks.state.PromptPart;
+import org.vaneworks.state.RequestContent;
+import org.vaneworks.state.RequestTrait;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.testlib.PausedExecutor;
+
+/** Tests when the parts of prompts are quarantined that crashing requests share. */
+final class PromptPartQuarantineTest {
+  private static final PromptPart FIRST = part("a1");
+  private static final PromptPart MIDDLE = part("b1");
+  private static final PromptPart BAD = part("dead");
+
+  private final PausedExecutor clock = PausedExecutor.create();
+  private final Quarantine quarantine =
+      Quarantine.create(clock, Counters.in(new SimpleMeterRegistry()));
+  private int crashes;
+  private int contents;
+
+  private static PromptPart part(String id) {
+    return PromptPart.of("writer", id);
+  }
+
+  private static RequestContent content(String body) {
+    return RequestContent.of(
+        Optional.of("scheme"), "POST", "host.example", "/letters/", body.getBytes(UTF_8));
+  }
+
+  private RequestContent nextContent() {
+    return content("letter " + contents++);
+  }
+
+  /** Crashes an endpoint that has just begun new contents with the given parts each. */
+  @SafeVarargs
+  private ImmutableList<RequestTrait> crash(List<PromptPart>... parts) {
+    List<EndpointCrash> lost = new ArrayList<>();
+    for (List<PromptPart> each : parts) {
+      lost.add(new EndpointCrash(nextContent(), ImmutableList.copyOf(each), "e" + crashes));
+    }
+    crashes++;
+    return quarantine.recordCrashes(lost);
+  }
+
+  private void crashRepeatedly(int times, PromptPart... parts) {
+    for (int i = 0; i < times; i++) {
+      crash(List.of(parts));
+    }
+  }
+
+  @Test
+  void thirdCrashUnderDifferentRequestsQuarantinesTheirCommonPart() {
+    crash(List.of(FIRST, BAD));
+    crash(List.of(MIDDLE, BAD));
+    assertTrue(quarantine.isOneCrashFromQuarantine(BAD));
+    assertEquals(List.of(BAD), crash(List.of(FIRST, BAD)));
+    assertTrue(quarantine.isQuarantined(BAD));
+    assertFalse(quarantine.isQuarantined(FIRST));
+    assertFalse(quarantine.isQuarantined(MIDDLE));
+  }
+
+  /** Guards against the quarantine of what a single crashing request shares with others. */
+  @Test
+  void crashesUnderOneContentDoNotQuarantineItsParts() {
+    RequestContent content = nextContent();
+    for (int i = 0; i < 10; i++) {
+      quarantine.recordCrashes(
+          List.of(new EndpointCrash(content, ImmutableList.of(FIRST), "e" + i)));
+    }
+    assertTrue(quarantine.isQuarantined(content));
+    assertFalse(quarantine.isQuarantined(FIRST));
+  }
+
+  /** Guards against the quarantine of sound requests that were lost with crashing ones. */
+  @Test
+  void partWithWhichRequestsRanIsNotQuarantinedWithTheCrashingOne() {
+    quarantine.recordSurvival(ImmutableList.of(FIRST, MIDDLE));
+    for (int i = 0; i < 20; i++) {
+      crash(List.of(FIRST, MIDDLE, BAD), List.of(FIRST, MIDDLE), List.of(FIRST, MIDDLE));
+    }
+    assertTrue(quarantine.isQuarantined(BAD));
+    assertFalse(quarantine.isQuarantined(FIRST));
+    assertFalse(quarantine.isQuarantined(MIDDLE));
+  }
+
+  @Test
+  void contentsThatWereLostUnderQuarantinedPartAreReleased() {
+    RequestContent sound = nextContent();
+    for (int i = 0; i < 3; i++) {
+      quarantine.recordCrashes(List.of(new EndpointCrash(sound, ImmutableList.of(), "e" + i)));
+    }
+    assertTrue(quarantine.isQuarantined(sound));
+    for (int i = 0; i < 3; i++) {
+      quarantine.recordCrashes(
+          List.of(new EndpointCrash(nextContent(), ImmutableList.of(BAD), "e" + i)));
+    }
+    assertTrue(quarantine.isQuarantined(BAD));
+    assertFalse(quarantine.isQuarantined(sound));
+  }
+
+  @Test
+  void partThatWasLostByChanceIsReleasedOnceAnotherExplainsItsCrashes() {
+    for (int i = 0; i < 3; i++) {
+      quarantine.recordCrashes(
+          List.of(new EndpointCrash(nextContent(), ImmutableList.of(MIDDLE), "e" + i)));
+    }
+    assertTrue(quarantine.isQuarantined(MIDDLE));
+    for (int i = 0; i < 4; i++) {
+      quarantine.recordCrashes(
+          List.of(new EndpointCrash(nextContent(), ImmutableList.of(BAD), "e" + i)));
+    }
+    assertTrue(quarantine.isQuarantined(BAD));
+    assertFalse(quarantine.isQuarantined(MIDDLE));
+  }
+
+  @Test
+  void partThatIsNoLongerSoundIsQuarantinedAfterMoreCrashes() {
+    quarantine.recordSurvival(ImmutableList.of(BAD));
+    clock.advance(Duration.ofSeconds(1));
+    crashRepeatedly(11, BAD);
+    assertFalse(quarantine.isQuarantined(BAD));
+    crashRepeatedly(1, BAD);
+    assertTrue(quarantine.isQuarantined(BAD));
+  }
+
+  @Test
+  void crashesBeforeRequestRanDoNotCount() {
+    crashRepeatedly(2, FIRST);
+    clock.advance(Duration.ofSeconds(1));
+    quarantine.recordSurvival(ImmutableList.of(FIRST));
+    clock.advance(Duration.ofSeconds(1));
+    crashRepeatedly(11, FIRST);
+    assertFalse(quarantine.isQuarantined(FIRST));
+  }
+
+  @Test
+  void bothOfTwoCrashingPartsAreQuarantined() {
+    PromptPart other = part("beef");
+    for (int i = 0; i < 3; i++) {
+      crash(List.of(FIRST, BAD));
+      crash(List.of(MIDDLE, other));
+    }
+    assertTrue(quarantine.isQuarantined(BAD));
+    assertTrue(quarantine.isQuarantined(other));
+  }
+
+  @Test
+  void partOfTheSameIdAtAnotherServiceIsNotQuarantined() {
+    crashRepeatedly(3, BAD);
+    assertFalse(quarantine.isQuarantined(PromptPart.of("drafter", BAD.id())));
+  }
+
+  @Test
+  void quarantineExpiresAfterTenMinutesAndResumesAtTheNextCrash() {
+    crashRepeatedly(3, BAD);
+    assertEquals(Quarantine.QUARANTINE_DURATION, quarantine.remaining(BAD));
+    clock.advance(Quarantine.QUARANTINE_DURATION);
+    assertFalse(quarantine.isQuarantined(BAD));
+    crashRepeatedly(1, BAD);
+    assertTrue(quarantine.isQuarantined(BAD));
+  }
+
+  @Test
+  void crashesFarApartDoNotQuarantine() {
+    crashRepeatedly(2, BAD);
+    clock.advance(Duration.ofMinutes(11));
+    crashRepeatedly(2, BAD);
+    assertFalse(quarantine.isQuarantined(BAD));
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/QuarantineTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/QuarantineTest.java
@@ -14,6 +14,7 @@
 import org.vaneworks.coordination.quarantine.EndpointCrash;
 import org.vaneworks.coordination.quarantine.Quarantine;
 import org.vaneworks.state.RequestContent;
+import org.vaneworks.state.RequestTrait;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.testlib.PausedExecutor;
 
@@ -31,7 +32,9 @@
   }
 
   private boolean recordCrash(RequestContent content, String incarnationId) {
-    return quarantine.recordCrash(new EndpointCrash(content, incarnationId));
+    return quarantine
+        .recordCrashes(List.of(new EndpointCrash(content, incarnationId)))
+        .contains(content);
   }
 
   private void quarantineContent() {
@@ -49,7 +52,7 @@
 
   @Test
   void thirdCrashQuarantines() {
-    List<RequestContent> notified = new ArrayList<>();
+    List<RequestTrait> notified = new ArrayList<>();
     quarantine.onQuarantined(notified::add);
     recordCrash(CONTENT, "e1");
     recordCrash(CONTENT, "e2");
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -18,7 +18,7 @@
 import org.vaneworks.coordination.relay.EnginePath;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
-import org.vaneworks.state.RequestContent;
+import org.vaneworks.state.RequestTrait;
 import org.vaneworks.state.Verdict;
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
@@ -126,7 +126,8 @@
             configuration.service(service).flatMap(ServiceProfile::model),
             request.size(),
             incomingHop.isEmpty());
-    this.quarantine = new RequestQuarantine(context, request, caller.map(Caller::workspace));
+    this.quarantine =
+        new RequestQuarantine(context, request, service, caller.map(Caller::workspace));
     this.queue = context.queues().of(service);
     this.progress = new ProgressMonitor(context, selector, route.pauseObjective(), this::onStall);
     this.failover = new Failover(context.clock(), new FailoverCallbacks());
@@ -421,7 +422,9 @@
   }
 
   private void recordPart(RunningAttempt running, int bytes) {
-    running.recordPart(now(), bytes);
+    if (running.recordPart(now(), bytes) && !running.endpoint().isPeer()) {
+      quarantine.recordSurvival();
+    }
     if (!firstPartReceived && sends == 1) {
       queue.recordFirstPartTime(now() - running.sentAt());
     }
@@ -583,7 +586,11 @@
   }
 
   private void finish() {
-    quarantine.recordAnswer();
+    if (running().hasEvents() && !running().endpoint().isPeer()) {
+      quarantine.recordSurvival();
+    } else {
+      quarantine.recordAnswer();
+    }
     byte[] partialEvent = splitter.takePartial();
     if (partialEvent.length > 0) {
       response.data(partialEvent);
@@ -1341,9 +1348,9 @@
     quarantine.recordLoss(endpoint, sinceSent, affected.sinceFirstPart(now));
   }
 
-  /** Called when requests of a content are quarantined: refuses this one if it is waiting. */
-  void quarantined(RequestContent content) {
-    if (!done && !selector.isSelected() && quarantine.hasContent(content)) {
+  /** Called when requests with a trait are quarantined: refuses this one if it is waiting. */
+  void quarantined(RequestTrait trait) {
+    if (!done && !selector.isSelected() && quarantine.has(trait)) {
       refuseQuarantined();
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -100,9 +100,8 @@
     context
         .quarantine()
         .onQuarantined(
-            content ->
-                ImmutableList.copyOf(inFlight)
-                    .forEach(forwarded -> forwarded.quarantined(content)));
+            trait ->
+                ImmutableList.copyOf(inFlight).forEach(forwarded -> forwarded.quarantined(trait)));
   }
 
   /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RunningAttempt.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RunningAttempt.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.EndpointTransport.EndpointCall;
+import org.vaneworks.coordination.quarantine.CrashDetector;
 import org.vaneworks.state.Verdict;
 
 /**
@@ -18,6 +19,7 @@
   private final long sentAt;
   private OptionalLong firstPartAt = OptionalLong.empty();
   private long receivedBytes;
+  private boolean survived;
   private boolean stream;
   private boolean events;
   private Optional<EndpointCall> call = Optional.empty();
@@ -43,12 +45,20 @@
     return sentAt;
   }
 
-  /** Records that a part of the response arrived. */
-  void recordPart(long now, int bytes) {
+  /**
+   * Records that a part of the response arrived.
+   *
+   * @return whether this part shows that the endpoint did not crash because of the request's start
+   */
+  boolean recordPart(long now, int bytes) {
     receivedBytes += bytes;
     if (firstPartAt.isEmpty()) {
       firstPartAt = OptionalLong.of(now);
     }
+    boolean survivesNow =
+        !survived && now - firstPartAt.getAsLong() > CrashDetector.MAX_REQUEST_AGE.toNanos();
+    survived |= survivesNow;
+    return survivesNow;
   }
 
   /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/CrashDetector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/CrashDetector.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -37,12 +38,13 @@
   private record LostRequest(RequestStart start, long at) {}
 
   private final Executor clock;
-  private final Consumer<EndpointCrash> onCrash;
+  private final Consumer<ImmutableList<EndpointCrash>> onCrashes;
   private final Map<TrackedEndpoint, List<LostRequest>> lostRequests = new HashMap<>();
 
-  private CrashDetector(Executor clock, Fleet fleet, Consumer<EndpointCrash> onCrash) {
+  private CrashDetector(
+      Executor clock, Fleet fleet, Consumer<ImmutableList<EndpointCrash>> onCrashes) {
     this.clock = checkNotNull(clock);
-    this.onCrash = checkNotNull(onCrash);
+    this.onCrashes = checkNotNull(onCrashes);
     fleet.onProcessDown(this::processDown);
     fleet.onRemoval(this::endpointRemoved);
   }
@@ -50,10 +52,12 @@
   /**
    * Returns a detector that observes the endpoints of a fleet.
    *
-   * @param onCrash receives each crash that is attributed to a request
+   * @param onCrashes receives crashes that are attributed to requests, those of one incarnation
+   *     together if they are known together
    */
-  public static CrashDetector watch(Executor clock, Fleet fleet, Consumer<EndpointCrash> onCrash) {
-    return new CrashDetector(clock, fleet, onCrash);
+  public static CrashDetector watch(
+      Executor clock, Fleet fleet, Consumer<ImmutableList<EndpointCrash>> onCrashes) {
+    return new CrashDetector(clock, fleet, onCrashes);
   }
 
   /**
@@ -67,7 +71,7 @@
       return;
     }
     if (endpoint.processDown()) {
-      reportCrash(endpoint, start);
+      reportCrash(endpoint, ImmutableList.of(start));
     } else if (!endpoint.delisted()) {
       lostRequests
           .computeIfAbsent(endpoint, key -> new ArrayList<>())
@@ -93,14 +97,22 @@
       return;
     }
     long oldest = clock.currentTime(NANOSECONDS) - MAX_DETECTION_DELAY.toNanos();
-    lost.stream()
-        .filter(request -> request.at() >= oldest)
-        .forEach(request -> reportCrash(endpoint, request.start()));
+    reportCrash(
+        endpoint,
+        lost.stream()
+            .filter(request -> request.at() >= oldest)
+            .map(LostRequest::start)
+            .collect(ImmutableList.toImmutableList()));
   }
 
-  private void reportCrash(TrackedEndpoint endpoint, RequestStart start) {
-    if (start.claimCrash()) {
-      onCrash.accept(new EndpointCrash(start.content(), endpoint.endpoint().incarnationId()));
+  private void reportCrash(TrackedEndpoint endpoint, ImmutableList<RequestStart> starts) {
+    ImmutableList<EndpointCrash> attributed =
+        starts.stream()
+            .filter(RequestStart::claimCrash)
+            .map(start -> start.crashOf(endpoint.endpoint().incarnationId()))
+            .collect(ImmutableList.toImmutableList());
+    if (!attributed.isEmpty()) {
+      onCrashes.accept(attributed);
     }
   }
 }
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
@@ -0,0 +1,301 @@
+package org.vaneworks.coordination.quarantine;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.servicetalk.concurrent.Executor;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.vaneworks.state.PromptPart;
+import org.vaneworks.state.RequestContent;
+
+/**
+ * Determines which parts of prompts crash endpoints.
+ *
+ * <p>Many requests begin at an endpoint in the second before it crashes, and most of their parts
+ * are shared by requests that endpoints answer. Two observations distinguish the part that caused
+ * the crashes. A request that endpoints begin and continue shows that its parts are sound, so only
+ * crashes after that count against them. And one cause is sufficient for a crash: the part with the
+ * most crashes is taken as their cause, and these crashes no longer count against other parts.
+ * Confined to the node's event loop.
+ */
+final class PartEvidence {
+  /** Number of crashes after which a part counts as their cause. */
+  static final int CRASH_THRESHOLD = 3;
+
+  /** The same for a part with which requests have run, in case it is no longer sound. */
+  static final int SOUND_CRASH_THRESHOLD = 12;
+
+  /**
+   * Maximum number of crashes that count against a part because of one request content. More of
+   * them show only that this request crashes endpoints.
+   */
+  private static final int MAX_CRASHES_PER_CONTENT = 2;
+
+  /** How long crashes, and requests that ran, are remembered. */
+  static final Duration RETENTION = Duration.ofMinutes(10);
+
+  /** Limits the memory for crashes to a few MB. */
+  private static final int MAX_CRASHES = 512;
+
+  private static final int MAX_STARTS_PER_CRASH = 100;
+
+  /** Maximum number of parts whose soundness is remembered, about 200 bytes each. */
+  static final int MAX_PARTS = 4096;
+
+  /** The crash of one incarnation, and the parts of the requests that it had just begun. */
+  private static final class Crash {
+    private final long at;
+    private final Map<RequestContent, ImmutableList<PromptPart>> starts = new LinkedHashMap<>();
+
+    /** Whether this was explained by a part that may run again. */
+    private boolean settled;
+
+    Crash(long at) {
+      this.at = at;
+    }
+
+    boolean isExplainedBy(Set<PromptPart> parts) {
+      return settled
+          || starts.values().stream().anyMatch(each -> each.stream().anyMatch(parts::contains));
+    }
+
+    boolean has(PromptPart part) {
+      return starts.values().stream().anyMatch(each -> each.contains(part));
+    }
+  }
+
+  /**
+   * What limits the crashes that count against a part.
+   *
+   * @param since only later crashes count
+   * @param threshold how many of them make the part their cause
+   */
+  private record Limit(long since, int threshold) {}
+
+  /** The crashes that count against a part. */
+  private static final class Count {
+    private final Map<RequestContent, Integer> byContent = new HashMap<>();
+    private int counted;
+    private int total;
+
+    /** Adds a crash of an endpoint that had begun some contents with the part. */
+    void add(List<RequestContent> contents) {
+      total++;
+      Optional<RequestContent> charged =
+          contents.stream()
+              .filter(content -> byContent.getOrDefault(content, 0) < MAX_CRASHES_PER_CONTENT)
+              .findFirst();
+      if (charged.isPresent()) {
+        byContent.merge(charged.get(), 1, Integer::sum);
+        counted++;
+      }
+    }
+  }
+
+  private final Executor clock;
+  private final Map<String, Crash> crashes = new LinkedHashMap<>();
+
+  /** Limits of parts that are not {@link #UNKNOWN}; the least recently updated comes first. */
+  private final Map<PromptPart, Limit> limits = new LinkedHashMap<>();
+
+  /** The crashes that count against each part apart from those that {@link #causes} explains. */
+  private Map<PromptPart, Count> unexplained = new HashMap<>();
+
+  private static final Limit UNKNOWN = new Limit(Long.MIN_VALUE, CRASH_THRESHOLD);
+
+  PartEvidence(Executor clock) {
+    this.clock = checkNotNull(clock);
+  }
+
+  /** Records a crash; reports of the same crash by several nodes count once. */
+  void recordCrash(EndpointCrash reported) {
+    removeExpired();
+    Crash crash = crashes.computeIfAbsent(reported.incarnationId(), id -> new Crash(now()));
+    if (crash.starts.size() < MAX_STARTS_PER_CRASH) {
+      crash.starts.put(reported.content(), reported.parts());
+    }
+  }
+
+  /** Records that a request ran on after an endpoint had begun it. */
+  void recordSurvival(PromptPart part, Duration age) {
+    long at = now() - age.toNanos();
+    Limit before = limits.getOrDefault(part, UNKNOWN);
+    if (at >= before.since()) {
+      setLimit(part, new Limit(at, SOUND_CRASH_THRESHOLD));
+    }
+  }
+
+  /** Removes a content whose request ran, as its earlier losses were not due to it. */
+  void removeContent(RequestContent content) {
+    crashes.values().forEach(crash -> crash.starts.remove(content));
+  }
+
+  /** Settles the crashes of a part that may run again; one more crash makes it a cause. */
+  void release(PromptPart part) {
+    crashes.values().stream()
+        .filter(crash -> crash.has(part))
+        .forEach(crash -> crash.settled = true);
+    setLimit(part, new Limit(Long.MIN_VALUE, 1));
+  }
+
+  private void setLimit(PromptPart part, Limit limit) {
+    limits.remove(part);
+    limits.put(part, limit);
+    if (limits.size() > MAX_PARTS) {
+      limits.remove(limits.keySet().iterator().next());
+    }
+  }
+
+  /** Returns how long ago a request with the part ran; empty if none is remembered. */
+  Optional<Duration> sinceSurvival(PromptPart part) {
+    Limit limit = limitOf(part);
+    return limit.threshold() == SOUND_CRASH_THRESHOLD
+        ? Optional.of(Duration.ofNanos(now() - limit.since()))
+        : Optional.empty();
+  }
+
+  private Limit limitOf(PromptPart part) {
+    Limit limit = limits.getOrDefault(part, UNKNOWN);
+    boolean expired =
+        limit.threshold() == SOUND_CRASH_THRESHOLD && now() - limit.since() > RETENTION.toNanos();
+    return expired ? UNKNOWN : limit;
+  }
+
+  /** Returns the parts that are the causes of crashes. */
+  ImmutableSet<PromptPart> causes() {
+    removeExpired();
+    List<Crash> remaining = new ArrayList<>(crashes.values());
+    remaining.removeIf(crash -> crash.settled);
+    Set<PromptPart> causes = new LinkedHashSet<>();
+    // A sound part is considered only for crashes that no other part explains.
+    for (boolean sound : new boolean[] {false, true}) {
+      Optional<PromptPart> next = mostSuspicious(remaining, sound);
+      while (next.isPresent()) {
+        PromptPart cause = next.get();
+        causes.add(cause);
+        remaining.removeIf(crash -> crash.has(cause));
+        next = mostSuspicious(remaining, sound);
+      }
+    }
+    removeRedundant(causes);
+    unexplained = counts(remaining);
+    return ImmutableSet.copyOf(causes);
+  }
+
+  private Optional<PromptPart> mostSuspicious(List<Crash> remaining, boolean sound) {
+    return counts(remaining).entrySet().stream()
+        .filter(entry -> isSound(entry.getKey()) == sound)
+        .filter(entry -> entry.getValue().counted >= limitOf(entry.getKey()).threshold())
+        .max(
+            Comparator.<Map.Entry<PromptPart, Count>>comparingInt(entry -> entry.getValue().counted)
+                .thenComparingInt(entry -> entry.getValue().total)
+                .thenComparingInt(entry -> entry.getValue().byContent.size())
+                .thenComparing(entry -> entry.getKey().id()))
+        .map(Map.Entry::getKey);
+  }
+
+  private boolean isSound(PromptPart part) {
+    return limitOf(part).threshold() == SOUND_CRASH_THRESHOLD;
+  }
+
+  private Map<PromptPart, Count> counts(List<Crash> remaining) {
+    Map<PromptPart, Count> counts = new HashMap<>();
+    for (Crash crash : remaining) {
+      Map<PromptPart, List<RequestContent>> contents = new HashMap<>();
+      crash.starts.forEach(
+          (content, parts) -> {
+            for (PromptPart part : parts) {
+              contents.computeIfAbsent(part, key -> new ArrayList<>()).add(content);
+            }
+          });
+      contents.forEach(
+          (part, having) -> {
+            if (crash.at > limitOf(part).since()) {
+              counts.computeIfAbsent(part, key -> new Count()).add(having);
+            }
+          });
+    }
+    return counts;
+  }
+
+  /**
+   * Removes causes all of whose crashes have another cause, those with the fewest crashes first.
+   */
+  private void removeRedundant(Set<PromptPart> causes) {
+    List<PromptPart> byCrashes = new ArrayList<>(causes);
+    byCrashes.sort(Comparator.comparingLong(this::crashesWith));
+    for (PromptPart part : byCrashes) {
+      Set<PromptPart> others = new LinkedHashSet<>(causes);
+      others.remove(part);
+      if (isExplainedBy(part, others)) {
+        causes.remove(part);
+      }
+    }
+  }
+
+  private long crashesWith(PromptPart part) {
+    return crashes.values().stream().filter(crash -> crash.has(part)).count();
+  }
+
+  private boolean isExplainedBy(PromptPart part, Set<PromptPart> others) {
+    return crashes.values().stream()
+        .filter(crash -> crash.has(part))
+        .allMatch(crash -> crash.isExplainedBy(others));
+  }
+
+  /** Returns whether one more crash would make the part a cause, as of the last evaluation. */
+  boolean isOneCrashFromCause(PromptPart part) {
+    Count count = unexplained.get(part);
+    int threshold = limitOf(part).threshold();
+    return threshold - (count == null ? 0 : count.counted) == 1;
+  }
+
+  /** Returns how many crashes with the part are known. */
+  int crashes(PromptPart part) {
+    return (int) crashesWith(part);
+  }
+
+  /**
+   * Returns whether what is known speaks against a part that is not among the causes: requests with
+   * it ran, or all its crashes have other causes.
+   */
+  boolean contradicts(PromptPart part, ImmutableSet<PromptPart> causes) {
+    return isSound(part) || (crashesWith(part) > 0 && isExplainedBy(part, causes));
+  }
+
+  /** Returns the incarnations whose crashes some parts explain. */
+  ImmutableSet<String> explainedIncarnations(Set<PromptPart> causes) {
+    return crashes.entrySet().stream()
+        .filter(crash -> crash.getValue().isExplainedBy(causes))
+        .map(Map.Entry::getKey)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  private void removeExpired() {
+    long oldest = now() - RETENTION.toNanos();
+    Iterator<Crash> oldestFirst = crashes.values().iterator();
+    while (oldestFirst.hasNext()) {
+      Crash crash = oldestFirst.next();
+      if (crash.at >= oldest && crashes.size() < MAX_CRASHES) {
+        return;
+      }
+      oldestFirst.remove();
+    }
+  }
+
+  private long now() {
+    return clock.currentTime(NANOSECONDS);
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -4,17 +4,23 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.vaneworks.state.PromptPart;
 import org.vaneworks.state.RequestContent;
+import org.vaneworks.state.RequestTrait;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -22,16 +28,18 @@
 
 /**
  * The requests that this node quarantines because several endpoints each crashed just after they
- * had begun the same request.
+ * had begun requests with the same content, or with the same part in their prompts.
  *
  * <p>A single crash proves little, since every request that the endpoint had just begun is equally
- * suspected. A request that was present each time is quarantined; a request that is answered in
- * between is cleared. When the quarantine of a request expires, the request may run again and is
- * quarantined again at the next crash. Confined to the node's event loop.
+ * suspected. A content that was present each time is quarantined; a content that is answered in
+ * between is cleared. Requests that differ are recognized by the parts of their prompts, see {@link
+ * PartEvidence}; a crash that a quarantined part explains does not count against the contents that
+ * were lost with it. When a quarantine expires, the requests may run again and are quarantined
+ * again at the next crash. Confined to the node's event loop.
  */
 public final class Quarantine {
   /**
-   * Number of crashes, of different incarnations, after which a request is quarantined. With two,
+   * Number of crashes, of different incarnations, after which a content is quarantined. With two,
    * requests that moved together from one lost endpoint to the next would be quarantined with the
    * one that caused the crashes. Each additional crash costs the requests of one more endpoint: 15
    * to 90 requests were lost with one endpoint, according to logs of eight nodes in front of 33
@@ -55,20 +63,28 @@
     private long lastCrashAt;
     private boolean quarantined;
     private long quarantinedUntil;
-
-    int crashes() {
-      return earlierCrashes + crashedIncarnations.size();
-    }
   }
 
   private final Executor clock;
   private final Counters counters;
   private final Map<RequestContent, Suspect> suspects = new LinkedHashMap<>();
-  private final List<Consumer<RequestContent>> quarantineListeners = new ArrayList<>();
+  private final PartEvidence evidence;
+
+  /** The quarantined parts of prompts, and when their quarantine expires. */
+  private final Map<PromptPart, Long> parts = new LinkedHashMap<>();
+
+  private final Set<RequestContent> quarantinedContents = new LinkedHashSet<>();
+
+  /** The incarnations whose crashes the quarantined parts explain, as of the last evaluation. */
+  private ImmutableSet<String> explainedIncarnations = ImmutableSet.of();
+
+  private final List<Consumer<RequestTrait>> quarantineListeners = new ArrayList<>();
+  private final List<Consumer<RequestTrait>> disproofListeners = new ArrayList<>();
 
   private Quarantine(Executor clock, Counters counters) {
     this.clock = checkNotNull(clock);
     this.counters = checkNotNull(counters);
+    evidence = new PartEvidence(clock);
   }
 
   /** Returns an empty quarantine. */
@@ -76,17 +92,22 @@
     return new Quarantine(clock, counters);
   }
 
-  /** Adds a listener that is called when a content is quarantined. */
-  public void onQuarantined(Consumer<RequestContent> listener) {
+  /** Adds a listener that is called when a content or a part is quarantined. */
+  public void onQuarantined(Consumer<RequestTrait> listener) {
     quarantineListeners.add(listener);
   }
 
+  /** Adds a listener that is called when a quarantine ends because it proved to be wrong. */
+  void onDisproved(Consumer<RequestTrait> listener) {
+    disproofListeners.add(listener);
+  }
+
   /**
    * Returns whether no request is suspected, in which case callers need not compute the content of
    * a request.
    */
   public boolean isEmpty() {
-    return suspects.isEmpty();
+    return suspects.isEmpty() && parts.isEmpty();
   }
 
   /** Returns the number of contents that are suspected or quarantined. */
@@ -94,89 +115,209 @@
     return suspects.size();
   }
 
-  /** Returns whether requests with this content are quarantined. */
-  public boolean isQuarantined(RequestContent content) {
-    Suspect suspect = suspects.get(content);
-    if (suspect == null || !suspect.quarantined) {
+  /** Returns whether requests with this content, or with this part, are quarantined. */
+  public boolean isQuarantined(RequestTrait trait) {
+    Optional<Long> until = quarantinedUntil(trait);
+    if (until.isPresent() && now() >= until.get()) {
+      release(trait, "the quarantine expired");
       return false;
     }
-    if (now() >= suspect.quarantinedUntil) {
-      release(content, "the quarantine expired");
+    return until.isPresent();
+  }
+
+  private Optional<Long> quarantinedUntil(RequestTrait trait) {
+    if (trait instanceof PromptPart part) {
+      return Optional.ofNullable(parts.get(part));
     }
-    return suspect.quarantined;
+    return Optional.ofNullable(suspects.get(trait))
+        .filter(suspect -> suspect.quarantined)
+        .map(suspect -> suspect.quarantinedUntil);
   }
 
-  /** Returns whether the content would be quarantined at its next crash. */
-  public boolean isOneCrashFromQuarantine(RequestContent content) {
-    Suspect suspect = suspects.get(content);
-    return suspect != null && !suspect.quarantined && suspect.crashes() == CRASH_THRESHOLD - 1;
+  /** Returns whether the content or part would be quarantined at its next crash. */
+  public boolean isOneCrashFromQuarantine(RequestTrait trait) {
+    if (trait instanceof PromptPart part) {
+      return !parts.containsKey(part) && evidence.isOneCrashFromCause(part);
+    }
+    Suspect suspect = suspects.get(trait);
+    return suspect != null && !suspect.quarantined && crashes(suspect) == CRASH_THRESHOLD - 1;
+  }
+
+  /** Returns the crashes that count against a content. */
+  private int crashes(Suspect suspect) {
+    long unexplained =
+        suspect.crashedIncarnations.stream()
+            .filter(incarnation -> !explainedIncarnations.contains(incarnation))
+            .count();
+    return suspect.earlierCrashes + (int) unexplained;
   }
 
-  /** Returns the remaining time of a content's quarantine; zero if it is not quarantined. */
-  public Duration remaining(RequestContent content) {
-    return isQuarantined(content)
-        ? Duration.ofNanos(suspects.get(content).quarantinedUntil - now())
+  /** Returns the remaining time of a quarantine; zero if there is none. */
+  public Duration remaining(RequestTrait trait) {
+    return isQuarantined(trait)
+        ? Duration.ofNanos(quarantinedUntil(trait).orElseThrow() - now())
         : Duration.ZERO;
   }
 
   /**
-   * Records that an incarnation of an endpoint crashed just after it had begun a request.
+   * Records that incarnations of endpoints crashed just after they had begun requests. All that is
+   * known together is evaluated together, as one crash may explain another.
    *
-   * @return whether the content is quarantined because of this crash
+   * @return the contents and parts that are quarantined because of these crashes
    */
-  public boolean recordCrash(EndpointCrash crash) {
+  public ImmutableList<RequestTrait> recordCrashes(Collection<EndpointCrash> crashes) {
     removeExpiredSuspects();
-    Suspect suspect = suspects.computeIfAbsent(crash.content(), key -> new Suspect());
-    if (!suspect.crashedIncarnations.add(crash.incarnationId())) {
-      return false;
+    Set<RequestContent> changed = new LinkedHashSet<>();
+    for (EndpointCrash crash : crashes) {
+      Suspect suspect = suspects.computeIfAbsent(crash.content(), key -> new Suspect());
+      if (suspect.crashedIncarnations.add(crash.incarnationId())) {
+        evidence.recordCrash(crash);
+        suspect.lastCrashAt = now();
+        counters.count(Metric.QUARANTINE, "end");
+        changed.add(crash.content());
+      }
     }
-    suspect.lastCrashAt = now();
-    counters.count(Metric.QUARANTINE, "end");
-    if (suspect.quarantined || suspect.crashes() < CRASH_THRESHOLD) {
-      return false;
+    if (changed.isEmpty()) {
+      return ImmutableList.of();
     }
-    quarantine(
-        crash.content(), suspect.crashes() + " endpoints crashed just after they had begun it");
-    return true;
+    ImmutableList.Builder<RequestTrait> quarantined = ImmutableList.builder();
+    quarantined.addAll(evaluateParts());
+    for (RequestContent content : changed) {
+      Suspect suspect = suspects.get(content);
+      int count = crashes(suspect);
+      if (!suspect.quarantined && count >= CRASH_THRESHOLD) {
+        quarantine(content, count + " endpoints crashed just after they had begun it");
+        quarantined.add(content);
+      }
+    }
+    return quarantined.build();
   }
 
-  /** Quarantines a content from now on. */
-  void quarantine(RequestContent content, String cause) {
-    Suspect suspect = suspects.computeIfAbsent(content, key -> new Suspect());
-    suspect.lastCrashAt = now();
-    if (suspect.quarantined) {
-      return;
+  /**
+   * Quarantines the parts that cause crashes according to what is known now, and ends quarantines
+   * against which that speaks. Returns the parts that are quarantined because of this.
+   */
+  private ImmutableList<PromptPart> evaluateParts() {
+    ImmutableSet<PromptPart> causes = evidence.causes();
+    ImmutableList.Builder<PromptPart> quarantined = ImmutableList.builder();
+    for (PromptPart part : causes) {
+      if (!parts.containsKey(part)) {
+        quarantine(part, evidence.crashes(part) + " endpoints crashed under requests with it");
+        quarantined.add(part);
+      }
+    }
+    for (PromptPart part : ImmutableList.copyOf(parts.keySet())) {
+      if (!causes.contains(part) && evidence.contradicts(part, causes)) {
+        parts.remove(part);
+        disproved(part, "the crashes have another cause, or requests with it ran");
+      }
     }
-    suspect.quarantined = true;
-    suspect.quarantinedUntil = now() + QUARANTINE_DURATION.toNanos();
-    counters.count(Metric.QUARANTINE, "held");
-    EventLog.warn(Event.QUARANTINE_BEGAN, "content", content, "cause", cause);
-    ImmutableList.copyOf(quarantineListeners).forEach(listener -> listener.accept(content));
+    explainedIncarnations = evidence.explainedIncarnations(parts.keySet());
+    ImmutableList.copyOf(quarantinedContents).forEach(this::releaseIfExplained);
+    return quarantined.build();
   }
 
-  /** Ends the quarantine of a content; one more crash quarantines it again. */
-  void release(RequestContent content, String cause) {
+  /** Ends the quarantine of a content if a quarantined part explains its crashes. */
+  private void releaseIfExplained(RequestContent content) {
     Suspect suspect = suspects.get(content);
-    if (suspect == null || !suspect.quarantined) {
-      return;
+    int count = crashes(suspect);
+    int known = suspect.earlierCrashes + suspect.crashedIncarnations.size();
+    boolean explained = known > count && (count == 0 || known >= CRASH_THRESHOLD);
+    if (explained && count < CRASH_THRESHOLD) {
+      suspect.quarantined = false;
+      quarantinedContents.remove(content);
+      disproved(content, "a part of other prompts explains the crashes");
+    }
+  }
+
+  private void disproved(RequestTrait trait, String cause) {
+    counters.count(Metric.QUARANTINE, "disproved");
+    EventLog.info(Event.QUARANTINE_ENDED, fieldName(trait), trait, "cause", cause);
+    disproofListeners.forEach(listener -> listener.accept(trait));
+  }
+
+  /** Quarantines a content or a part from now on. */
+  void quarantine(RequestTrait trait, String cause) {
+    if (trait instanceof PromptPart part) {
+      if (parts.putIfAbsent(part, now() + QUARANTINE_DURATION.toNanos()) != null) {
+        return;
+      }
+    } else {
+      Suspect suspect = suspects.computeIfAbsent((RequestContent) trait, key -> new Suspect());
+      suspect.lastCrashAt = now();
+      if (suspect.quarantined) {
+        return;
+      }
+      suspect.quarantined = true;
+      quarantinedContents.add((RequestContent) trait);
+      suspect.quarantinedUntil = now() + QUARANTINE_DURATION.toNanos();
+    }
+    counters.count(Metric.QUARANTINE, trait instanceof PromptPart ? "part-held" : "held");
+    EventLog.warn(Event.QUARANTINE_BEGAN, fieldName(trait), trait, "cause", cause);
+    ImmutableList.copyOf(quarantineListeners).forEach(listener -> listener.accept(trait));
+  }
+
+  private static String fieldName(RequestTrait trait) {
+    return trait instanceof PromptPart ? "promptPart" : "content";
+  }
+
+  /** Quarantines what other nodes have quarantined, unless this node knows better. */
+  void quarantineAsOthers(RequestTrait trait) {
+    boolean contradicted =
+        trait instanceof PromptPart part && evidence.contradicts(part, evidence.causes());
+    if (!contradicted) {
+      quarantine(trait, "quarantined in the store");
+    }
+  }
+
+  /** Ends a quarantine; one more crash quarantines the requests again. */
+  void release(RequestTrait trait, String cause) {
+    if (trait instanceof PromptPart part) {
+      if (parts.remove(part) == null) {
+        return;
+      }
+      evidence.release(part);
+    } else {
+      Suspect suspect = suspects.get(trait);
+      if (suspect == null || !suspect.quarantined) {
+        return;
+      }
+      suspect.quarantined = false;
+      quarantinedContents.remove(trait);
+      suspect.crashedIncarnations.clear();
+      suspect.earlierCrashes = CRASH_THRESHOLD - 1;
+      suspect.lastCrashAt = now();
     }
-    suspect.quarantined = false;
-    suspect.crashedIncarnations.clear();
-    suspect.earlierCrashes = CRASH_THRESHOLD - 1;
-    suspect.lastCrashAt = now();
     counters.count(Metric.QUARANTINE, "released");
-    EventLog.info(Event.QUARANTINE_ENDED, "content", content, "cause", cause);
+    EventLog.info(Event.QUARANTINE_ENDED, fieldName(trait), trait, "cause", cause);
   }
 
-  /** Clears a content that an endpoint answered completely. */
+  /** Clears a content that an endpoint answered, or continued after it had begun it. */
   public void recordAnswer(RequestContent content) {
     Suspect suspect = suspects.get(content);
     if (suspect != null && !suspect.quarantined) {
       suspects.remove(content);
+      evidence.removeContent(content);
       counters.count(Metric.QUARANTINE, "cleared");
     }
   }
 
+  /** Records that an endpoint continued a request with these parts after it had begun it. */
+  public void recordSurvival(ImmutableList<PromptPart> survivors) {
+    survivors.forEach(part -> evidence.recordSurvival(part, Duration.ZERO));
+  }
+
+  /** Records that an endpoint of another node did so some time ago. */
+  void recordSurvivalElsewhere(PromptPart part, Duration age) {
+    evidence.recordSurvival(part, age);
+    evaluateParts();
+  }
+
+  /** Returns how long ago an endpoint continued a request with a part; empty if not known. */
+  Optional<Duration> sinceSurvival(PromptPart part) {
+    return evidence.sinceSurvival(part);
+  }
+
   private void removeExpiredSuspects() {
     long oldest = now() - SUSPECT_RETENTION.toNanos();
     suspects.values().removeIf(suspect -> !suspect.quarantined && suspect.lastCrashAt < oldest);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/RequestStart.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/RequestStart.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
+import org.vaneworks.state.PromptPart;
 import org.vaneworks.state.RequestContent;
 
 /**
@@ -13,19 +15,31 @@
  */
 public final class RequestStart {
   private final RequestContent content;
+  private final ImmutableList<PromptPart> parts;
   private boolean crashAttributed;
 
-  private RequestStart(RequestContent content) {
+  private RequestStart(RequestContent content, ImmutableList<PromptPart> parts) {
     this.content = checkNotNull(content);
+    this.parts = checkNotNull(parts);
   }
 
-  /** Returns a start to which no crash is attributed yet. */
+  /** Returns a start to which no crash is attributed yet, of a request without shared parts. */
   public static RequestStart of(RequestContent content) {
-    return new RequestStart(content);
+    return of(content, ImmutableList.of());
   }
 
-  RequestContent content() {
-    return content;
+  /**
+   * Returns a start to which no crash is attributed yet.
+   *
+   * @param parts the parts of the prompt that other requests may share
+   */
+  public static RequestStart of(RequestContent content, ImmutableList<PromptPart> parts) {
+    return new RequestStart(content, parts);
+  }
+
+  /** Returns the crash of an endpoint that had just begun the request. */
+  EndpointCrash crashOf(String incarnationId) {
+    return new EndpointCrash(content, parts, incarnationId);
   }
 
   /** Attributes a crash to this start; returns false if one was attributed before. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
@@ -6,10 +6,12 @@
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -22,17 +24,19 @@
 import org.vaneworks.coordination.shared.StoreChanges;
 import org.vaneworks.coordination.shared.StoreOutage;
 import org.vaneworks.coordination.shared.StoredItem;
-import org.vaneworks.state.RequestContent;
+import org.vaneworks.state.PromptPart;
+import org.vaneworks.state.RequestTrait;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
 
 /**
- * Shares crashes and quarantined requests between all nodes through the shared store.
+ * Shares crashes and quarantines between all nodes through the shared store.
  *
  * <p>A request that crashes endpoints may be retried at any node, including one that has just
  * started. Each node therefore writes the crashes that it detected, and every node counts the
- * crashes of all nodes. A quarantine is written once, under a lease that limits its duration. Only
+ * crashes of all nodes. A quarantine is written once, under a lease that limits its duration; a
+ * node that has seen requests with a quarantined part run objects, which ends the quarantine. Only
  * requests that had just begun at a crashed endpoint are written, with one call per node and crash;
  * without crashes nothing is written. Confined to the node's event loop.
  */
@@ -40,6 +44,9 @@
   private static final String CRASHES_PREFIX = "ends/";
   private static final String QUARANTINED_PREFIX = "held/";
 
+  /** Keys under which nodes tell of requests that ran with a part that others quarantined. */
+  private static final String SURVIVALS_PREFIX = "sound/";
+
   /**
    * Delay before crashes are written, so that the requests lost with one endpoint are written
    * together.
@@ -64,6 +71,12 @@
    */
   private static final Duration WRITE_DELAY_OF_OTHERS = Duration.ofSeconds(2);
 
+  /**
+   * Maximum delay before a node objects to a quarantine, so that the first objection makes those of
+   * other nodes needless.
+   */
+  private static final Duration MAX_OBJECTION_DELAY = Duration.ofMillis(300);
+
   /**
    * Time after a store outage during which removed keys are not taken as released quarantines,
    * because leases may expire in an outage.
@@ -91,8 +104,16 @@
    */
   private final Map<EndpointCrash, Long> writtenAt = new LinkedHashMap<>();
 
-  private final Set<RequestContent> quarantinedInStore = new HashSet<>();
+  private final Set<RequestTrait> quarantinedInStore = new HashSet<>();
+
+  /** The leases of the quarantines that this node wrote. */
+  private final Map<RequestTrait, Long> ownLeases = new HashMap<>();
+
   private final Set<String> appliedKeys = new HashSet<>();
+
+  /** Parts for which an objection is being written. */
+  private final Set<PromptPart> objections = new HashSet<>();
+
   private OptionalLong lease = OptionalLong.empty();
   private long leaseOpenedAt;
   private long storeOutageAt = Long.MIN_VALUE / 2;
@@ -113,7 +134,8 @@
     this.prefix = checkNotNull(prefix);
     this.node = checkNotNull(node);
     quarantine = Quarantine.create(clock, counters);
-    crashDetector = CrashDetector.watch(clock, fleet, this::crashDetected);
+    quarantine.onDisproved(this::endOwnLease);
+    crashDetector = CrashDetector.watch(clock, fleet, this::crashesDetected);
   }
 
   /**
@@ -143,13 +165,13 @@
     return crashDetector;
   }
 
-  private void crashDetected(EndpointCrash crash) {
-    if (quarantine.recordCrash(crash)) {
-      // This node detected the crash that led to the quarantine, so it writes the quarantine.
-      writeQuarantine(crash.content());
-    }
-    if (unwritten.size() < MAX_UNWRITTEN && unwritten.add(crash)) {
-      scheduleWrite(BATCH_DELAY);
+  private void crashesDetected(ImmutableList<EndpointCrash> crashes) {
+    // This node detected the crash that led to the quarantines, so it writes them.
+    quarantine.recordCrashes(crashes).forEach(this::writeQuarantine);
+    for (EndpointCrash crash : crashes) {
+      if (unwritten.size() < MAX_UNWRITTEN && unwritten.add(crash)) {
+        scheduleWrite(BATCH_DELAY);
+      }
     }
   }
 
@@ -222,9 +244,9 @@
     scheduleWrite(RETRY_DELAY);
   }
 
-  /** Writes the quarantine of a content unless the store contains it already. */
-  private void writeQuarantine(RequestContent content) {
-    if (quarantinedInStore.contains(content) || !quarantine.isQuarantined(content)) {
+  /** Writes a quarantine unless the store contains it already. */
+  private void writeQuarantine(RequestTrait trait) {
+    if (quarantinedInStore.contains(trait) || !quarantine.isQuarantined(trait)) {
       return;
     }
     Async.onDone(
@@ -232,19 +254,48 @@
             store.openLease(Quarantine.QUARANTINE_DURATION),
             (leaseId, failure) ->
                 failure == null
-                    ? store.create(prefix + QUARANTINED_PREFIX + content, "", leaseId)
+                    ? store
+                        .create(prefix + QUARANTINED_PREFIX + trait, "", leaseId)
+                        .thenApply(created -> leaseId)
                     : CompletableFuture.failedFuture(failure)),
         clock,
-        (created, failure) -> {
+        (leaseId, failure) -> {
           if (failure != null) {
-            clock.schedule(() -> writeQuarantine(content), RETRY_DELAY.toNanos(), NANOSECONDS);
+            clock.schedule(() -> writeQuarantine(trait), RETRY_DELAY.toNanos(), NANOSECONDS);
+            return;
+          }
+          ownLeases.put(trait, leaseId);
+          if (!quarantine.isQuarantined(trait)) {
+            endOwnLease(trait);
+          }
+        });
+  }
+
+  /** Removes a quarantine that this node wrote from the store. */
+  private void endOwnLease(RequestTrait trait) {
+    Long leaseId = ownLeases.remove(trait);
+    if (leaseId == null) {
+      return;
+    }
+    Async.onDone(
+        store.endLease(leaseId),
+        clock,
+        (ended, failure) -> {
+          if (failure != null) {
+            // The lease expires by itself, and nodes ignore a quarantine that is disproved.
+            EventLog.warn(
+                Event.STORE_FAILED,
+                "prefix",
+                prefix,
+                "cause",
+                String.valueOf(failure.getMessage()));
           }
         });
   }
 
   @Override
   public void replace(ImmutableList<StoredItem> items) {
-    ImmutableList<RequestContent> previous = ImmutableList.copyOf(quarantinedInStore);
+    ImmutableList<RequestTrait> previous = ImmutableList.copyOf(quarantinedInStore);
     quarantinedInStore.clear();
     Set<String> keys = new HashSet<>();
     for (StoredItem item : items) {
@@ -253,7 +304,7 @@
     }
     appliedKeys.retainAll(keys);
     previous.stream()
-        .filter(content -> !quarantinedInStore.contains(content))
+        .filter(trait -> !quarantinedInStore.contains(trait))
         .forEach(this::quarantineRemoved);
   }
 
@@ -292,25 +343,55 @@
     String name = item.key().substring(prefix.length());
     try {
       if (name.startsWith(QUARANTINED_PREFIX)) {
-        applyQuarantine(new RequestContent(name.substring(QUARANTINED_PREFIX.length())));
+        applyQuarantine(RequestTrait.parse(name.substring(QUARANTINED_PREFIX.length())));
       } else if (name.startsWith(CRASHES_PREFIX) && appliedKeys.add(item.key())) {
         // Each key is applied once only: later answers may have cleared its contents.
-        EndpointCrash.read(item.value()).forEach(this::crashReported);
+        quarantine
+            .recordCrashes(EndpointCrash.read(item.value()))
+            .forEach(this::writeQuarantineLater);
+      } else if (name.startsWith(SURVIVALS_PREFIX) && appliedKeys.add(item.key())) {
+        Survival survival = Survival.read(item.value());
+        quarantine.recordSurvivalElsewhere(survival.part(), survival.age());
       }
     } catch (IllegalArgumentException e) {
       EventLog.warn(Event.STORE_VALUE_UNREADABLE, "key", item.key(), "cause", e.getMessage());
     }
   }
 
-  private void applyQuarantine(RequestContent content) {
-    quarantinedInStore.add(content);
-    quarantine.quarantine(content, "quarantined in the store");
+  private void applyQuarantine(RequestTrait trait) {
+    quarantinedInStore.add(trait);
+    quarantine.quarantineAsOthers(trait);
+    if (trait instanceof PromptPart part && !quarantine.isQuarantined(part)) {
+      long delay = (long) (MAX_OBJECTION_DELAY.toNanos() * random.nextDouble());
+      clock.schedule(() -> object(part), delay, NANOSECONDS);
+    }
   }
 
-  private void crashReported(EndpointCrash crash) {
-    if (quarantine.recordCrash(crash)) {
-      writeQuarantineLater(crash.content());
+  /** Tells the other nodes that requests ran with a part that one of them quarantined. */
+  private void object(PromptPart part) {
+    Optional<Duration> survival = quarantine.sinceSurvival(part);
+    if (!quarantinedInStore.contains(part)
+        || quarantine.isQuarantined(part)
+        || survival.isEmpty()
+        || objections.contains(part)) {
+      return;
     }
+    objections.add(part);
+    String key = prefix + SURVIVALS_PREFIX + node + "/" + writeCount++;
+    Async.onDone(
+        Async.compose(
+            store.openLease(Quarantine.QUARANTINE_DURATION),
+            (leaseId, failure) ->
+                failure == null
+                    ? store.create(key, new Survival(part, survival.get()).write(), leaseId)
+                    : CompletableFuture.failedFuture(failure)),
+        clock,
+        (created, failure) -> {
+          objections.remove(part);
+          if (failure != null) {
+            clock.schedule(() -> object(part), RETRY_DELAY.toNanos(), NANOSECONDS);
+          }
+        });
   }
 
   private void itemRemoved(StoredItem item) {
@@ -320,27 +401,28 @@
       return;
     }
     try {
-      RequestContent content = new RequestContent(name.substring(QUARANTINED_PREFIX.length()));
-      quarantinedInStore.remove(content);
-      quarantineRemoved(content);
+      RequestTrait trait = RequestTrait.parse(name.substring(QUARANTINED_PREFIX.length()));
+      quarantinedInStore.remove(trait);
+      quarantineRemoved(trait);
     } catch (IllegalArgumentException e) {
       EventLog.warn(Event.STORE_VALUE_UNREADABLE, "key", item.key(), "cause", e.getMessage());
     }
   }
 
-  private void quarantineRemoved(RequestContent content) {
+  private void quarantineRemoved(RequestTrait trait) {
+    ownLeases.remove(trait);
     if (now() - storeOutageAt < OUTAGE_GRACE_PERIOD.toNanos()) {
-      writeQuarantineLater(content);
+      writeQuarantineLater(trait);
     } else {
-      quarantine.release(content, "removed from the store");
+      quarantine.release(trait, "removed from the store");
     }
   }
 
-  /** Writes the quarantine of a content after a delay, unless another node has done so by then. */
-  private void writeQuarantineLater(RequestContent content) {
+  /** Writes a quarantine after a delay, unless another node has done so by then. */
+  private void writeQuarantineLater(RequestTrait trait) {
     long jitter = (long) (WRITE_DELAY_OF_OTHERS.toNanos() * random.nextDouble());
     clock.schedule(
-        () -> writeQuarantine(content), WRITE_DELAY_OF_OTHERS.toNanos() + jitter, NANOSECONDS);
+        () -> writeQuarantine(trait), WRITE_DELAY_OF_OTHERS.toNanos() + jitter, NANOSECONDS);
   }
 
   private long now() {
--- a/vaneworks/src/main/java/org/vaneworks/state/PromptPart.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/PromptPart.java
@@ -12,13 +12,13 @@
  * @param id identifies the part among those of the service, in hexadecimal
  * @param serviceHash 32-bit hash of the service's name, in hexadecimal
  */
-public record PromptPart(String id, String serviceHash) {
+public record PromptPart(String id, String serviceHash) implements RequestTrait {
   /** Maximum length of an id, in hexadecimal digits. */
   public static final int MAX_ID_LENGTH = 64;
 
   private static final Pattern ID = Pattern.compile("[0-9a-f]{1," + MAX_ID_LENGTH + "}");
   private static final Pattern SERVICE_HASH = Pattern.compile("[0-9a-f]{8}");
-  private static final char SEPARATOR = '-';
+  static final char SEPARATOR = '-';
 
   /** Checks the form of both components. */
   public PromptPart {
--- a/vaneworks/src/main/java/org/vaneworks/state/RequestContent.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/RequestContent.java
@@ -18,7 +18,7 @@
  *
  * @param digest 128-bit digest of these parts, in hexadecimal
  */
-public record RequestContent(String digest) {
+public record RequestContent(String digest) implements RequestTrait {
   /** Length of the truncated SHA-256; 128 bits make accidental collisions negligible. */
   private static final int DIGEST_BYTES = 16;
 
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -70,8 +70,8 @@
   PATH_REPLACED(4011, "the path of a running request was replaced"),
   REQUEST_LOST_ENDPOINT(4012, "an endpoint was lost while it had a request"),
   QUARANTINE_BEGAN(
-      4013, "requests of one content are quarantined; endpoints crashed while processing them"),
-  QUARANTINE_ENDED(4014, "the quarantine of requests of one content ended"),
+      4013, "requests with one content or part of a prompt are quarantined; endpoints crashed"),
+  QUARANTINE_ENDED(4014, "the quarantine of a content or a part of prompts ended"),
   QUARANTINE_TOLD_AGAIN(
       4015, "endpoint crashes that the store may have lost are written to it again"),
   REQUEST_STAYS(4016, "a request stays at an unresponsive endpoint; no other endpoint can take it"),
