The evidence on parts of prompts is bounded; a node objects only with what it saw itself

Found by reading: 512 crashes with 100 requests of up to 63 parts each would not fit the heap of a node, and 1,000 reports with as many parts not one value of the store. Now 20,000 parts of lost requests are kept (the oldest crashes go first), and 100 reports are written together. A node whose own requests ran after a part was quarantined did not tell the others; one that had it from others told it again. Test: partsOfManyLostRequestsAreBounded.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/PromptPartQuarantineTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/PromptPartQuarantineTest.java
@@ -174,6 +174,24 @@
     assertTrue(quarantine.isQuarantined(BAD));
   }
 
+  @Test
+  void partsOfManyLostRequestsAreBounded() {
+    crashRepeatedly(2, BAD);
+    for (int i = 0; i < 500; i++) {
+      List<EndpointCrash> lost = new ArrayList<>();
+      for (int j = 0; j < 50; j++) {
+        lost.add(
+            new EndpointCrash(
+                nextContent(), ImmutableList.of(part(Integer.toHexString(50 * i + j))), "f" + i));
+      }
+      quarantine.recordCrashes(lost);
+    }
+    crashRepeatedly(1, BAD);
+    assertFalse(quarantine.isQuarantined(BAD));
+    crashRepeatedly(2, BAD);
+    assertTrue(quarantine.isQuarantined(BAD));
+  }
+
   @Test
   void crashesFarApartDoNotQuarantine() {
     crashRepeatedly(2, BAD);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
@@ -46,10 +46,8 @@
   /** How long crashes, and requests that ran, are remembered. */
   static final Duration RETENTION = Duration.ofMinutes(10);
 
-  /** Limits the memory for crashes to a few MB. */
-  private static final int MAX_CRASHES = 512;
-
-  private static final int MAX_STARTS_PER_CRASH = 100;
+  /** Maximum number of parts of the requests of all crashes; limits their memory to a few MB. */
+  static final int MAX_LOST_PARTS = 20_000;
 
   /** Maximum number of parts whose soundness is remembered, about 200 bytes each. */
   static final int MAX_PARTS = 4096;
@@ -81,8 +79,9 @@
    *
    * @param since only later crashes count
    * @param threshold how many of them make the part their cause
+   * @param own whether this node itself saw a request with the part run
    */
-  private record Limit(long since, int threshold) {}
+  private record Limit(long since, int threshold, boolean own) {}
 
   /** The crashes that count against a part. */
   private static final class Count {
@@ -107,13 +106,16 @@
   private final Executor clock;
   private final Map<String, Crash> crashes = new LinkedHashMap<>();
 
+  /** The number of parts of all requests in {@link #crashes}. */
+  private int lostParts;
+
   /** Limits of parts that are not {@link #UNKNOWN}; the least recently updated comes first. */
   private final Map<PromptPart, Limit> limits = new LinkedHashMap<>();
 
   /** The crashes that count against each part apart from those that {@link #causes} explains. */
   private Map<PromptPart, Count> unexplained = new HashMap<>();
 
-  private static final Limit UNKNOWN = new Limit(Long.MIN_VALUE, CRASH_THRESHOLD);
+  private static final Limit UNKNOWN = new Limit(Long.MIN_VALUE, CRASH_THRESHOLD, false);
 
   PartEvidence(Executor clock) {
     this.clock = checkNotNull(clock);
@@ -123,23 +125,30 @@
   void recordCrash(EndpointCrash reported) {
     removeExpired();
     Crash crash = crashes.computeIfAbsent(reported.incarnationId(), id -> new Crash(now()));
-    if (crash.starts.size() < MAX_STARTS_PER_CRASH) {
-      crash.starts.put(reported.content(), reported.parts());
+    if (crash.starts.putIfAbsent(reported.content(), reported.parts()) == null) {
+      lostParts += reported.parts().size();
     }
   }
 
-  /** Records that a request ran on after an endpoint had begun it. */
-  void recordSurvival(PromptPart part, Duration age) {
+  /** Records that a request of this node ran on after an endpoint had begun it. */
+  void recordSurvival(PromptPart part) {
+    setLimit(part, new Limit(now(), SOUND_CRASH_THRESHOLD, true));
+  }
+
+  /** Records that a request of another node did so some time ago. */
+  void recordSurvivalElsewhere(PromptPart part, Duration age) {
     long at = now() - age.toNanos();
-    Limit before = limits.getOrDefault(part, UNKNOWN);
-    if (at >= before.since()) {
-      setLimit(part, new Limit(at, SOUND_CRASH_THRESHOLD));
+    if (at > limits.getOrDefault(part, UNKNOWN).since()) {
+      setLimit(part, new Limit(at, SOUND_CRASH_THRESHOLD, false));
     }
   }
 
   /** Removes a content whose request ran, as its earlier losses were not due to it. */
   void removeContent(RequestContent content) {
-    crashes.values().forEach(crash -> crash.starts.remove(content));
+    for (Crash crash : crashes.values()) {
+      ImmutableList<PromptPart> parts = crash.starts.remove(content);
+      lostParts -= parts == null ? 0 : parts.size();
+    }
   }
 
   /** Settles the crashes of a part that may run again; one more crash makes it a cause. */
@@ -147,7 +156,7 @@
     crashes.values().stream()
         .filter(crash -> crash.has(part))
         .forEach(crash -> crash.settled = true);
-    setLimit(part, new Limit(Long.MIN_VALUE, 1));
+    setLimit(part, new Limit(Long.MIN_VALUE, 1, false));
   }
 
   private void setLimit(PromptPart part, Limit limit) {
@@ -158,12 +167,10 @@
     }
   }
 
-  /** Returns how long ago a request with the part ran; empty if none is remembered. */
-  Optional<Duration> sinceSurvival(PromptPart part) {
+  /** Returns how long ago a request of this node with the part ran; empty if not remembered. */
+  Optional<Duration> sinceOwnSurvival(PromptPart part) {
     Limit limit = limitOf(part);
-    return limit.threshold() == SOUND_CRASH_THRESHOLD
-        ? Optional.of(Duration.ofNanos(now() - limit.since()))
-        : Optional.empty();
+    return limit.own() ? Optional.of(Duration.ofNanos(now() - limit.since())) : Optional.empty();
   }
 
   private Limit limitOf(PromptPart part) {
@@ -288,9 +295,10 @@
     Iterator<Crash> oldestFirst = crashes.values().iterator();
     while (oldestFirst.hasNext()) {
       Crash crash = oldestFirst.next();
-      if (crash.at >= oldest && crashes.size() < MAX_CRASHES) {
+      if (crash.at >= oldest && lostParts <= MAX_LOST_PARTS) {
         return;
       }
+      crash.starts.values().forEach(parts -> lostParts -= parts.size());
       oldestFirst.remove();
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -304,18 +304,18 @@
 
   /** Records that an endpoint continued a request with these parts after it had begun it. */
   public void recordSurvival(ImmutableList<PromptPart> survivors) {
-    survivors.forEach(part -> evidence.recordSurvival(part, Duration.ZERO));
+    survivors.forEach(evidence::recordSurvival);
   }
 
   /** Records that an endpoint of another node did so some time ago. */
   void recordSurvivalElsewhere(PromptPart part, Duration age) {
-    evidence.recordSurvival(part, age);
+    evidence.recordSurvivalElsewhere(part, age);
     evaluateParts();
   }
 
-  /** Returns how long ago an endpoint continued a request with a part; empty if not known. */
-  Optional<Duration> sinceSurvival(PromptPart part) {
-    return evidence.sinceSurvival(part);
+  /** Returns how long ago an endpoint continued a request of this node; empty if not known. */
+  Optional<Duration> sinceOwnSurvival(PromptPart part) {
+    return evidence.sinceOwnSurvival(part);
   }
 
   private void removeExpiredSuspects() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
@@ -89,6 +89,9 @@
    */
   private static final int MAX_UNWRITTEN = 1000;
 
+  /** Maximum number of crashes in one value; with many parts of prompts a crash takes 5 KB. */
+  private static final int MAX_WRITTEN_TOGETHER = 100;
+
   private final Executor clock;
   private final Random random;
   private final SharedStore store;
@@ -134,7 +137,7 @@
     this.prefix = checkNotNull(prefix);
     this.node = checkNotNull(node);
     quarantine = Quarantine.create(clock, counters);
-    quarantine.onDisproved(this::endOwnLease);
+    quarantine.onDisproved(this::quarantineDisproved);
     crashDetector = CrashDetector.watch(clock, fleet, this::crashesDetected);
   }
 
@@ -203,7 +206,8 @@
   }
 
   private void writeCrashes(long leaseId) {
-    ImmutableList<EndpointCrash> crashes = ImmutableList.copyOf(unwritten);
+    ImmutableList<EndpointCrash> crashes =
+        unwritten.stream().limit(MAX_WRITTEN_TOGETHER).collect(ImmutableList.toImmutableList());
     // A call whose answer was lost may still take effect, so each call uses its own key; a crash
     // that is written twice counts once.
     String key = prefix + CRASHES_PREFIX + node + "/" + writeCount++;
@@ -271,6 +275,13 @@
         });
   }
 
+  private void quarantineDisproved(RequestTrait trait) {
+    endOwnLease(trait);
+    if (trait instanceof PromptPart part) {
+      scheduleObjection(part);
+    }
+  }
+
   /** Removes a quarantine that this node wrote from the store. */
   private void endOwnLease(RequestTrait trait) {
     Long leaseId = ownLeases.remove(trait);
@@ -362,14 +373,18 @@
     quarantinedInStore.add(trait);
     quarantine.quarantineAsOthers(trait);
     if (trait instanceof PromptPart part && !quarantine.isQuarantined(part)) {
-      long delay = (long) (MAX_OBJECTION_DELAY.toNanos() * random.nextDouble());
-      clock.schedule(() -> object(part), delay, NANOSECONDS);
+      scheduleObjection(part);
     }
   }
 
+  private void scheduleObjection(PromptPart part) {
+    long delay = (long) (MAX_OBJECTION_DELAY.toNanos() * random.nextDouble());
+    clock.schedule(() -> object(part), delay, NANOSECONDS);
+  }
+
   /** Tells the other nodes that requests ran with a part that one of them quarantined. */
   private void object(PromptPart part) {
-    Optional<Duration> survival = quarantine.sinceSurvival(part);
+    Optional<Duration> survival = quarantine.sinceOwnSurvival(part);
     if (!quarantinedInStore.contains(part)
         || quarantine.isQuarantined(part)
         || survival.isEmpty()
