--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
@@ -4,16 +4,20 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.vaneworks.coordination.forwarding.ForwardingLimits;
+import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.state.PromptPart;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.Verdict;
+import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.tests.forwarding.RecordedResponse;
 
 /**
@@ -51,7 +55,7 @@
     RecordedResponse ran = cluster.sendRequest(0, "letter", ImmutableList.of(part));
     cluster.advance(3000);
     assertTrue(ran.whole);
-    cluster.store.put("quarantine/held/" + PromptPart.of(SimulatedCluster.SERVICE, part), "");
+    quarantine(cluster, part);
     cluster.advance(2000);
     for (int node = 0; node < 3; node++) {
       cluster.restartNode(node);
@@ -67,10 +71,7 @@
   @Test
   void requestWithQuarantinedPartIsRefusedWithTheTimeThatIsLeft() {
     SimulatedCluster cluster = new SimulatedCluster(2, 4, 7);
-    cluster.store.put(
-        "quarantine/held/"
-            + PromptPart.of(SimulatedCluster.SERVICE, SimulatedCluster.CRASHING_PART),
-        "");
+    quarantine(cluster, SimulatedCluster.CRASHING_PART);
     cluster.advance(60_000);
     RecordedResponse response =
         cluster.sendRequest(0, "letter", ImmutableList.of(SimulatedCluster.CRASHING_PART));
@@ -84,6 +85,60 @@
     assertEquals(0, cluster.crashingArrivalsFrom(0));
   }
 
+  private static void quarantine(SimulatedCluster cluster, String part) {
+    cluster.store.put("quarantine/held/" + PromptPart.of(SimulatedCluster.SERVICE, part), "");
+  }
+
+  @Test
+  void interruptedStreamWithQuarantinedPartIsNotResumed() {
+    SimulatedCluster cluster = new SimulatedCluster(2, 4, 7);
+    cluster.eventIntervalMillis = 100;
+    RecordedResponse response = cluster.sendRequest(0, "letter", ImmutableList.of("a0"));
+    cluster.advance(200);
+    quarantine(cluster, "a0");
+    cluster.advance(700);
+    cluster.crashEngine(cluster.engineIndexOf(cluster.attemptsOf("q0").get(0).engine()));
+    cluster.advance(3000);
+    assertTrue(response.cut);
+    assertEquals(1, cluster.attemptsOf("q0").size());
+  }
+
+  @Test
+  void peerRefusesForwardedRequestWithQuarantinedPart() {
+    SimulatedCluster cluster =
+        new SimulatedCluster(
+            2,
+            7,
+            SimulationConfiguration.of(1, 15_000),
+            new ForwardingLimits(Duration.ofMillis(4750), 0.2, 100));
+    for (int i = 0; i < 4; i++) {
+      cluster.startEngine(0, 80);
+    }
+    cluster.advance(3000);
+    cluster.cutFromEndpoints(0, EndpointCut.RESET);
+    cluster.setStoreDisconnected(0, true);
+    quarantine(cluster, SimulatedCluster.CRASHING_PART);
+    cluster.advance(2000);
+    RecordedResponse response = new RecordedResponse();
+    cluster.sendRequest(
+        0,
+        new SimulatedRequest(
+            "r1",
+            "/" + CallKind.RESUMABLE_STREAM + "/2/r1",
+            "letter",
+            Duration.ofSeconds(20),
+            new RequestSize(80, 20),
+            ImmutableList.of(SimulatedCluster.CRASHING_PART)),
+        response,
+        listener -> {});
+    cluster.advance(1500);
+    Refusal refusal = response.refusal.orElseThrow();
+    assertEquals(Reason.QUARANTINED, refusal.reason());
+    assertEquals(Verdict.NOT_RUN, refusal.verdict());
+    assertTrue(refusal.retryAfter().isPresent());
+    assertEquals(0, cluster.crashingArrivalsFrom(0));
+  }
+
   @Test
   void partIsQuarantinedDespiteRestartsOfNodesAndOutagesOfTheStore() {
     assertEquals(List.of(), problems(2, true));
