--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
@@ -83,6 +83,9 @@
    */
   private record Limit(long since, int threshold, boolean own) {}
 
+  /** The limit of a part about which nothing is known. */
+  private static final Limit UNKNOWN = new Limit(Long.MIN_VALUE, CRASH_THRESHOLD, false);
+
   /** The crashes that count against a part. */
   private static final class Count {
     private final Map<RequestContent, Integer> byContent = new HashMap<>();
@@ -115,8 +118,6 @@
   /** The crashes that count against each part apart from those that {@link #causes} explains. */
   private Map<PromptPart, Count> unexplained = new HashMap<>();
 
-  private static final Limit UNKNOWN = new Limit(Long.MIN_VALUE, CRASH_THRESHOLD, false);
-
   PartEvidence(Executor clock) {
     this.clock = checkNotNull(clock);
   }
@@ -186,7 +187,7 @@
     List<Crash> remaining = new ArrayList<>(crashes.values());
     remaining.removeIf(crash -> crash.settled);
     Set<PromptPart> causes = new LinkedHashSet<>();
-    // A sound part is considered only for crashes that no other part explains.
+    // A part that was sound is considered only for crashes that no other part explains.
     for (boolean sound : new boolean[] {false, true}) {
       Optional<PromptPart> next = mostSuspicious(remaining, sound);
       while (next.isPresent()) {
@@ -252,7 +253,8 @@
     }
   }
 
-  private long crashesWith(PromptPart part) {
+  /** Returns how many crashes are known of endpoints that had begun a request with the part. */
+  long crashesWith(PromptPart part) {
     return crashes.values().stream().filter(crash -> crash.has(part)).count();
   }
 
@@ -269,11 +271,6 @@
     return threshold - (count == null ? 0 : count.counted) == 1;
   }
 
-  /** Returns how many crashes with the part are known. */
-  int crashes(PromptPart part) {
-    return (int) crashesWith(part);
-  }
-
   /**
    * Returns whether what is known speaks against a part that is not among the causes: requests with
    * it ran, or all its crashes have other causes.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -202,7 +202,7 @@
     ImmutableList.Builder<PromptPart> quarantined = ImmutableList.builder();
     for (PromptPart part : causes) {
       if (!parts.containsKey(part)) {
-        quarantine(part, evidence.crashes(part) + " endpoints crashed under requests with it");
+        quarantine(part, evidence.crashesWith(part) + " endpoints crashed under requests with it");
         quarantined.add(part);
       }
     }
@@ -261,8 +261,8 @@
     return trait instanceof PromptPart ? "promptPart" : "content";
   }
 
-  /** Quarantines what other nodes have quarantined, unless this node knows better. */
-  void quarantineAsOthers(RequestTrait trait) {
+  /** Adopts a quarantine of another node, unless what this node knows contradicts it. */
+  void adopt(RequestTrait trait) {
     boolean contradicted =
         trait instanceof PromptPart part && evidence.contradicts(part, evidence.causes());
     if (!contradicted) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
@@ -371,7 +371,7 @@
 
   private void applyQuarantine(RequestTrait trait) {
     quarantinedInStore.add(trait);
-    quarantine.quarantineAsOthers(trait);
+    quarantine.adopt(trait);
     if (trait instanceof PromptPart part && !quarantine.isQuarantined(part)) {
       scheduleObjection(part);
     }
@@ -379,11 +379,11 @@
 
   private void scheduleObjection(PromptPart part) {
     long delay = (long) (MAX_OBJECTION_DELAY.toNanos() * random.nextDouble());
-    clock.schedule(() -> object(part), delay, NANOSECONDS);
+    clock.schedule(() -> writeObjection(part), delay, NANOSECONDS);
   }
 
   /** Tells the other nodes that requests ran with a part that one of them quarantined. */
-  private void object(PromptPart part) {
+  private void writeObjection(PromptPart part) {
     Optional<Duration> survival = quarantine.sinceOwnSurvival(part);
     if (!quarantinedInStore.contains(part)
         || quarantine.isQuarantined(part)
@@ -404,7 +404,7 @@
         (created, failure) -> {
           objections.remove(part);
           if (failure != null) {
-            clock.schedule(() -> object(part), RETRY_DELAY.toNanos(), NANOSECONDS);
+            clock.schedule(() -> writeObjection(part), RETRY_DELAY.toNanos(), NANOSECONDS);
           }
         });
   }
