A content that crashes endpoints is weighed against the parts that were lost with it

Cause: parts of prompts of the sound streams that moved with it were taken for the cause, and explained its crashes away. Now contents are judged first; crashes at which one of the two quarantined contents that explain most was present don't count against a part, and a part explains a content's crashes only if it has more of them in the same time.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
@@ -4,6 +4,7 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
@@ -43,6 +44,12 @@
    */
   private static final int MAX_CRASHES_PER_CONTENT = 2;
 
+  /**
+   * Maximum number of contents that explain the crashes with a part. Requests that share a part
+   * which crashes endpoints have more contents than that.
+   */
+  private static final int MAX_EXPLAINING_CONTENTS = 2;
+
   /** How long crashes, and requests that ran, are remembered. */
   static final Duration RETENTION = Duration.ofMinutes(10);
 
@@ -181,20 +188,25 @@
     return expired ? UNKNOWN : limit;
   }
 
-  /** Returns the parts that are the causes of crashes. */
-  ImmutableSet<PromptPart> causes() {
+  /**
+   * Returns the parts that are the causes of crashes.
+   *
+   * @param quarantined the contents that are quarantined; the crashes at which one of a few of them
+   *     was present do not count against parts
+   */
+  ImmutableSet<PromptPart> causes(Set<RequestContent> quarantined) {
     removeExpired();
     List<Crash> remaining = new ArrayList<>(crashes.values());
     remaining.removeIf(crash -> crash.settled);
     Set<PromptPart> causes = new LinkedHashSet<>();
     // A part that was sound is considered only for crashes that no other part explains.
     for (boolean sound : new boolean[] {false, true}) {
-      Optional<PromptPart> next = mostSuspicious(remaining, sound);
+      Optional<PromptPart> next = mostSuspicious(remaining, sound, quarantined);
       while (next.isPresent()) {
         PromptPart cause = next.get();
         causes.add(cause);
         remaining.removeIf(crash -> crash.has(cause));
-        next = mostSuspicious(remaining, sound);
+        next = mostSuspicious(remaining, sound, quarantined);
       }
     }
     removeRedundant(causes);
@@ -202,10 +214,15 @@
     return ImmutableSet.copyOf(causes);
   }
 
-  private Optional<PromptPart> mostSuspicious(List<Crash> remaining, boolean sound) {
+  private Optional<PromptPart> mostSuspicious(
+      List<Crash> remaining, boolean sound, Set<RequestContent> quarantined) {
     return counts(remaining).entrySet().stream()
         .filter(entry -> isSound(entry.getKey()) == sound)
         .filter(entry -> entry.getValue().counted >= limitOf(entry.getKey()).threshold())
+        .filter(
+            entry ->
+                unexplainedByContents(entry.getKey(), quarantined)
+                    >= limitOf(entry.getKey()).threshold())
         .max(
             Comparator.<Map.Entry<PromptPart, Count>>comparingInt(entry -> entry.getValue().counted)
                 .thenComparingInt(entry -> entry.getValue().total)
@@ -214,6 +231,24 @@
         .map(Map.Entry::getKey);
   }
 
+  /** Returns how many crashes with a part a few of the quarantined contents don't explain. */
+  private int unexplainedByContents(PromptPart part, Set<RequestContent> quarantined) {
+    List<Crash> unexplainedCrashes =
+        new ArrayList<>(crashes.values().stream().filter(crash -> crash.has(part)).toList());
+    for (int i = 0; i < MAX_EXPLAINING_CONTENTS && !unexplainedCrashes.isEmpty(); i++) {
+      Optional<RequestContent> best =
+          quarantined.stream()
+              .max(Comparator.comparingLong(content -> countWith(unexplainedCrashes, content)));
+      best.ifPresent(
+          content -> unexplainedCrashes.removeIf(crash -> crash.starts.containsKey(content)));
+    }
+    return unexplainedCrashes.size();
+  }
+
+  private static long countWith(List<Crash> crashes, RequestContent content) {
+    return crashes.stream().filter(crash -> crash.starts.containsKey(content)).count();
+  }
+
   private boolean isSound(PromptPart part) {
     return limitOf(part).threshold() == SOUND_CRASH_THRESHOLD;
   }
@@ -279,12 +314,24 @@
     return isSound(part) || (crashesWith(part) > 0 && isExplainedBy(part, causes));
   }
 
-  /** Returns the incarnations whose crashes some parts explain. */
-  ImmutableSet<String> explainedIncarnations(Set<PromptPart> causes) {
-    return crashes.entrySet().stream()
-        .filter(crash -> crash.getValue().isExplainedBy(causes))
-        .map(Map.Entry::getKey)
-        .collect(ImmutableSet.toImmutableSet());
+  /**
+   * Returns the incarnations that crashed after they had begun a request with the part, and when.
+   */
+  ImmutableMap<String, Long> crashTimes(PromptPart part) {
+    ImmutableMap.Builder<String, Long> times = ImmutableMap.builder();
+    crashes.forEach(
+        (incarnationId, crash) -> {
+          if (crash.has(part)) {
+            times.put(incarnationId, crash.at);
+          }
+        });
+    return times.buildOrThrow();
+  }
+
+  /** Returns when a crash was first reported; now if it is not known. */
+  long crashTime(String incarnationId) {
+    Crash crash = crashes.get(incarnationId);
+    return crash == null ? now() : crash.at;
   }
 
   private void removeExpired() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -4,7 +4,9 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -60,9 +62,14 @@
   private static final class Suspect {
     private final Set<String> crashedIncarnations = new HashSet<>();
     private int earlierCrashes;
+    private long firstCrashAt = Long.MAX_VALUE;
     private long lastCrashAt;
     private boolean quarantined;
     private long quarantinedUntil;
+
+    int knownCrashes() {
+      return earlierCrashes + crashedIncarnations.size();
+    }
   }
 
   private final Executor clock;
@@ -75,8 +82,8 @@
 
   private final Set<RequestContent> quarantinedContents = new LinkedHashSet<>();
 
-  /** The incarnations whose crashes the quarantined parts explain, as of the last evaluation. */
-  private ImmutableSet<String> explainedIncarnations = ImmutableSet.of();
+  /** The incarnations that crashed with each quarantined part and when, as last evaluated. */
+  private ImmutableMap<PromptPart, ImmutableMap<String, Long>> crashedWithPart = ImmutableMap.of();
 
   private final List<Consumer<RequestTrait>> quarantineListeners = new ArrayList<>();
   private final List<Consumer<RequestTrait>> disproofListeners = new ArrayList<>();
@@ -143,15 +150,27 @@
     return suspect != null && !suspect.quarantined && crashes(suspect) == CRASH_THRESHOLD - 1;
   }
 
-  /** Returns the crashes that count against a content. */
+  /**
+   * Returns the crashes that count against a content. A quarantined part with more crashes in the
+   * same time explains those that they have in common; one with fewer was perhaps only lost with
+   * the content.
+   */
   private int crashes(Suspect suspect) {
+    ImmutableList<ImmutableMap<String, Long>> explained =
+        crashedWithPart.values().stream()
+            .filter(times -> crashesSince(times, suspect.firstCrashAt) > suspect.knownCrashes())
+            .collect(ImmutableList.toImmutableList());
     long unexplained =
         suspect.crashedIncarnations.stream()
-            .filter(incarnation -> !explainedIncarnations.contains(incarnation))
+            .filter(crashed -> explained.stream().noneMatch(times -> times.containsKey(crashed)))
             .count();
     return suspect.earlierCrashes + (int) unexplained;
   }
 
+  private static long crashesSince(ImmutableMap<String, Long> times, long since) {
+    return times.values().stream().filter(at -> at >= since).count();
+  }
+
   /** Returns the remaining time of a quarantine; zero if there is none. */
   public Duration remaining(RequestTrait trait) {
     return isQuarantined(trait)
@@ -172,6 +191,8 @@
       Suspect suspect = suspects.computeIfAbsent(crash.content(), key -> new Suspect());
       if (suspect.crashedIncarnations.add(crash.incarnationId())) {
         evidence.recordCrash(crash);
+        suspect.firstCrashAt =
+            Math.min(suspect.firstCrashAt, evidence.crashTime(crash.incarnationId()));
         suspect.lastCrashAt = now();
         counters.count(Metric.QUARANTINE, "end");
         changed.add(crash.content());
@@ -181,7 +202,7 @@
       return ImmutableList.of();
     }
     ImmutableList.Builder<RequestTrait> quarantined = ImmutableList.builder();
-    quarantined.addAll(evaluateParts());
+    updateCrashesWithParts();
     for (RequestContent content : changed) {
       Suspect suspect = suspects.get(content);
       int count = crashes(suspect);
@@ -190,6 +211,7 @@
         quarantined.add(content);
       }
     }
+    quarantined.addAll(evaluateParts());
     return quarantined.build();
   }
 
@@ -198,7 +220,7 @@
    * against which that speaks. Returns the parts that are quarantined because of this.
    */
   private ImmutableList<PromptPart> evaluateParts() {
-    ImmutableSet<PromptPart> causes = evidence.causes();
+    ImmutableSet<PromptPart> causes = evidence.causes(quarantinedContents);
     ImmutableList.Builder<PromptPart> quarantined = ImmutableList.builder();
     for (PromptPart part : causes) {
       if (!parts.containsKey(part)) {
@@ -212,16 +234,20 @@
         disproved(part, "the crashes have another cause, or requests with it ran");
       }
     }
-    explainedIncarnations = evidence.explainedIncarnations(parts.keySet());
+    updateCrashesWithParts();
     ImmutableList.copyOf(quarantinedContents).forEach(this::releaseIfExplained);
     return quarantined.build();
   }
 
+  private void updateCrashesWithParts() {
+    crashedWithPart = Maps.toMap(parts.keySet(), evidence::crashTimes);
+  }
+
   /** Ends the quarantine of a content if a quarantined part explains its crashes. */
   private void releaseIfExplained(RequestContent content) {
     Suspect suspect = suspects.get(content);
     int count = crashes(suspect);
-    int known = suspect.earlierCrashes + suspect.crashedIncarnations.size();
+    int known = suspect.knownCrashes();
     boolean explained = known > count && (count == 0 || known >= CRASH_THRESHOLD);
     if (explained && count < CRASH_THRESHOLD) {
       suspect.quarantined = false;
@@ -264,7 +290,8 @@
   /** Adopts a quarantine of another node, unless what this node knows contradicts it. */
   void adopt(RequestTrait trait) {
     boolean contradicted =
-        trait instanceof PromptPart part && evidence.contradicts(part, evidence.causes());
+        trait instanceof PromptPart part
+            && evidence.contradicts(part, evidence.causes(quarantinedContents));
     if (!contradicted) {
       quarantine(trait, "quarantined in the store");
     }
