--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
@@ -139,6 +139,14 @@
     assertEquals(0, cluster.crashingArrivalsFrom(0));
   }
 
+  /** Guards against rare requests that crash endpoints while nodes lose the store and restart. */
+  @Test
+  void rareRequestsWithCrashingPartAreQuarantinedDespiteFaults() {
+    CrashingPartSimulation simulation = new CrashingPartSimulation(103, 0.5, true);
+    simulation.run();
+    assertEquals(List.of(), simulation.problems());
+  }
+
   @Test
   void partIsQuarantinedDespiteRestartsOfNodesAndOutagesOfTheStore() {
     assertEquals(List.of(), problems(2, true));
