Test: nodes that start in a storm quarantine parts of sound prompts (red)

What callers see: while requests with one part of a prompt crash engines, each node that starts makes all nodes refuse requests with the most popular sound parts.

The test restarts one node every two seconds in the simulation of CrashingPartTest, without other faults, and fails: in six courses nodes wrote four quarantines of first parts that all sound requests share (expected: <[]> but was: <[a0, a2, a0, a1]>). No change of the product.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartSimulation.java
@@ -8,8 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.relay.RequestSize;
+import org.vaneworks.state.PromptPart;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.tests.forwarding.RecordedResponse;
 
@@ -57,6 +60,8 @@
   private final List<SoundRequest> sound = new ArrayList<>();
   private final List<List<Long>> faultTimes = new ArrayList<>();
   private final boolean[] disconnected = new boolean[NODES];
+  private final Set<String> quarantinedFirstParts = new TreeSet<>();
+  private int restartIntervalMillis = Integer.MAX_VALUE;
   private int requests;
   private long stormBeganAt;
 
@@ -82,6 +87,11 @@
     }
   }
 
+  /** Restarts one node after the other during the storm, without other faults. */
+  void restartNodesEvery(int millis) {
+    restartIntervalMillis = millis;
+  }
+
   void run() {
     cluster.advance(3000);
     play(WARM_UP_MILLIS, 0);
@@ -98,8 +108,13 @@
       if (faults && crashingRate > 0 && passed % 1000 == 0) {
         injectFault();
       }
+      if (crashingRate > 0
+          && passed % restartIntervalMillis == restartIntervalMillis - STEP_MILLIS) {
+        restart(passed / restartIntervalMillis % NODES);
+      }
       recordFaults();
       cluster.advance(STEP_MILLIS);
+      recordQuarantinedFirstParts();
     }
   }
 
@@ -177,6 +192,15 @@
     }
   }
 
+  private void recordQuarantinedFirstParts() {
+    for (int rank = 0; rank < FIRST_PARTS; rank++) {
+      String part = "a" + rank;
+      if (cluster.isQuarantinedInStore(PromptPart.of(SimulatedCluster.SERVICE, part))) {
+        quarantinedFirstParts.add(part);
+      }
+    }
+  }
+
   private boolean wasInContact(int node, long at) {
     return faultTimes.get(node).stream().noneMatch(t -> t <= at && t > at - CONTACT_MILLIS);
   }
@@ -254,6 +278,11 @@
     return share(counts);
   }
 
+  /** Returns the first parts of sound requests that a node quarantined for all nodes. */
+  Set<String> quarantinedFirstParts() {
+    return quarantinedFirstParts;
+  }
+
   /** Returns how many sound requests of the storm were answered, broken off, and refused. */
   ImmutableMap<String, Long> outcomes() {
     List<SoundRequest> stormy = sound.stream().filter(r -> r.sentAt() >= stormBeganAt).toList();
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
@@ -151,4 +151,24 @@
   void partIsQuarantinedDespiteRestartsOfNodesAndOutagesOfTheStore() {
     assertEquals(List.of(), problems(2, true));
   }
+
+  /**
+   * Guards against a node that starts in a storm, takes the most popular parts of sound prompts for
+   * the cause of the crashes that it reads in the store, and makes all nodes refuse them.
+   */
+  @Test
+  void startingNodesDoNotQuarantineFirstPartsOfSoundRequests() {
+    List<String> problems = new ArrayList<>();
+    for (double crashingPerSecond : new double[] {1, 4}) {
+      for (long seed = 1; seed <= SEEDS; seed++) {
+        CrashingPartSimulation simulation =
+            new CrashingPartSimulation(seed, crashingPerSecond, false);
+        simulation.restartNodesEvery(2000);
+        simulation.run();
+        problems.addAll(simulation.problems());
+        problems.addAll(simulation.quarantinedFirstParts());
+      }
+    }
+    assertEquals(List.of(), problems);
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -68,6 +68,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.Refusal;
+import org.vaneworks.state.RequestTrait;
 import org.vaneworks.state.RequestedBackoff;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.Verdict;
@@ -1588,6 +1589,11 @@
     return engineAt(index).arrivals;
   }
 
+  /** Returns whether the store tells all nodes that requests with a trait are quarantined. */
+  boolean isQuarantinedInStore(RequestTrait trait) {
+    return store.has(QUARANTINE + "held/" + trait);
+  }
+
   /** Returns when engines crashed, in milliseconds. */
   ImmutableList<Long> crashTimes() {
     return ImmutableList.copyOf(crashTimes);
