Crashes from before a node's start are judged with what speaks for requests

Cause: a node counted the crashes in the store key by key and decided at each step, although nothing at it spoke for any part.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
@@ -62,13 +62,18 @@
   /** The crash of one incarnation, and the parts of the requests that it had just begun. */
   private static final class Crash {
     private final long at;
+
+    /** Whether other nodes judged this before this node started. */
+    private final boolean judged;
+
     private final Map<RequestContent, ImmutableList<PromptPart>> starts = new LinkedHashMap<>();
 
     /** Whether this was explained by a part that may run again. */
     private boolean settled;
 
-    Crash(long at) {
+    Crash(long at, boolean judged) {
       this.at = at;
+      this.judged = judged;
     }
 
     boolean isExplainedBy(Set<PromptPart> parts) {
@@ -98,10 +103,12 @@
     private final Map<RequestContent, Integer> byContent = new HashMap<>();
     private int counted;
     private int total;
+    private boolean unjudged;
 
     /** Adds a crash of an endpoint that had begun some contents with the part. */
-    void add(List<RequestContent> contents) {
+    void add(Crash crash, List<RequestContent> contents) {
       total++;
+      unjudged |= !crash.judged;
       Optional<RequestContent> charged =
           contents.stream()
               .filter(content -> byContent.getOrDefault(content, 0) < MAX_CRASHES_PER_CONTENT)
@@ -129,10 +136,15 @@
     this.clock = checkNotNull(clock);
   }
 
-  /** Records a crash; reports of the same crash by several nodes count once. */
-  void recordCrash(EndpointCrash reported) {
+  /**
+   * Records a crash; reports of the same crash by several nodes count once.
+   *
+   * @param judged whether other nodes judged it before this node started. Such crashes are evidence
+   *     like others, but a part is a cause only once one more endpoint crashes with it.
+   */
+  void recordCrash(EndpointCrash reported, boolean judged) {
     removeExpired();
-    Crash crash = crashes.computeIfAbsent(reported.incarnationId(), id -> new Crash(now()));
+    Crash crash = crashes.computeIfAbsent(reported.incarnationId(), id -> new Crash(now(), judged));
     if (crash.starts.putIfAbsent(reported.content(), reported.parts()) == null) {
       lostParts += reported.parts().size();
     }
@@ -193,11 +205,16 @@
    *
    * @param quarantined the contents that are quarantined; the crashes at which one of a few of them
    *     was present do not count against parts
+   * @param adopted the parts that other nodes quarantined, which explain the crashes with them
+   *     unless requests with them ran
    */
-  ImmutableSet<PromptPart> causes(Set<RequestContent> quarantined) {
+  ImmutableSet<PromptPart> causes(Set<RequestContent> quarantined, Set<PromptPart> adopted) {
     removeExpired();
     List<Crash> remaining = new ArrayList<>(crashes.values());
     remaining.removeIf(crash -> crash.settled);
+    adopted.stream()
+        .filter(part -> !isSound(part))
+        .forEach(part -> remaining.removeIf(crash -> crash.has(part)));
     Set<PromptPart> causes = new LinkedHashSet<>();
     // A part that was sound is considered only for crashes that no other part explains.
     for (boolean sound : new boolean[] {false, true}) {
@@ -217,6 +234,7 @@
   private Optional<PromptPart> mostSuspicious(
       List<Crash> remaining, boolean sound, Set<RequestContent> quarantined) {
     return counts(remaining).entrySet().stream()
+        .filter(entry -> entry.getValue().unjudged)
         .filter(entry -> isSound(entry.getKey()) == sound)
         .filter(entry -> entry.getValue().counted >= limitOf(entry.getKey()).threshold())
         .filter(
@@ -266,7 +284,7 @@
       contents.forEach(
           (part, having) -> {
             if (crash.at > limitOf(part).since()) {
-              counts.computeIfAbsent(part, key -> new Count()).add(having);
+              counts.computeIfAbsent(part, key -> new Count()).add(crash, having);
             }
           });
     }
@@ -293,17 +311,23 @@
     return crashes.values().stream().filter(crash -> crash.has(part)).count();
   }
 
+  /** Returns whether each crash with a part has another cause, with which more of them occurred. */
   private boolean isExplainedBy(PromptPart part, Set<PromptPart> others) {
+    long known = crashesWith(part);
+    ImmutableSet<PromptPart> withMore =
+        others.stream()
+            .filter(other -> crashesWith(other) > known)
+            .collect(ImmutableSet.toImmutableSet());
     return crashes.values().stream()
         .filter(crash -> crash.has(part))
-        .allMatch(crash -> crash.isExplainedBy(others));
+        .allMatch(crash -> crash.isExplainedBy(withMore));
   }
 
   /** Returns whether one more crash would make the part a cause, as of the last evaluation. */
   boolean isOneCrashFromCause(PromptPart part) {
     Count count = unexplained.get(part);
     int threshold = limitOf(part).threshold();
-    return threshold - (count == null ? 0 : count.counted) == 1;
+    return threshold - (count == null ? 0 : count.counted) <= 1;
   }
 
   /**
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -80,6 +80,9 @@
   /** The quarantined parts of prompts, and when their quarantine expires. */
   private final Map<PromptPart, Long> parts = new LinkedHashMap<>();
 
+  /** Those of them that other nodes quarantined and this node did not. */
+  private final Set<PromptPart> adoptedParts = new LinkedHashSet<>();
+
   private final Set<RequestContent> quarantinedContents = new LinkedHashSet<>();
 
   /** The incarnations that crashed with each quarantined part and when, as last evaluated. */
@@ -147,7 +150,7 @@
       return !parts.containsKey(part) && evidence.isOneCrashFromCause(part);
     }
     Suspect suspect = suspects.get(trait);
-    return suspect != null && !suspect.quarantined && crashes(suspect) == CRASH_THRESHOLD - 1;
+    return suspect != null && !suspect.quarantined && crashes(suspect) >= CRASH_THRESHOLD - 1;
   }
 
   /**
@@ -185,19 +188,7 @@
    * @return the contents and parts that are quarantined because of these crashes
    */
   public ImmutableList<RequestTrait> recordCrashes(Collection<EndpointCrash> crashes) {
-    removeExpiredSuspects();
-    Set<RequestContent> changed = new LinkedHashSet<>();
-    for (EndpointCrash crash : crashes) {
-      Suspect suspect = suspects.computeIfAbsent(crash.content(), key -> new Suspect());
-      if (suspect.crashedIncarnations.add(crash.incarnationId())) {
-        evidence.recordCrash(crash);
-        suspect.firstCrashAt =
-            Math.min(suspect.firstCrashAt, evidence.crashTime(crash.incarnationId()));
-        suspect.lastCrashAt = now();
-        counters.count(Metric.QUARANTINE, "end");
-        changed.add(crash.content());
-      }
-    }
+    Set<RequestContent> changed = addCrashes(crashes, false);
     if (changed.isEmpty()) {
       return ImmutableList.of();
     }
@@ -215,12 +206,40 @@
     return quarantined.build();
   }
 
+  /**
+   * Records crashes that other nodes judged before this node started. They count together with
+   * later ones, but quarantine nothing by themselves: the other nodes knew which requests ran in
+   * the meantime, and this node adopts what they quarantined.
+   */
+  void recordJudgedCrashes(Collection<EndpointCrash> crashes) {
+    addCrashes(crashes, true);
+    evaluateParts();
+  }
+
+  /** Adds crashes to the evidence and returns the contents of those that are new. */
+  private Set<RequestContent> addCrashes(Collection<EndpointCrash> crashes, boolean judged) {
+    removeExpiredSuspects();
+    Set<RequestContent> changed = new LinkedHashSet<>();
+    for (EndpointCrash crash : crashes) {
+      Suspect suspect = suspects.computeIfAbsent(crash.content(), key -> new Suspect());
+      if (suspect.crashedIncarnations.add(crash.incarnationId())) {
+        evidence.recordCrash(crash, judged);
+        suspect.firstCrashAt =
+            Math.min(suspect.firstCrashAt, evidence.crashTime(crash.incarnationId()));
+        suspect.lastCrashAt = now();
+        counters.count(Metric.QUARANTINE, "end");
+        changed.add(crash.content());
+      }
+    }
+    return changed;
+  }
+
   /**
    * Quarantines the parts that cause crashes according to what is known now, and ends quarantines
    * against which that speaks. Returns the parts that are quarantined because of this.
    */
   private ImmutableList<PromptPart> evaluateParts() {
-    ImmutableSet<PromptPart> causes = evidence.causes(quarantinedContents);
+    ImmutableSet<PromptPart> causes = evidence.causes(quarantinedContents, adoptedParts);
     ImmutableList.Builder<PromptPart> quarantined = ImmutableList.builder();
     for (PromptPart part : causes) {
       if (!parts.containsKey(part)) {
@@ -231,6 +250,7 @@
     for (PromptPart part : ImmutableList.copyOf(parts.keySet())) {
       if (!causes.contains(part) && evidence.contradicts(part, causes)) {
         parts.remove(part);
+        adoptedParts.remove(part);
         disproved(part, "the crashes have another cause, or requests with it ran");
       }
     }
@@ -291,8 +311,11 @@
   void adopt(RequestTrait trait) {
     boolean contradicted =
         trait instanceof PromptPart part
-            && evidence.contradicts(part, evidence.causes(quarantinedContents));
-    if (!contradicted) {
+            && evidence.contradicts(part, evidence.causes(quarantinedContents, adoptedParts));
+    if (!contradicted && !isQuarantined(trait)) {
+      if (trait instanceof PromptPart part) {
+        adoptedParts.add(part);
+      }
       quarantine(trait, "quarantined in the store");
     }
   }
@@ -303,6 +326,7 @@
       if (parts.remove(part) == null) {
         return;
       }
+      adoptedParts.remove(part);
       evidence.release(part);
     } else {
       Suspect suspect = suspects.get(trait);
@@ -334,10 +358,17 @@
     survivors.forEach(evidence::recordSurvival);
   }
 
-  /** Records that an endpoint of another node did so some time ago. */
-  void recordSurvivalElsewhere(PromptPart part, Duration age) {
-    evidence.recordSurvivalElsewhere(part, age);
-    evaluateParts();
+  /**
+   * Records that endpoints continued requests of other nodes some time ago.
+   *
+   * @return the parts that are quarantined because of this, as it leaves no other cause of crashes
+   */
+  ImmutableList<PromptPart> recordSurvivalsElsewhere(Collection<Survival> survivals) {
+    if (survivals.isEmpty()) {
+      return ImmutableList.of();
+    }
+    survivals.forEach(each -> evidence.recordSurvivalElsewhere(each.part(), each.age()));
+    return evaluateParts();
   }
 
   /** Returns how long ago an endpoint continued a request of this node; empty if not known. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/SharedQuarantine.java
@@ -6,10 +6,12 @@
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -38,13 +40,19 @@
  * crashes of all nodes. A quarantine is written once, under a lease that limits its duration; a
  * node that has seen requests with a quarantined part run objects, which ends the quarantine. Only
  * requests that had just begun at a crashed endpoint are written, with one call per node and crash;
- * without crashes nothing is written. Confined to the node's event loop.
+ * without crashes nothing is written.
+ *
+ * <p>What was read together is evaluated together. Crashes that a node finds in the store when it
+ * starts were judged by the nodes that saw them; it adopts their quarantines and decides only once
+ * another endpoint crashes. So that nodes which start know what speaks for a request, each node
+ * tells, with the crashes that it writes, with which parts of these prompts its requests have run.
+ * Confined to the node's event loop.
  */
 public final class SharedQuarantine implements PrefixFollower.Listener {
   private static final String CRASHES_PREFIX = "ends/";
   private static final String QUARANTINED_PREFIX = "held/";
 
-  /** Keys under which nodes tell of requests that ran with a part that others quarantined. */
+  /** Keys under which nodes tell of requests that ran with a part that is or may be suspected. */
   private static final String SURVIVALS_PREFIX = "sound/";
 
   /**
@@ -89,6 +97,15 @@
    */
   private static final int MAX_UNWRITTEN = 1000;
 
+  /**
+   * Time for which a survival that some node told is not told again with crashes of its part. Nodes
+   * remember it for longer.
+   */
+  private static final Duration SURVIVAL_RENEWAL = CRASH_LIFETIME.dividedBy(2);
+
+  /** Maximum number of survivals in one value, about 90 bytes each. */
+  private static final int MAX_SURVIVALS = 100;
+
   /** Maximum number of crashes in one value; with many parts of prompts a crash takes 5 KB. */
   private static final int MAX_WRITTEN_TOGETHER = 100;
 
@@ -114,6 +131,18 @@
 
   private final Set<String> appliedKeys = new HashSet<>();
 
+  /** When some node last told that requests with a part ran; the oldest comes first. */
+  private final Map<PromptPart, Long> survivalsToldAt = new LinkedHashMap<>();
+
+  /** What was read from the store and is not evaluated yet. */
+  private final List<EndpointCrash> readCrashes = new ArrayList<>();
+
+  private final List<Survival> readSurvivals = new ArrayList<>();
+  private final Set<RequestTrait> readQuarantines = new LinkedHashSet<>();
+
+  /** Whether all items in the store were read once. */
+  private boolean started;
+
   /** Parts for which an objection is being written. */
   private final Set<PromptPart> objections = new HashSet<>();
 
@@ -208,11 +237,18 @@
   private void writeCrashes(long leaseId) {
     ImmutableList<EndpointCrash> crashes =
         unwritten.stream().limit(MAX_WRITTEN_TOGETHER).collect(ImmutableList.toImmutableList());
+    // Survivals come first, so that no node reads the crashes without them.
+    CompletableFuture<?> survivalsWritten = writeSurvivals(survivalsToTell(crashes), leaseId);
     // A call whose answer was lost may still take effect, so each call uses its own key; a crash
     // that is written twice counts once.
     String key = prefix + CRASHES_PREFIX + node + "/" + writeCount++;
     Async.onDone(
-        store.create(key, EndpointCrash.write(crashes), leaseId),
+        Async.compose(
+            survivalsWritten,
+            (written, failure) ->
+                failure == null
+                    ? store.create(key, EndpointCrash.write(crashes), leaseId)
+                    : CompletableFuture.failedFuture(failure)),
         clock,
         (created, failure) -> {
           if (failure != null) {
@@ -229,6 +265,33 @@
         });
   }
 
+  /**
+   * Returns the parts of crashed requests that ran at this node, except those of which a node told
+   * lately.
+   */
+  private ImmutableList<Survival> survivalsToTell(ImmutableList<EndpointCrash> crashes) {
+    long renewedBefore = now() - SURVIVAL_RENEWAL.toNanos();
+    return crashes.stream()
+        .flatMap(crash -> crash.parts().stream())
+        .distinct()
+        .filter(part -> survivalsToldAt.getOrDefault(part, Long.MIN_VALUE) < renewedBefore)
+        .flatMap(part -> survivalOf(part).stream())
+        .limit(MAX_SURVIVALS)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private Optional<Survival> survivalOf(PromptPart part) {
+    return quarantine.sinceOwnSurvival(part).map(age -> new Survival(part, age));
+  }
+
+  private CompletableFuture<?> writeSurvivals(ImmutableList<Survival> survivals, long leaseId) {
+    if (survivals.isEmpty()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    String key = prefix + SURVIVALS_PREFIX + node + "/" + writeCount++;
+    return store.create(key, Survival.write(survivals), leaseId);
+  }
+
   private void recordWritten(ImmutableList<EndpointCrash> crashes) {
     crashes.forEach(crash -> writtenAt.put(crash, now()));
     while (writtenAt.size() > MAX_UNWRITTEN) {
@@ -311,8 +374,9 @@
     Set<String> keys = new HashSet<>();
     for (StoredItem item : items) {
       keys.add(item.key());
-      apply(item);
+      read(item);
     }
+    evaluate();
     appliedKeys.retainAll(keys);
     previous.stream()
         .filter(trait -> !quarantinedInStore.contains(trait))
@@ -346,31 +410,62 @@
     if (change.removed()) {
       itemRemoved(change.item());
     } else {
-      apply(change.item());
+      read(change.item());
     }
   }
 
-  private void apply(StoredItem item) {
+  @Override
+  public void upToDate() {
+    evaluate();
+  }
+
+  private void read(StoredItem item) {
     String name = item.key().substring(prefix.length());
     try {
       if (name.startsWith(QUARANTINED_PREFIX)) {
-        applyQuarantine(RequestTrait.parse(name.substring(QUARANTINED_PREFIX.length())));
+        RequestTrait trait = RequestTrait.parse(name.substring(QUARANTINED_PREFIX.length()));
+        quarantinedInStore.add(trait);
+        readQuarantines.add(trait);
       } else if (name.startsWith(CRASHES_PREFIX) && appliedKeys.add(item.key())) {
         // Each key is applied once only: later answers may have cleared its contents.
-        quarantine
-            .recordCrashes(EndpointCrash.read(item.value()))
-            .forEach(this::writeQuarantineLater);
+        readCrashes.addAll(EndpointCrash.read(item.value()));
       } else if (name.startsWith(SURVIVALS_PREFIX) && appliedKeys.add(item.key())) {
-        Survival survival = Survival.read(item.value());
-        quarantine.recordSurvivalElsewhere(survival.part(), survival.age());
+        readSurvivals.addAll(Survival.read(item.value()));
       }
     } catch (IllegalArgumentException e) {
       EventLog.warn(Event.STORE_VALUE_UNREADABLE, "key", item.key(), "cause", e.getMessage());
     }
   }
 
+  /**
+   * Evaluates all that was read together, as what was written later may speak against what was
+   * written before. Survivals come first and quarantines of other nodes second, since both explain
+   * crashes.
+   */
+  private void evaluate() {
+    readSurvivals.forEach(this::recordTold);
+    quarantine.recordSurvivalsElsewhere(readSurvivals).forEach(this::writeQuarantineLater);
+    readSurvivals.clear();
+    if (!started) {
+      quarantine.recordJudgedCrashes(readCrashes);
+      readCrashes.clear();
+      started = true;
+    }
+    readQuarantines.forEach(this::applyQuarantine);
+    readQuarantines.clear();
+    quarantine.recordCrashes(readCrashes).forEach(this::writeQuarantineLater);
+    readCrashes.clear();
+  }
+
+  private void recordTold(Survival survival) {
+    survivalsToldAt.remove(survival.part());
+    survivalsToldAt.put(survival.part(), now());
+    if (survivalsToldAt.size() > PartEvidence.MAX_PARTS) {
+      survivalsToldAt.remove(survivalsToldAt.keySet().iterator().next());
+    }
+  }
+
   private void applyQuarantine(RequestTrait trait) {
-    quarantinedInStore.add(trait);
     quarantine.adopt(trait);
     if (trait instanceof PromptPart part && !quarantine.isQuarantined(part)) {
       scheduleObjection(part);
@@ -384,7 +479,7 @@
 
   /** Tells the other nodes that requests ran with a part that one of them quarantined. */
   private void writeObjection(PromptPart part) {
-    Optional<Duration> survival = quarantine.sinceOwnSurvival(part);
+    Optional<Survival> survival = survivalOf(part);
     if (!quarantinedInStore.contains(part)
         || quarantine.isQuarantined(part)
         || survival.isEmpty()
@@ -392,13 +487,12 @@
       return;
     }
     objections.add(part);
-    String key = prefix + SURVIVALS_PREFIX + node + "/" + writeCount++;
     Async.onDone(
         Async.compose(
             store.openLease(Quarantine.QUARANTINE_DURATION),
             (leaseId, failure) ->
                 failure == null
-                    ? store.create(key, new Survival(part, survival.get()).write(), leaseId)
+                    ? writeSurvivals(ImmutableList.of(survival.get()), leaseId)
                     : CompletableFuture.failedFuture(failure)),
         clock,
         (created, failure) -> {
@@ -418,6 +512,7 @@
     try {
       RequestTrait trait = RequestTrait.parse(name.substring(QUARANTINED_PREFIX.length()));
       quarantinedInStore.remove(trait);
+      readQuarantines.remove(trait);
       quarantineRemoved(trait);
     } catch (IllegalArgumentException e) {
       EventLog.warn(Event.STORE_VALUE_UNREADABLE, "key", item.key(), "cause", e.getMessage());
