A crashing content does not explain crashes under other contents with its part

Cause: since two crashing contents explain the crashes with a part, also if they have that part themselves, so each further content had to crash three engines first.

Change: of the contents that explain crashes at most one has the part itself, and then one crash without it is enough. A content goes on to explain crashes with other parts after a part explained its own; without that MIDDLE in anotherContentAtAllLaterCrashesIsQuarantinedToo was quarantined.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/CrashingPartTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.relay.RequestSize;
@@ -147,6 +148,19 @@
     assertEquals(List.of(), simulation.problems());
   }
 
+  /**
+   * Guards against crashes that are put down to one content, while other contents with the same
+   * part crash more engines.
+   */
+  @ParameterizedTest
+  @CsvSource({"1004, 0.5", "2033, 0.5", "1002, 2", "1018, 2"})
+  void partOfContentThatCrashedEnginesIsQuarantinedDespiteFaults(
+      long seed, double crashingPerSecond) {
+    CrashingPartSimulation simulation = new CrashingPartSimulation(seed, crashingPerSecond, true);
+    simulation.run();
+    assertEquals(List.of(), simulation.problems());
+  }
+
   @Test
   void partIsQuarantinedDespiteRestartsOfNodesAndOutagesOfTheStore() {
     assertEquals(List.of(), problems(2, true));
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/PromptPartQuarantineTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/PromptPartQuarantineTest.java
@@ -179,6 +179,38 @@
     assertFalse(quarantine.isQuarantined(MIDDLE));
   }
 
+  private void crashUnder(RequestContent content, PromptPart part) {
+    quarantine.recordCrashes(
+        List.of(new EndpointCrash(content, ImmutableList.of(part), "e" + crashes++)));
+  }
+
+  /** Guards against a part whose crashes are put down to the first content with it. */
+  @Test
+  void crashUnderAnotherContentQuarantinesPartOfContentThatCrashedEndpoints() {
+    RequestContent crashing = nextContent();
+    for (int i = 0; i < 3; i++) {
+      crashUnder(crashing, BAD);
+    }
+    assertTrue(quarantine.isQuarantined(crashing));
+    assertFalse(quarantine.isQuarantined(BAD));
+    crashUnder(nextContent(), BAD);
+    assertTrue(quarantine.isQuarantined(BAD));
+  }
+
+  /** Guards against the quarantine of a part that was lost with a content which lacks it. */
+  @Test
+  void crashUnderAnotherContentDoesNotQuarantinePartThatWasLostWithCrashingOne() {
+    RequestContent crashing = nextContent();
+    for (int i = 0; i < 3; i++) {
+      quarantine.recordCrashes(
+          List.of(
+              new EndpointCrash(crashing, ImmutableList.of(BAD), "c" + i),
+              new EndpointCrash(nextContent(), ImmutableList.of(MIDDLE), "c" + i)));
+    }
+    crashUnder(nextContent(), MIDDLE);
+    assertFalse(quarantine.isQuarantined(MIDDLE));
+  }
+
   /** The same for a second content, after a part was lost with the first one. */
   @Test
   void anotherContentAtAllLaterCrashesIsQuarantinedToo() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/PartEvidence.java
@@ -45,8 +45,8 @@
   private static final int MAX_CRASHES_PER_CONTENT = 2;
 
   /**
-   * Maximum number of contents that explain the crashes with a part. Requests that share a part
-   * which crashes endpoints have more contents than that.
+   * Maximum number of contents that explain the crashes with a part. At most one of them has the
+   * part itself: if two different contents with it crash endpoints, the part does.
    */
   private static final int MAX_EXPLAINING_CONTENTS = 2;
 
@@ -203,12 +203,12 @@
   /**
    * Returns the parts that are the causes of crashes.
    *
-   * @param quarantined the contents that are quarantined; the crashes at which one of a few of them
+   * @param crashing the contents that crash endpoints; the crashes at which one of a few of them
    *     was present do not count against parts
    * @param adopted the parts that other nodes quarantined, which explain the crashes with them
    *     unless requests with them ran
    */
-  ImmutableSet<PromptPart> causes(Set<RequestContent> quarantined, Set<PromptPart> adopted) {
+  ImmutableSet<PromptPart> causes(Set<RequestContent> crashing, Set<PromptPart> adopted) {
     removeExpired();
     List<Crash> remaining = new ArrayList<>(crashes.values());
     remaining.removeIf(crash -> crash.settled);
@@ -218,12 +218,12 @@
     Set<PromptPart> causes = new LinkedHashSet<>();
     // A part that was sound is considered only for crashes that no other part explains.
     for (boolean sound : new boolean[] {false, true}) {
-      Optional<PromptPart> next = mostSuspicious(remaining, sound, quarantined);
+      Optional<PromptPart> next = mostSuspicious(remaining, sound, crashing);
       while (next.isPresent()) {
         PromptPart cause = next.get();
         causes.add(cause);
         remaining.removeIf(crash -> crash.has(cause));
-        next = mostSuspicious(remaining, sound, quarantined);
+        next = mostSuspicious(remaining, sound, crashing);
       }
     }
     removeRedundant(causes);
@@ -232,15 +232,12 @@
   }
 
   private Optional<PromptPart> mostSuspicious(
-      List<Crash> remaining, boolean sound, Set<RequestContent> quarantined) {
+      List<Crash> remaining, boolean sound, Set<RequestContent> crashing) {
     return counts(remaining).entrySet().stream()
         .filter(entry -> entry.getValue().unjudged)
         .filter(entry -> isSound(entry.getKey()) == sound)
         .filter(entry -> entry.getValue().counted >= limitOf(entry.getKey()).threshold())
-        .filter(
-            entry ->
-                unexplainedByContents(entry.getKey(), quarantined)
-                    >= limitOf(entry.getKey()).threshold())
+        .filter(entry -> !isExplainedByContents(entry.getKey(), crashing))
         .max(
             Comparator.<Map.Entry<PromptPart, Count>>comparingInt(entry -> entry.getValue().counted)
                 .thenComparingInt(entry -> entry.getValue().total)
@@ -249,24 +246,50 @@
         .map(Map.Entry::getKey);
   }
 
-  /** Returns how many crashes with a part a few of the quarantined contents don't explain. */
-  private int unexplainedByContents(PromptPart part, Set<RequestContent> quarantined) {
+  /**
+   * Returns whether a few of the crashing contents explain so many crashes with a part that the
+   * others don't suffice. If one of these contents has the part itself, one other crash is enough:
+   * one cause, the part, is then more likely than two.
+   */
+  private boolean isExplainedByContents(PromptPart part, Set<RequestContent> crashing) {
     List<Crash> unexplainedCrashes =
         new ArrayList<>(crashes.values().stream().filter(crash -> crash.has(part)).toList());
-    for (int i = 0; i < MAX_EXPLAINING_CONTENTS && !unexplainedCrashes.isEmpty(); i++) {
-      Optional<RequestContent> best =
-          quarantined.stream()
-              .max(Comparator.comparingLong(content -> countWith(unexplainedCrashes, content)));
-      best.ifPresent(
-          content -> unexplainedCrashes.removeIf(crash -> crash.starts.containsKey(content)));
+    Set<RequestContent> candidates = new LinkedHashSet<>(crashing);
+    boolean shared = false;
+    for (int i = 0; i < MAX_EXPLAINING_CONTENTS && !candidates.isEmpty(); i++) {
+      RequestContent best = mostPresent(candidates, unexplainedCrashes, part);
+      if (!unexplainedCrashes.removeIf(crash -> crash.starts.containsKey(best))) {
+        break;
+      }
+      if (hasPart(best, part)) {
+        shared = true;
+        candidates.removeIf(content -> hasPart(content, part));
+      }
     }
-    return unexplainedCrashes.size();
+    int required = shared && !isSound(part) ? 1 : limitOf(part).threshold();
+    return unexplainedCrashes.size() < required;
+  }
+
+  /** Returns the content that was present at most of the crashes, preferably without the part. */
+  private RequestContent mostPresent(
+      Set<RequestContent> contents, List<Crash> crashes, PromptPart part) {
+    return contents.stream()
+        .max(
+            Comparator.comparingLong((RequestContent content) -> countWith(crashes, content))
+                .thenComparing(content -> !hasPart(content, part)))
+        .orElseThrow();
   }
 
   private static long countWith(List<Crash> crashes, RequestContent content) {
     return crashes.stream().filter(crash -> crash.starts.containsKey(content)).count();
   }
 
+  private boolean hasPart(RequestContent content, PromptPart part) {
+    return crashes.values().stream()
+        .map(crash -> crash.starts.get(content))
+        .anyMatch(parts -> parts != null && parts.contains(part));
+  }
+
   private boolean isSound(PromptPart part) {
     return limitOf(part).threshold() == SOUND_CRASH_THRESHOLD;
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -85,6 +85,12 @@
 
   private final Set<RequestContent> quarantinedContents = new LinkedHashSet<>();
 
+  /**
+   * The contents that reached the threshold, also if their quarantine ended because a part explains
+   * their crashes. They still explain the crashes with other parts.
+   */
+  private final Set<RequestContent> crashingContents = new LinkedHashSet<>();
+
   /** The incarnations that crashed with each quarantined part and when, as last evaluated. */
   private ImmutableMap<PromptPart, ImmutableMap<String, Long>> crashedWithPart = ImmutableMap.of();
 
@@ -239,7 +245,7 @@
    * against which that speaks. Returns the parts that are quarantined because of this.
    */
   private ImmutableList<PromptPart> evaluateParts() {
-    ImmutableSet<PromptPart> causes = evidence.causes(quarantinedContents, adoptedParts);
+    ImmutableSet<PromptPart> causes = evidence.causes(crashingContents, adoptedParts);
     ImmutableList.Builder<PromptPart> quarantined = ImmutableList.builder();
     for (PromptPart part : causes) {
       if (!parts.containsKey(part)) {
@@ -296,6 +302,7 @@
       }
       suspect.quarantined = true;
       quarantinedContents.add((RequestContent) trait);
+      crashingContents.add((RequestContent) trait);
       suspect.quarantinedUntil = now() + QUARANTINE_DURATION.toNanos();
     }
     counters.count(Metric.QUARANTINE, trait instanceof PromptPart ? "part-held" : "held");
@@ -311,7 +318,7 @@
   void adopt(RequestTrait trait) {
     boolean contradicted =
         trait instanceof PromptPart part
-            && evidence.contradicts(part, evidence.causes(quarantinedContents, adoptedParts));
+            && evidence.contradicts(part, evidence.causes(crashingContents, adoptedParts));
     if (!contradicted && !isQuarantined(trait)) {
       if (trait instanceof PromptPart part) {
         adoptedParts.add(part);
@@ -335,6 +342,7 @@
       }
       suspect.quarantined = false;
       quarantinedContents.remove(trait);
+      crashingContents.remove(trait);
       suspect.crashedIncarnations.clear();
       suspect.earlierCrashes = CRASH_THRESHOLD - 1;
       suspect.lastCrashAt = now();
@@ -348,6 +356,7 @@
     Suspect suspect = suspects.get(content);
     if (suspect != null && !suspect.quarantined) {
       suspects.remove(content);
+      crashingContents.remove(content);
       evidence.removeContent(content);
       counters.count(Metric.QUARANTINE, "cleared");
     }
@@ -385,6 +394,7 @@
         oldestFirst.remove();
       }
     }
+    crashingContents.retainAll(suspects.keySet());
   }
 
   private long now() {
