Signals are handled before a node listens

Cause: the handlers of SIGTERM and SIGHUP were installed after the sockets listened, and both end a JVM by default. Evidence: six starts of a node, each with a request and SIGTERM as soon as its port accepts: six resets, exit code 143 after 10 to 20 ms.

Change: handlers come first and wait for the node; the socket for callers is opened last; a second stop joins the first one. vaneworksd had the same fault for SIGTERM.

Tests: SignalsAtStartTest, real processes, failed before (Connection reset in both).

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonMain.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/DaemonMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.vaneworks.telemetry.Event;
@@ -74,9 +75,13 @@
     }
   }
 
+  /**
+   * Starts a daemon and waits until it has stopped. Signals are handled before the sockets listen:
+   * by default they end the process, with the requests that have arrived by then.
+   */
   private int runUntilStopped(DaemonSettings settings) throws Exception {
     Signal.handle(new Signal("HUP"), signal -> checkForChanges(settings));
-    Daemon daemon = Daemon.start(settings);
+    CompletableFuture<Daemon> started = new CompletableFuture<>();
     CountDownLatch stopped = new CountDownLatch(1);
     AtomicInteger cutRequests = new AtomicInteger();
     AtomicInteger termSignals = new AtomicInteger();
@@ -84,20 +89,21 @@
         new Signal("TERM"),
         signal -> {
           if (termSignals.incrementAndGet() > 1) {
-            cutRequests.set(daemon.node().inFlight());
+            cutRequests.set(started.isDone() ? started.join().node().inFlight() : 0);
             EventLog.warn(Event.STOP_CUT, "cut", cutRequests.get(), "cause", "second signal");
             stopped.countDown();
             return;
           }
           var unused =
-              daemon
-                  .stop()
+              started
+                  .thenCompose(Daemon::stop)
                   .whenComplete(
                       (count, failure) -> {
                         cutRequests.set(failure == null ? count : 1);
                         stopped.countDown();
                       });
         });
+    started.complete(Daemon.start(settings));
     stopped.await();
     return cutRequests.get() == 0 ? OK : REQUESTS_CUT;
   }
--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -102,6 +102,10 @@
 
   private EntrySettings settings;
   private boolean stopping;
+
+  /** Completes with the number of requests that a planned stop cut. */
+  private final CompletableFuture<Integer> stopped = new CompletableFuture<>();
+
   private boolean closingIdleConnections;
   private boolean closingServer;
   private boolean wasReady;
@@ -276,18 +280,8 @@
     return node;
   }
 
+  /** Opens the sockets; that for callers last, as the node serves them once it listens. */
   private void listen() throws Exception {
-    callerServer =
-        EntryServer.listen(
-            settings.callers(),
-            io,
-            forwarder::forward,
-            adapters.headers(),
-            settings.maxHeaderBytes(),
-            this::limits,
-            () -> stopping || !forwarder.hasFreshConfiguration(),
-            callerConnections,
-            counters);
     readinessServer = EntryServer.listenReadiness(settings.readiness(), io, this::checkReady);
     loadDatagrams =
         settings
@@ -300,6 +294,17 @@
       metricsServer =
           Optional.of(EntryServer.listenMetrics(settings.metrics().get(), io, meters::scrape));
     }
+    callerServer =
+        EntryServer.listen(
+            settings.callers(),
+            io,
+            forwarder::forward,
+            adapters.headers(),
+            settings.maxHeaderBytes(),
+            this::limits,
+            () -> stopping || !forwarder.hasFreshConfiguration(),
+            callerConnections,
+            counters);
   }
 
   private HttpServerContext listenForPeers(HostPort address) throws Exception {
@@ -422,22 +427,27 @@
         settings.retryReserve());
   }
 
-  /** Performs a planned stop; the future completes with the number of requests that were cut. */
+  /**
+   * Performs a planned stop; the future completes with the number of requests that were cut. Later
+   * calls join the stop that is in progress.
+   */
   public CompletableFuture<Integer> stop() {
-    CompletableFuture<Integer> stopped = new CompletableFuture<>();
     io.execute(
         () -> {
+          if (stopping) {
+            return;
+          }
           stopping = true;
           EventLog.info(Event.STOP_REQUESTED, "inFlight", forwarder.inFlight());
           placement.stop();
           lease.stop();
           long startNanos = io.currentTime(NANOSECONDS);
-          continueStop(startNanos, stopped);
+          continueStop(startNanos);
         });
     return stopped;
   }
 
-  private void continueStop(long startNanos, CompletableFuture<Integer> stopped) {
+  private void continueStop(long startNanos) {
     StopPlan plan = StopPlan.within(settings.stopGrace());
     Duration elapsed = Duration.ofNanos(io.currentTime(NANOSECONDS) - startNanos);
     if (!plan.acceptsRequests(elapsed)) {
@@ -455,11 +465,10 @@
     boolean delivered = idle && callerConnections.isEmpty();
     if (delivered || plan.isExpired(elapsed)) {
       EventLog.info(idle ? Event.STOPPED : Event.STOP_CUT, "inFlight", activeRequests());
-      closeSockets(stopped);
+      closeSockets();
       return;
     }
-    io.schedule(
-        () -> continueStop(startNanos, stopped), StopPlan.CHECK_INTERVAL.toNanos(), NANOSECONDS);
+    io.schedule(() -> continueStop(startNanos), StopPlan.CHECK_INTERVAL.toNanos(), NANOSECONDS);
   }
 
   /**
@@ -483,7 +492,7 @@
     return Math.max(forwarder.inFlight(), callerConnections.activeCount());
   }
 
-  private void closeSockets(CompletableFuture<Integer> stopped) {
+  private void closeSockets() {
     int cutRequests = activeRequests();
     follower.stop();
     loadExchange.stop();
