A refused probe proves no end of a process while the node is cut off

Cause: after a close between two events the engine is probed, and any answer but silence counted as the end of its process, also a refusal by whatever cuts this node off. Evidence: three new tests of UndelimitedStreamTest failed on ("aborted"), one of them with a reach check just before the cut.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
@@ -30,6 +30,8 @@
   private static final int DATA_CENTRES = 3;
   private static final double RESERVE_PER_NODE = 15;
   private static final int OTHER_FAULT_ONE_IN = 100;
+  private static final int CRASH_ONE_IN = 4;
+  private static final int CRASH_DOWN_MILLIS = 800;
   private static final int MAX_STALL_MILLIS = 300;
   private static final int MAX_ENGINE_PAUSE_MILLIS = 1500;
 
@@ -49,6 +51,7 @@
   private final List<SimulatedCaller> duringCut = new ArrayList<>();
   private final List<String> problems = new ArrayList<>();
   private boolean cutNow;
+  private boolean enginesCrash;
   private final ImmutableList<EntryRoute> routes =
       ImmutableList.of(
           SimulationConfiguration.route(CallKind.RESUMABLE_STREAM, 2),
@@ -67,6 +70,17 @@
         seed, cuts[1 + (int) Math.floorMod(seed, cuts.length - 1)], true);
   }
 
+  /**
+   * Creates a simulation like {@link #withOtherFaults} in which responses have neither a length nor
+   * chunks, and engines also crash: to a node that is cut off each engine looks as if it had ended.
+   */
+  static IsolatedNodeSimulation withUndelimitedResponses(long seed, EndpointCut cut) {
+    IsolatedNodeSimulation simulation = new IsolatedNodeSimulation(seed, cut, true);
+    simulation.enginesCrash = true;
+    simulation.cluster.leaveResponsesUndelimited();
+    return simulation;
+  }
+
   /** Creates a simulation in which a random part of the nodes, but not all, is cut off. */
   IsolatedNodeSimulation(long seed, EndpointCut cut) {
     this(seed, cut, false);
@@ -140,6 +154,10 @@
 
   private void injectOtherFault() {
     int node = random.nextInt(nodes);
+    if (enginesCrash && random.nextInt(CRASH_ONE_IN) == 0) {
+      cluster.restartEngine(random.nextInt(ENGINES), CRASH_DOWN_MILLIS);
+      return;
+    }
     switch (random.nextInt(4)) {
       case 0 -> restart(node);
       case 1 -> cluster.stallNode(node, random.nextInt(MAX_STALL_MILLIS));
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulationTest.java
@@ -48,6 +48,19 @@
         });
   }
 
+  // Guards against streams that look complete because their engines crashed while their nodes could
+  // not reach any engine.
+  @Test
+  void undelimitedStreamsOfNodesThatAreCutOffAreCompleteOrVisiblyNot() {
+    List<String> problems = new ArrayList<>();
+    for (EndpointCut cut : List.of(EndpointCut.NEW_REFUSED, EndpointCut.RESET)) {
+      for (long seed = 1; seed <= SEEDS; seed++) {
+        problems.addAll(IsolatedNodeSimulation.withUndelimitedResponses(seed, cut).run());
+      }
+    }
+    assertEquals(List.of(), problems);
+  }
+
   // Guards against a node whose only peer restarts, and which then tries endpoints that it can't
   // reach.
   @Test
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -239,6 +239,7 @@
   final FakeEngineControl control = new FakeEngineControl();
   final SimpleMeterRegistry meters = new SimpleMeterRegistry();
   final Fleet fleet;
+  final HealthChecker health;
   final Forwarder forwarder;
   Optional<EntryConfiguration> configuration = Optional.of(configuration());
   long confirmedAt;
@@ -250,12 +251,13 @@
     ReachabilityMonitor reachability =
         ReachabilityMonitor.create(
             clock, new Random(9), fleet, (address, timeout) -> connect(address), counters);
+    health = HealthChecker.create(clock, fleet, control, reachability);
     forwarder =
         Forwarder.create(
             clock,
             new Random(7),
             fleet,
-            HealthChecker.create(clock, fleet, control, reachability),
+            health,
             reachability,
             PeerNodes.create(
                 clock, new Random(10), () -> peers, "dc1", new RecordingTransport(toPeers)),
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/UndelimitedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/UndelimitedStreamTest.java
@@ -217,6 +217,106 @@
     assertFalse(response.whole, "taken as complete");
   }
 
+  private void refuseAllConnections() {
+    node.fleet.all().forEach(engine -> node.control.refusing.add(engine.address()));
+  }
+
+  // Guards against a complete stream that is aborted because its node is cut off: new connections
+  // are refused then, which looks like the end of each engine's process.
+  @Test
+  void streamThatEndsWhileTheNodeIsCutOffIsCompleteOnceItsEngineAnswers() {
+    startStream("/once/x");
+    refuseAllConnections();
+    endConnection();
+    node.advance(1500);
+    assertFalse(response.whole, "taken as complete without evidence");
+    assertFalse(response.cut, "aborted");
+    node.control.refusing.clear();
+    node.advance(2000);
+    assertTrue(response.whole, "whole");
+  }
+
+  // The same while the node stays cut off, as the list still has the engine's entry after the time
+  // in which it would have expired.
+  @Test
+  void streamThatEndsWhileTheNodeIsCutOffIsCompleteIfTheEntryOutlivesTheProcess() {
+    startStream("/once/x");
+    refuseAllConnections();
+    endConnection();
+    for (int i = 0; i < 4; i++) {
+      node.advance(1000);
+      node.fleet.resolveMissing();
+      assertFalse(response.whole, "taken as complete before the entry would have expired");
+    }
+    node.advance(2000);
+    node.fleet.resolveMissing();
+    node.advance(200);
+    assertTrue(response.whole, "whole");
+  }
+
+  // Guards against a list that nobody confirmed and that counts as evidence.
+  @Test
+  void streamThatEndsWhileTheNodeIsCutOffFromTheStoreTooIsNotComplete() {
+    startStream("/once/x");
+    refuseAllConnections();
+    endConnection();
+    node.advance(10_000);
+    assertFalse(response.whole, "taken as complete");
+    assertTrue(response.cut, "aborted");
+  }
+
+  // Guards against the end of a process during a cut, whose streams look complete.
+  @Test
+  void streamWhoseEngineEndsWhileTheNodeIsCutOffIsNotComplete() {
+    startStream("/once/x");
+    HostPort address = running.attempt.endpoint().address();
+    refuseAllConnections();
+    endConnection();
+    node.advance(1500);
+    node.control.refusing.removeIf(refusing -> !refusing.equals(address));
+    node.advance(2000);
+    assertFalse(response.whole, "taken as complete");
+    assertTrue(response.cut, "aborted");
+  }
+
+  // The same where the entry goes first.
+  @Test
+  void streamWhoseEntryGoesWhileTheNodeIsCutOffIsNotComplete() {
+    startStream("/once/x");
+    refuseAllConnections();
+    endConnection();
+    node.advance(1500);
+    node.fleet.remove(running.attempt.endpoint().id());
+    node.fleet.resolveMissing();
+    node.advance(200);
+    assertFalse(response.whole, "taken as complete");
+    assertTrue(response.cut, "aborted");
+  }
+
+  // Guards against a cut that begins just after the node reached other endpoints.
+  @Test
+  void reachBeforeTheRefusalDoesNotProveTheEndOfTheProcess() {
+    startStream("/once/x");
+    RecordedResponse first = response;
+    SentAttempt firstAttempt = running;
+    TrackedEndpoint other =
+        node.fleet.all().stream()
+            .filter(engine -> !engine.address().equals(running.attempt.endpoint().address()))
+            .findFirst()
+            .orElseThrow();
+    node.control.refusing.add(other.address());
+    node.health.check(other);
+    node.advance(50);
+    refuseAllConnections();
+    firstAttempt.endWithConnection();
+    node.clock.runDue();
+    node.advance(200);
+    assertFalse(first.cut, "aborted");
+    node.control.refusing.clear();
+    node.advance(2000);
+    assertTrue(first.whole, "whole");
+  }
+
   // The same where the engine has restarted already.
   @Test
   void streamWhoseEngineHasRestartedIsResumed() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -65,6 +65,11 @@
 
   private long backupSettledAt = Long.MAX_VALUE;
 
+  /** When all changes of the list were last known, and when a read of it last failed. */
+  private long upToDateAt = Long.MIN_VALUE;
+
+  private long readFailedAt = Long.MIN_VALUE;
+
   private Fleet(Executor clock, Counters counters, Duration relistGrace) {
     this.clock = checkNotNull(clock);
     this.counters = checkNotNull(counters);
@@ -137,6 +142,7 @@
    *     not known
    */
   public void recordStoreFailure(long callBegunAt, Optional<StorePosition> lastPosition) {
+    readFailedAt = now();
     outage.recordFailure(callBegunAt);
     if (withState(ListingState.RETAINED).isEmpty()) {
       outage.setPositionBefore(lastPosition);
@@ -150,6 +156,7 @@
    * Endpoints that it lists may have been removed since, as this node observed.
    */
   public void recordNewEra() {
+    readFailedAt = now();
     outage.recordFailure(now());
     outage.setPositionBefore(Optional.empty());
     history.recordNewEra();
@@ -362,6 +369,7 @@
    * processed.
    */
   public void resolveMissing() {
+    upToDateAt = now();
     if (now() >= backupSettledAt) {
       // This node saw them being removed, but their entries have not been removed again since.
       history.entriesInBackupOnly().forEach(this::put);
@@ -379,6 +387,19 @@
     }
   }
 
+  /**
+   * Returns whether an endpoint is still listed according to a read after a time, and no read has
+   * failed since another time. An endpoint that has ended by then is not, if its entry had the time
+   * to expire in between.
+   *
+   * @param readAfter in nanoseconds on the clock, like {@code noFailureSince}
+   */
+  boolean isStillListed(TrackedEndpoint endpoint, long readAfter, long noFailureSince) {
+    return endpoint.listing() == ListingState.LISTED
+        && upToDateAt >= readAfter
+        && readFailedAt < noFailureSince;
+  }
+
   private boolean anySurvivedOutage() {
     return withState(ListingState.LISTED).stream()
         .map(TrackedEndpoint::endpoint)
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -165,22 +165,30 @@
 
   /**
    * Checks, after an engine has closed a connection, whether its process has ended. Its box answers
-   * for a process that has ended, by refusing connections; silence proves nothing. An engine whose
-   * backoff admits no call is probed after the backoff; if that takes long, nothing is known.
+   * for a process that has ended, by refusing connections; silence proves nothing, nor does a
+   * refusal while this node is cut off. An engine whose backoff admits no call is probed after the
+   * backoff; if that takes long, nothing is known.
    *
-   * @param onChecked called, possibly before this method returns, with whether the process is known
-   *     to have ended
+   * @param onChecked called, possibly before this method returns, with whether the process may have
+   *     ended, as something shows that and nothing shows the opposite
    */
   public void checkEnded(TrackedEndpoint engine, Consumer<Boolean> onChecked) {
-    checkEnded(engine, onChecked, now() + MAX_BACKOFF_WAIT.toNanos());
+    new ProcessEndCheck(
+            clock,
+            fleet,
+            reachability,
+            engine,
+            onProbed -> probeForEnd(engine, onProbed, now() + MAX_BACKOFF_WAIT.toNanos()),
+            onChecked)
+        .start();
   }
 
   /**
-   * Checks whether the process of an engine has ended.
+   * Probes an engine to see whether its box or a later process answers in its place.
    *
    * @param waitsUntil until when the end of a backoff is awaited, in nanoseconds of the clock
    */
-  private void checkEnded(TrackedEndpoint engine, Consumer<Boolean> onChecked, long waitsUntil) {
+  private void probeForEnd(TrackedEndpoint engine, Consumer<Boolean> onChecked, long waitsUntil) {
     if (engine.hasEnded()) {
       onChecked.accept(true);
       return;
@@ -189,7 +197,7 @@
       long backoffEndsAt = engine.backoff().endsAt();
       if (backoffEndsAt <= waitsUntil) {
         clock.schedule(
-            () -> checkEnded(engine, onChecked, waitsUntil), backoffEndsAt - now(), NANOSECONDS);
+            () -> probeForEnd(engine, onChecked, waitsUntil), backoffEndsAt - now(), NANOSECONDS);
       } else {
         onChecked.accept(false);
       }
@@ -209,7 +217,7 @@
             if (ended) {
               onChecked.accept(true);
             } else {
-              checkEnded(engine, onChecked, waitsUntil);
+              probeForEnd(engine, onChecked, waitsUntil);
             }
           });
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
@@ -81,6 +81,7 @@
   private final Map<TrackedEndpoint, Long> failures = new LinkedHashMap<>();
 
   private boolean checking;
+  private long checkStartedAt = Long.MIN_VALUE;
   private boolean isolated;
   private long isolatedSince;
   private long reachedAt = Long.MIN_VALUE / 2;
@@ -139,6 +140,26 @@
         });
   }
 
+  /**
+   * Determines whether this node reaches other endpoints now, as an earlier check may have ended
+   * before this node was cut off. A node without other endpoints counts as not cut off.
+   *
+   * @param unreached an endpoint that this node could not reach
+   * @param onResult called, possibly before this method returns, with whether the node reaches
+   *     others
+   */
+  void confirmReach(TrackedEndpoint unreached, Consumer<Boolean> onResult) {
+    long since = now();
+    whenChecked(
+        () -> {
+          if (!isolated && checkStartedAt < since) {
+            recordFailure(unreached);
+            check(ImmutableSet.of(unreached));
+          }
+          whenChecked(() -> onResult.accept(!isolated));
+        });
+  }
+
   /** Records that a connection to an endpoint was refused. */
   public void recordRefused(TrackedEndpoint endpoint) {
     recordFailure(endpoint);
@@ -166,15 +187,19 @@
   }
 
   private void check() {
+    check(ImmutableSet.copyOf(failures.keySet()));
+  }
+
+  private void check(ImmutableSet<TrackedEndpoint> failed) {
     if (checking || isolated) {
       return;
     }
-    ImmutableSet<TrackedEndpoint> failed = ImmutableSet.copyOf(failures.keySet());
     ImmutableList<TrackedEndpoint> candidates = candidates(failed);
     if (candidates.isEmpty()) {
       return;
     }
     checking = true;
+    checkStartedAt = now();
     new Sample(first(candidates, SAMPLE_SIZE), 1, CONNECT_TIMEOUT, sample -> end(failed, sample))
         .start();
   }
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -51,6 +51,10 @@
   ENDPOINT_BACKOFF_UNREADABLE(3015, "an endpoint's requested backoff could not be read"),
   NODE_ISOLATED(3016, "this node reaches no endpoint; new connections to several failed"),
   NODE_REACHES_ENDPOINTS(3017, "this node reaches endpoints again"),
+  PROCESS_END_UNDECIDED(
+      3018,
+      "whether an endpoint's process has ended can't be told while this node is cut off; the end"
+          + " of a response is held"),
   PLACEMENT_CONTROLLER(3101, "this node is the controller that assigns layers to engines"),
   PLACEMENT_DECIDED(3102, "an engine is assigned other layers"),
   ORDER_ANSWERED(3103, "an engine answered an order"),
