A part that only another node quarantined leaves no trace when it is released

What callers saw: sound requests whose part a node had quarantined by mistake, and released, were refused again after the next crash with it, at all nodes that had adopted the quarantine.

Cause: the end of a quarantine in the store was taken for an operator's release, after which one crash is enough, also if this node had never decided on the part; the crashes with it no longer counted for any other part either.

Change: for a part that was only adopted the own evidence stays as it is.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/SharedQuarantineTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/SharedQuarantineTest.java
@@ -211,6 +211,18 @@
     assertEquals(1, store.keys().stream().filter(key -> key.startsWith(PREFIX + "sound/")).count());
   }
 
+  /** Guards against one crash that counts as three, as another node quarantined the part. */
+  @Test
+  void partThatAnotherNodeReleasedIsNotQuarantinedAtTheNextCrash() {
+    Node node = new Node("n1");
+    store.put(PREFIX + "held/" + POPULAR, "");
+    assertTrue(becomesTrue(() -> node.quarantine().isQuarantined(POPULAR)));
+    store.remove(PREFIX + "held/" + POPULAR);
+    assertTrue(becomesTrue(() -> !node.quarantine().isQuarantined(POPULAR)));
+    node.loseEndpoint(POPULAR);
+    assertFalse(node.quarantine().isQuarantined(POPULAR));
+  }
+
   /** Guards against decisions on a part of the changes that were read with one response. */
   @Test
   void crashesAndQuarantineThatAreReadTogetherAreJudgedTogether() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/Quarantine.java
@@ -327,14 +327,18 @@
     }
   }
 
-  /** Ends a quarantine; one more crash quarantines the requests again. */
+  /**
+   * Ends a quarantine; one more crash quarantines the requests again. The quarantine of a part that
+   * only another node decided on, which may have found that it was wrong, leaves no trace.
+   */
   void release(RequestTrait trait, String cause) {
     if (trait instanceof PromptPart part) {
       if (parts.remove(part) == null) {
         return;
       }
-      adoptedParts.remove(part);
-      evidence.release(part);
+      if (!adoptedParts.remove(part)) {
+        evidence.release(part);
+      }
     } else {
       Suspect suspect = suspects.get(trait);
       if (suspect == null || !suspect.quarantined) {
