A stall report does not answer whether an engine's process has ended

Cause: after the close the engine is probed. A report of another engine, whose requests are stalled on it, ended the series of probes before the probe had an outcome, and that counted as "no sign of an end". Evidence: n1's log at 28.917, "no answer to 1 health checks, and requests at ... are stalled on it", and at 28.918 the response, not truncated.

Change: such a series tells that it had no outcome, and the engine is probed anew, which gives a refusal, an answer or silence.

Test: streamWhoseEngineIsSuspectedAfterTheCloseIsNotCompleteBeforeAProbeShowsIt failed before ("taken as complete"); InFlightResponseSimulationTest, StallReportTest and HealthCheckerTest pass.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/UndelimitedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/UndelimitedStreamTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Optional;
@@ -217,6 +218,28 @@
     assertFalse(response.whole, "taken as complete");
   }
 
+  // Guards against the end of a process that is taken for life, as another engine's report that
+  // requests are stalled on it ends the wait for the probe.
+  @Test
+  void streamWhoseEngineIsSuspectedAfterTheCloseIsNotCompleteBeforeAProbeShowsIt() {
+    startStream("/once/x");
+    TrackedEndpoint engine =
+        node.fleet.find(ForwardingFixture.MODEL, running.attempt.endpoint().address()).get();
+    TrackedEndpoint other =
+        node.fleet.all().stream().filter(each -> each != engine).findFirst().orElseThrow();
+    node.control.pending.put(engine.address(), new CompletableFuture<>());
+    endConnection();
+    node.advance(100);
+    node.control.pending.clear();
+    node.control.refusing.add(engine.address());
+    node.control.stalls.put(other.address(), ImmutableMap.of("q9", engine.address()));
+    node.health.check(other);
+    node.advance(200);
+    assertTrue(engine.suspected(), "suspected");
+    assertFalse(response.whole, "taken as complete");
+    assertTrue(response.cut, "aborted");
+  }
+
   private void refuseAllConnections() {
     node.fleet.all().forEach(engine -> node.control.refusing.add(engine.address()));
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -209,12 +209,21 @@
       var unused = result.thenAccept(onChecked);
       probeSuspected(engine, () -> result.complete(false), cause -> result.complete(isEnd(cause)));
     } else if (inProgress == null) {
-      startSeries(engine, CallPurpose.HEALTH_CHECK, onChecked);
+      startSeries(
+          engine,
+          CallPurpose.HEALTH_CHECK,
+          end -> {
+            if (end == SeriesEnd.WITHOUT_OUTCOME) {
+              probeForEnd(engine, onChecked, waitsUntil);
+            } else {
+              onChecked.accept(end == SeriesEnd.PROCESS_ENDED);
+            }
+          });
     } else {
       // The probe may have been answered before the connection was closed.
       inProgress.onEnd(
-          ended -> {
-            if (ended) {
+          end -> {
+            if (end == SeriesEnd.PROCESS_ENDED) {
               onChecked.accept(true);
             } else {
               probeForEnd(engine, onChecked, waitsUntil);
@@ -238,17 +247,26 @@
     if (!fleet.signals().admits(engine, purpose)) {
       return;
     }
-    startSeries(engine, purpose, ended -> {});
+    startSeries(engine, purpose, end -> {});
   }
 
-  private void startSeries(
-      TrackedEndpoint engine, CallPurpose purpose, Consumer<Boolean> onChecked) {
+  private void startSeries(TrackedEndpoint engine, CallPurpose purpose, Consumer<SeriesEnd> onEnd) {
     ProbeSeries series = new ProbeSeries(engine, purpose);
-    series.onEnd(onChecked);
+    series.onEnd(onEnd);
     probing.put(engine, series);
     series.probe();
   }
 
+  /** What the end of a series of probes shows about the engine's process. */
+  private enum SeriesEnd {
+    /** Its box, or a later process, answered in its place. */
+    PROCESS_ENDED,
+    /** It answered, or was silent, which its box is not for a process that has ended. */
+    NO_SIGN_OF_END,
+    /** The engine is suspected because of what others reported, before a probe had an outcome. */
+    WITHOUT_OUTCOME
+  }
+
   /** Consecutive probes of an engine, until one is answered or the engine is suspected. */
   private final class ProbeSeries implements ProbeListener {
     private final TrackedEndpoint engine;
@@ -263,8 +281,7 @@
     /** Another engine whose requests are stalled on this one, if any reported so. */
     private Optional<TrackedEndpoint> waitingEngine = Optional.empty();
 
-    /** Called at the end with whether the engine's process is known to have ended. */
-    private final List<Consumer<Boolean>> endListeners = new ArrayList<>();
+    private final List<Consumer<SeriesEnd>> endListeners = new ArrayList<>();
 
     private boolean ended;
 
@@ -273,8 +290,8 @@
       this.purpose = purpose;
     }
 
-    /** Adds a listener that is called at the end with whether the engine's process has ended. */
-    void onEnd(Consumer<Boolean> listener) {
+    /** Adds a listener that is called at the end. */
+    void onEnd(Consumer<SeriesEnd> listener) {
       endListeners.add(listener);
     }
 
@@ -301,7 +318,7 @@
         current = processReport(engine, report, sentAt);
       }
       if (!endedBefore) {
-        notifyEnd(!current);
+        notifyEnd(current ? SeriesEnd.NO_SIGN_OF_END : SeriesEnd.PROCESS_ENDED);
       }
     }
 
@@ -341,7 +358,7 @@
           "sent " + (unanswered + disregarded) + " probes, the last " + elapsed.toMillis();
       suspectWhenChecked(
           engine, "no answer to health checks: " + probes + " ms ago: " + failure + stalls());
-      notifyEnd(isEnd(failure));
+      notifyEnd(isEnd(failure) ? SeriesEnd.PROCESS_ENDED : SeriesEnd.NO_SIGN_OF_END);
     }
 
     /** Records that requests at another engine are stalled on this one. */
@@ -353,7 +370,7 @@
       if (isUnresponsive()) {
         endProbing();
         suspectWhenChecked(engine, "no answer to " + unanswered + " health checks" + stalls());
-        notifyEnd(false);
+        notifyEnd(SeriesEnd.WITHOUT_OUTCOME);
       }
     }
 
@@ -370,7 +387,7 @@
     private void end(boolean processEnded) {
       if (!ended) {
         endProbing();
-        notifyEnd(processEnded);
+        notifyEnd(processEnded ? SeriesEnd.PROCESS_ENDED : SeriesEnd.NO_SIGN_OF_END);
       }
     }
 
@@ -381,8 +398,8 @@
       }
     }
 
-    private void notifyEnd(boolean processEnded) {
-      endListeners.forEach(listener -> listener.accept(processEnded));
+    private void notifyEnd(SeriesEnd end) {
+      endListeners.forEach(listener -> listener.accept(end));
     }
   }
 
