VW3019, VW3020: a search for a peer that is given up, and one that succeeds

Cause: whether a node that is cut off found no peer, or found peers that could not serve, was not told. Change: an event and a count as the search for a peer pauses, an event as a peer takes requests after declines. No decision changed.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -192,7 +192,8 @@
             random,
             lease::peers,
             settings.dataCentre(),
-            EndpointConnections.toPeers(io, adapters.headers()));
+            EndpointConnections.toPeers(io, adapters.headers()),
+            counters);
     peerNodes.onTaken(eligibility::servedByPeer);
     placement =
         PlacementController.create(
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -168,6 +168,9 @@
   /** Requests whose last retry reached no engine, so that their next one is part of it. */
   private final Set<String> unspentRetries = new HashSet<>();
 
+  /** How many times nodes forwarded each request to a peer, by its id. */
+  private final Map<String, Integer> hopsById = new HashMap<>();
+
   /** The hops over which nodes received requests of peers. */
   private final Map<CallerRequest, SimulatedHop> hopsByRequest = new IdentityHashMap<>();
 
@@ -665,15 +668,14 @@
 
     /** Runs a callback on the event loop of the node that sent the request. */
     void deliver(Runnable callback) {
-      sender.receiveFromEngines(callback);
+      sender.endpoints.receive(callback);
     }
 
     /** Sends the request over a new or an open connection of its node. */
     void send(Engine engine) {
-      boolean open = sender.hasOpenConnection();
-      if (open) {
-        sender.sendToEngines(() -> engine.receive(this));
-      } else if (sender.cut == EndpointCut.HANG || sender.cut == EndpointCut.ANSWERS_HELD) {
+      if (sender.endpoints.hasOpenConnection()) {
+        sender.endpoints.send(() -> engine.receive(this));
+      } else if (sender.endpoints.holdsAnswers()) {
         connected = false;
         failToConnect(CONNECT_TIMEOUT_MILLIS, new ConnectTimeoutException());
       } else {
@@ -753,11 +755,7 @@
     /** The requests that peers forwarded to this incarnation. */
     private final List<SimulatedHop> hops = new ArrayList<>();
 
-    private EndpointCut cut = EndpointCut.NONE;
-    private final Random connections;
-
-    /** What is held back by a cut until it ends. */
-    private final List<Runnable> heldBack = new ArrayList<>();
+    private final EndpointLink endpoints;
 
     private BiConsumer<FleetEndpoint, EndpointSignal> signalListener = (engine, signal) -> {};
 
@@ -766,7 +764,11 @@
       this.index = index;
       number = incarnations++;
       Random random = new Random(seed + number);
-      connections = new Random(seed - number);
+      endpoints =
+          new EndpointLink(
+              eventLoop,
+              new Random(seed - number),
+              arrival -> SimulatedCluster.this.schedule(NETWORK_DELAY_MILLIS, arrival));
       Counters counters = Counters.in(meters);
       fleet = Fleet.create(eventLoop, counters, EntryNode.RELIST_GRACE);
       onSignal(fleet.signals()::recordCallAnswer);
@@ -821,7 +823,8 @@
                   new Random(seed + number),
                   () -> detailed ? peersOf(index) : ImmutableList.of(),
                   dataCentre(index),
-                  (attempt, listener) -> new SimulatedHop(this, attempt, listener).send()),
+                  (attempt, listener) -> new SimulatedHop(this, attempt, listener).send(),
+                  counters),
               this,
               (attempt, listener) -> sendAttempt(index, this, attempt, listener),
               quarantine,
@@ -837,43 +840,10 @@
 
     /** Cuts the node off from all engines, or ends that. */
     private void cutFromEngines(EndpointCut next) {
-      cut = next;
       if (next == EndpointCut.RESET) {
-        for (Engine engine : engines.values()) {
-          engine.abortRequestsOf(this);
-        }
-      }
-      if (next == EndpointCut.NONE) {
-        List<Runnable> released = ImmutableList.copyOf(heldBack);
-        heldBack.clear();
-        released.forEach(Runnable::run);
-      }
-    }
-
-    /** Receives something from an engine, unless a cut holds it back. */
-    private void receiveFromEngines(Runnable callback) {
-      if (cut == EndpointCut.HANG || cut == EndpointCut.ANSWERS_HELD) {
-        heldBack.add(() -> eventLoop.receive(callback));
-      } else {
-        eventLoop.receive(callback);
-      }
-    }
-
-    private void sendToEngines(Runnable arrival) {
-      if (cut == EndpointCut.HANG) {
-        heldBack.add(arrival);
-      } else {
-        schedule(NETWORK_DELAY_MILLIS, arrival);
+        engines.values().forEach(engine -> engine.abortRequestsOf(this));
       }
-    }
-
-    /** Returns whether a request goes over an open connection; half of them do during a cut. */
-    private boolean hasOpenConnection() {
-      return switch (cut) {
-        case NONE -> true;
-        case HANG, ANSWERS_HELD -> connections.nextBoolean();
-        case RESET, NEW_REFUSED -> false;
-      };
+      endpoints.cut(next);
     }
 
     private CompletableFuture<?> connect(HostPort address) {
@@ -883,9 +853,9 @@
       schedule(
           2 * NETWORK_DELAY_MILLIS,
           () -> {
-            if (cut == EndpointCut.RESET || cut == EndpointCut.NEW_REFUSED || engine.stopped) {
+            if (endpoints.refusesConnections() || engine.stopped) {
               connected.completeExceptionally(refused());
-            } else if (cut == EndpointCut.NONE && !silent) {
+            } else if (!endpoints.isCut() && !silent) {
               connected.complete(null);
             }
           });
@@ -948,10 +918,7 @@
 
     private CompletableFuture<EngineReport> reportNow(FleetEndpoint endpoint) {
       Engine engine = engines.get(endpoint.address());
-      if (cut == EndpointCut.RESET) {
-        return CompletableFuture.failedFuture(refused());
-      }
-      if (engine.stopped) {
+      if (endpoints.resetsConnections() || engine.stopped) {
         return CompletableFuture.failedFuture(refused());
       }
       if (isRejected(endpoint)) {
@@ -972,7 +939,7 @@
         FleetEndpoint endpoint, Duration timeout, Supplier<CompletableFuture<T>> answer) {
       CompletableFuture<T> result = new CompletableFuture<>();
       eventLoop.schedule(() -> result.completeExceptionally(new TimeoutException()), timeout);
-      sendToEngines(
+      endpoints.send(
           () -> {
             Engine engine = engines.get(endpoint.address());
             Runnable arrival =
@@ -992,7 +959,7 @@
       schedule(
           NETWORK_DELAY_MILLIS + delayMillis,
           () ->
-              receiveFromEngines(
+              endpoints.receive(
                   () ->
                       Async.ignore(
                           answer.whenComplete(
@@ -1111,6 +1078,7 @@
 
     SimulatedHop send() {
       sender.sentHops.add(this);
+      hopsById.merge(attempt.request().id(), 1, Integer::sum);
       charged = !attemptsOf(attempt.request().id()).isEmpty();
       if (charged && !unspentRetries.remove(attempt.request().id())) {
         retryListener.accept(sender.index, attempt.request().id());
@@ -1366,6 +1334,11 @@
     return ImmutableList.copyOf(attempts.getOrDefault(id, ImmutableList.of()));
   }
 
+  /** Returns how many times nodes forwarded a request to a peer. */
+  int hopsOf(String id) {
+    return hopsById.getOrDefault(id, 0);
+  }
+
   /** Stalls a node's event loop: it runs no timers and reads nothing. */
   void stallNode(int node, int millis) {
     nodes.get(node).eventLoop.stall(millis);
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -260,7 +260,12 @@
             health,
             reachability,
             PeerNodes.create(
-                clock, new Random(10), () -> peers, "dc1", new RecordingTransport(toPeers)),
+                clock,
+                new Random(10),
+                () -> peers,
+                "dc1",
+                new RecordingTransport(toPeers),
+                counters),
             control,
             new RecordingTransport(sent),
             SharedQuarantine.create(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -446,7 +446,7 @@
       return;
     }
     if (running.endpoint().isPeer()) {
-      context.peers().recordTaken();
+      context.peers().recordTaken(running.endpoint());
     }
     if (!head.matches()) {
       running.cancel();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerNodes.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerNodes.java
@@ -21,6 +21,10 @@
 import org.vaneworks.coordination.shared.Peer;
 import org.vaneworks.coordination.shared.PeerRelay;
 import org.vaneworks.state.StorePosition;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.telemetry.Event;
+import org.vaneworks.telemetry.EventLog;
+import org.vaneworks.telemetry.Metric;
 
 /**
  * The peers to which this node forwards requests while it does not reach enough endpoints.
@@ -59,6 +63,7 @@
   private final Supplier<ImmutableList<Peer>> peers;
   private final String dataCentre;
   private final EndpointTransport transport;
+  private final Counters counters;
   private final Map<Peer, Candidate> candidates = new HashMap<>();
   private final Map<TrackedEndpoint, PeerRelay> relays = new HashMap<>();
   private final Map<TrackedEndpoint, Long> penaltyUntil = new HashMap<>();
@@ -79,12 +84,14 @@
       Random random,
       Supplier<ImmutableList<Peer>> peers,
       String dataCentre,
-      EndpointTransport transport) {
+      EndpointTransport transport,
+      Counters counters) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
     this.peers = checkNotNull(peers);
     this.dataCentre = checkNotNull(dataCentre);
     this.transport = checkNotNull(transport);
+    this.counters = checkNotNull(counters);
   }
 
   /**
@@ -99,8 +106,9 @@
       Random random,
       Supplier<ImmutableList<Peer>> peers,
       String dataCentre,
-      EndpointTransport transport) {
-    return new PeerNodes(clock, random, peers, dataCentre, transport);
+      EndpointTransport transport,
+      Counters counters) {
+    return new PeerNodes(clock, random, peers, dataCentre, transport, counters);
   }
 
   /** Sets a listener that runs each time a peer serves a request of this node. */
@@ -161,7 +169,10 @@
   }
 
   /** Records that a peer took a request, as a response of an endpoint arrived. */
-  void recordTaken() {
+  void recordTaken(TrackedEndpoint peer) {
+    if (consecutiveDeclines > 0) {
+      EventLog.info(Event.PEER_FOUND, "peer", peer, "declines", consecutiveDeclines);
+    }
     consecutiveDeclines = 0;
     onTaken.run();
   }
@@ -170,7 +181,17 @@
   void recordDeclined(TrackedEndpoint peer) {
     peer.avoidUntil(now() + DECLINE_AVOIDANCE.toNanos());
     consecutiveDeclines++;
+    counters.count(Metric.PEER_HOPS, "declined");
     if (consecutiveDeclines >= MAX_CONSECUTIVE_DECLINES) {
+      counters.count(Metric.PEER_HOPS, "paused");
+      EventLog.warn(
+          Event.PEER_SEARCH_PAUSED,
+          "declines",
+          consecutiveDeclines,
+          "peers",
+          candidates.size(),
+          "pauseMs",
+          PAUSE_AFTER_DECLINES.toMillis());
       consecutiveDeclines = 0;
       pausedUntil = now() + PAUSE_AFTER_DECLINES.toNanos();
     }
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -55,6 +55,8 @@
       3018,
       "whether an endpoint's process has ended can't be told while this node is cut off; the end"
           + " of a response is held"),
+  PEER_SEARCH_PAUSED(3019, "no peer was found that takes requests; none is asked for a while"),
+  PEER_FOUND(3020, "a peer takes requests of this node, after others had declined"),
   PLACEMENT_CONTROLLER(3101, "this node is the controller that assigns layers to engines"),
   PLACEMENT_DECIDED(3102, "an engine is assigned other layers"),
   ORDER_ANSWERED(3103, "an engine answered an order"),
