Test: data centres that are cut off as a whole, 69 and 350 nodes (red)

The fleet's size, load and the nodes that are cut off are parameters of IsolatedNodeSimulation now; the simulations that existed draw the same as before.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedDataCentreTest.java
@@ -0,0 +1,54 @@
+package org.vaneworks.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.vaneworks.daemon.entry.IsolatedNodeSimulation.FleetSize;
+
+/** Tests fleets of which whole data centres, or most nodes, are cut off from all endpoints. */
+final class IsolatedDataCentreTest {
+  private static final FleetSize FLEET = new FleetSize(69, 4, 60, 300);
+  private static final FleetSize LARGE_FLEET = new FleetSize(350, 3, 60, 350);
+  private static final ImmutableList<EndpointCut> CUTS =
+      ImmutableList.of(
+          EndpointCut.HANG, EndpointCut.RESET, EndpointCut.NEW_REFUSED, EndpointCut.ANSWERS_HELD);
+
+  private final List<String> problems = new ArrayList<>();
+
+  private void run(FleetSize fleet, EndpointCut cut, ImmutableSet<Integer> isolated) {
+    for (String problem : new IsolatedNodeSimulation(1, cut, fleet, isolated).run()) {
+      problems.add(String.format("%s, %s of %s: ", cut, isolated.size(), fleet.nodes()) + problem);
+    }
+  }
+
+  private void assertNoProblems() {
+    assertEquals(ImmutableList.of(), problems);
+  }
+
+  // Guards against nodes that give up the search for a peer among those of their own data centre,
+  // all of which are cut off as well, the sooner the more of them there are.
+  @Test
+  void callersOfDataCentresThatAreCutOffAsAWholeAreServed() {
+    for (EndpointCut cut : CUTS) {
+      for (int dataCentres = 1; dataCentres < FLEET.dataCentres(); dataCentres++) {
+        run(FLEET, cut, FLEET.nodesOf(dataCentres));
+      }
+    }
+    run(LARGE_FLEET, EndpointCut.HANG, LARGE_FLEET.nodesOf(1));
+    run(LARGE_FLEET, EndpointCut.NEW_REFUSED, LARGE_FLEET.nodesOf(1));
+    assertNoProblems();
+  }
+
+  // Guards against requests that circulate among nodes, or wait, while no node reaches an endpoint.
+  @Test
+  void requestsAreRefusedAtOnceWhileNoNodeReachesAnEndpoint() {
+    for (EndpointCut cut : CUTS) {
+      run(FLEET, cut, FLEET.nodesOf(FLEET.dataCentres()));
+    }
+    assertNoProblems();
+  }
+}
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.state.entry.CallKind;
@@ -25,9 +26,7 @@
   private static final int CUT_MILLIS = 9000;
   private static final int STEP_MILLIS = 10;
   private static final int SETTLE_MILLIS = 26_000;
-  private static final int ENGINES = 6;
-  private static final int REPLICAS = 4;
-  private static final int DATA_CENTRES = 3;
+  private static final int SMALL_FLEET_REQUESTS_PER_SECOND = 50;
   private static final double RESERVE_PER_NODE = 15;
   private static final int OTHER_FAULT_ONE_IN = 100;
   private static final int CRASH_ONE_IN = 4;
@@ -41,7 +40,43 @@
   private static final int TOLERATED_FAILURES = 10;
   private static final double TOLERATED_FAILURE_FRACTION = 1 / 50.0;
 
+  /** Mean times that a request is forwarded: the peer that serves it, and as many that can't. */
+  private static final double MAX_MEAN_HOPS = 2;
+
+  /** Maximum time until a request is refused that no node can serve, detection aside. */
+  private static final int MAX_REFUSAL_MILLIS = 100;
+
+  /**
+   * The size of a fleet and its load.
+   *
+   * @param endpoints number of engines; there are two thirds as many replicas of the plain service
+   */
+  record FleetSize(int nodes, int dataCentres, int endpoints, int requestsPerSecond) {
+    private int replicas() {
+      return endpoints * 2 / 3;
+    }
+
+    /** Returns the nodes of the first data centres. */
+    ImmutableSet<Integer> nodesOf(int firstDataCentres) {
+      return IntStream.range(0, nodes)
+          .filter(node -> node % dataCentres < firstDataCentres)
+          .boxed()
+          .collect(ImmutableSet.toImmutableSet());
+    }
+
+    /** Returns a random part of the nodes. */
+    ImmutableSet<Integer> anyNodes(int count, Random random) {
+      return random
+          .ints(0, nodes)
+          .distinct()
+          .limit(count)
+          .boxed()
+          .collect(ImmutableSet.toImmutableSet());
+    }
+  }
+
   private final Random random;
+  private final FleetSize size;
   private final int nodes;
   private final ImmutableSet<Integer> isolated;
   private final EndpointCut cut;
@@ -86,15 +121,44 @@
     this(seed, cut, false);
   }
 
+  /** Creates a simulation in which the given nodes are cut off, and which has no other faults. */
+  IsolatedNodeSimulation(
+      long seed, EndpointCut cut, FleetSize size, ImmutableSet<Integer> isolated) {
+    this(new Random(seed), seed, cut, false, size, isolated);
+  }
+
   private IsolatedNodeSimulation(long seed, EndpointCut cut, boolean otherFaults) {
+    this(new Random(seed), seed, cut, otherFaults);
+  }
+
+  private IsolatedNodeSimulation(Random random, long seed, EndpointCut cut, boolean otherFaults) {
+    this(random, seed, cut, otherFaults, smallFleet(2 + random.nextInt(7)));
+  }
+
+  private IsolatedNodeSimulation(
+      Random random, long seed, EndpointCut cut, boolean otherFaults, FleetSize size) {
+    this(
+        random,
+        seed,
+        cut,
+        otherFaults,
+        size,
+        size.anyNodes(1 + random.nextInt(size.nodes() - 1), random));
+  }
+
+  private IsolatedNodeSimulation(
+      Random random,
+      long seed,
+      EndpointCut cut,
+      boolean otherFaults,
+      FleetSize size,
+      ImmutableSet<Integer> isolated) {
     this.cut = cut;
     this.otherFaults = otherFaults;
-    random = new Random(seed);
-    nodes = 2 + random.nextInt(7);
-    ImmutableSet.Builder<Integer> chosen = ImmutableSet.builder();
-    int count = 1 + random.nextInt(nodes - 1);
-    random.ints(0, nodes).distinct().limit(count).forEach(chosen::add);
-    isolated = chosen.build();
+    this.random = random;
+    this.size = size;
+    this.isolated = isolated;
+    nodes = size.nodes();
     ForwardingLimits limits =
         new ForwardingLimits(
             Duration.ofMillis(4750),
@@ -102,17 +166,21 @@
             nodes * RESERVE_PER_NODE / RetryBudgetChecker.RESERVE_FRACTION);
     cluster =
         new SimulatedCluster(
-            nodes, DATA_CENTRES, seed, SimulationConfiguration.of(1, 15_000), limits);
-    for (int i = 0; i < ENGINES; i++) {
+            nodes, size.dataCentres(), seed, SimulationConfiguration.of(1, 15_000), limits);
+    for (int i = 0; i < size.endpoints(); i++) {
       cluster.startEngine(0, 80);
     }
-    for (int i = 0; i < REPLICAS; i++) {
+    for (int i = 0; i < size.replicas(); i++) {
       cluster.startReplica();
     }
     cluster.onAttempt(this::beforeAttempt);
     cluster.advance(2000);
   }
 
+  private static FleetSize smallFleet(int nodes) {
+    return new FleetSize(nodes, 3, 6, SMALL_FLEET_REQUESTS_PER_SECOND);
+  }
+
   private void beforeAttempt(int node, String id) {
     SimulatedCaller caller = callers.get(id);
     if (caller != null) {
@@ -134,6 +202,7 @@
     sendFor(2000, afterwards);
     cluster.advance(SETTLE_MILLIS);
     checkService(duringCut, "during the cut");
+    checkHops();
     checkService(afterwards, "after the cut");
     callers.values().forEach(each -> problems.addAll(each.problems(cluster.attemptsOf(each.id()))));
     problems.addAll(cluster.unreleasedState());
@@ -142,7 +211,7 @@
 
   private void sendFor(int millis, List<SimulatedCaller> sent) {
     for (int i = 0; i < millis / STEP_MILLIS; i++) {
-      if (random.nextInt(2) == 0) {
+      for (int requests = requestsInStep(i); requests > 0; requests--) {
         sent.add(send());
       }
       if (otherFaults && random.nextInt(OTHER_FAULT_ONE_IN) == 0) {
@@ -152,17 +221,28 @@
     }
   }
 
+  /** Returns how many requests are sent in one step; at random if that is less than one. */
+  private int requestsInStep(int step) {
+    int stepsPerSecond = 1000 / STEP_MILLIS;
+    int rate = size.requestsPerSecond();
+    if (rate < stepsPerSecond) {
+      return random.nextInt(stepsPerSecond / rate) == 0 ? 1 : 0;
+    }
+    return (step + 1) * rate / stepsPerSecond - step * rate / stepsPerSecond;
+  }
+
   private void injectOtherFault() {
     int node = random.nextInt(nodes);
     if (enginesCrash && random.nextInt(CRASH_ONE_IN) == 0) {
-      cluster.restartEngine(random.nextInt(ENGINES), CRASH_DOWN_MILLIS);
+      cluster.restartEngine(random.nextInt(size.endpoints()), CRASH_DOWN_MILLIS);
       return;
     }
     switch (random.nextInt(4)) {
       case 0 -> restart(node);
       case 1 -> cluster.stallNode(node, random.nextInt(MAX_STALL_MILLIS));
       default ->
-          cluster.pauseEngine(random.nextInt(ENGINES), random.nextInt(MAX_ENGINE_PAUSE_MILLIS));
+          cluster.pauseEngine(
+              random.nextInt(size.endpoints()), random.nextInt(MAX_ENGINE_PAUSE_MILLIS));
     }
   }
 
@@ -191,6 +271,34 @@
     return caller;
   }
 
+  /**
+   * Checks that the nodes that are cut off forward a request few times, and that requests are
+   * refused at once if no node can serve them. Small fleets with other faults are not judged.
+   */
+  private void checkHops() {
+    if (otherFaults) {
+      return;
+    }
+    ImmutableList<SimulatedCaller> affected =
+        duringCut.stream()
+            .filter(caller -> isolated.contains(caller.node()))
+            .collect(ImmutableList.toImmutableList());
+    int hops = affected.stream().mapToInt(caller -> cluster.hopsOf(caller.id())).sum();
+    if (hops > MAX_MEAN_HOPS * affected.size()) {
+      problems.add(
+          String.format(
+              "%s, %s of %s nodes: %s requests were forwarded %s times",
+              cut, isolated.size(), nodes, affected.size(), hops));
+    }
+    long late =
+        affected.stream()
+            .filter(caller -> !caller.isComplete() && caller.elapsedMillis() > MAX_REFUSAL_MILLIS)
+            .count();
+    if (isolated.size() == nodes && late > 0) {
+      problems.add(late + " requests were not refused at once");
+    }
+  }
+
   private void checkService(List<SimulatedCaller> sent, String when) {
     int isolatedTotal = 0;
     int isolatedServed = 0;
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
@@ -128,6 +128,11 @@
     return nodeNotified || response.whole || response.cut || response.refusal.isPresent();
   }
 
+  /** Returns the time from acceptance by the node until the end of the request, without stalls. */
+  long elapsedMillis() {
+    return elapsedMillis;
+  }
+
   boolean isComplete() {
     return response.whole;
   }
