What one request learns of peers serves all requests of a node that is cut off

Cause: the search for a peer was bounded by fixed counts. Peers of the node's own data centre came first, four at a time; twelve declines ended the search for half a second for all requests, ten ended a request, and a decline was forgotten after 1.5 s. A data centre with more than ten nodes that is cut off as a whole exceeds them for as long as the cut lasts.

A refusal that concerns the request (key, path) is no longer held against the peer.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedDataCentreTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedDataCentreTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.daemon.entry.IsolatedNodeSimulation.FleetSize;
 
@@ -43,6 +44,16 @@
     assertNoProblems();
   }
 
+  // Guards against a search that does not find the few peers that still reach endpoints, or that
+  // begins anew with each request.
+  @Test
+  void callersAreServedWhileMostNodesAreCutOff() {
+    for (EndpointCut cut : CUTS) {
+      run(FLEET, cut, FLEET.anyNodes(62, new Random(1)));
+    }
+    assertNoProblems();
+  }
+
   // Guards against requests that circulate among nodes, or wait, while no node reaches an endpoint.
   @Test
   void requestsAreRefusedAtOnceWhileNoNodeReachesAnEndpoint() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -40,7 +40,10 @@
   private final String service;
   private final Optional<ModelProfile> model;
   private final RequestSize size;
-  private final boolean mayUsePeers;
+
+  /** Present if a peer may be selected while this node reaches too few endpoints. */
+  private final Optional<PeerSends> peerSends;
+
   private final Set<TrackedEndpoint> tried = new HashSet<>();
   private final Set<TrackedEndpoint> failed = new HashSet<>();
   private Optional<EnginePath> path = Optional.empty();
@@ -49,15 +52,15 @@
   /**
    * Creates a selector without a selection.
    *
-   * @param mayUsePeers whether a peer may be selected while this node is isolated
+   * @param peerSends the request's sends to peers; empty if no peer may be selected
    */
   EndpointSelector(
       ForwardContext context,
       String service,
       Optional<ModelProfile> model,
       Optional<RequestSize> size,
-      boolean mayUsePeers) {
-    this.mayUsePeers = mayUsePeers;
+      Optional<PeerSends> peerSends) {
+    this.peerSends = peerSends;
     this.context = context;
     this.service = service;
     this.model = model;
@@ -168,24 +171,28 @@
 
   /**
    * Finds an endpoint, or a peer if this node reaches too few endpoints; nothing while it is
-   * checked whether it is isolated, as attempts would be wasted.
+   * checked whether it is isolated, or which peers take requests, as attempts would be wasted.
    */
   private Optional<Selection> findReachable(Set<TrackedEndpoint> inUse) {
     if (context.reachability().isChecking()) {
       return Optional.empty();
     }
-    if (mayUsePeers && context.reachability().isIsolated()) {
-      Optional<Selection> peer = findPeer(inUse);
-      if (peer.isPresent()) {
-        return peer;
-      }
+    if (context.reachability().isIsolated() && isAnyPeerAvailable(inUse)) {
+      return findPeer(inUse);
     }
     Optional<Selection> direct = inUse.isEmpty() ? find() : findElsewhere(inUse);
-    return direct.isEmpty() && mayUsePeers && isServiceLost() ? findPeer(inUse) : direct;
+    return direct.isEmpty() && isServiceLost() ? findPeer(inUse) : direct;
   }
 
   private Optional<Selection> findPeer(Set<TrackedEndpoint> inUse) {
-    return context.peers().select(inUse).map(node -> new Selection(node, Optional.empty()));
+    return peerSends
+        .flatMap(sends -> context.peers().select(sends.excluded(inUse)))
+        .map(node -> new Selection(node, Optional.empty()));
+  }
+
+  /** Returns whether a peer may take the request, now or once a peer that was asked responds. */
+  private boolean isAnyPeerAvailable(Set<TrackedEndpoint> inUse) {
+    return peerSends.isPresent() && context.peers().isAnyAvailable(peerSends.get().excluded(inUse));
   }
 
   /**
@@ -267,9 +274,8 @@
   }
 
   private boolean canUsePeer() {
-    return mayUsePeers
-        && (context.reachability().isIsolated() || isServiceLost())
-        && context.peers().isAnyAvailable();
+    return (context.reachability().isIsolated() || isServiceLost())
+        && isAnyPeerAvailable(ImmutableSet.of());
   }
 
   /** Returns an alternative path with the same first part that avoids the given engines. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -34,15 +34,6 @@
  * the node's event loop.
  */
 final class ForwardedRequest implements CallerResponse.Listener {
-  /** Sends of a request that peers declined; each is answered within milliseconds. */
-  private static final int MAX_DECLINED_SENDS = 10;
-
-  /** Time without progress after which a stream is sent to another peer as well. */
-  private static final Duration PEER_STALL_TIMEOUT = Duration.ofMillis(700);
-
-  /** The same before the head of the response, as the request may wait for capacity there. */
-  private static final Duration PEER_HEAD_TIMEOUT = Duration.ofMillis(1200);
-
   /**
    * Time for which an endpoint gets no new requests after it refused a connection, and a plain
    * endpoint also after its connection failed.
@@ -63,6 +54,7 @@
 
   private final Consumer<ForwardedRequest> onDone;
   private final String service;
+  private final PeerSends peerSends;
   private final EndpointSelector selector;
   private final ProgressMonitor progress;
   private final long startedAt;
@@ -86,9 +78,6 @@
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int sends;
 
-  /** The sends that peers declined, or that reached no peer. */
-  private int declinedSends;
-
   /** The attempts that ran or may have run, apart from the current one. */
   private final List<RunningAttempt> runs = new ArrayList<>();
 
@@ -119,13 +108,14 @@
         incomingHop
             .map(PeerHop::service)
             .orElseGet(() -> route.selectService(context.random().nextDouble()));
+    this.peerSends = new PeerSends(context, service);
     this.selector =
         new EndpointSelector(
             context,
             service,
             configuration.service(service).flatMap(ServiceProfile::model),
             request.size(),
-            incomingHop.isEmpty());
+            incomingHop.isEmpty() ? Optional.of(peerSends) : Optional.empty());
     this.quarantine =
         new RequestQuarantine(context, request, service, caller.map(Caller::workspace));
     this.queue = context.queues().of(service);
@@ -282,7 +272,7 @@
             Duration.ofNanos(Math.max(0, deadline - now())),
             caller.map(Caller::workspace),
             splitter.lastId(),
-            hopTo(running.endpoint()));
+            peerSends.hopTo(running.endpoint(), headSent));
     ForwardLog.sent(request, sent, sends);
     progress.attemptStarted(headSent);
     EndpointTransport transport =
@@ -291,14 +281,6 @@
     running.setCall(transport.send(sent, new AttemptListener(running)));
   }
 
-  private Optional<PeerHop> hopTo(TrackedEndpoint endpoint) {
-    if (!endpoint.isPeer()) {
-      return Optional.empty();
-    }
-    context.counters().count(Metric.PEER_HOPS, "sent");
-    return Optional.of(new PeerHop(context.peers().tokenOf(endpoint), service, headSent));
-  }
-
   /** Handles the events of one attempt; ignores them once another attempt is current. */
   private final class AttemptListener implements EndpointTransport.Listener {
     private final RunningAttempt running;
@@ -468,10 +450,10 @@
 
   private void peerRefused(PeerRefusal refusal, RunningAttempt running) {
     String cause = "refused by the peer: " + refusal.reason().code();
+    peerSends.recordRefusal(running.endpoint(), refusal);
     if (refusal.verdict() != Verdict.NOT_RUN) {
       attemptEnded(refusal.verdict(), AttemptFailure.PEER_FAILED, cause);
     } else if (refusal.isDeclined()) {
-      context.peers().recordDeclined(running.endpoint());
       attemptEnded(Verdict.NOT_RUN, AttemptFailure.PEER_DECLINED, cause);
     } else {
       peerHasNoCapacity(refusal, cause);
@@ -604,6 +586,9 @@
     selector.recordFailure();
     if (endpoint.isPeer()) {
       context.peers().recordFailure(endpoint);
+      if (neverSent) {
+        peerSends.recordNotConnected();
+      }
       attemptFailed(neverSent, cause);
       return;
     }
@@ -670,7 +655,7 @@
 
   /** Sends a request again that reached no endpoint, so that it needs no retry budget. */
   private void sendElsewhere(String triedAt, AttemptFailure failure, String detail) {
-    declinedSends++;
+    peerSends.recordUncounted();
     Optional<ResendDenial> denial = denial(Verdict.NOT_RUN, countedRuns());
     if (denial.isPresent()) {
       giveUp(Verdict.NOT_RUN, denial.get(), failure.code() + ": " + detail);
@@ -775,12 +760,13 @@
     if (now() >= deadline) {
       return Optional.of(ResendDenial.DEADLINE_EXCEEDED);
     }
-    if (declinedSends >= MAX_DECLINED_SENDS) {
+    if (peerSends.isExhausted()) {
       return Optional.of(ResendDenial.SENDS_EXHAUSTED);
     }
     // What a peer runs is repeated by the node that forwarded it, if at all.
     int attempts = incomingHop.isPresent() ? 1 : route.attempts();
-    return ResendRule.denial(route.kind(), verdict, runsSoFar, attempts, sends - declinedSends);
+    int counted = sends - peerSends.uncounted();
+    return ResendRule.denial(route.kind(), verdict, runsSoFar, attempts, counted);
   }
 
   private void giveUp(Verdict lastVerdict, ResendDenial denial, String detail) {
@@ -1311,8 +1297,8 @@
 
   /** Sends the request to another peer as well if this one has been silent for long. */
   private void peerStalled() {
-    Duration limit = headSent ? PEER_STALL_TIMEOUT : PEER_HEAD_TIMEOUT;
-    boolean silent = now() - progress.lastProgress() >= limit.toNanos();
+    Duration sinceProgress = Duration.ofNanos(now() - progress.lastProgress());
+    boolean silent = PeerSends.isSilent(sinceProgress, headSent);
     if (silent && route.kind().streamed() && !failover.isActive() && mayAbort()) {
       context.peers().recordFailure(selector.target());
       startFailover(AttemptFailure.PEER_SILENT, selector.target(), "no progress at the peer");
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerRefusal.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerRefusal.java
@@ -23,6 +23,11 @@
           Reason.NOT_STARTED_IN_TIME,
           Reason.QUARANTINED);
 
+  /** Reasons that concern the peer, so that it would refuse other requests as well. */
+  private static final ImmutableSet<Reason> OF_PEER =
+      Sets.immutableEnumSet(
+          Reason.NODE_ISOLATED, Reason.STOPPING, Reason.NOT_READY, Reason.CONFIGURATION_STALE);
+
   /** Checks that no component is null. */
   public PeerRefusal {
     checkNotNull(reason);
@@ -30,6 +35,11 @@
     checkNotNull(retryAfter);
   }
 
+  /** Returns whether the peer can't forward any request now. */
+  boolean concernsPeer() {
+    return OF_PEER.contains(reason);
+  }
+
   /** Returns whether the peer did not run the request, and another one may. */
   boolean isDeclined() {
     return verdict == Verdict.NOT_RUN && !FLEET_WIDE.contains(reason);
