Requests are refused at once while connections hang and no peer takes them

Cause: a node that knows that it reaches no endpoint, and finds no peer, sent requests to endpoints all the same, one connection after the other, each of which hangs for half a second. Where connections are refused that takes 2 ms, and a connection that lives on may serve; where they hang nothing does.

Change: ReachabilityMonitor tells whether most of the connections that it tried last were neither established nor refused. While that is so, no request is sent to an endpoint, and one that no peer may take has no place to wait for.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
@@ -83,6 +83,10 @@
   private boolean checking;
   private long checkStartedAt = Long.MIN_VALUE;
   private boolean isolated;
+
+  /** Whether most endpoints tried last did not even refuse the connection. */
+  private boolean silent;
+
   private long isolatedSince;
   private long reachedAt = Long.MIN_VALUE / 2;
   private int successfulChecks;
@@ -113,6 +117,14 @@
     return isolated;
   }
 
+  /**
+   * Returns whether this node is isolated and its connections to endpoints hang, so that a request
+   * that is sent to one waits in vain.
+   */
+  public boolean isIsolatedBySilence() {
+    return isolated && silent;
+  }
+
   /** Returns whether it is being checked whether this node is isolated. */
   public boolean isChecking() {
     return checking;
@@ -239,6 +251,7 @@
       counters.count(Metric.REACHABILITY_CHECKS, "reachable");
     } else {
       counters.count(Metric.REACHABILITY_CHECKS, "isolated");
+      silent = sample.isMostlySilent();
       becomeIsolated(failed, sample.endpoints);
     }
     ImmutableList<Runnable> decided = ImmutableList.copyOf(undecided);
@@ -269,7 +282,10 @@
             endpoints,
             majority,
             RECOVERY_CONNECT_TIMEOUT,
-            sample -> decideRecovery(sample.reached >= majority))
+            sample -> {
+              silent = sample.isMostlySilent();
+              decideRecovery(sample.reached >= majority);
+            })
         .start();
   }
 
@@ -319,6 +335,11 @@
       this.onCompleted = onCompleted;
     }
 
+    /** Returns whether most connections were neither established nor refused. */
+    boolean isMostlySilent() {
+      return 2 * (endpoints.size() - ended) > endpoints.size();
+    }
+
     void start() {
       completeAfter(timeout, 0);
       // One to spare, as a single one may be down.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/RequestSchedule.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/RequestSchedule.java
@@ -22,7 +22,7 @@
       new RequestSchedule(Long.MIN_VALUE, Double.POSITIVE_INFINITY);
 
   /** No request may be sent. */
-  static final RequestSchedule NEVER = new RequestSchedule(Long.MAX_VALUE, 0);
+  public static final RequestSchedule NEVER = new RequestSchedule(Long.MAX_VALUE, 0);
 
   private static final double NANOS_PER_SECOND = 1e9;
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -180,6 +180,9 @@
     if (context.reachability().isIsolated() && isAnyPeerAvailable(inUse)) {
       return findPeer(inUse);
     }
+    if (context.reachability().isIsolatedBySilence()) {
+      return Optional.empty();
+    }
     Optional<Selection> direct = inUse.isEmpty() ? find() : findElsewhere(inUse);
     return direct.isEmpty() && isServiceLost() ? findPeer(inUse) : direct;
   }
@@ -268,6 +271,9 @@
     if (context.reachability().isChecking() || canUsePeer()) {
       return RequestSchedule.ALWAYS;
     }
+    if (context.reachability().isIsolatedBySilence()) {
+      return RequestSchedule.NEVER;
+    }
     return model
         .map(profile -> context.fleet().requestSchedule(service, profile.layers()))
         .orElseGet(() -> context.fleet().requestSchedule(service));
