--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedDataCentreTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedDataCentreTest.java
@@ -7,8 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import net.jqwik.api.AfterFailureMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.lifecycle.AfterContainer;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.daemon.entry.IsolatedNodeSimulation.FleetSize;
+import org.vaneworks.tests.Schedules;
 
 /** Tests fleets of which whole data centres, or most nodes, are cut off from all endpoints. */
 final class IsolatedDataCentreTest {
@@ -18,6 +24,8 @@
       ImmutableList.of(
           EndpointCut.HANG, EndpointCut.RESET, EndpointCut.NEW_REFUSED, EndpointCut.ANSWERS_HELD);
 
+  private static final Schedules SIMULATIONS = new Schedules("isolated data centre");
+
   private final List<String> problems = new ArrayList<>();
 
   private void run(FleetSize fleet, EndpointCut cut, ImmutableSet<Integer> isolated) {
@@ -62,4 +70,25 @@
     }
     assertNoProblems();
   }
+
+  // Guards against faults that need a fleet, or a part that is cut off, of a size that is not
+  // among the above, and nodes that restart and stall meanwhile.
+  @Property(
+      tries = 6,
+      seed = "20261204",
+      shrinking = ShrinkingMode.OFF,
+      afterFailure = AfterFailureMode.PREVIOUS_SEED)
+  void callersAreServedInFleetsOfAnySize(@ForAll long seed) {
+    SIMULATIONS.run(
+        seed,
+        each -> {
+          IsolatedNodeSimulation simulation = IsolatedNodeSimulation.ofRandomFleet(each);
+          return new Schedules.Result(simulation.run(), simulation.counts());
+        });
+  }
+
+  @AfterContainer
+  static void report() {
+    SIMULATIONS.report();
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
@@ -27,6 +27,9 @@
   private static final int STEP_MILLIS = 10;
   private static final int SETTLE_MILLIS = 26_000;
   private static final int SMALL_FLEET_REQUESTS_PER_SECOND = 50;
+  private static final int MAX_DATA_CENTRES = 6;
+  private static final int MAX_NODES = 120;
+  private static final int MAX_ENDPOINTS = 60;
   private static final double RESERVE_PER_NODE = 15;
   private static final int OTHER_FAULT_ONE_IN = 100;
   private static final int CRASH_ONE_IN = 4;
@@ -116,6 +119,29 @@
     return simulation;
   }
 
+  /**
+   * Creates a simulation of a fleet of random size in which whole data centres, or a random part of
+   * the nodes, are cut off in a random way, nodes also restart and stall, and engines pause.
+   */
+  static IsolatedNodeSimulation ofRandomFleet(long seed) {
+    Random random = new Random(seed);
+    int dataCentres = 2 + random.nextInt(MAX_DATA_CENTRES - 1);
+    int nodes = dataCentres * (1 + random.nextInt(MAX_NODES / dataCentres));
+    FleetSize size =
+        new FleetSize(
+            nodes,
+            dataCentres,
+            10 + random.nextInt(MAX_ENDPOINTS),
+            (2 + random.nextInt(4)) * nodes);
+    EndpointCut[] cuts = EndpointCut.values();
+    EndpointCut cut = cuts[1 + random.nextInt(cuts.length - 1)];
+    ImmutableSet<Integer> isolated =
+        random.nextBoolean()
+            ? size.nodesOf(1 + random.nextInt(dataCentres - 1))
+            : size.anyNodes(1 + random.nextInt(nodes - 1), random);
+    return new IsolatedNodeSimulation(random, seed, cut, true, size, isolated);
+  }
+
   /** Creates a simulation in which a random part of the nodes, but not all, is cut off. */
   IsolatedNodeSimulation(long seed, EndpointCut cut) {
     this(seed, cut, false);
