--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedDataCentreTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedDataCentreTest.java
@@ -29,9 +29,10 @@
   private final List<String> problems = new ArrayList<>();
 
   private void run(FleetSize fleet, EndpointCut cut, ImmutableSet<Integer> isolated) {
-    for (String problem : new IsolatedNodeSimulation(1, cut, fleet, isolated).run()) {
-      problems.add(String.format("%s, %s of %s: ", cut, isolated.size(), fleet.nodes()) + problem);
-    }
+    IsolatedNodeSimulation simulation = new IsolatedNodeSimulation(1, cut, fleet, isolated);
+    String name = String.format("%s, %s of %s: ", cut, isolated.size(), fleet.nodes());
+    simulation.run().forEach(problem -> problems.add(name + problem));
+    System.out.println(name + simulation.counts());
   }
 
   private void assertNoProblems() {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/IsolatedNodeSimulation.java
@@ -360,12 +360,13 @@
     }
   }
 
-  /** Returns the number of requests by node and outcome, for reports. */
+  /** Returns the numbers of requests by node and outcome, and of their hops, for reports. */
   Map<String, Integer> counts() {
     Map<String, Integer> counts = new TreeMap<>();
     for (SimulatedCaller caller : duringCut) {
       String where = isolated.contains(caller.node()) ? "isolated " : "other ";
       counts.merge(where + caller.outcome(), 1, Integer::sum);
+      counts.merge(where + "hops", cluster.hopsOf(caller.id()), Integer::sum);
     }
     return counts;
   }
