Peers are told the rate limits of all endpoints, a part in each round

With more than 200 endpoints that announce a limit, a node reported those of the first 200 that it knew to its peers, for ever, and none of the others: 200 of 2,400. A node learns such a limit late, by its own calls.

Cause: the list was cut at the number that fits into a report, always at the same place; a node's own limits were picked from what was left. Change: each round of reports has the next part of the list, the own limits are picked first. Tried first: parts at a distance that is an irrational fraction of the list, so that no count of rounds is needed; of every 36th report, which is what one peer receives, that told 1,068 of 2,400 in 40 rounds.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointRateLimits.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/EndpointRateLimits.java
@@ -30,6 +30,7 @@
   /** Keeps a load report within one datagram, at about 10 bytes per limit. */
   private static final int MAX_REPORTED = 200;
 
+  private final ReportSelection reported = new ReportSelection(MAX_REPORTED);
   private final Executor clock;
   private final Counters counters;
 
@@ -118,23 +119,35 @@
 
   /**
    * Returns the endpoints whose limit was announced or withdrawn recently enough to be reported to
-   * peers.
+   * peers; a part in each round, if there are too many for one report.
    */
   public ImmutableList<TrackedEndpoint> recentChanges() {
-    long oldest = now() - REPORTED_FOR.toNanos();
+    return reported.select(changedSince(oldestReported()));
+  }
+
+  /** Does so with the endpoints that announced that to this node directly. */
+  public ImmutableList<TrackedEndpoint> recentOwnChanges() {
+    long oldest = oldestReported();
+    return reported.select(
+        changedSince(oldest).stream()
+            .filter(endpoint -> endpoint.rateLimit().receivedFirstHandAt() >= oldest)
+            .collect(ImmutableList.toImmutableList()));
+  }
+
+  /** Starts a round in which this node reports to each peer once. */
+  public void startReportRound() {
+    reported.startRound();
+  }
+
+  private long oldestReported() {
+    return now() - REPORTED_FOR.toNanos();
+  }
+
+  private ImmutableList<TrackedEndpoint> changedSince(long oldest) {
     known.removeIf(
         endpoint -> !endpoint.rateLimit().inForce() && endpoint.rateLimit().changedAt() < oldest);
     return known.stream()
         .filter(endpoint -> endpoint.rateLimit().receivedAt() >= oldest)
-        .limit(MAX_REPORTED)
-        .collect(ImmutableList.toImmutableList());
-  }
-
-  /** Returns those of the {@link #recentChanges} that endpoints announced to this node directly. */
-  public ImmutableList<TrackedEndpoint> recentOwnChanges() {
-    long oldest = now() - REPORTED_FOR.toNanos();
-    return recentChanges().stream()
-        .filter(endpoint -> endpoint.rateLimit().receivedFirstHandAt() >= oldest)
         .collect(ImmutableList.toImmutableList());
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -222,6 +222,9 @@
   /** Sends a report to the next peer in turn; returns its size in bytes. */
   private int sendNext() {
     turn = Math.floorMod(turn + 1, peerGroups.reportsPerRound());
+    if (turn == 0) {
+      fleet.signals().rateLimits().startReportRound();
+    }
     if (turn < peerGroups.members().size()) {
       return send(peerGroups.members().get(turn), ownReport());
     }
