A peer that has not responded is not taken for one that reaches endpoints

Cause: a peer that held a request for 20 ms without declining it counted as one that takes requests, so that the next ones went there as well. And a node looks at its own reach only after failures of its own requests.

Change: only a response shows that a peer takes requests; one that merely holds a request makes others of its data centre less promising, and is chosen last. A request of a peer that reaches no endpoint makes a node check its own reach, once a second at most. The check begins after the request was started, so that a node which is not cut off serves it without delay.

Tests: peerThatDoesNotRespondMakesOtherDataCentresMorePromising and nodeFindsOutByRequestsOfPeersThatItIsIsolated are new; the others of both classes and IsolatedNodeSimulationTest pass.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
@@ -175,6 +175,20 @@
     assertEquals(1, node.toPeers.size());
   }
 
+  // Guards against a node with few requests that takes those of peers, which are cut off, because
+  // it
+  // has not noticed that it is cut off as well.
+  @Test
+  void nodeFindsOutByRequestsOfPeersThatItIsIsolated() {
+    node.fleet.all().forEach(endpoint -> node.control.refusing.add(endpoint.address()));
+    PeerHop hop = new PeerHop("", ForwardingFixture.MODEL, false);
+    node.forwarder.forwardForPeer(node.callerRequest("/stream/"), new RecordedResponse(), hop);
+    node.advance(200);
+    RecordedResponse response = new RecordedResponse();
+    node.forwarder.forwardForPeer(node.callerRequest("/stream/"), response, hop);
+    assertEquals(Reason.NODE_ISOLATED, response.refusal.get().reason());
+  }
+
   // Guards against a peer that repeats a run, which the node that forwarded the request counts.
   @Test
   void requestOfPeerRunsOnce() {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerSearchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerSearchTest.java
@@ -78,6 +78,17 @@
     assertNotEquals("dc1", dataCentreOf(lastToPeer()));
   }
 
+  // Guards against requests that wait at peers of the same data centre, which are cut off as well
+  // and
+  // have not noticed.
+  @Test
+  void peerThatDoesNotRespondMakesOtherDataCentresMorePromising() {
+    assertEquals("dc1", dataCentreOf(lastToPeer()));
+    node.advance(50);
+    node.request("/stream/");
+    assertNotEquals("dc1", dataCentreOf(lastToPeer()));
+  }
+
   @Test
   void laterRequestsGoToAPeerThatServed() {
     decline(lastToPeer(), Reason.NODE_ISOLATED);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ReachabilityMonitor.java
@@ -188,6 +188,16 @@
     }
   }
 
+  /**
+   * Records that a peer reaches no endpoint. What cut it off may have cut off this node as well,
+   * which notices that late if it has few requests.
+   */
+  public void recordPeerIsolated() {
+    if (!isReachedWithin(VALIDITY)) {
+      check();
+    }
+  }
+
   private void recordFailure(TrackedEndpoint endpoint) {
     long oldest = now() - FAILURE_WINDOW.toNanos();
     failures.values().removeIf(failedAt -> failedAt < oldest);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -179,7 +179,9 @@
     if (context.reachability().isIsolated()) {
       return refuse(request, response, Reason.NODE_ISOLATED, "forwarded by a peer");
     }
-    return admit(request, response, Optional.of(hop));
+    CallerResponse.Listener listener = admit(request, response, Optional.of(hop));
+    context.reachability().recordPeerIsolated();
+    return listener;
   }
 
   private void waitForConfiguration(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerCandidate.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerCandidate.java
@@ -15,7 +15,7 @@
   /** Time for which the last outcome of a request is taken for that of the next one. */
   private static final Duration OUTCOME_VALIDITY = Duration.ofSeconds(10);
 
-  /** Time after which a peer that has not declined a request has taken it. */
+  /** Time after which a peer that has not declined a request may be about to serve it. */
   private static final Duration DECLINE_TIME = Duration.ofMillis(20);
 
   /** Time for which a peer that failed or fell silent is taken only if there is no other. */
@@ -114,17 +114,19 @@
     return declinedAt;
   }
 
-  /** Returns whether the peer takes requests, as far as this node knows. */
+  /** Returns whether the peer is known to take requests, as it has responded to one. */
   boolean takes(long now) {
-    boolean holdsRequest = endpoint.inFlight() > 0 && now - askedAt >= DECLINE_TIME.toNanos();
-    return !hasDeclined(now)
-        && !hasFailed(now)
-        && (holdsRequest || now - tookAt < OUTCOME_VALIDITY.toNanos());
+    return !hasDeclined(now) && now - tookAt < OUTCOME_VALIDITY.toNanos();
   }
 
-  /** Returns whether the peer has a request and may still decline it. */
+  /** Returns whether the peer has a request and has neither responded nor declined yet. */
+  boolean isPending(long now) {
+    return endpoint.inFlight() > 0 && !takes(now) && !hasDeclined(now) && !hasFailed(now);
+  }
+
+  /** Returns whether the peer may still decline a request. */
   boolean isAsked(long now) {
-    return endpoint.inFlight() > 0 && now - askedAt < DECLINE_TIME.toNanos() && !takes(now);
+    return isPending(now) && now - askedAt < DECLINE_TIME.toNanos();
   }
 
   /** Returns whether nothing is known of the peer. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerSearch.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerSearch.java
@@ -89,7 +89,7 @@
   private static Optional<PeerCandidate> mostPromising(List<PeerCandidate> peers, long now) {
     Map<String, Integer> unavailable = new HashMap<>();
     for (PeerCandidate peer : peers) {
-      boolean counts = peer.hasDeclined(now) || peer.hasFailed(now) || peer.isAsked(now);
+      boolean counts = peer.hasDeclined(now) || peer.hasFailed(now) || peer.isPending(now);
       unavailable.merge(peer.dataCentre(), counts ? 1 : 0, Integer::sum);
     }
     return peers.stream()
@@ -100,13 +100,17 @@
                 .thenComparing(PeerCandidate::order));
   }
 
-  /** Returns a peer that failed a moment ago, or the one whose decline is the longest ago. */
+  /**
+   * Returns a peer that has not responded yet, one that failed a moment ago, or the one whose
+   * decline is the longest ago.
+   */
   private static Optional<PeerCandidate> lastChoice(List<PeerCandidate> peers, long now) {
     return peers.stream()
         .filter(peer -> !peer.isAsked(now))
         .filter(peer -> !peer.hasDeclined(now) || peer.mayBeAskedAgain(now))
         .min(
             Comparator.comparing((PeerCandidate peer) -> peer.hasDeclined(now))
+                .thenComparing(peer -> peer.hasFailed(now))
                 .thenComparing(PeerCandidate::declinedAt)
                 .thenComparing(peer -> peer.endpoint().inFlight())
                 .thenComparing(PeerCandidate::order));
