--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -5,6 +5,7 @@
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
@@ -124,6 +125,19 @@
       }
     }
 
+    /** Waits until the node accepts channels of clients, which it does before it is ready. */
+    void awaitListening() {
+      for (int i = 0; i < 600; i++) {
+        try (Socket socket = Client.connect(front)) {
+          log("node %s listens at %d", name, socket.getPort());
+          return;
+        } catch (IOException e) {
+          sleep(20);
+        }
+      }
+      fail("node " + name + " does not listen, log in " + folder);
+    }
+
     void awaitReady() {
       for (int i = 0; i < 300; i++) {
         if (isReady()) {
