Review: a case that fails by itself ends its processes and exits with 2

Cause: an exception in the main thread of a case left it and its nodes until the time limit, and ended with a code that is neither 0, 1 nor 2; nothing was recorded where a case could not start.

--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -18,6 +18,9 @@
 
 /** Starts the node's processes by the deploy file, and writes the record of a case. */
 final class Lab {
+  /** Below the 120 seconds that a case may take; a case that is late could not run. */
+  private static final long DEADLINE_MS = Long.getLong("review.deadlineMs", 100_000);
+
   private static final long START = System.nanoTime();
   private static final List<Process> PROCESSES = new ArrayList<>();
 
@@ -28,6 +31,16 @@
   Lab(String caseFolder) throws IOException {
     folder = Files.createTempDirectory("review");
     record = new PrintWriter(Files.newBufferedWriter(Path.of(caseFolder, "record.txt")), true);
+    Thread.currentThread()
+        .setUncaughtExceptionHandler((thread, failure) -> fail("the case itself failed: " + failure));
+    Thread deadline =
+        new Thread(
+            () -> {
+              sleep(DEADLINE_MS);
+              fail("the case took too long");
+            });
+    deadline.setDaemon(true);
+    deadline.start();
     Runtime.getRuntime()
         .addShutdownHook(new Thread(() -> PROCESSES.forEach(Process::destroyForcibly)));
   }
