Routes need a key wherever the configuration has workspaces, even if no key is left

Cause: whether routes need a key was read from the keys that are left, so a configuration whose last key was revoked opened all routes to everybody, also under revoked keys. Ruled out: the age of the configuration and keys that are cached; the node had the new configuration.

ApiKeys says whether keys are required. A list of workspaces without any key, or an empty list, refuses all keys. Only a configuration without the field needs no keys.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -72,6 +72,7 @@
 import org.vaneworks.state.RequestedBackoff;
 import org.vaneworks.state.StorePosition;
 import org.vaneworks.state.Verdict;
+import org.vaneworks.state.entry.ApiKeys;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
@@ -1022,7 +1023,7 @@
                   2,
                   false)),
           List.of(new ServiceProfile(SERVICE, 1000, Optional.of(Models.eightyLayers()))),
-          Map.of(KEY, new Caller("scheme", OptionalInt.empty())),
+          ApiKeys.of(Map.of(KEY, new Caller("scheme", OptionalInt.empty()))),
           new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
 
   private static String boxAt(int index) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulationConfiguration.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulationConfiguration.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.vaneworks.state.entry.ApiKeys;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
@@ -36,7 +37,7 @@
         List.of(
             new ServiceProfile(SimulatedCluster.SERVICE, 1000, Optional.of(Models.eightyLayers())),
             new ServiceProfile(SimulatedCluster.REPLICATED, 100, Optional.empty())),
-        Map.of(SimulatedCluster.KEY, new Caller("scheme", OptionalInt.empty())),
+        ApiKeys.of(Map.of(SimulatedCluster.KEY, new Caller("scheme", OptionalInt.empty()))),
         new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofMillis(idleMillis)));
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreRestoreSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreRestoreSimulation.java
@@ -25,6 +25,7 @@
 import org.vaneworks.coordination.shared.PrefixRouter;
 import org.vaneworks.coordination.shared.StoredItem;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.entry.ApiKeys;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryLimits;
 import org.vaneworks.telemetry.Counters;
@@ -212,7 +213,7 @@
         Integer.parseInt(item.value()),
         List.of(),
         List.of(),
-        Map.of(),
+        ApiKeys.notRequired(),
         new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -40,6 +40,7 @@
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.RequestContent;
 import org.vaneworks.state.StorePosition;
+import org.vaneworks.state.entry.ApiKeys;
 import org.vaneworks.state.entry.CallKind;
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
@@ -304,11 +305,12 @@
         List.of(
             new ServiceProfile(MODEL, 1000, Optional.of(Models.eightyLayers())),
             new ServiceProfile(PLAIN, 100, Optional.empty())),
-        Map.of(
-            KEY,
-            new Caller("ward", OptionalInt.empty()),
-            PATIENT_KEY,
-            new Caller("archive", OptionalInt.of(3))),
+        ApiKeys.of(
+            Map.of(
+                KEY,
+                new Caller("ward", OptionalInt.empty()),
+                PATIENT_KEY,
+                new Caller("archive", OptionalInt.of(3)))),
         new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -32,6 +32,7 @@
 import org.vaneworks.state.LayerRange;
 import org.vaneworks.state.RequestedBackoff;
 import org.vaneworks.state.StorePosition;
+import org.vaneworks.state.entry.ApiKeys;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryLimits;
 import org.vaneworks.state.entry.ServiceProfile;
@@ -150,7 +151,7 @@
         1,
         List.of(),
         List.of(new ServiceProfile("m", 100, Optional.of(Models.eightyLayers()))),
-        Map.of(),
+        ApiKeys.notRequired(),
         new EntryLimits(1, 1, Duration.ZERO, Duration.ZERO));
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/EntryConfiguration.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/EntryConfiguration.java
@@ -6,7 +6,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 
 /** A complete version of the operators' configuration. Immutable. */
@@ -14,19 +13,19 @@
   private final long version;
   private final ImmutableListMultimap<String, EntryRoute> routesByHost;
   private final ImmutableMap<String, ServiceProfile> services;
-  private final ImmutableMap<String, Caller> callersByKey;
+  private final ApiKeys keys;
   private final EntryLimits limits;
 
   private EntryConfiguration(
       long version,
       ImmutableListMultimap<String, EntryRoute> routesByHost,
       ImmutableMap<String, ServiceProfile> services,
-      ImmutableMap<String, Caller> callersByKey,
+      ApiKeys keys,
       EntryLimits limits) {
     this.version = version;
     this.routesByHost = routesByHost;
     this.services = services;
-    this.callersByKey = callersByKey;
+    this.keys = keys;
     this.limits = limits;
   }
 
@@ -34,13 +33,13 @@
    * Returns a configuration.
    *
    * @param version higher is newer
-   * @param callersByKey callers by their secret keys; empty if no request requires a key
+   * @param keys the callers' keys, and whether requests require one
    */
   public static EntryConfiguration of(
       long version,
       List<EntryRoute> routes,
       List<ServiceProfile> services,
-      Map<String, Caller> callersByKey,
+      ApiKeys keys,
       EntryLimits limits) {
     ImmutableListMultimap.Builder<String, EntryRoute> byHost = ImmutableListMultimap.builder();
     routes.stream()
@@ -48,12 +47,7 @@
         .forEach(route -> byHost.put(hostKey(route.host()), route));
     ImmutableMap.Builder<String, ServiceProfile> byName = ImmutableMap.builder();
     services.forEach(service -> byName.put(service.name(), service));
-    return new EntryConfiguration(
-        version,
-        byHost.build(),
-        byName.buildKeepingLast(),
-        ImmutableMap.copyOf(callersByKey),
-        limits);
+    return new EntryConfiguration(version, byHost.build(), byName.buildKeepingLast(), keys, limits);
   }
 
   /** Returns the version; higher is newer. */
@@ -73,12 +67,12 @@
 
   /** Returns whether requests on routes that are not open require a key. */
   public boolean needsKeys() {
-    return !callersByKey.isEmpty();
+    return keys.required();
   }
 
   /** Returns the caller that a key identifies. */
   public Optional<Caller> caller(String key) {
-    return Optional.ofNullable(callersByKey.get(key));
+    return keys.caller(key);
   }
 
   /** Returns the service with the given name. */
