Each model is placed by its own list of engines

Cause: the number of listed engines, and when it last changed, were kept once for all services. With two models that have different numbers of engines the count changed twice in each tick, so the list of neither ever counted as settled.

The count is kept for each service. Also shared by all services were: the deferral of changes in a data centre, the longest load time, and the planning time of a tick, which each service now gets in turn. An entry with layers that the model does not have ended planning with an exception; such an engine is left out. A node is ready once all models are covered or, 10 s after its start, at least one.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -3,6 +3,7 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.annotations.VisibleForTesting;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -16,6 +17,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.HealthChecker;
 import org.vaneworks.coordination.fleet.ReachabilityMonitor;
@@ -39,6 +41,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryLimits;
+import org.vaneworks.state.entry.ServiceProfile;
 import org.vaneworks.telemetry.Counters;
 import org.vaneworks.telemetry.Event;
 import org.vaneworks.telemetry.EventLog;
@@ -72,6 +75,12 @@
    */
   private static final double CONFIGURATION_AGE_FRACTION = 0.95;
 
+  /**
+   * Time after a start from which one placed model suffices for a node to be ready. The initial
+   * placement of all models takes a few seconds.
+   */
+  private static final Duration MODEL_WAIT = Duration.ofSeconds(10);
+
   /** Limits that apply until the first configuration is read. */
   private static final EntryLimits INITIAL_LIMITS =
       new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
@@ -100,6 +109,7 @@
   /** Proves to this node that a sender is one of its peers. */
   private final String peerToken;
 
+  private final long startedAt;
   private EntrySettings settings;
   private boolean stopping;
 
@@ -119,6 +129,7 @@
     this.settings = settings;
     this.adapters = adapters;
     this.io = io;
+    startedAt = io.currentTime(NANOSECONDS);
     peerToken = randomToken();
     counters = Counters.in(meters);
     fleet = Fleet.create(io, counters, RELIST_GRACE);
@@ -388,7 +399,7 @@
 
   private boolean checkReady() {
     boolean ready =
-        !stopping && forwarder.hasFreshConfiguration() && (wasReady || allLayersCovered());
+        !stopping && forwarder.hasFreshConfiguration() && (wasReady || areModelsCovered());
     if (ready && !wasReady) {
       wasReady = true;
       EventLog.info(Event.READY, "endpoints", fleet.size());
@@ -396,10 +407,20 @@
     return ready;
   }
 
-  private boolean allLayersCovered() {
-    EntryConfiguration current = configuration.newest().get();
-    return current.engineServices().stream()
-        .allMatch(service -> fleet.coversAllLayers(service.name(), service.model().get().layers()));
+  /**
+   * Returns whether the engines hold all layers of all models or, once {@link #MODEL_WAIT} has
+   * passed, of at least one: a model that can't be placed must not keep nodes from serving others.
+   */
+  private boolean areModelsCovered() {
+    ImmutableList<ServiceProfile> services = configuration.newest().get().engineServices();
+    Predicate<ServiceProfile> covered =
+        service -> fleet.coversAllLayers(service.name(), service.model().get().layers());
+    return services.stream().allMatch(covered)
+        || (waitedForModels() && services.stream().anyMatch(covered));
+  }
+
+  private boolean waitedForModels() {
+    return io.currentTime(NANOSECONDS) - startedAt >= MODEL_WAIT.toNanos();
   }
 
   /**
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/PlacementControllerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
@@ -17,6 +18,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.BackoffRequestedException;
 import org.vaneworks.coordination.fleet.EngineControl;
@@ -75,7 +78,7 @@
       if (silent.contains(engine.id())) {
         return CompletableFuture.failedFuture(new TimeoutException("no answer"));
       }
-      FleetEndpoint now = fleet.find("m", engine.address()).get().endpoint();
+      FleetEndpoint now = fleet.find(engine.service(), engine.address()).get().endpoint();
       return CompletableFuture.completedFuture(
           new EngineReport(
               reportedOrders.getOrDefault(engine.id(), 0L),
@@ -119,7 +122,7 @@
       clock.schedule(
           () -> {
             loading.put(engine.id(), false);
-            list(engine.id(), engine.address(), Optional.of(layers));
+            list(engine.service(), engine.id(), engine.address(), Optional.of(layers));
           },
           loadTime.toMillis(),
           TimeUnit.MILLISECONDS);
@@ -146,11 +149,15 @@
   private OptionalLong firstFence = OptionalLong.empty();
   private OptionalLong secondFence = OptionalLong.empty();
 
-  private static EntryConfiguration configuration() {
+  private EntryConfiguration configuration = configurationOf("m");
+
+  private static EntryConfiguration configurationOf(String... services) {
     return EntryConfiguration.of(
         1,
         List.of(),
-        List.of(new ServiceProfile("m", 100, Optional.of(Models.eightyLayers()))),
+        Stream.of(services)
+            .map(service -> new ServiceProfile(service, 100, Optional.of(Models.eightyLayers())))
+            .toList(),
         ApiKeys.notRequired(),
         new EntryLimits(1, 1, Duration.ZERO, Duration.ZERO));
   }
@@ -161,7 +168,7 @@
             clock,
             fleet,
             engines,
-            () -> Optional.of(configuration()),
+            () -> Optional.of(configuration),
             fence,
             () -> listReadInterval,
             counters);
@@ -170,9 +177,13 @@
   }
 
   private void list(String id, HostPort address, Optional<LayerRange> layers) {
+    list("m", id, address, layers);
+  }
+
+  private void list(String service, String id, HostPort address, Optional<LayerRange> layers) {
     fleet.put(
         new FleetEndpoint(
-            id, "m", address, "dc1", 134, false, layers, "large", StorePosition.START));
+            id, service, address, "dc1", 134, false, layers, "large", StorePosition.START));
   }
 
   private void listEngines(int count) {
@@ -181,6 +192,17 @@
     }
   }
 
+  private void listEngines(String service, int count) {
+    for (int i = 0; i < count; i++) {
+      String id = service + "-e" + i;
+      list(
+          service,
+          id,
+          new HostPort("10.1.0." + i, 8000 + service.hashCode() % 1000),
+          Optional.empty());
+    }
+  }
+
   private void advance(int millis) {
     clock.advance(Duration.ofMillis(millis));
   }
@@ -189,6 +211,44 @@
     return fleet.coversAllLayers("m", 80);
   }
 
+  // Guards against a model that is never placed because another one has another number of engines.
+  @Test
+  void modelWithAnotherNumberOfEnginesIsPlacedWhenItIsAddedLater() {
+    listEngines(5);
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(5000);
+    configuration = configurationOf("m", "n");
+    listEngines("n", 4);
+    advance(5000);
+    assertTrue(everyLayerIsHeld());
+    assertTrue(fleet.coversAllLayers("n", 80));
+  }
+
+  // Guards against counts, lists and planning times that services share.
+  @Test
+  void thirtySevenModelsArePlaced() {
+    ImmutableList<String> services =
+        IntStream.range(0, 37).mapToObj(i -> "m" + i).collect(ImmutableList.toImmutableList());
+    configuration = configurationOf(services.toArray(String[]::new));
+    services.forEach(service -> listEngines(service, 3 + services.indexOf(service) % 4));
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(10_000);
+    services.forEach(service -> assertTrue(fleet.coversAllLayers(service, 80), service));
+  }
+
+  // Guards against an entry with layers that the model does not have, which ended all planning.
+  @Test
+  void entryWithLayersBeyondTheModelIsIgnored() {
+    listEngines(5);
+    list("odd", new HostPort("10.0.9.1", 80), Optional.of(LayerRange.of(90, 100)));
+    firstFence = OptionalLong.of(7);
+    controller(() -> firstFence);
+    advance(5000);
+    assertTrue(everyLayerIsHeld());
+  }
+
   // Guards against an engine giving up a range that it serves because a controller planned for it
   // while its load was in progress.
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -580,7 +580,9 @@
           .endpoint()
           .layers()
           .ifPresent(
-              range -> Arrays.fill(covered, range.from(), Math.min(range.to(), layers), true));
+              range ->
+                  Arrays.fill(
+                      covered, Math.min(range.from(), layers), Math.min(range.to(), layers), true));
     }
     for (boolean layer : covered) {
       if (!layer) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/placement/PlacementController.java
@@ -92,6 +92,13 @@
    */
   private static final Duration RELEASE_AVOIDANCE = Duration.ofSeconds(5);
 
+  /**
+   * Longest time of a load, as a multiple of the time that it takes while no other engine loads.
+   */
+  private static final int MAX_LOAD_FACTOR = 3;
+
+  private static final int MILLIS_PER_SECOND = 1000;
+
   private final Executor clock;
   private final Fleet fleet;
   private final EngineControl control;
@@ -103,7 +110,7 @@
   private final Map<TrackedEndpoint, Assignment> assignments = new HashMap<>();
   private final Map<String, PlanInput> inputsWithoutOrders = new HashMap<>();
 
-  /** When changes of held layers may be ordered again, by data centre. */
+  /** When changes of held layers may be ordered again, by service and data centre. */
   private final Map<String, Long> changesDeferredUntil = new HashMap<>();
 
   /** Until when engines give up layers only if no others can, as an order could not be sent. */
@@ -115,14 +122,21 @@
   /** Fence under which {@link #assignments} were decided. */
   private long assignmentsFence = -1;
 
-  private int engineCount;
-  private long engineCountChangedAt;
+  private final Map<String, ListSize> listSizes = new HashMap<>();
+  private int nextService;
   private Cancellable timer = () -> {};
   private boolean stopped;
 
   /** The complete input of a plan; equal inputs give equal plans. */
   private record PlanInput(ModelProfile model, ImmutableList<EngineSnapshot> snapshots) {}
 
+  /**
+   * The number of listed engines of a service.
+   *
+   * @param changedAt when the number last changed, in nanoseconds on the node's clock
+   */
+  private record ListSize(int engines, long changedAt) {}
+
   private static final class Assignment {
     final LayerRange layers;
     final Optional<LayerRange> layersBefore;
@@ -206,7 +220,6 @@
   public void start() {
     fleet.onRemoval(assignments::remove);
     fleet.onRemoval(releasesAvoidedUntil::remove);
-    engineCountChangedAt = now();
     wake();
   }
 
@@ -258,39 +271,48 @@
   }
 
   private void reconcile(EntryConfiguration configured) {
-    for (ServiceProfile service : configured.engineServices()) {
-      reconcileService(service, service.model().get());
+    ImmutableList<ServiceProfile> services = configured.engineServices();
+    long startedAt = now();
+    // Each tick starts with another service, so that no service uses up the planning time of all.
+    for (int i = 0; i < services.size(); i++) {
+      ServiceProfile service = services.get((nextService + i) % services.size());
+      reconcileService(service, service.model().get(), startedAt);
     }
+    nextService = services.isEmpty() ? 0 : (nextService + 1) % services.size();
+    assignments.forEach(this::readAndOrder);
   }
 
-  private void reconcileService(ServiceProfile service, ModelProfile model) {
+  private void reconcileService(ServiceProfile service, ModelProfile model, long startedAt) {
     ImmutableList<TrackedEndpoint> engines = fleet.listed(service.name());
-    if (!isListSettled(engines)) {
+    if (!isListSettled(service.name(), engines)) {
       return;
     }
     ImmutableMap.Builder<String, TrackedEndpoint> byId = ImmutableMap.builder();
     ImmutableList.Builder<EngineSnapshot> allSnapshots = ImmutableList.builder();
     for (TrackedEndpoint engine : engines) {
       Optional<AcceleratorProfile> kind = model.accelerator(engine.endpoint().accelerator());
-      if (kind.isPresent()) {
+      if (kind.isPresent() && isWithin(model, engine.endpoint().layers())) {
         byId.put(engine.endpoint().id(), engine);
         allSnapshots.add(snapshot(engine, kind.get()));
       }
     }
     ImmutableMap<String, TrackedEndpoint> enginesById = byId.buildOrThrow();
-    long startedAt = now();
     Multimaps.index(allSnapshots.build(), EngineSnapshot::dataCentre)
         .asMap()
         .forEach(
             (dataCentre, snapshots) -> {
               PlanInput input = new PlanInput(model, ImmutableList.copyOf(snapshots));
-              String key = service.name() + "/" + dataCentre;
+              String key = planKey(service.name(), dataCentre);
               if (!input.equals(inputsWithoutOrders.get(key))
                   && !isPlanningTimeExceeded(startedAt)) {
                 plan(key, input, enginesById);
               }
             });
-    assignments.forEach(this::readAndOrder);
+  }
+
+  /** Returns whether listed layers exist in the model; an entry may be written for another one. */
+  private static boolean isWithin(ModelProfile model, Optional<LayerRange> listed) {
+    return listed.isEmpty() || listed.get().to() <= model.layers();
   }
 
   private boolean isPlanningTimeExceeded(long startedAt) {
@@ -306,7 +328,7 @@
     ImmutableMap<String, LayerRange> plan =
         PlacementPlanner.of(input.model())
             .plan(input.snapshots(), id -> releaseCost(enginesById.get(id)));
-    boolean deferred = areChangesDeferred(input.snapshots().get(0).dataCentre());
+    boolean deferred = now() < changesDeferredUntil.getOrDefault(key, Long.MIN_VALUE);
     plan.forEach(
         (id, layers) -> {
           TrackedEndpoint engine = enginesById.get(id);
@@ -335,15 +357,18 @@
    * Returns whether the list has stopped growing, so that the initial placement includes all
    * engines.
    */
-  private boolean isListSettled(ImmutableList<TrackedEndpoint> engines) {
-    if (engines.size() != engineCount) {
-      engineCount = engines.size();
-      engineCountChangedAt = now();
-    }
+  private boolean isListSettled(String service, ImmutableList<TrackedEndpoint> engines) {
+    ListSize size =
+        listSizes.compute(
+            service,
+            (name, known) ->
+                known != null && known.engines() == engines.size()
+                    ? known
+                    : new ListSize(engines.size(), now()));
     boolean anyLayersHeld = engines.stream().anyMatch(e -> e.endpoint().layers().isPresent());
     double settledAfter =
         READ_TIME.toNanos() + SETTLED_READ_INTERVALS * listReadInterval.get().toNanos();
-    return !engines.isEmpty() && (anyLayersHeld || now() - engineCountChangedAt >= settledAfter);
+    return !engines.isEmpty() && (anyLayersHeld || now() - size.changedAt() >= settledAfter);
   }
 
   private EngineSnapshot snapshot(TrackedEndpoint engine, AcceleratorProfile kind) {
@@ -435,7 +460,7 @@
     }
     if (report.orderInProgress() || !report.layers().equals(engine.endpoint().layers())) {
       // An order of another controller is in progress or completed; the list will show it.
-      markAccepted(assignment);
+      markAccepted(engine, assignment);
       assignment.callPending = false;
       return;
     }
@@ -488,11 +513,15 @@
   }
 
   private void deferChanges(TrackedEndpoint engine) {
-    changesDeferredUntil.put(engine.endpoint().dataCentre(), now() + CHANGE_DEFERRAL.toNanos());
+    String key = planKey(engine.endpoint().service(), engine.endpoint().dataCentre());
+    changesDeferredUntil.put(key, now() + CHANGE_DEFERRAL.toNanos());
   }
 
-  private boolean areChangesDeferred(String dataCentre) {
-    return now() < changesDeferredUntil.getOrDefault(dataCentre, Long.MIN_VALUE);
+  /**
+   * Returns the key of the engines of one service in one data centre, which are planned together.
+   */
+  private static String planKey(String service, String dataCentre) {
+    return service + "/" + dataCentre;
   }
 
   /** Returns whether an assignment may still be ordered by this node. */
@@ -543,7 +572,7 @@
         "outcome",
         outcome);
     if (outcome == OrderOutcome.ACCEPTED) {
-      markAccepted(assignment);
+      markAccepted(engine, assignment);
     } else if (outcome == OrderOutcome.FENCED) {
       rejectedFence = guard.fence();
     } else {
@@ -555,26 +584,24 @@
     }
   }
 
-  private void markAccepted(Assignment assignment) {
+  private void markAccepted(TrackedEndpoint engine, Assignment assignment) {
     assignment.accepted = true;
-    assignment.expiresAt = now() + MAX_LIST_LAG.toNanos() + loadTime(assignment.layers).toNanos();
+    Duration loadTime = loadTime(engine.endpoint().service(), assignment.layers);
+    assignment.expiresAt = now() + MAX_LIST_LAG.toNanos() + loadTime.toNanos();
   }
 
   /**
    * Returns the maximum time of loading that many layers while other engines load the same weights.
    */
-  private Duration loadTime(LayerRange layers) {
-    double slowest =
-        configuration.get().stream()
-            .flatMap(configured -> configured.engineServices().stream())
-            .mapToDouble(
-                service ->
-                    service.model().get().loadSeconds()
-                        * layers.size()
-                        / service.model().get().layers())
-            .max()
-            .orElse(0);
-    return Duration.ofMillis((long) (slowest * 3000));
+  private Duration loadTime(String service, LayerRange layers) {
+    double seconds =
+        configuration
+            .get()
+            .flatMap(configured -> configured.service(service))
+            .flatMap(ServiceProfile::model)
+            .map(model -> model.loadSeconds() * layers.size() / model.layers())
+            .orElse(0.0);
+    return Duration.ofMillis((long) (seconds * MAX_LOAD_FACTOR * MILLIS_PER_SECOND));
   }
 
   private Duration elapsedSince(long startNanos) {
