--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.common.collect.ImmutableMap;
 import io.servicetalk.buffer.api.BufferAllocator;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Executor;
@@ -88,21 +89,48 @@
 
   /** Sends a GET. */
   public CompletableFuture<Response> get(HostPort to, String target, Duration timeout) {
-    return send(to, HttpRequestMethod.GET, target, "", timeout);
+    return get(to, target, ImmutableMap.of(), timeout);
+  }
+
+  /** Sends a GET with additional headers. */
+  public CompletableFuture<Response> get(
+      HostPort to, String target, ImmutableMap<String, String> headers, Duration timeout) {
+    return send(to, HttpRequestMethod.GET, target, "", headers, timeout);
   }
 
   /** Sends a POST with a JSON body. */
   public CompletableFuture<Response> post(
       HostPort to, String target, String body, Duration timeout) {
-    return send(to, HttpRequestMethod.POST, target, body, timeout);
+    return post(to, target, body, ImmutableMap.of(), timeout);
+  }
+
+  /** Sends a POST with a JSON body and additional headers. */
+  public CompletableFuture<Response> post(
+      HostPort to,
+      String target,
+      String body,
+      ImmutableMap<String, String> headers,
+      Duration timeout) {
+    return send(to, HttpRequestMethod.POST, target, body, headers, timeout);
   }
 
   /** Sends a request; if it fails, the future fails with ServiceTalk's exception. */
   public CompletableFuture<Response> send(
       HostPort to, HttpRequestMethod method, String target, String body, Duration timeout) {
+    return send(to, method, target, body, ImmutableMap.of(), timeout);
+  }
+
+  private CompletableFuture<Response> send(
+      HostPort to,
+      HttpRequestMethod method,
+      String target,
+      String body,
+      ImmutableMap<String, String> headers,
+      Duration timeout) {
     RefCountedClient<HttpClient> refCounted = acquire(to);
     HttpClient client = refCounted.client();
     HttpRequest request = client.newRequest(method, target);
+    headers.forEach(request::setHeader);
     if (!body.isEmpty()) {
       BufferAllocator allocator = client.executionContext().bufferAllocator();
       request.setHeader(HttpHeaderNames.CONTENT_TYPE, JSON);
