Paths cross a link between data centres only while it has room

Cause: all crossings between two data centres share one link, whose capacity the configuration states. The planner charged a constant for a crossing and nothing bounded their number. After the loss of four engines of one data centre, paths crossed up to 1.7 times each, a prompt of 772 tokens takes 0.18 s of an 800 Mbit/s link, and 3 to 30 of 30 to 90 sends per half second got a first event; callers gave up after 2 s and tried again. Ruled out: the burst before (first events at 40 ms) and the memory of engines; service was normal as soon as no path crossed any more.

Each request reserves its prompt until the first event, and its answer until its end, on the links that its path crosses. Nodes include these reservations in their load reports (new fields, which older nodes ignore). A link is not crossed if all reservations together take it longer than the objective; the request then starts in another data centre, or waits. Without a configured capacity nothing changes.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.coordination.fleet.LinkLoad;
 import org.vaneworks.coordination.load.EndpointLoad;
 import org.vaneworks.coordination.load.EnginePace;
 import org.vaneworks.coordination.load.LoadReport;
@@ -34,7 +35,8 @@
           ImmutableList.of(new EnginePace(9, 4.5)),
           ImmutableList.of(
               new ReportedRateLimit(-7, AdvertisedRateLimit.of(3.3), Duration.ofMillis(250)),
-              new ReportedRateLimit(9, AdvertisedRateLimit.none(), Duration.ZERO)));
+              new ReportedRateLimit(9, AdvertisedRateLimit.none(), Duration.ZERO)),
+          ImmutableList.of(new LinkLoad(-3, 171)));
 
   private static final int REPORTS = 30;
   private static final int MAX_COLLECTIONS = 2000;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -262,7 +262,14 @@
     EndpointLoad load = new EndpointLoad(EndpointLoad.keyOf(engine.endpoint()), requests, 0);
     exchange.receive(
         new LoadReport(
-            sender, group, 2, ImmutableList.of(load), ImmutableList.of(), ImmutableList.of(), 0));
+            sender,
+            group,
+            2,
+            ImmutableList.of(load),
+            ImmutableList.of(),
+            ImmutableList.of(),
+            ImmutableList.of(),
+            0));
   }
 
   private ImmutableList<EnginePace> slow(double pace) {
@@ -270,7 +277,9 @@
   }
 
   private void peerReportsSlow(String sender, ImmutableList<EnginePace> slow) {
-    exchange.receive(LoadReport.ofNode(sender, ImmutableList.of(), slow, ImmutableList.of()));
+    exchange.receive(
+        LoadReport.ofNode(
+            sender, ImmutableList.of(), slow, ImmutableList.of(), ImmutableList.of()));
   }
 
   /**
@@ -395,7 +404,11 @@
             EndpointLoad.keyOf(engine.endpoint()), limit, Duration.ofMillis(ageMillis));
     exchange.receive(
         LoadReport.ofNode(
-            "one", ImmutableList.of(), ImmutableList.of(), ImmutableList.of(reported)));
+            "one",
+            ImmutableList.of(),
+            ImmutableList.of(),
+            ImmutableList.of(reported),
+            ImmutableList.of()));
   }
 
   private void engineAnnounces(AdvertisedRateLimit limit) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/Models.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/placement/Models.java
@@ -1,6 +1,7 @@
 package org.vaneworks.tests.placement;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
 import org.vaneworks.state.entry.AcceleratorProfile;
 import org.vaneworks.state.entry.ModelProfile;
 
@@ -32,6 +33,7 @@
         105_000,
         774,
         200,
-        ImmutableMap.of("large", LARGE, "middle", MIDDLE, "small", SMALL));
+        ImmutableMap.of("large", LARGE, "middle", MIDDLE, "small", SMALL),
+        Optional.empty());
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -48,6 +48,7 @@
   private final Executor clock;
   private final Counters counters;
   private final OutageGracePeriod outage;
+  private final DataCentreLinks links = new DataCentreLinks();
   private final EndpointSignals signals;
   private final EndpointHistory history;
   private final Map<String, TrackedEndpoint> byId = new LinkedHashMap<>();
@@ -462,6 +463,11 @@
     }
   }
 
+  /** Returns the load on the links between data centres. */
+  public DataCentreLinks links() {
+    return links;
+  }
+
   /** Returns the signals that endpoints send with their answers. */
   public EndpointSignals signals() {
     return signals;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -13,10 +13,12 @@
 import org.vaneworks.coordination.fleet.RequestSchedule;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.relay.EnginePath;
+import org.vaneworks.coordination.relay.LinkReservation;
 import org.vaneworks.coordination.relay.PathPart;
 import org.vaneworks.coordination.relay.PathPlanner;
 import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.entry.LinkProfile;
 import org.vaneworks.state.entry.ModelProfile;
 
 /**
@@ -41,6 +43,9 @@
   private final Optional<ModelProfile> model;
   private final RequestSize size;
 
+  /** Target time to the first event, in seconds. */
+  private final double objectiveSeconds;
+
   /** Present if a peer may be selected while this node reaches too few endpoints. */
   private final Optional<PeerSends> peerSends;
 
@@ -48,10 +53,12 @@
   private final Set<TrackedEndpoint> failed = new HashSet<>();
   private Optional<EnginePath> path = Optional.empty();
   private Optional<TrackedEndpoint> target = Optional.empty();
+  private Optional<LinkReservation> links = Optional.empty();
 
   /**
    * Creates a selector without a selection.
    *
+   * @param objective target time to the first event of the response
    * @param peerSends the request's sends to peers; empty if no peer may be selected
    */
   EndpointSelector(
@@ -59,7 +66,9 @@
       String service,
       Optional<ModelProfile> model,
       Optional<RequestSize> size,
+      Duration objective,
       Optional<PeerSends> peerSends) {
+    this.objectiveSeconds = objective.toNanos() / 1e9;
     this.peerSends = peerSends;
     this.context = context;
     this.service = service;
@@ -123,8 +132,18 @@
    * A selected endpoint.
    *
    * @param path the engine path; empty for a plain service
+   * @param links what the request reserves on links between data centres; empty if nothing
    */
-  record Selection(TrackedEndpoint target, Optional<EnginePath> path) {}
+  record Selection(
+      TrackedEndpoint target, Optional<EnginePath> path, Optional<LinkReservation> links) {
+    static Selection of(EnginePath path) {
+      return new Selection(path.first(), Optional.of(path), Optional.empty());
+    }
+
+    static Selection of(TrackedEndpoint target) {
+      return new Selection(target, Optional.empty(), Optional.empty());
+    }
+  }
 
   /**
    * Selects an endpoint in place of the present one. Returns false, without any change, if none has
@@ -148,7 +167,7 @@
    * @param inUse endpoints that are not selected, apart from the present one
    */
   Optional<Selection> selectAdditional(ImmutableSet<TrackedEndpoint> inUse) {
-    Selection previous = new Selection(target(), path);
+    Selection previous = present();
     Optional<Selection> next = findReachable(Sets.union(inUse, ImmutableSet.of(target())));
     next.ifPresent(this::assign);
     return next.map(selection -> previous);
@@ -156,9 +175,10 @@
 
   /** Switches to another selection that is reserved; returns the present one, still reserved. */
   Selection exchange(Selection next) {
-    Selection previous = new Selection(target(), path);
+    Selection previous = present();
     target = Optional.of(next.target());
     path = next.path();
+    links = next.links();
     return previous;
   }
 
@@ -167,6 +187,11 @@
     release();
     target = Optional.of(previous.target());
     path = previous.path();
+    links = previous.links();
+  }
+
+  private Selection present() {
+    return new Selection(target(), path, links);
   }
 
   /**
@@ -190,7 +215,7 @@
   private Optional<Selection> findPeer(Set<TrackedEndpoint> inUse) {
     return peerSends
         .flatMap(sends -> context.peers().select(sends.excluded(inUse)))
-        .map(node -> new Selection(node, Optional.empty()));
+        .map(Selection::of);
   }
 
   /** Returns whether a peer may take the request, now or once a peer that was asked responds. */
@@ -209,14 +234,14 @@
 
   private Optional<Selection> find() {
     if (model.isEmpty()) {
-      return leastLoaded().map(replica -> new Selection(replica, Optional.empty()));
+      return leastLoaded().map(Selection::of);
     }
     Optional<EnginePath> next =
         context.planner().plan(query(), usable(ImmutableList.copyOf(failed)));
     if (next.isEmpty() && !failed.isEmpty()) {
       next = context.planner().plan(query(), usable(ImmutableList.of()));
     }
-    return next.map(found -> new Selection(found.first(), Optional.of(found)));
+    return next.map(Selection::of);
   }
 
   private Optional<Selection> findElsewhere(Set<TrackedEndpoint> inUse) {
@@ -226,12 +251,13 @@
     return context
         .planner()
         .plan(query(), usable(ImmutableList.copyOf(Sets.union(failed, inUse))))
-        .map(found -> new Selection(found.first(), Optional.of(found)));
+        .map(Selection::of);
   }
 
   private void assign(Selection next) {
     target = Optional.of(next.target());
     path = next.path();
+    links = Optional.empty();
     if (path.isPresent()) {
       assign(path.get());
     } else {
@@ -247,6 +273,21 @@
         .filter(engine -> engine != chosen.first())
         .forEach(this::recordLaterPart);
     chosen.reserve(size.tokens());
+    links = reserveLinks(chosen);
+  }
+
+  private Optional<LinkReservation> reserveLinks(EnginePath chosen) {
+    return linkProfile()
+        .map(link -> LinkReservation.reserve(context.fleet().links(), link, chosen, size));
+  }
+
+  private Optional<LinkProfile> linkProfile() {
+    return model.flatMap(ModelProfile::link);
+  }
+
+  /** Records that a part of the response arrived from the selected endpoint. */
+  void recordPart() {
+    links.ifPresent(LinkReservation::recordEvent);
   }
 
   private void assign(TrackedEndpoint replica) {
@@ -314,6 +355,8 @@
     EnginePath previous = path.orElseThrow();
     previous.release(size.tokens());
     next.reserve(size.tokens());
+    links.ifPresent(LinkReservation::release);
+    links = reserveLinks(next);
     next.parts().stream()
         .map(PathPart::engine)
         .filter(engine -> !previous.contains(engine))
@@ -323,13 +366,17 @@
 
   /** Releases the present selection. */
   void release() {
-    target.ifPresent(selection -> release(new Selection(selection, path)));
+    if (isSelected()) {
+      release(present());
+    }
     path = Optional.empty();
     target = Optional.empty();
+    links = Optional.empty();
   }
 
   /** Releases the reservation of a previous selection. */
   void release(Selection selection) {
+    selection.links().ifPresent(LinkReservation::release);
     if (selection.path().isPresent()) {
       selection.path().get().release(size.tokens());
     } else {
@@ -344,7 +391,23 @@
   }
 
   private PathPlanner.Query query() {
-    return new PathPlanner.Query(model.orElseThrow(), size, context.dataCentre(), now());
+    return new PathPlanner.Query(
+        model.orElseThrow(), size, context.dataCentre(), now(), this::hasLinkRoom);
+  }
+
+  /**
+   * Returns whether a link passes this request and all that requests reserve on it within the
+   * objective. A request that crosses a fuller link, and those behind it, would start late. An
+   * empty link takes any request.
+   */
+  private boolean hasLinkRoom(String from, String to) {
+    if (linkProfile().isEmpty()) {
+      return true;
+    }
+    LinkProfile link = linkProfile().get();
+    double reserved = context.fleet().links().reservedMegabits(from, to);
+    double megabits = reserved + size.tokens() * link.megabitsPerToken();
+    return reserved == 0 || megabits <= link.megabitsPerSecond() * objectiveSeconds;
   }
 
   private long now() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -115,6 +115,7 @@
             service,
             configuration.service(service).flatMap(ServiceProfile::model),
             request.size(),
+            route.objective(),
             incomingHop.isEmpty() ? Optional.of(peerSends) : Optional.empty());
     this.quarantine =
         new RequestQuarantine(context, request, service, caller.map(Caller::workspace));
@@ -411,6 +412,7 @@
       queue.recordFirstPartTime(now() - running.sentAt());
     }
     firstPartReceived = true;
+    selector.recordPart();
     metrics.recordPart(now());
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.fleet.Fleet;
+import org.vaneworks.coordination.fleet.LinkLoad;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.shared.Peer;
 import org.vaneworks.state.HostPort;
@@ -245,7 +246,8 @@
   }
 
   private LoadReport ownReport() {
-    return LoadReport.ofNode(box, ownLoads(), ownSlowEngines(), ownLimits());
+    return LoadReport.ofNode(
+        box, ownLoads(), ownSlowEngines(), ownLimits(), fleet.links().ownLoads());
   }
 
   private ImmutableList<EnginePace> ownSlowEngines() {
@@ -333,9 +335,21 @@
         loads.build(),
         groupSlowEngines(),
         limits(fleet.signals().rateLimits().recentChanges()),
+        groupLinks(),
         0);
   }
 
+  /** Returns the load of this node and the members of its group on links. */
+  private ImmutableList<LinkLoad> groupLinks() {
+    Map<Integer, Double> megabits = peerLoads.linkMegabitsOfMembers();
+    for (LinkLoad link : fleet.links().ownLoads()) {
+      megabits.merge(link.linkKey(), link.megabits(), Double::sum);
+    }
+    return megabits.entrySet().stream()
+        .map(entry -> new LinkLoad(entry.getKey(), entry.getValue()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Processes a peer's report. */
   public void receive(LoadReport report) {
     if (report.sender().equals(box)) {
@@ -382,6 +396,10 @@
     double unreportedFraction =
         Math.exp(-reportsSinceCopy / Math.max(1, MEAN_AGE_ROUNDS * peerGroups.reportsPerRound()));
     reportsSinceCopy = 0;
+    fleet
+        .links()
+        .setPeerLoads(
+            peerLoads.linkMegabitsOfAll(), extrapolationFactor, similarPeers, unreportedFraction);
     Map<Integer, Double> slowEngines = peerLoads.slowEnginesOfAll();
     for (TrackedEndpoint endpoint : fleet.all()) {
       int key = keyOf(endpoint);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import org.vaneworks.coordination.fleet.LinkLoad;
 
 /**
  * The load that the requests of one node, or of a group of nodes, put on endpoints. Endpoints
@@ -15,6 +16,7 @@
  * @param loads the load of each endpoint
  * @param slowEngines the engines that reported to these nodes that they are slow
  * @param limits the rate limits that endpoints announced to these nodes
+ * @param links the load of these nodes on links between data centres
  * @param configurationVersion the newest configuration version that the sender has seen; 0 if none
  */
 public record LoadReport(
@@ -24,6 +26,7 @@
     ImmutableList<EndpointLoad> loads,
     ImmutableList<EnginePace> slowEngines,
     ImmutableList<ReportedRateLimit> limits,
+    ImmutableList<LinkLoad> links,
     long configurationVersion) {
   /** Checks that the components are given and in range. */
   public LoadReport {
@@ -33,6 +36,7 @@
     checkNotNull(loads);
     checkNotNull(slowEngines);
     checkNotNull(limits);
+    checkNotNull(links);
     checkArgument(
         configurationVersion >= 0,
         "configurationVersion must not be negative: %s",
@@ -41,12 +45,12 @@
 
   /** Returns whether the report contains no load, no slow engine and no limit. */
   public boolean isEmpty() {
-    return loads.isEmpty() && slowEngines.isEmpty() && limits.isEmpty();
+    return loads.isEmpty() && slowEngines.isEmpty() && limits.isEmpty() && links.isEmpty();
   }
 
-  /** Returns the report of one node without slow engines and limits. */
+  /** Returns the report of one node without slow engines, limits and load on links. */
   public static LoadReport ofNode(String sender, ImmutableList<EndpointLoad> loads) {
-    return ofNode(sender, loads, ImmutableList.of(), ImmutableList.of());
+    return ofNode(sender, loads, ImmutableList.of(), ImmutableList.of(), ImmutableList.of());
   }
 
   /** Returns the report of one node. */
@@ -54,13 +58,14 @@
       String sender,
       ImmutableList<EndpointLoad> loads,
       ImmutableList<EnginePace> slowEngines,
-      ImmutableList<ReportedRateLimit> limits) {
-    return new LoadReport(sender, "", 1, loads, slowEngines, limits, 0);
+      ImmutableList<ReportedRateLimit> limits,
+      ImmutableList<LinkLoad> links) {
+    return new LoadReport(sender, "", 1, loads, slowEngines, limits, links, 0);
   }
 
   /** Returns a copy with the newest configuration version that the sender has seen. */
   LoadReport withConfigurationVersion(long version) {
-    return new LoadReport(sender, group, nodes, loads, slowEngines, limits, version);
+    return new LoadReport(sender, group, nodes, loads, slowEngines, limits, links, version);
   }
 
   /** Returns whether the report is the total of a group. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/PeerLoads.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/PeerLoads.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import org.vaneworks.coordination.fleet.LinkLoad;
 
 /**
  * The latest load reports of peers: one per member of this node's group, and one total per other
@@ -111,6 +112,28 @@
     return paces;
   }
 
+  /** Returns the load of the members of this node's group on links, by the link's key. */
+  Map<Integer, Double> linkMegabitsOfMembers() {
+    Map<Integer, Double> megabits = new HashMap<>();
+    addLinks(members, megabits);
+    return megabits;
+  }
+
+  /** Returns the load of all known peers on links, by the link's key. */
+  Map<Integer, Double> linkMegabitsOfAll() {
+    Map<Integer, Double> megabits = linkMegabitsOfMembers();
+    addLinks(groups, megabits);
+    return megabits;
+  }
+
+  private static void addLinks(Map<String, ReceivedReport> reports, Map<Integer, Double> megabits) {
+    for (ReceivedReport received : reports.values()) {
+      for (LinkLoad link : received.report().links()) {
+        megabits.merge(link.linkKey(), link.megabits(), Double::sum);
+      }
+    }
+  }
+
   private static void mergePaces(Map<String, ReceivedReport> reports, Map<Integer, Double> paces) {
     for (ReceivedReport received : reports.values()) {
       for (EnginePace engine : received.report().slowEngines()) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -31,9 +31,8 @@
 public final class PathPlanner {
   /**
    * Cost of a path that changes the data centre, as high as that of an engine with full memory. All
-   * requests share the link between two data centres, each token passes it, and its load cannot be
-   * observed. A data centre that lacks capacity or layers sends whole requests to another data
-   * centre instead.
+   * requests share the link between two data centres, and each token passes it. A data centre that
+   * lacks capacity or layers sends whole requests to another data centre instead.
    */
   private static final double CROSSING_COST_MILLIS = 20_000;
 
@@ -94,8 +93,22 @@
    * @param size the request's size
    * @param dataCentre the node's data centre
    * @param nowNanos the current time
+   * @param linkRoom whether the request may cross the links between data centres
    */
-  public record Query(ModelProfile model, RequestSize size, String dataCentre, long nowNanos) {}
+  public record Query(
+      ModelProfile model, RequestSize size, String dataCentre, long nowNanos, LinkRoom linkRoom) {
+    /** Creates a query whose path may cross all links. */
+    public Query(ModelProfile model, RequestSize size, String dataCentre, long nowNanos) {
+      this(model, size, dataCentre, nowNanos, (from, to) -> true);
+    }
+  }
+
+  /** Decides whether a path may cross the link between two data centres. */
+  @FunctionalInterface
+  public interface LinkRoom {
+    /** Returns whether the link has room for the request. */
+    boolean mayCross(String from, String to);
+  }
 
   private record Step(PathPart part, int state, double cost) {}
 
@@ -135,6 +148,7 @@
     for (int dataCentre = 0; dataCentre < dataCentres.size(); dataCentre++) {
       cost[dataCentre] = startCost(query, dataCentres.get(dataCentre), firstPart);
     }
+    double[][] crossingCosts = crossingCosts(query, dataCentres);
     List<Candidate> candidates = candidates(query, engines, dataCentres);
     for (int index = 0; index < boundaries.length - 1; index++) {
       int layer = boundaries[index];
@@ -142,12 +156,12 @@
         if (layer < candidate.heldFrom || layer >= candidate.heldTo) {
           continue;
         }
-        int from = cheapestState(cost, index, candidate.dataCentre, dataCentres.size());
+        int from = cheapestState(cost, index, candidate.dataCentre, crossingCosts);
         if (cost[from] == Double.MAX_VALUE) {
           continue;
         }
         double costBefore =
-            cost[from] + crossingCost(from % dataCentres.size(), candidate.dataCentre);
+            cost[from] + crossingCosts[from % dataCentres.size()][candidate.dataCentre];
         for (int end = index + 1;
             end < boundaries.length && boundaries[end] <= candidate.heldTo;
             end++) {
@@ -206,27 +220,38 @@
     return firstPart.isPresent() ? CROSSING_COST_MILLIS : REMOTE_START_COST_MILLIS;
   }
 
-  private static double crossingCost(int dataCentre, int toDataCentre) {
-    return dataCentre == toDataCentre ? 0 : CROSSING_COST_MILLIS;
+  /** Returns the costs of changing between data centres; infinite if a link has no room. */
+  private static double[][] crossingCosts(Query query, List<String> dataCentres) {
+    double[][] costs = new double[dataCentres.size()][dataCentres.size()];
+    for (int from = 0; from < costs.length; from++) {
+      for (int to = 0; to < costs.length; to++) {
+        boolean mayCross = query.linkRoom().mayCross(dataCentres.get(from), dataCentres.get(to));
+        double crossing = mayCross ? CROSSING_COST_MILLIS : Double.POSITIVE_INFINITY;
+        costs[from][to] = from == to ? 0 : crossing;
+      }
+    }
+    return costs;
   }
 
   /**
    * Returns the state at a boundary from which an engine of the given data centre is reached at the
    * lowest cost.
    */
-  private static int cheapestState(double[] cost, int index, int dataCentre, int dataCentreCount) {
+  private static int cheapestState(
+      double[] cost, int index, int dataCentre, double[][] crossingCosts) {
+    int dataCentreCount = crossingCosts.length;
     int first = index * dataCentreCount;
     int best = first + dataCentre;
     if (index == 0) {
       return best;
     }
     for (int state = first; state < first + dataCentreCount; state++) {
-      if (cost[state] == Double.MAX_VALUE) {
+      double crossing = crossingCosts[state - first][dataCentre];
+      if (cost[state] == Double.MAX_VALUE || Double.isInfinite(crossing)) {
         continue;
       }
-      double candidateCost = cost[state] + crossingCost(state - first, dataCentre);
       if (cost[best] == Double.MAX_VALUE
-          || candidateCost < cost[best] + crossingCost(best - first, dataCentre)) {
+          || cost[state] + crossing < cost[best] + crossingCosts[best - first][dataCentre]) {
         best = state;
       }
     }
--- a/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
+import org.vaneworks.coordination.fleet.LinkLoad;
 import org.vaneworks.coordination.load.EndpointLoad;
 import org.vaneworks.coordination.load.EnginePace;
 import org.vaneworks.coordination.load.LoadReport;
@@ -12,7 +13,10 @@
 import org.vaneworks.protocol.generated.LoadProto;
 import org.vaneworks.state.AdvertisedRateLimit;
 
-/** Encodes load reports as protobuf. Tokens times layers are rounded to thousands. */
+/**
+ * Encodes load reports as protobuf. Tokens times layers are rounded to thousands, link loads up to
+ * megabits.
+ */
 public final class LoadCodec {
   private static final long THOUSAND = 1000;
 
@@ -48,6 +52,10 @@
       message.addLimitThousandths(thousandths(limit.limit()));
       message.addLimitAgeMillis((int) Math.min(Integer.MAX_VALUE, limit.age().toMillis()));
     }
+    for (LinkLoad link : report.links()) {
+      message.addLinkKey(link.linkKey());
+      message.addLinkMegabits((int) Math.min(Integer.MAX_VALUE, Math.ceil(link.megabits())));
+    }
     return message.build().toByteArray();
   }
 
@@ -88,9 +96,21 @@
         loads.build(),
         slow.build(),
         limits,
+        links(message),
         message.getConfiguration());
   }
 
+  private static ImmutableList<LinkLoad> links(LoadProto.LoadReport message) {
+    checkArgument(
+        message.getLinkKeyCount() == message.getLinkMegabitsCount(),
+        "the lists of links differ in length");
+    ImmutableList.Builder<LinkLoad> links = ImmutableList.builder();
+    for (int i = 0; i < message.getLinkKeyCount(); i++) {
+      links.add(new LinkLoad(message.getLinkKey(i), message.getLinkMegabits(i)));
+    }
+    return links.build();
+  }
+
   private static int thousandths(AdvertisedRateLimit limit) {
     if (!limit.isLimited()) {
       return NO_LIMIT;
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/ModelProfile.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/ModelProfile.java
@@ -21,6 +21,7 @@
  * @param usualPrompt mean number of tokens of a prompt
  * @param usualAnswer mean number of tokens of an answer
  * @param accelerators accelerator profiles by name
+ * @param link capacity of the links between data centres; empty if it is not configured
  */
 public record ModelProfile(
     int layers,
@@ -34,7 +35,8 @@
     double readTokensPerSecond,
     int usualPrompt,
     int usualAnswer,
-    ImmutableMap<String, AcceleratorProfile> accelerators) {
+    ImmutableMap<String, AcceleratorProfile> accelerators,
+    Optional<LinkProfile> link) {
   private static final double BYTES_PER_MEGABYTE = 1e6;
 
   /** Checks that the numbers used as divisors are positive. */
