A prompt releases the links that it crosses after the objective

Cause: requests that waited for a lost engine kept their prompts reserved on the links until their callers gave up after 2 s, and no path crossed a link in the meantime. As a link is crossed only if it passes all that is reserved within the objective, the prompt has passed it by then.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/relay/LinkReservationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/relay/LinkReservationTest.java
@@ -82,7 +82,7 @@
       reservations.add(LinkReservation.reserve(links, LINK, path.get(), SIZE));
     }
     assertEquals(2, reservations.size());
-    reservations.get(0).recordEvent();
+    reservations.get(0).recordPromptPassed();
     assertTrue(plan(400).isPresent(), "the prompt of the first request has passed the link");
   }
 
@@ -100,12 +100,12 @@
     LinkReservation reservation =
         LinkReservation.reserve(links, LINK, plan(400).orElseThrow(), SIZE);
     assertEquals(megabits(), links.reservedMegabits("dc2", "dc1"), 0.01);
-    reservation.recordEvent();
-    reservation.recordEvent();
+    reservation.recordPromptPassed();
+    reservation.recordPromptPassed();
     assertEquals(138 * LINK.megabitsPerToken(), links.reservedMegabits("dc1", "dc2"), 0.01);
     reservation.release();
     reservation.release();
-    reservation.recordEvent();
+    reservation.recordPromptPassed();
     assertEquals(0, links.reservedMegabits("dc1", "dc2"));
     assertTrue(links.ownLoads().isEmpty());
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -37,14 +37,15 @@
   private static final Duration MISDIRECTED_BACKOFF = Duration.ofMillis(800);
 
   private static final int MISDIRECTED = 421;
+  private static final double NANOS_PER_SECOND = 1e9;
 
   private final ForwardContext context;
   private final String service;
   private final Optional<ModelProfile> model;
   private final RequestSize size;
 
-  /** Target time to the first event, in seconds. */
-  private final double objectiveSeconds;
+  /** Target time to the first event of the response. */
+  private final Duration objective;
 
   /** Present if a peer may be selected while this node reaches too few endpoints. */
   private final Optional<PeerSends> peerSends;
@@ -68,7 +69,7 @@
       Optional<RequestSize> size,
       Duration objective,
       Optional<PeerSends> peerSends) {
-    this.objectiveSeconds = objective.toNanos() / 1e9;
+    this.objective = objective;
     this.peerSends = peerSends;
     this.context = context;
     this.service = service;
@@ -276,9 +277,22 @@
     links = reserveLinks(chosen);
   }
 
+  /**
+   * Reserves the links that a path crosses. As a link is crossed only if it passes all that is
+   * reserved within the objective, the prompt has passed it by then, even if an engine behind it
+   * has ended and no event follows.
+   */
   private Optional<LinkReservation> reserveLinks(EnginePath chosen) {
-    return linkProfile()
-        .map(link -> LinkReservation.reserve(context.fleet().links(), link, chosen, size));
+    if (linkProfile().isEmpty()) {
+      return Optional.empty();
+    }
+    LinkReservation reservation =
+        LinkReservation.reserve(context.fleet().links(), linkProfile().get(), chosen, size);
+    if (reservation.isEmpty()) {
+      return Optional.empty();
+    }
+    context.clock().schedule(reservation::recordPromptPassed, objective);
+    return Optional.of(reservation);
   }
 
   private Optional<LinkProfile> linkProfile() {
@@ -287,7 +301,7 @@
 
   /** Records that a part of the response arrived from the selected endpoint. */
   void recordPart() {
-    links.ifPresent(LinkReservation::recordEvent);
+    links.ifPresent(LinkReservation::recordPromptPassed);
   }
 
   private void assign(TrackedEndpoint replica) {
@@ -407,7 +421,8 @@
     LinkProfile link = linkProfile().get();
     double reserved = context.fleet().links().reservedMegabits(from, to);
     double megabits = reserved + size.tokens() * link.megabitsPerToken();
-    return reserved == 0 || megabits <= link.megabitsPerSecond() * objectiveSeconds;
+    return reserved == 0
+        || megabits <= link.megabitsPerSecond() * objective.toNanos() / NANOS_PER_SECOND;
   }
 
   private long now() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/LinkReservation.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/LinkReservation.java
@@ -62,8 +62,13 @@
     return crossings.build();
   }
 
-  /** Records that an event has arrived, so the prompt has passed all links. */
-  public void recordEvent() {
+  /** Returns whether the path crosses no link. */
+  public boolean isEmpty() {
+    return crossings.isEmpty();
+  }
+
+  /** Releases what the prompt takes, once it has passed the links; later calls have no effect. */
+  public void recordPromptPassed() {
     if (!promptPassed && !released) {
       promptPassed = true;
       releaseMegabits(promptMegabits);
