Nodes tell each other which engines they suspect

Cause: the controller replaces the layers of an engine only once it suspects the engine itself, and it may have no requests there.

Load reports list the suspected engines (a new field, which older nodes ignore). A node probes an engine once when peers begin to suspect it, and suspects it only if it does not answer: the peer may be the one that is cut off.

HealthCheckerTest, LoadExchangeTest: the probe, its outcome, one probe for many reports, groups.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/fleet/HealthCheckerTest.java
@@ -158,6 +158,25 @@
     assertTrue(engine.suspected());
   }
 
+  // Guards against lost layers that stay uncovered because the controller has no requests at the
+  // engine that held them, and learns of its end only when its entry expires seconds later.
+  @Test
+  void engineThatPeerSuspectsIsProbedAndSuspectedIfItDoesNotAnswer() {
+    replies.addAll(List.of(Reply.REFUSED));
+    fleet.recordSuspectedByPeer(engine);
+    clock.runDue();
+    assertTrue(engine.suspected());
+  }
+
+  // Guards against a node that is cut off from an engine making all others suspect it.
+  @Test
+  void engineThatPeerSuspectsIsNotSuspectedIfItAnswers() {
+    fleet.recordSuspectedByPeer(engine);
+    clock.advance(Duration.ofSeconds(1));
+    assertEquals(0, suspicions);
+    assertEquals(1, probes);
+  }
+
   // Guards against streams being moved off a live engine because the probe connection broke.
   @Test
   void probeIsRepeatedAfterBrokenConnection() {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadDatagramsTest.java
@@ -30,13 +30,14 @@
   private static final HostPort ANY = new HostPort("127.0.0.1", 0);
   private static final LoadReport REPORT =
       LoadReport.ofNode(
-          "box-1",
-          ImmutableList.of(new EndpointLoad(-7, 3, 12_000), new EndpointLoad(9, 1, 0)),
-          ImmutableList.of(new EnginePace(9, 4.5)),
-          ImmutableList.of(
-              new ReportedRateLimit(-7, AdvertisedRateLimit.of(3.3), Duration.ofMillis(250)),
-              new ReportedRateLimit(9, AdvertisedRateLimit.none(), Duration.ZERO)),
-          ImmutableList.of(new LinkLoad(-3, 171)));
+              "box-1",
+              ImmutableList.of(new EndpointLoad(-7, 3, 12_000), new EndpointLoad(9, 1, 0)),
+              ImmutableList.of(new EnginePace(9, 4.5)),
+              ImmutableList.of(
+                  new ReportedRateLimit(-7, AdvertisedRateLimit.of(3.3), Duration.ofMillis(250)),
+                  new ReportedRateLimit(9, AdvertisedRateLimit.none(), Duration.ZERO)),
+              ImmutableList.of(new LinkLoad(-3, 171)))
+          .withSuspectedEngines(ImmutableList.of(-7, 9));
 
   private static final int REPORTS = 30;
   private static final int MAX_COLLECTIONS = 2000;
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
@@ -269,6 +270,7 @@
             ImmutableList.of(),
             ImmutableList.of(),
             ImmutableList.of(),
+            ImmutableList.of(),
             0));
   }
 
@@ -276,6 +278,49 @@
     return ImmutableList.of(new EnginePace(EndpointLoad.keyOf(engine.endpoint()), pace));
   }
 
+  private void peerSuspects(String sender, TrackedEndpoint... engines) {
+    ImmutableList<Integer> keys =
+        Stream.of(engines)
+            .map(suspected -> EndpointLoad.keyOf(suspected.endpoint()))
+            .collect(ImmutableList.toImmutableList());
+    exchange.receive(LoadReport.ofNode(sender, ImmutableList.of()).withSuspectedEngines(keys));
+  }
+
+  // Guards against a probe for each report, many times a second, of an engine that only some peers
+  // can't reach.
+  @Test
+  void engineIsCheckedOnceWhenPeersBeginToSuspectIt() {
+    List<TrackedEndpoint> checked = new ArrayList<>();
+    fleet.onPeerSuspicion(checked::add);
+    peerSuspects("one", engine);
+    peerSuspects("one", engine);
+    peerSuspects("two", engine);
+    assertEquals(List.of(engine), checked);
+    peerSuspects("one");
+    peerSuspects("two");
+    peerSuspects("two", engine);
+    assertEquals(List.of(engine, engine), checked);
+  }
+
+  @Test
+  void suspectedEnginesAreReportedToMembersAndForThem() {
+    peers = ImmutableList.of(new Peer("one", "dc1", PEER_1), new Peer("far", "dc2", PEER_2));
+    exchange.start();
+    advance(100);
+    peerSuspects("one", engine);
+    advance(1000);
+    assertTrue(
+        reports.stream().anyMatch(r -> r.isGroupTotal() && r.suspectedEngines().size() == 1),
+        reports::toString);
+    reports.clear();
+    fleet.suspect(engine, "test");
+    advance(1000);
+    assertTrue(
+        reports.stream()
+            .allMatch(r -> r.suspectedEngines().contains(EndpointLoad.keyOf(engine.endpoint()))),
+        reports::toString);
+  }
+
   private void peerReportsSlow(String sender, ImmutableList<EnginePace> slow) {
     exchange.receive(
         LoadReport.ofNode(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/Fleet.java
@@ -58,6 +58,7 @@
 
   private final List<Runnable> selectionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> suspicionListeners = new ArrayList<>();
+  private final List<Consumer<TrackedEndpoint>> peerSuspicionListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> recoveryListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> removalListeners = new ArrayList<>();
   private final List<Consumer<TrackedEndpoint>> leavingListeners = new ArrayList<>();
@@ -103,6 +104,11 @@
     suspicionListeners.add(listener);
   }
 
+  /** Registers a listener that is called with an endpoint that a peer suspects. */
+  public void onPeerSuspicion(Consumer<TrackedEndpoint> listener) {
+    peerSuspicionListeners.add(listener);
+  }
+
   /** Registers a listener that is called when a suspected endpoint answers again. */
   public void onRecovery(Consumer<TrackedEndpoint> listener) {
     recoveryListeners.add(listener);
@@ -491,6 +497,11 @@
     ImmutableList.copyOf(suspicionListeners).forEach(listener -> listener.accept(endpoint));
   }
 
+  /** Records that a peer suspects an endpoint, which this node does not. */
+  public void recordSuspectedByPeer(TrackedEndpoint endpoint) {
+    peerSuspicionListeners.forEach(listener -> listener.accept(endpoint));
+  }
+
   /** Clears the suspicion of an endpoint that answered. */
   public void clearSuspicion(TrackedEndpoint endpoint) {
     endpoint.clearConnectionRefused();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/HealthChecker.java
@@ -111,6 +111,8 @@
     this.reachability = checkNotNull(reachability);
     reachability.onChange(this::isolationChanged);
     fleet.onSuspicion(engine -> scheduleRetry(engine, INITIAL_RETRY_DELAY));
+    // A peer may be cut off from the engine, so its suspicion is only a reason to probe.
+    fleet.onPeerSuspicion(this::check);
     fleet.onRemoval(probedAt::remove);
     fleet.onRemoval(lateAnswers::remove);
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -4,9 +4,12 @@
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -247,7 +250,8 @@
 
   private LoadReport ownReport() {
     return LoadReport.ofNode(
-        box, ownLoads(), ownSlowEngines(), ownLimits(), fleet.links().ownLoads());
+            box, ownLoads(), ownSlowEngines(), ownLimits(), fleet.links().ownLoads())
+        .withSuspectedEngines(ownSuspectedEngines());
   }
 
   private ImmutableList<EnginePace> ownSlowEngines() {
@@ -336,9 +340,44 @@
         groupSlowEngines(),
         limits(fleet.signals().rateLimits().recentChanges()),
         groupLinks(),
+        groupSuspectedEngines(),
         0);
   }
 
+  private ImmutableList<Integer> ownSuspectedEngines() {
+    return fleet.all().stream()
+        .filter(TrackedEndpoint::suspected)
+        .map(LoadExchange::keyOf)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the engines that this node or members of its group suspect. */
+  private ImmutableList<Integer> groupSuspectedEngines() {
+    return ImmutableSet.<Integer>builder()
+        .addAll(ownSuspectedEngines())
+        .addAll(peerLoads.enginesSuspectedByMembers())
+        .build()
+        .asList();
+  }
+
+  /**
+   * Has engines checked that a peer suspects and no other peer did before. A node may have no
+   * requests at an engine that has ended, and the controller must know it to replace the engine's
+   * layers.
+   */
+  private void checkSuspectedEngines(LoadReport report) {
+    if (report.suspectedEngines().isEmpty()) {
+      return;
+    }
+    Set<Integer> added = new HashSet<>(report.suspectedEngines());
+    added.removeAll(peerLoads.enginesSuspectedByAny());
+    if (!added.isEmpty()) {
+      fleet.all().stream()
+          .filter(engine -> !engine.suspected() && added.contains(keyOf(engine)))
+          .forEach(fleet::recordSuspectedByPeer);
+    }
+  }
+
   /** Returns the load of this node and the members of its group on links. */
   private ImmutableList<LinkLoad> groupLinks() {
     Map<Integer, Double> megabits = peerLoads.linkMegabitsOfMembers();
@@ -358,6 +397,7 @@
     report.limits().forEach(this::applyLimit);
     boolean ownTotal = report.isGroupTotal() && report.group().equals(peerGroups.ownGroup());
     if (!ownTotal) {
+      checkSuspectedEngines(report);
       peerLoads.put(report, now());
       outdated = true;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadReport.java
@@ -17,6 +17,7 @@
  * @param slowEngines the engines that reported to these nodes that they are slow
  * @param limits the rate limits that endpoints announced to these nodes
  * @param links the load of these nodes on links between data centres
+ * @param suspectedEngines short keys of the engines that these nodes suspect
  * @param configurationVersion the newest configuration version that the sender has seen; 0 if none
  */
 public record LoadReport(
@@ -27,6 +28,7 @@
     ImmutableList<EnginePace> slowEngines,
     ImmutableList<ReportedRateLimit> limits,
     ImmutableList<LinkLoad> links,
+    ImmutableList<Integer> suspectedEngines,
     long configurationVersion) {
   /** Checks that the components are given and in range. */
   public LoadReport {
@@ -37,15 +39,20 @@
     checkNotNull(slowEngines);
     checkNotNull(limits);
     checkNotNull(links);
+    checkNotNull(suspectedEngines);
     checkArgument(
         configurationVersion >= 0,
         "configurationVersion must not be negative: %s",
         configurationVersion);
   }
 
-  /** Returns whether the report contains no load, no slow engine and no limit. */
+  /** Returns whether the report contains nothing but the configuration version. */
   public boolean isEmpty() {
-    return loads.isEmpty() && slowEngines.isEmpty() && limits.isEmpty() && links.isEmpty();
+    return loads.isEmpty()
+        && slowEngines.isEmpty()
+        && limits.isEmpty()
+        && links.isEmpty()
+        && suspectedEngines.isEmpty();
   }
 
   /** Returns the report of one node without slow engines, limits and load on links. */
@@ -60,12 +67,19 @@
       ImmutableList<EnginePace> slowEngines,
       ImmutableList<ReportedRateLimit> limits,
       ImmutableList<LinkLoad> links) {
-    return new LoadReport(sender, "", 1, loads, slowEngines, limits, links, 0);
+    return new LoadReport(sender, "", 1, loads, slowEngines, limits, links, ImmutableList.of(), 0);
+  }
+
+  /** Returns a copy with the short keys of the engines that the nodes suspect. */
+  public LoadReport withSuspectedEngines(ImmutableList<Integer> keys) {
+    return new LoadReport(
+        sender, group, nodes, loads, slowEngines, limits, links, keys, configurationVersion);
   }
 
   /** Returns a copy with the newest configuration version that the sender has seen. */
   LoadReport withConfigurationVersion(long version) {
-    return new LoadReport(sender, group, nodes, loads, slowEngines, limits, links, version);
+    return new LoadReport(
+        sender, group, nodes, loads, slowEngines, limits, links, suspectedEngines, version);
   }
 
   /** Returns whether the report is the total of a group. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/PeerLoads.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/PeerLoads.java
@@ -1,8 +1,10 @@
 package org.vaneworks.coordination.load;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import org.vaneworks.coordination.fleet.LinkLoad;
 
 /**
@@ -126,6 +128,20 @@
     return megabits;
   }
 
+  /** Returns the short keys of the engines that members suspect. */
+  Set<Integer> enginesSuspectedByMembers() {
+    Set<Integer> keys = new HashSet<>();
+    members.values().forEach(received -> keys.addAll(received.report().suspectedEngines()));
+    return keys;
+  }
+
+  /** Returns the short keys of the engines that any peer suspects. */
+  Set<Integer> enginesSuspectedByAny() {
+    Set<Integer> keys = enginesSuspectedByMembers();
+    groups.values().forEach(received -> keys.addAll(received.report().suspectedEngines()));
+    return keys;
+  }
+
   private static void addLinks(Map<String, ReceivedReport> reports, Map<Integer, Double> megabits) {
     for (ReceivedReport received : reports.values()) {
       for (LinkLoad link : received.report().links()) {
--- a/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
+++ b/vaneworks/src/main/java/org/vaneworks/protocol/LoadCodec.java
@@ -56,6 +56,7 @@
       message.addLinkKey(link.linkKey());
       message.addLinkMegabits((int) Math.min(Integer.MAX_VALUE, Math.ceil(link.megabits())));
     }
+    report.suspectedEngines().forEach(message::addSuspectedKey);
     return message.build().toByteArray();
   }
 
@@ -97,6 +98,7 @@
         slow.build(),
         limits,
         links(message),
+        ImmutableList.copyOf(message.getSuspectedKeyList()),
         message.getConfiguration());
   }
 
