A stall of a stream is noticed within its objective for pauses

Cause: engines were probed 250 ms after the last event, which is the whole objective of most routes for pauses, so every stream that lost an engine was late, also where another path was free.

The time-out is now two fifths of the objective, at least three usual pauses of the stream, and at most 250 ms as before. Engines are probed only if no other request of the node made progress through them in the meantime.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
@@ -20,8 +20,20 @@
  * is not stalled. Confined to the node's event loop.
  */
 final class ProgressMonitor {
-  /** Time without an event after which the engines are probed. */
-  private static final Duration STALL_TIMEOUT = Duration.ofMillis(250);
+  /** Maximum time without an event after which the engines are probed. */
+  private static final Duration MAX_STALL_TIMEOUT = Duration.ofMillis(250);
+
+  /**
+   * Stall timeout as a fraction of the objective for pauses. The rest is left for the probe, for
+   * another path and for its engines to read the tokens so far, so that the response stays in time.
+   */
+  private static final double STALL_FRACTION = 0.4;
+
+  /** Stall timeout as a multiple of the usual pause; events of slow engines are no stall. */
+  private static final double USUAL_PAUSES_PER_STALL = 3;
+
+  /** Weight of a new sample in the moving average of the pauses. */
+  private static final double PAUSE_SMOOTHING = 0.2;
 
   /** Stall timeout before the first event, which requires the prompt to be processed. */
   private static final Duration FIRST_EVENT_STALL_TIMEOUT = Duration.ofMillis(350);
@@ -32,12 +44,14 @@
   private final ForwardContext context;
   private final EndpointSelector selector;
   private final long longPauseNanos;
+  private final double minStallNanos;
   private final Runnable onStall;
   private Cancellable timer = () -> {};
   private boolean paused;
   private boolean awaitsHead;
   private boolean previousPauseShort;
   private long lastProgress;
+  private double usualPauseNanos;
   private long checkDueAt;
 
   /** Consecutive checks that ran too late to prove a stall. */
@@ -59,6 +73,7 @@
     this.selector = selector;
     // Two thirds of the objective: longer pauses come close to missing it.
     this.longPauseNanos = pauseObjective.toNanos() * 2 / 3;
+    this.minStallNanos = pauseObjective.toNanos() * STALL_FRACTION;
   }
 
   /** Returns when the request last made progress; now, if its response is not being read. */
@@ -71,7 +86,7 @@
    * could not, as its response is not being read.
    */
   boolean hasRecentProgress() {
-    return paused || now() - lastProgress < STALL_TIMEOUT.toNanos();
+    return paused || now() - lastProgress < MAX_STALL_TIMEOUT.toNanos();
   }
 
   /** Returns whether the request made no progress for so long that its engines are probed. */
@@ -137,6 +152,7 @@
     boolean shortPause = now - lastProgress < longPauseNanos;
     boolean fast = shortPause && previousPauseShort;
     previousPauseShort = shortPause;
+    usualPauseNanos += PAUSE_SMOOTHING * (now - lastProgress - usualPauseNanos);
     lastProgress = now;
     if (selector.path().isEmpty()) {
       return;
@@ -160,7 +176,7 @@
       return;
     }
     long wait = stallTimeout().toNanos() - (now() - lastProgress);
-    long minWait = STALL_TIMEOUT.toNanos() / 2;
+    long minWait = eventStallTimeout().toNanos() / 4;
     checkAfter(Math.max(wait, minWait));
   }
 
@@ -170,7 +186,12 @@
   }
 
   private Duration stallTimeout() {
-    return awaitsHead ? FIRST_EVENT_STALL_TIMEOUT : STALL_TIMEOUT;
+    return awaitsHead ? FIRST_EVENT_STALL_TIMEOUT : eventStallTimeout();
+  }
+
+  private Duration eventStallTimeout() {
+    double nanos = Math.max(minStallNanos, USUAL_PAUSES_PER_STALL * usualPauseNanos);
+    return Duration.ofNanos((long) Math.min(nanos, MAX_STALL_TIMEOUT.toNanos()));
   }
 
   private void check() {
@@ -201,7 +222,7 @@
 
   private void probeSilentEngines(EnginePath path) {
     for (PathPart part : path.parts()) {
-      if (now() - part.engine().lastProgress() >= STALL_TIMEOUT.toNanos()) {
+      if (now() - part.engine().lastProgress() >= eventStallTimeout().toNanos()) {
         context.health().check(part.engine());
       }
     }
