--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -20,6 +20,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.entry.LinkProfile;
 import org.vaneworks.state.entry.ModelProfile;
+import org.vaneworks.telemetry.Metric;
 
 /**
  * Selects the endpoint of a request, either an engine path or a replica of a plain service, and
@@ -421,8 +422,12 @@
     LinkProfile link = linkProfile().get();
     double reserved = context.fleet().links().reservedMegabits(from, to);
     double megabits = reserved + size.tokens() * link.megabitsPerToken();
-    return reserved == 0
-        || megabits <= link.megabitsPerSecond() * objective.toNanos() / NANOS_PER_SECOND;
+    double passed = link.megabitsPerSecond() * objective.toNanos() / NANOS_PER_SECOND;
+    boolean room = reserved == 0 || megabits <= passed;
+    if (!room) {
+      context.counters().count(Metric.FULL_LINKS, isSelected() ? "replacement" : "start");
+    }
+    return room;
   }
 
   private long now() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -225,9 +225,11 @@
     double[][] costs = new double[dataCentres.size()][dataCentres.size()];
     for (int from = 0; from < costs.length; from++) {
       for (int to = 0; to < costs.length; to++) {
-        boolean mayCross = query.linkRoom().mayCross(dataCentres.get(from), dataCentres.get(to));
-        double crossing = mayCross ? CROSSING_COST_MILLIS : Double.POSITIVE_INFINITY;
-        costs[from][to] = from == to ? 0 : crossing;
+        if (from < to) {
+          boolean room = query.linkRoom().mayCross(dataCentres.get(from), dataCentres.get(to));
+          costs[from][to] = room ? CROSSING_COST_MILLIS : Double.POSITIVE_INFINITY;
+          costs[to][from] = costs[from][to];
+        }
       }
     }
     return costs;
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -43,6 +43,10 @@
   PEER_BYTES("vaneworks.peer.bytes", "bytes to and from peers, by direction"),
   PEER_HOPS(
       "vaneworks.peer.hops", "requests forwarded to peers and taken from peers, by what happened"),
+  FULL_LINKS(
+      "vaneworks.full.links",
+      "links between data centres that a request could not cross for want of room, by what was"
+          + " searched"),
   LOAD_REPORTS("vaneworks.load.reports", "reports of load between nodes, by outcome"),
   QUARANTINE("vaneworks.quarantine", "requests under which endpoints ended, by step"),
   SUSPENSIONS("vaneworks.suspensions", "times that the box may have slept, by the time of day"),
