Routes have their own priority within that of a workspace; engines are told

Cause: the priority of a workspace replaced that of the route. Ruled out: the order in the queue itself, which follows the priority it is given.

The workspace's priority still decides first, the route's then. Requests to engines carry the priority in ten levels (header Priority), as engines let more urgent requests in first; a response that continues is the most urgent.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -114,6 +114,7 @@
         Duration.ofSeconds(TIMEOUT_SECONDS),
         Optional.empty(),
         Optional.empty(),
+        5,
         Optional.empty());
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Attempt.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Attempt.java
@@ -14,6 +14,7 @@
  * @param workspace the workspace that the request belongs to; empty if the route is open
  * @param resumeAfter the id of the last event that the caller received; empty to use the position
  *     in the caller's own request
+ * @param engineLevel the priority for engines: 0, the most urgent, to 9
  * @param hop what the endpoint is told if it is a peer; empty for endpoints
  */
 public record Attempt(
@@ -23,4 +24,5 @@
     Duration remaining,
     Optional<String> workspace,
     Optional<String> resumeAfter,
+    int engineLevel,
     Optional<PeerHop> hop) {}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -23,6 +23,7 @@
 import org.vaneworks.state.entry.Caller;
 import org.vaneworks.state.entry.EntryConfiguration;
 import org.vaneworks.state.entry.EntryRoute;
+import org.vaneworks.state.entry.RequestPriority;
 import org.vaneworks.state.entry.ServiceProfile;
 import org.vaneworks.telemetry.Metric;
 
@@ -40,6 +41,9 @@
    */
   private static final Duration FAILED_ENDPOINT_PAUSE = Duration.ofMillis(500);
 
+  /** Level for engines of a response that continues, which is lost if it waits. */
+  private static final int MOST_URGENT = 0;
+
   private static final int SERVER_ERROR = 500;
   private static final int MISDIRECTED = 421;
 
@@ -57,6 +61,7 @@
   private final PeerSends peerSends;
   private final EndpointSelector selector;
   private final ProgressMonitor progress;
+  private final RequestPriority priority;
   private final long startedAt;
   private final CallerDeadlines deadlines;
   private final long deadline;
@@ -108,6 +113,7 @@
         incomingHop
             .map(PeerHop::service)
             .orElseGet(() -> route.selectService(context.random().nextDouble()));
+    this.priority = RequestPriority.of(route, caller);
     this.peerSends = new PeerSends(context, service);
     this.selector =
         new EndpointSelector(
@@ -239,9 +245,7 @@
 
     @Override
     public int priority() {
-      return caller
-          .map(known -> known.priority().orElse(route.priority()))
-          .orElse(route.priority());
+      return priority.level();
     }
   }
 
@@ -273,6 +277,7 @@
             Duration.ofNanos(Math.max(0, deadline - now())),
             caller.map(Caller::workspace),
             splitter.lastId(),
+            continuesResponse() ? MOST_URGENT : priority.engineLevel(),
             peerSends.hopTo(running.endpoint(), headSent));
     ForwardLog.sent(request, sent, sends);
     progress.attemptStarted(headSent);
