Start tags of fair queueing are computed by a class of their own

Cause: the capacity queues of the forwarding node order requests of one priority by arrival only. A workspace that floods is therefore served in proportion to what it sends. AdmissionControl of vaneworksd has start-time fair queueing, but tied to its requests. Ruled out: using its queue as it is. It charges a request when it arrives, so refused requests would count, and it keeps requests of a flow in arrival order, which rank and priority of the forwarding node break.

FairShares (package coordination.queueing, which depends on no other) keeps the virtual time and the finish tags. A queue charges a request at its arrival (AdmissionControl) or at its start.

FairSharesTest: shares by weight, which add up to one, bounded passes, no credit for idling, the forecast of tags.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/admission/FairQueue.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/admission/FairQueue.java
@@ -7,14 +7,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.vaneworks.coordination.queueing.FairShares;
 import org.vaneworks.coordination.requests.CompletionRequest;
 import org.vaneworks.state.Priority;
 
 /**
  * The queued requests of one model, ordered by start-time fair queueing.
  *
- * <p>Each flow (workspace and priority) is served in proportion to its weight. A flow accumulates
- * no credit while it is idle. Not thread-safe; guarded by the lock of {@link AdmissionControl}.
+ * <p>Each flow (workspace and priority) is served in proportion to its weight. A request is charged
+ * to its flow when it arrives. Not thread-safe; guarded by the lock of {@link AdmissionControl}.
  */
 final class FairQueue {
   /** Identifies a flow: the requests of one workspace at one priority. */
@@ -22,12 +23,11 @@
 
   private static final class Flow {
     private final Deque<QueuedRequest> waiting = new ArrayDeque<>();
-    private double lastFinish;
   }
 
   private final AdmissionCost cost;
   private final Map<FlowKey, Flow> flows = new HashMap<>();
-  private double virtualTime;
+  private final FairShares<FlowKey> shares = FairShares.create();
   private int size;
 
   FairQueue(AdmissionCost cost) {
@@ -38,9 +38,7 @@
     CompletionRequest request = queued.request();
     Flow flow = flows.computeIfAbsent(queued.flow(), key -> new Flow());
     double share = (double) request.plan().weight() * request.priority().factor();
-    double start = Math.max(virtualTime, flow.lastFinish);
-    flow.lastFinish = start + cost.of(request) / share;
-    queued.startTag(start);
+    queued.startTag(shares.charge(queued.flow(), shares.virtualTime(), cost.of(request), share));
     flow.waiting.add(queued);
     size++;
   }
@@ -59,7 +57,7 @@
 
   /** Removes a request that is being served and advances the virtual time to its start tag. */
   void serve(QueuedRequest queued) {
-    virtualTime = Math.max(virtualTime, queued.startTag());
+    shares.serve(queued.startTag());
     remove(queued);
   }
 
@@ -70,7 +68,7 @@
       return false;
     }
     size--;
-    if (flow.waiting.isEmpty() && flow.lastFinish <= virtualTime) {
+    if (flow.waiting.isEmpty() && shares.removeIfPast(queued.flow())) {
       flows.remove(queued.flow());
     }
     return true;
@@ -78,8 +76,7 @@
 
   /** Returns how many queued requests would be served before a new request of the flow. */
   int countAhead(FlowKey key) {
-    Flow own = flows.get(key);
-    double start = own == null ? virtualTime : Math.max(virtualTime, own.lastFinish);
+    double start = shares.startTag(key, shares.virtualTime());
     int ahead = 0;
     for (Flow flow : flows.values()) {
       for (QueuedRequest queued : flow.waiting) {
@@ -109,7 +106,7 @@
   void removeIdleFlows() {
     if (size == 0) {
       flows.clear();
-      virtualTime = 0;
+      shares.reset();
     }
   }
 }
