Workspaces share the capacity for which requests wait

Cause: requests of one rank and priority started by arrival, so a workspace got what it sent. Ruled out: shares counted over the fleet (bytes in load reports, and a lag longer than most waits) and one virtual time for all priorities (credit for idling); see docs/design/0027.

CapacityQueue orders by rank, priority and start tag. Starts are charged to the workspace, also those without waiting. A request is passed over by later ones of its workspace eight times at most; after eight passes by others it keeps its rank when its objective has passed. Requests smaller than all that found no capacity try as well, up to six failed starts per poll. Requests without a workspace are served as before. vaneworks.queue.starts counts starts by whether they waited.

--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CapacityQueue.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CapacityQueue.java
@@ -16,20 +16,19 @@
  * Queue of requests that wait for capacity at the endpoints of one service.
  *
  * <p>Interrupted streams come first, then requests that can still meet their objective, then late
- * ones; each group is ordered by priority and arrival. So a shortage delays few requests instead of
- * all, and late requests are served if capacity is left while their callers wait. A request waits
- * only while it is expected to start before its caller gives up, given its position and the recent
- * start rate of this node. Otherwise, and while no endpoint could run it at all, it is refused
- * immediately. An interrupted stream, which is lost if it is refused, waits as long as its caller.
- * Confined to the node's event loop.
+ * ones; each group is ordered by priority and then by the shares of workspaces ({@link
+ * WorkspaceShares}), which within a workspace means by arrival. So a shortage delays few requests
+ * instead of all, a workspace that sends more than its share delays its own requests, and late
+ * requests are served if capacity is left while their callers wait. A request waits only while it
+ * is expected to start before its caller gives up, given its position and the recent start rate of
+ * this node. Otherwise, and while no endpoint could run it at all, it is refused immediately. An
+ * interrupted stream, which is lost if it is refused, waits as long as its caller. Confined to the
+ * node's event loop.
  */
 final class CapacityQueue {
   /** Interval between polls for capacity; each poll costs a few path searches. */
   private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
-  /** Failed starts after which a poll ends; more than one, as a smaller request may fit. */
-  private static final int MAX_MISSES_PER_POLL = 3;
-
   /** Time constant of the start rate; streams last one to three seconds. */
   private static final double RATE_TIME_CONSTANT_NANOS = 1e9;
 
@@ -43,7 +42,7 @@
   enum Rank {
     /** The caller has already received a part of the response. */
     CONTINUES,
-    /** The request can still meet its objective. */
+    /** The request can still meet its objective, or would if it were smaller. */
     ON_TIME,
     /** The request can no longer meet its objective. */
     LATE
@@ -85,19 +84,83 @@
 
     /** Returns the priority; 0 is the most urgent. */
     int priority();
+
+    /** Returns what a start takes of the share of the request's workspace. */
+    WorkspaceCharge charge();
+
+    /** Returns whether an attempt of the request is in progress, which a start would replace. */
+    boolean hasAttempt();
+
+    /**
+     * Called after a start.
+     *
+     * @param waited whether the request was queued before
+     */
+    default void started(boolean waited) {}
   }
 
-  private record Entry(Waiter waiter, long queuedAt) {
+  /** A request in the queue. */
+  static final class Entry {
+    private final Waiter waiter;
+    private final WorkspaceCharge charge;
+    private final long queuedAt;
+    private final double arrivedAt;
+    private int passesInWorkspace;
+    private int passesByOthers;
+
+    /**
+     * Creates an entry.
+     *
+     * @param queuedAt arrival in nanoseconds of the executor's clock
+     * @param arrivedAt arrival in virtual time of the request's priority
+     */
+    private Entry(Waiter waiter, long queuedAt, double arrivedAt) {
+      this.waiter = waiter;
+      this.charge = waiter.charge();
+      this.queuedAt = queuedAt;
+      this.arrivedAt = arrivedAt;
+    }
+
+    Waiter waiter() {
+      return waiter;
+    }
+
+    WorkspaceCharge charge() {
+      return charge;
+    }
+
+    long queuedAt() {
+      return queuedAt;
+    }
+
+    /** Returns how often later requests of the same workspace have started before this one. */
+    int passesInWorkspace() {
+      return passesInWorkspace;
+    }
+
+    /** Records that a later request has started before this one. */
+    void recordPass(boolean sameWorkspace) {
+      if (sameWorkspace) {
+        passesInWorkspace++;
+      } else {
+        passesByOthers++;
+      }
+    }
+
     Rank rank(long now) {
       if (waiter.continues()) {
         return Rank.CONTINUES;
       }
-      return now <= waiter.onTimeUntil() ? Rank.ON_TIME : Rank.LATE;
+      // A large request that smaller ones of other workspaces keep passing over is late because of
+      // its size. Behind all requests that are on time it would hardly ever start.
+      boolean passedOver = passesByOthers >= PollAttempts.MAX_PASSES;
+      return passedOver || now <= waiter.onTimeUntil() ? Rank.ON_TIME : Rank.LATE;
     }
   }
 
   private final Executor clock;
   private final List<Entry> entries = new ArrayList<>();
+  private final WorkspaceShares shares = new WorkspaceShares();
   private boolean pollScheduled;
   private double startsPerSecond;
   private long rateUpdatedAt;
@@ -113,14 +176,16 @@
    * Starts a request if there is capacity and the queue is empty; otherwise queues or refuses it.
    */
   void join(Waiter waiter) {
-    if (entries.isEmpty() && tryStart(waiter)) {
+    Entry entry = new Entry(waiter, now(), shares.virtualTime(waiter.priority()));
+    if (entries.isEmpty() && tryStart(entry)) {
+      waiter.started(false);
+      shares.removePast();
       shortageSince = OptionalLong.empty();
       return;
     }
     if (shortageSince.isEmpty()) {
       shortageSince = OptionalLong.of(now());
     }
-    Entry entry = new Entry(waiter, now());
     entries.add(entry);
     if (cannotBeServed(entry, ordered().indexOf(entry))) {
       entries.remove(entry);
@@ -167,7 +232,7 @@
 
   private void poll() {
     pollScheduled = false;
-    int misses = 0;
+    PollAttempts attempts = new PollAttempts();
     int ahead = 0;
     for (Entry entry : ordered()) {
       if (!entries.remove(entry)) {
@@ -177,13 +242,18 @@
         entry.waiter().refuse();
         continue;
       }
-      if (misses < MAX_MISSES_PER_POLL && tryStart(entry.waiter())) {
-        continue;
+      if (attempts.mayTry(entry)) {
+        if (tryStart(entry)) {
+          attempts.started(entry);
+          entry.waiter().started(true);
+          continue;
+        }
+        attempts.missed(entry);
       }
-      misses++;
       if (cannotBeServed(entry, ahead)) {
         entry.waiter().refuse();
       } else {
+        attempts.waits(entry);
         entries.add(entry);
         ahead++;
       }
@@ -193,10 +263,11 @@
     }
   }
 
-  private boolean tryStart(Waiter waiter) {
-    if (!waiter.start()) {
+  private boolean tryStart(Entry entry) {
+    if (!entry.waiter().start()) {
       return false;
     }
+    shares.recordStart(entry.waiter().priority(), entry.arrivedAt, entry.charge());
     decayRate();
     startsPerSecond += 1e9 / RATE_TIME_CONSTANT_NANOS;
     return true;
@@ -225,13 +296,36 @@
     return requests * 1e9 / Math.max(MIN_STARTS_PER_SECOND, startsPerSecond);
   }
 
+  /** A place in the order of entries. */
+  private record Position(Entry entry, Rank rank, int priority, double startTag) {
+    private static final Comparator<Position> BY_GROUP =
+        Comparator.comparing(Position::rank).thenComparingInt(Position::priority);
+    private static final Comparator<Position> BY_ARRIVAL =
+        BY_GROUP.thenComparingLong(position -> position.entry().queuedAt());
+    private static final Comparator<Position> BY_START_TAG =
+        BY_GROUP.thenComparingDouble(Position::startTag);
+
+    Position withStartTag(double tag) {
+      return new Position(entry, rank, priority, tag);
+    }
+  }
+
   private ImmutableList<Entry> ordered() {
     long now = now();
-    return ImmutableList.sortedCopyOf(
-        Comparator.comparing((Entry entry) -> entry.rank(now))
-            .thenComparingInt(entry -> entry.waiter().priority())
-            .thenComparingLong(Entry::queuedAt),
-        entries);
+    WorkspaceShares.Forecast forecast = shares.forecast();
+    return entries.stream()
+        .map(entry -> new Position(entry, entry.rank(now), entry.waiter().priority(), 0))
+        .sorted(Position.BY_ARRIVAL)
+        .map(
+            position ->
+                position.withStartTag(
+                    forecast.next(
+                        position.priority(),
+                        position.entry().arrivedAt,
+                        position.entry().charge())))
+        .sorted(Position.BY_START_TAG)
+        .map(Position::entry)
+        .collect(ImmutableList.toImmutableList());
   }
 
   private long now() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -82,6 +82,11 @@
         .orElseGet(() -> new RequestSize(0, 0));
   }
 
+  /** Returns the number of tokens that the request is expected to take; 0 for a plain service. */
+  int expectedTokens() {
+    return model.isPresent() ? size.tokens() : 0;
+  }
+
   /** Returns whether engines run the request, as opposed to a plain service. */
   boolean runsOnEngines() {
     return model.isPresent();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -243,6 +243,21 @@
           .map(known -> known.priority().orElse(route.priority()))
           .orElse(route.priority());
     }
+
+    @Override
+    public WorkspaceCharge charge() {
+      return WorkspaceCharge.of(caller, selector.expectedTokens());
+    }
+
+    @Override
+    public boolean hasAttempt() {
+      return attempt.isPresent();
+    }
+
+    @Override
+    public void started(boolean waited) {
+      context.counters().count(Metric.QUEUE_STARTS, waited ? "waited" : "immediate");
+    }
   }
 
   /** Returns whether the caller has a part of the response, from this node or from a peer. */
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -17,6 +17,8 @@
   ENDPOINT_RESPONSES(
       "vaneworks.endpoint.responses",
       "endpoint responses that ended without an error, by what delimited their bodies"),
+  QUEUE_STARTS(
+      "vaneworks.queue.starts", "starts at endpoints, by whether the request waited for capacity"),
   DROPPED_ANSWERS("vaneworks.dropped.answers", "endpoint answers not used, by reason"),
   REQUESTS("vaneworks.requests", "requests taken in, by kind"),
   TOKENS("vaneworks.tokens", "tokens accepted, by model"),
