Replicas of plain services are chosen by expected completion time

Cause: the replica with the fewest requests in flight was chosen, whatever its pace. A replica that is 12 times slower got as many requests as it held and refused the rest; a replica that refuses on was asked by each box five times a second; boxes with the same load reports all chose the replica that was free in them.

Each node measures the service time of each replica (ReplicaPace), and ReplicaChoice decides by these, the requests of all nodes and the backoff after refusals (RefusalBackoff, 200 ms to 1.6 s). With peers, two replicas are drawn at random. Slow replicas are reported in the field for slow engines. Nothing is configured; the protocol is unchanged.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/load/LoadExchangeTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
@@ -320,6 +321,18 @@
     assertEquals(ImmutableList.of(), lastReport.slowEngines());
   }
 
+  // Guards against each of many nodes measuring a slow replica of a plain service by itself.
+  @Test
+  void slowReplicaThatThisNodeMeasuredIsReported() {
+    exchange.start();
+    engine.recordServed(600e6, clock.currentTime(TimeUnit.NANOSECONDS));
+    engine.setReplicaSlowness(8);
+    advance(50);
+    assertEquals(slow(8), lastReport.slowEngines());
+    advance(6000);
+    assertEquals(ImmutableList.of(), lastReport.slowEngines());
+  }
+
   @Test
   void slowEnginesOfGroupAreReportedToOtherGroups() {
     peers = ImmutableList.of(new Peer("far", "dc2", PEER_2));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.time.Duration;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.LayerRange;
 
@@ -23,6 +24,12 @@
 
   private static final double MAX_SHORTAGE = 3;
 
+  /**
+   * Age of a measurement from which a slow replica is no longer reported, so that peers notice its
+   * recovery although this node sends it no requests.
+   */
+  private static final Duration MAX_REPORTED_AGE = Duration.ofSeconds(5);
+
   /** Requests last a few seconds, so a shortage has mostly passed after two half-lives. */
   private static final double SHORTAGE_HALF_LIFE_NANOS = 1e9;
 
@@ -49,6 +56,9 @@
   private double paceReportedByPeers = 1;
   private double shortage = 1;
   private long shortageAt;
+  private final ReplicaPace replicaPace = new ReplicaPace();
+  private double replicaSlowness = 1;
+  private final RefusalBackoff refusals = new RefusalBackoff();
   private final IncarnationSignals signals;
 
   TrackedEndpoint(FleetEndpoint endpoint, IncarnationSignals signals) {
@@ -252,6 +262,72 @@
     return 1 + (shortage - 1) * Math.pow(0.5, age);
   }
 
+  /** Returns the service time that this node measured at a replica of a plain service. */
+  public ReplicaPace replicaPace() {
+    return replicaPace;
+  }
+
+  /** Records the service time of a request that a replica of a plain service answered. */
+  public void recordServed(double serviceNanos, long nowNanos) {
+    replicaPace.record(serviceNanos, replicaSlowness > 1, nowNanos);
+  }
+
+  /**
+   * Records a request that ended without an answer of the replica. Its service time would have been
+   * longer than the given one.
+   */
+  public void recordUnfinished(double serviceNanos, long nowNanos) {
+    replicaPace.recordUnfinished(serviceNanos, nowNanos);
+  }
+
+  /**
+   * Sets how many times slower than other replicas of its service this node has measured the
+   * replica to be; 1 if it is not slow.
+   */
+  public void setReplicaSlowness(double value) {
+    replicaSlowness = value;
+  }
+
+  /**
+   * Returns the pace to report to peers: that which an engine reported to this node, or the
+   * slowness of a replica that was measured recently; 1 if the endpoint is not slow.
+   */
+  public double paceToReport(long nowNanos) {
+    boolean known =
+        replicaPace.age(nowNanos).compareTo(MAX_REPORTED_AGE) <= 0
+            && !replicaPace.mayHaveRecovered();
+    double slowness = known ? Math.max(pace, replicaSlowness) : pace;
+    return slowness >= SLOW_PACE ? slowness : 1;
+  }
+
+  /** Returns the pace that peers reported; 1 if no peer reported that the endpoint is slow. */
+  public double paceReportedByPeers() {
+    return paceReportedByPeers;
+  }
+
+  /** Records that a replica of a plain service refused a request without running it. */
+  public void recordRefusal(long sentAt, long nowNanos) {
+    refusals.recordRefusal(sentAt, nowNanos);
+  }
+
+  /** Returns whether a replica refused several requests and has accepted none for a while. */
+  public boolean refusesRepeatedly(long nowNanos) {
+    return refusals.isRepeated(nowNanos);
+  }
+
+  /** Records that the endpoint accepted a request. */
+  public void recordAcceptance(long sentAt, long nowNanos) {
+    refusals.recordAcceptance(sentAt, nowNanos);
+  }
+
+  /**
+   * Returns until when a replica is avoided because it refused requests; {@link Long#MIN_VALUE} if
+   * it is not. It is used nevertheless if all replicas are avoided.
+   */
+  public long refusalBackoffEndsAt() {
+    return refusals.endsAt();
+  }
+
   /** Records a failed request and returns the number of consecutive failures. */
   public int recordFailure() {
     return ++consecutiveFailures;
@@ -324,6 +400,20 @@
     return (inFlight + peerRequests) * extrapolationFactor + recentRequests * similarPeers;
   }
 
+  /**
+   * Returns in how many rounds of its slots the endpoint serves the requests that it is known to
+   * have, at least 1. Requests that peers are merely assumed to have started are not included.
+   */
+  public double rounds() {
+    double requests = (inFlight + peerRequests) * extrapolationFactor;
+    return Math.max(1, requests / Math.max(1, endpoint.slots()));
+  }
+
+  /** Returns the number of peers that select endpoints from the same view as this node. */
+  public double similarPeers() {
+    return similarPeers;
+  }
+
   /**
    * Returns the estimated memory that the requests of all nodes need at the endpoint, in tokens
    * times layers.
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.vaneworks.coordination.fleet.CallPurpose;
 import org.vaneworks.coordination.fleet.RequestSchedule;
@@ -234,7 +235,7 @@
 
   private Optional<Selection> find() {
     if (model.isEmpty()) {
-      return leastLoaded().map(Selection::of);
+      return chooseReplica().map(Selection::of);
     }
     Optional<EnginePath> next =
         context.planner().plan(query(), usable(ImmutableList.copyOf(failed)));
@@ -336,12 +337,20 @@
     return context.fleet().find(service, address);
   }
 
-  /** Avoids the endpoint that prevented the request from running for a while, and returns it. */
-  TrackedEndpoint recordObstacle(ResponseHead refused) {
+  /**
+   * Avoids the endpoint that prevented the request from running for a while, and returns it.
+   *
+   * @param sentAt when the request was sent
+   */
+  TrackedEndpoint recordObstacle(ResponseHead refused, long sentAt) {
     TrackedEndpoint obstacle = refused.obstacle().flatMap(this::engineAt).orElseGet(this::target);
     boolean misdirected = refused.status() == MISDIRECTED;
-    Duration pause = misdirected ? MISDIRECTED_BACKOFF : OVERLOAD_BACKOFF;
-    obstacle.avoidUntil(now() + pause.toNanos());
+    if (isReplica(obstacle) && !misdirected) {
+      obstacle.recordRefusal(sentAt, now());
+    } else {
+      Duration pause = misdirected ? MISDIRECTED_BACKOFF : OVERLOAD_BACKOFF;
+      obstacle.avoidUntil(now() + pause.toNanos());
+    }
     if (misdirected && obstacle.endpoint().incarnation().isKnown()) {
       // The engine may have restarted without layers; its report shows that before the list does.
       context.health().check(obstacle);
@@ -414,18 +423,37 @@
     return context.clock().currentTime(NANOSECONDS);
   }
 
-  /** Returns the replica with the fewest requests; replicas already tried count as fully loaded. */
-  private Optional<TrackedEndpoint> leastLoaded() {
-    Optional<TrackedEndpoint> best = Optional.empty();
-    double bestLoad = Double.MAX_VALUE;
-    for (TrackedEndpoint replica : context.fleet().usable(service)) {
-      double load = replica.totalRequests() + context.random().nextDouble();
-      load += tried.contains(replica) ? replica.endpoint().slots() : 0;
-      if (load < bestLoad) {
-        best = Optional.of(replica);
-        bestLoad = load;
-      }
+  /** Returns the replica at which the request is expected to be answered first. */
+  private Optional<TrackedEndpoint> chooseReplica() {
+    ImmutableList<TrackedEndpoint> replicas = context.fleet().usable(service);
+    ImmutableList<ReplicaChoice.Candidate> candidates =
+        replicas.stream()
+            .map(replica -> ReplicaChoice.Candidate.of(replica, tried.contains(replica), now()))
+            .collect(ImmutableList.toImmutableList());
+    ReplicaChoice choice = ReplicaChoice.among(candidates);
+    for (int i = 0; i < replicas.size(); i++) {
+      replicas.get(i).setReplicaSlowness(choice.slownessToReport(i));
     }
-    return best;
+    double peers = replicas.stream().mapToDouble(TrackedEndpoint::similarPeers).max().orElse(0);
+    OptionalInt chosen = choice.choose(peers, now(), context.random());
+    return chosen.isPresent() ? Optional.of(replicas.get(chosen.getAsInt())) : Optional.empty();
+  }
+
+  /** Records that the selected endpoint answered the request. */
+  void recordServed(RunningAttempt attempt) {
+    if (isReplica(attempt.endpoint())) {
+      attempt.recordServed(now());
+    }
+  }
+
+  /** Records that the request ended before the selected endpoint answered. */
+  void recordUnfinished(RunningAttempt attempt) {
+    if (isReplica(attempt.endpoint())) {
+      attempt.recordUnfinished(now());
+    }
+  }
+
+  private boolean isReplica(TrackedEndpoint endpoint) {
+    return model.isEmpty() && !endpoint.isPeer();
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -301,7 +301,10 @@
     @Override
     public void head(ResponseHead head) {
       recordSignal(head, running.endpoint());
-      running.recordHead(isStream(head));
+      running.recordHead(isStream(head), head.success());
+      if (head.matches() && !head.notRun()) {
+        running.endpoint().recordAcceptance(running.sentAt(), now());
+      }
       if (isPrevious(running)) {
         previousHead(head, running);
       } else if (isCurrent(running)) {
@@ -352,6 +355,7 @@
         failed(false, truncation.get());
       } else if (isOrBecomesCurrent()) {
         running.endpoint().recordSuccess();
+        selector.recordServed(running);
         passHeldHeadOn(running);
         finish();
       }
@@ -438,7 +442,7 @@
           Verdict.MAY_HAVE_RUN, AttemptFailure.MISMATCHED_RESPONSE, "an answer to another request");
     } else if (head.notRun()) {
       running.discard();
-      TrackedEndpoint obstacle = selector.recordObstacle(head);
+      TrackedEndpoint obstacle = selector.recordObstacle(head, running.sentAt());
       String cause = "status " + head.status() + " for want of " + obstacle;
       attemptEnded(Verdict.NOT_RUN, AttemptFailure.ENDPOINT_REFUSED, cause);
     } else if (head.status() >= SERVER_ERROR && (headSent || route.kind().idempotent())) {
@@ -811,6 +815,7 @@
       return;
     }
     boolean mayRunNow = attempt.filter(RunningAttempt::mayHaveArrived).isPresent();
+    attempt.ifPresent(selector::recordUnfinished);
     attempt.ifPresent(RunningAttempt::cancel);
     if (headSent) {
       lastFailure = AttemptFailure.DEADLINE_EXCEEDED;
@@ -831,6 +836,7 @@
     if (done) {
       return;
     }
+    attempt.ifPresent(selector::recordUnfinished);
     attempt.ifPresent(RunningAttempt::cancel);
     context.counters().count(Metric.REFUSALS, Reason.CALLER_GONE.code());
     close();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RunningAttempt.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RunningAttempt.java
@@ -17,10 +17,13 @@
 final class RunningAttempt {
   private final TrackedEndpoint endpoint;
   private final long sentAt;
+  private final double roundsAtStart;
   private OptionalLong firstPartAt = OptionalLong.empty();
   private long receivedBytes;
   private boolean survived;
   private boolean stream;
+  private boolean success;
+  private boolean delayedByCaller;
   private boolean events;
   private Optional<EndpointCall> call = Optional.empty();
   private Optional<ResponseHead> heldHead = Optional.empty();
@@ -28,6 +31,7 @@
   RunningAttempt(TrackedEndpoint endpoint, long sentAt) {
     this.endpoint = checkNotNull(endpoint);
     this.sentAt = sentAt;
+    this.roundsAtStart = endpoint.rounds();
   }
 
   /** Sets the call that carries the attempt. */
@@ -65,9 +69,33 @@
    * Records that the head of the response arrived.
    *
    * @param isStream whether the body is a stream of events
+   * @param isSuccess whether the status means success
    */
-  void recordHead(boolean isStream) {
+  void recordHead(boolean isStream, boolean isSuccess) {
     stream = isStream;
+    success = isSuccess;
+  }
+
+  /**
+   * Records the service time of a replica at the end of its response. Errors tell nothing about it,
+   * as they are often faster, nor do responses that the caller read slowly.
+   */
+  void recordServed(long now) {
+    if (success && !delayedByCaller) {
+      endpoint.recordServed(serviceNanos(now), now);
+    }
+  }
+
+  /** Records that a replica had not answered when the request ended. */
+  void recordUnfinished(long now) {
+    if (!delayedByCaller && mayHaveArrived()) {
+      endpoint.recordUnfinished(serviceNanos(now), now);
+    }
+  }
+
+  /** Returns the time since the request was sent, per round of the replica's slots. */
+  private double serviceNanos(long now) {
+    return (now - sentAt) / ((roundsAtStart + endpoint.rounds()) / 2);
   }
 
   /** Returns whether the body is a stream of events. */
@@ -141,6 +169,7 @@
   }
 
   void pause() {
+    delayedByCaller = true;
     call.ifPresent(EndpointCall::pause);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/LoadExchange.java
@@ -251,9 +251,10 @@
   }
 
   private ImmutableList<EnginePace> ownSlowEngines() {
+    long now = now();
     return fleet.all().stream()
-        .filter(TrackedEndpoint::reportsSlow)
-        .map(engine -> new EnginePace(keyOf(engine), engine.reportedPace()))
+        .filter(endpoint -> endpoint.paceToReport(now) > 1)
+        .map(endpoint -> new EnginePace(keyOf(endpoint), endpoint.paceToReport(now)))
         .collect(ImmutableList.toImmutableList());
   }
 
