Requests sent at the start of a backoff do not extend it

Cause: a refused request that was sent at the very time at which a backoff began counted as a further refusal. With a paused clock, requests refused together doubled the backoff to 1.6 s; on a real clock that needs equal nanoseconds. Found by the test of simultaneous path changes. Ruled out: requests sent earlier, which were ignored already.

ReplicaBalanceTest.requestsRefusedTogetherCountOnce now includes that case.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ReplicaBalanceTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ReplicaBalanceTest.java
@@ -124,10 +124,10 @@
   void requestsRefusedTogetherCountOnce() {
     TrackedEndpoint replica = tracked(node.replica(1));
     long sentAt = node.now();
-    for (int i = 1; i <= 10; i++) {
+    for (int i = 0; i < 10; i++) {
       replica.recordRefusal(sentAt, sentAt + i);
     }
-    assertEquals(sentAt + 1 + 200_000_000L, replica.refusalBackoffEndsAt());
+    assertEquals(sentAt + 200_000_000L, replica.refusalBackoffEndsAt());
   }
 
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/RefusalBackoff.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/RefusalBackoff.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 /**
- * The time for which this node avoids a replica that refused a request. It doubles with each
- * further refusal until the replica accepts a request.
+ * The time for which this node avoids a replica that refused a request, or an engine that prevented
+ * a path change. It doubles with each further refusal until the endpoint accepts a request.
  *
  * <p>In contrast to {@link Backoff}, the endpoint did not ask for it. Confined to the node's event
  * loop.
@@ -31,7 +31,7 @@
    * tell nothing new.
    */
   void recordRefusal(long sentAt, long now) {
-    if (sentAt < startedAt) {
+    if (sentAt <= startedAt) {
       return;
     }
     lengthNanos = lengthNanos == 0 ? FIRST.toNanos() : Math.min(2 * lengthNanos, MAX.toNanos());
