Path changes of streams that lose the same engine are spread

Cause: a path change reserved nothing until the first engine had accepted it, so all streams that lost an engine chose the same replacement, also beyond its memory, in the order of their arrival. A refused one was repeated at once, and the engine that it named was avoided for 200 ms only, however often it had been named. Ruled out: the noise of the path planner, which is 10 % and does not part engines whose cost differs by more.

A path change reserves at the engines that it adds until its outcome is known, and the most urgent streams choose first. An engine that was named as an obstacle is avoided by all requests for 200 ms, doubled to 1.6 s while it is named again. After a refusal a stream pauses for 20 to 60 ms, doubled with each further one.

The rate of refused path changes in a deployment was not measured. Only streams of one node are spread by reservation; other nodes learn of it by the load reports.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -172,6 +172,14 @@
     final List<HostPort> probed = new ArrayList<>();
     final Map<HostPort, Incarnation> started = new HashMap<>();
     double pace = 1;
+
+    /** The requests whose paths were to be changed, in the order of {@link #repathedPaths}. */
+    final List<String> repathedRequests = new ArrayList<>();
+
+    /** Whether the outcomes of path changes are withheld until the test completes them. */
+    boolean withholdsRepathOutcomes;
+
+    final List<CompletableFuture<RepathOutcome>> withheldOutcomes = new ArrayList<>();
     RepathOutcome repathOutcome = new RepathOutcome(RepathOutcome.Kind.ACCEPTED, Optional.empty());
 
     @Override
@@ -212,6 +220,11 @@
     public CompletableFuture<RepathOutcome> repath(
         FleetEndpoint first, String requestId, String path) {
       repathedPaths.add(path);
+      repathedRequests.add(requestId);
+      if (withholdsRepathOutcomes) {
+        withheldOutcomes.add(new CompletableFuture<>());
+        return withheldOutcomes.get(withheldOutcomes.size() - 1);
+      }
       return CompletableFuture.completedFuture(repathOutcome);
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/TrackedEndpoint.java
@@ -315,6 +315,18 @@
     return refusals.isRepeated(nowNanos);
   }
 
+  /**
+   * Records that an engine prevented a path change, for lack of capacity or as it was absent. All
+   * requests avoid it for 200 ms, and for longer each time it does so again.
+   *
+   * @param orderedAt when the path change was ordered
+   */
+  public void recordPathObstacle(long orderedAt, long nowNanos) {
+    refusals.recordRefusal(orderedAt, nowNanos);
+    avoidUntil(refusals.endsAt());
+    recordShortage(nowNanos);
+  }
+
   /** Records that the endpoint accepted a request. */
   public void recordAcceptance(long sentAt, long nowNanos) {
     refusals.recordAcceptance(sentAt, nowNanos);
@@ -440,6 +452,16 @@
     reservedTokenLayers -= tokenLayers;
   }
 
+  /**
+   * Releases capacity that was reserved for a request that this node has not started here, so that
+   * it says nothing about requests that peers start.
+   */
+  public void withdraw(double tokenLayers) {
+    release(tokenLayers);
+    recentRequests = Math.max(0, recentRequests - 1);
+    recentTokenLayers = Math.max(0, recentTokenLayers - tokenLayers);
+  }
+
   /** Returns whether the endpoint holds all layers of the range. */
   public boolean holds(LayerRange range) {
     return endpoint.layers().filter(held -> held.encloses(range)).isPresent();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -332,6 +332,15 @@
     return context.planner().replan(query(), usable(excluded), first);
   }
 
+  /**
+   * Reserves capacity at the engines that an alternative path adds, until it is accepted or not.
+   *
+   * @return withdraws the reservation
+   */
+  Runnable reserveAlternative(EnginePath alternative) {
+    return alternative.reserveBeyond(path.orElseThrow(), size.tokens());
+  }
+
   /** Returns the engine of the same service at the given address. */
   Optional<TrackedEndpoint> engineAt(HostPort address) {
     return context.fleet().find(service, address);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -245,6 +245,11 @@
     }
   }
 
+  /** Returns the priority; 0 is the most urgent. */
+  int priority() {
+    return waiter.priority();
+  }
+
   /** Returns whether the caller has a part of the response, from this node or from a peer. */
   private boolean continuesResponse() {
     return headSent || incomingHop.filter(PeerHop::continues).isPresent();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Random;
@@ -66,9 +67,7 @@
     context
         .fleet()
         .onSuspicion(
-            engine ->
-                ImmutableList.copyOf(inFlight)
-                    .forEach(forwarded -> forwarded.engineSuspected(engine)));
+            engine -> mostUrgentFirst().forEach(forwarded -> forwarded.engineSuspected(engine)));
     context
         .fleet()
         .onRecovery(
@@ -78,14 +77,12 @@
     context
         .fleet()
         .onIncarnationEnd(
-            endpoint ->
-                ImmutableList.copyOf(inFlight)
-                    .forEach(forwarded -> forwarded.endpointEnded(endpoint)));
+            endpoint -> mostUrgentFirst().forEach(forwarded -> forwarded.endpointEnded(endpoint)));
     context
         .health()
         .onStalls(
             (reporter, blockingEngines) ->
-                ImmutableList.copyOf(inFlight)
+                mostUrgentFirst()
                     .forEach(forwarded -> forwarded.stallReported(reporter, blockingEngines)));
     context
         .reachability()
@@ -255,10 +252,16 @@
         .orElse(true);
   }
 
+  /** Returns the requests in the order in which they choose other endpoints after a loss. */
+  private ImmutableList<ForwardedRequest> mostUrgentFirst() {
+    return ImmutableList.sortedCopyOf(
+        Comparator.comparingInt(ForwardedRequest::priority), inFlight);
+  }
+
   /** Migrates requests from an engine that is leaving, except those that complete soon. */
   private void migrateFrom(TrackedEndpoint engine) {
     clock.schedule(
-        () -> ImmutableList.copyOf(inFlight).forEach(forwarded -> forwarded.engineLeaving(engine)),
+        () -> mostUrgentFirst().forEach(forwarded -> forwarded.engineLeaving(engine)),
         MIGRATION_DELAY.toNanos(),
         NANOSECONDS);
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PathReplacement.java
@@ -23,8 +23,11 @@
   /** Delay between path changes, within which capacity on other engines becomes available. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
-  /** Time for which an engine that prevented a path change is avoided, the lag of its report. */
-  private static final Duration OBSTACLE_BACKOFF = Duration.ofMillis(200);
+  /**
+   * Mean delay after the first refused path change, doubled with each further one. Without a delay,
+   * path changes of streams that lost the same engine were refused up to 96 times a second.
+   */
+  private static final Duration REFUSAL_PAUSE = Duration.ofMillis(40);
 
   /** Operations of the request whose path is changed. */
   interface Callbacks {
@@ -58,6 +61,7 @@
   private final BooleanSupplier quarantined;
   private final Callbacks callbacks;
   private int attemptsLeft;
+  private int refusals;
 
   /**
    * Creates a replacement that is inactive until {@link #start}.
@@ -118,35 +122,39 @@
       return;
     }
     String pathText = next.get().text();
+    // Other streams that lost the same engine choose before the outcome is known.
+    Runnable withdrawal = selector.reserveAlternative(next.get());
+    long orderedAt = now();
     context.fleet().signals().recordCall(selector.target(), CallPurpose.PATH_CHANGE);
     Async.onDone(
         context.control().repath(selector.target().endpoint(), request.id(), pathText),
         context.clock(),
         (outcome, failure) -> {
+          withdrawal.run();
           // An accepted path is in use even if the engine has left the path in the meantime.
           boolean accepted = failure == null && outcome.kind() == RepathOutcome.Kind.ACCEPTED;
           if (accepted ? attemptCurrent.getAsBoolean() : stillRelevant.getAsBoolean()) {
             ForwardLog.pathChanged(request, cause, failure == null ? outcome : failure, pathText);
-            onOutcome(next.get(), outcome, failure);
+            onOutcome(next.get(), orderedAt, outcome, failure);
           }
         });
   }
 
-  private void onOutcome(EnginePath next, RepathOutcome outcome, Throwable failure) {
+  private void onOutcome(
+      EnginePath next, long orderedAt, RepathOutcome outcome, Throwable failure) {
     if (failure != null) {
       retryLater();
       return;
     }
     Optional<TrackedEndpoint> obstacle = outcome.obstacle().flatMap(selector::engineAt);
     if (outcome.kind() == RepathOutcome.Kind.ACCEPTED) {
+      next.parts().forEach(part -> part.engine().recordAcceptance(orderedAt, now()));
       callbacks.replaced(next);
     } else if (outcome.kind() == RepathOutcome.Kind.UNKNOWN_REQUEST) {
       fail(AttemptFailure.REQUEST_UNKNOWN);
     } else if (obstacle.isPresent()) {
-      long now = context.clock().currentTime(NANOSECONDS);
-      obstacle.get().avoidUntil(now + OBSTACLE_BACKOFF.toNanos());
-      obstacle.get().recordShortage(now);
-      requestPathChange(ImmutableList.of(lost, obstacle.get()));
+      obstacle.get().recordPathObstacle(orderedAt, now());
+      retryAfter(refusalPauseNanos(), ImmutableList.of(lost, obstacle.get()));
     } else {
       retryLater();
     }
@@ -169,15 +177,29 @@
   }
 
   private void retryLater() {
+    retryAfter(RETRY_DELAY.toNanos(), ImmutableList.of(lost));
+  }
+
+  /** Returns a random pause, so that streams that were refused together do not return together. */
+  private long refusalPauseNanos() {
+    double mean = REFUSAL_PAUSE.toNanos() * Math.pow(2, refusals++);
+    return (long) (mean * (0.5 + context.random().nextDouble()));
+  }
+
+  private void retryAfter(long nanos, ImmutableList<TrackedEndpoint> excluded) {
     context
         .clock()
         .schedule(
             () -> {
               if (stillRelevant.getAsBoolean()) {
-                requestPathChange(ImmutableList.of(lost));
+                requestPathChange(excluded);
               }
             },
-            RETRY_DELAY.toNanos(),
+            nanos,
             NANOSECONDS);
   }
+
+  private long now() {
+    return context.clock().currentTime(NANOSECONDS);
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/EnginePath.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/EnginePath.java
@@ -58,6 +58,21 @@
     parts.forEach(part -> part.engine().reserve((double) tokens * part.layers().size()));
   }
 
+  /**
+   * Adds a request with that many tokens to the load of each engine that is not on another path.
+   *
+   * @return withdraws the request from these engines
+   */
+  public Runnable reserveBeyond(EnginePath other, int tokens) {
+    ImmutableList<PathPart> added =
+        parts.stream()
+            .filter(part -> !other.contains(part.engine()))
+            .collect(ImmutableList.toImmutableList());
+    added.forEach(part -> part.engine().reserve((double) tokens * part.layers().size()));
+    return () ->
+        added.forEach(part -> part.engine().withdraw((double) tokens * part.layers().size()));
+  }
+
   /** Removes a request with that many tokens from the load of each engine on the path. */
   public void release(int tokens) {
     parts.forEach(part -> part.engine().release((double) tokens * part.layers().size()));
