--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -264,6 +264,11 @@
     }
   }
 
+  /** Returns the priority; 0 is the most urgent. */
+  int priority() {
+    return waiter.priority();
+  }
+
   /** Returns whether the caller has a part of the response, from this node or from a peer. */
   private boolean continuesResponse() {
     return headSent || incomingHop.filter(PeerHop::continues).isPresent();
@@ -321,7 +326,10 @@
     @Override
     public void head(ResponseHead head) {
       recordSignal(head, running.endpoint());
-      running.recordHead(isStream(head));
+      running.recordHead(isStream(head), head.success());
+      if (head.matches() && !head.notRun()) {
+        running.endpoint().recordAcceptance(running.sentAt(), now());
+      }
       if (isPrevious(running)) {
         previousHead(head, running);
       } else if (isCurrent(running)) {
@@ -372,6 +380,7 @@
         failed(false, truncation.get());
       } else if (isOrBecomesCurrent()) {
         running.endpoint().recordSuccess();
+        selector.recordServed(running);
         passHeldHeadOn(running);
         finish();
       }
@@ -458,7 +467,7 @@
           Verdict.MAY_HAVE_RUN, AttemptFailure.MISMATCHED_RESPONSE, "an answer to another request");
     } else if (head.notRun()) {
       running.discard();
-      TrackedEndpoint obstacle = selector.recordObstacle(head);
+      TrackedEndpoint obstacle = selector.recordObstacle(head, running.sentAt());
       String cause = "status " + head.status() + " for want of " + obstacle;
       attemptEnded(Verdict.NOT_RUN, AttemptFailure.ENDPOINT_REFUSED, cause);
     } else if (head.status() >= SERVER_ERROR && (headSent || route.kind().idempotent())) {
@@ -831,6 +840,7 @@
       return;
     }
     boolean mayRunNow = attempt.filter(RunningAttempt::mayHaveArrived).isPresent();
+    attempt.ifPresent(selector::recordUnfinished);
     attempt.ifPresent(RunningAttempt::cancel);
     if (headSent) {
       lastFailure = AttemptFailure.DEADLINE_EXCEEDED;
@@ -851,6 +861,7 @@
     if (done) {
       return;
     }
+    attempt.ifPresent(selector::recordUnfinished);
     attempt.ifPresent(RunningAttempt::cancel);
     context.counters().count(Metric.REFUSALS, Reason.CALLER_GONE.code());
     close();
