Incomplete events of streams take their memory from the budget of the node

Cause: an incomplete event of a stream could grow to 32 MiB, half of a node's heap, and its buffer doubles and is copied on the way. Ruled out: a lower constant, as LongEventTest allows events of 32 MiB and several streams can have long events at the same time.

The response is asked before the buffer grows; without room the attempt ends with event-too-long, as over the limit.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/LongEventTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/LongEventTest.java
@@ -37,6 +37,24 @@
     assertTrue(response.cut, "cut");
   }
 
+  // Guards against several long events that together exhaust the node's memory, each below the
+  // limit;
+  // the buffer of an event doubles, and is copied meanwhile.
+  @Test
+  void eventOverTheMemoryOfTheNodeCutsStream() {
+    node.engine(1, 0, 80);
+    RecordedResponse response = node.request("/once/x");
+    response.maxPartialEventBytes = 8 * PIECE_BYTES;
+    SentAttempt attempt = node.lastAttempt();
+    attempt.head(200);
+    sendPieces(attempt, 4);
+    assertFalse(attempt.cancelled, "cancelled before the limit");
+    // From a buffer of 4 pieces to one of 8.
+    sendPieces(attempt, 1);
+    assertTrue(attempt.cancelled, "cancelled");
+    assertTrue(response.cut, "cut");
+  }
+
   // Guards against a long event that is cut although it ends within the limit.
   @Test
   void eventWithinTheLimitIsPassedOn() {
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RecordedResponse.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RecordedResponse.java
@@ -22,6 +22,14 @@
   public boolean keepsUp = true;
   CallerResponse.Listener listener;
 
+  /** What the node has memory for of an incomplete event. */
+  int maxPartialEventBytes = Integer.MAX_VALUE;
+
+  @Override
+  public boolean holdPartialEvent(int bytes) {
+    return bytes <= maxPartialEventBytes;
+  }
+
   @Override
   public void head(ResponseHead head) {
     heads++;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EventSplitter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EventSplitter.java
@@ -55,7 +55,7 @@
     int scannedBytes = partialBytes;
     int length = partialBytes + bytes.length;
     if (length > partial.length) {
-      partial = Arrays.copyOf(partial, Math.max(length, 2 * partial.length));
+      partial = Arrays.copyOf(partial, capacityFor(length));
     }
     System.arraycopy(bytes, 0, partial, partialBytes, bytes.length);
     partialBytes = length;
@@ -79,6 +79,22 @@
     return partialBytes;
   }
 
+  private int capacityFor(int length) {
+    return Math.max(length, 2 * partial.length);
+  }
+
+  /**
+   * Returns how many bytes are buffered at most while so many more are appended, including the
+   * buffer that is replaced if it is too small.
+   */
+  int bytesToAppend(int moreBytes) {
+    if (partialBytes == 0) {
+      return moreBytes;
+    }
+    int length = partialBytes + moreBytes;
+    return length <= partial.length ? partial.length : partial.length + capacityFor(length);
+  }
+
   /** Returns the size of the buffer for an incomplete event. */
   int bufferBytes() {
     return partial.length;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -536,10 +536,17 @@
   }
 
   private void passOn(byte[] bytes, RunningAttempt running) {
-    byte[] whole = route.kind().streamed() ? splitter.append(bytes) : bytes;
-    boolean mayBuffer = response.holdPartialEvent(splitter.bufferBytes());
+    boolean streamed = route.kind().streamed();
+    if (streamed && !response.holdPartialEvent(splitter.bytesToAppend(bytes.length))) {
+      endLongEvent(running);
+      return;
+    }
+    byte[] whole = streamed ? splitter.append(bytes) : bytes;
+    response.holdPartialEvent(splitter.bufferBytes());
     if (whole.length == 0) {
-      endIfEventTooLong(running, mayBuffer);
+      if (splitter.isTooLong()) {
+        endLongEvent(running);
+      }
       return;
     }
     if (splitter.hasCompletedEvent()) {
@@ -553,12 +560,11 @@
     }
   }
 
-  private void endIfEventTooLong(RunningAttempt running, boolean mayBuffer) {
-    if (splitter.isTooLong() || !mayBuffer) {
-      running.cancel();
-      String cause = "an incomplete event of " + splitter.partialBytes() + " bytes";
-      attemptEnded(Verdict.RAN, AttemptFailure.EVENT_TOO_LONG, cause);
-    }
+  /** Ends an attempt whose event is over the limit, or over what the node has memory for. */
+  private void endLongEvent(RunningAttempt running) {
+    running.cancel();
+    String cause = "an incomplete event of over " + splitter.partialBytes() + " bytes";
+    attemptEnded(Verdict.RAN, AttemptFailure.EVENT_TOO_LONG, cause);
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryLease.java
@@ -36,13 +36,17 @@
 
   /**
    * Sets the number of bytes of an incomplete event; returns whether the budget has room for them.
+   * Streams with events of the usual size go on when it has not.
    */
   boolean holdPartialEvent(long newBytes) {
     if (users == 0) {
       return true;
     }
     long change = newBytes - partialEventBytes;
-    boolean allowed = change <= 0 || budget.hasRoom(change, newBytes);
+    boolean allowed =
+        change <= 0
+            || newBytes <= MemoryBudget.SMALL_REQUEST_BYTES
+            || budget.hasRoom(change, newBytes);
     partialEventBytes = newBytes;
     budget.add(change);
     return allowed;
