Callers that stop sending their body are refused after the idle timeout

Cause: a body takes the memory of its stated length at the head, so a caller that sends nothing more would hold it forever. Ruled out: ServiceTalk's timeout operator, as it cancels the body and thereby closes the connection before the response (NodeMemoryTest got no 408).

BodyPauseTimer checks bodies over 32 KiB, and those of unknown length, once per idle timeout. The digest of a request's content reads its body without a copy. A stream is not cut for bytes that arrived in one piece.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -9,6 +9,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -308,6 +309,20 @@
     assertEquals(0, server.receivedRequests());
   }
 
+  // Guards against memory that is held forever for a caller that sends nothing more of its body.
+  @Test
+  void callerThatStopsSendingItsBodyReleasesIt() throws Exception {
+    start(64 * MEGABYTE);
+    server.setIdleTimeout(Duration.ofMillis(100));
+    Socket caller = sendHead(BODY_BYTES);
+    caller.getOutputStream().write(new byte[BODY_BYTES / 2]);
+    String answer = readRefusal(caller);
+    assertTrue(answer.startsWith("HTTP/1.1 408 "), answer);
+    assertTrue(answer.contains("body-too-slow"), answer);
+    awaitHeld(0);
+    assertEquals(0, server.receivedRequests());
+  }
+
   // Guards against the memory of a body that turns out to be malformed.
   @Test
   void malformedBodyReleasesWhatItHeld() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EventSplitter.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EventSplitter.java
@@ -89,7 +89,8 @@
    */
   int bytesToAppend(int moreBytes) {
     if (partialBytes == 0) {
-      return moreBytes;
+      // Bytes that have arrived in one piece are not refused, as most are whole events.
+      return 0;
     }
     int length = partialBytes + moreBytes;
     return length <= partial.length ? partial.length : partial.length + capacityFor(length);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/BodyCollector.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/BodyCollector.java
@@ -25,7 +25,7 @@
   private Buffer body;
   private int capacity;
   private long bytes;
-  private boolean exhausted;
+  private boolean discarding;
 
   /**
    * Creates a collector that has received nothing.
@@ -52,7 +52,7 @@
     collector.bytes += part.readableBytes();
     if (collector.isOverLimit()) {
       collector.discard();
-    } else if (!collector.exhausted) {
+    } else if (!collector.discarding) {
       collector.append(part);
     }
     return collector;
@@ -63,7 +63,7 @@
       long doubled = Math.max(MIN_CAPACITY, 2L * capacity);
       growTo((int) Math.min(maxBytes, Math.max(bytes, doubled)));
     }
-    if (!exhausted) {
+    if (!discarding) {
       body.writeBytes(part);
     }
   }
@@ -71,7 +71,7 @@
   /** Replaces the buffer by a larger one, if there is memory for it. */
   private void growTo(int newCapacity) {
     if (!memory.tryGrow(heldBytes(newCapacity) - heldBytes(capacity))) {
-      exhausted = true;
+      discarding = true;
       discard();
       onMemoryExhausted.run();
       return;
@@ -92,13 +92,24 @@
     memory.shrinkToNothing();
   }
 
+  /** Discards what was received, and what will be received. */
+  void abandon() {
+    discarding = true;
+    discard();
+  }
+
+  /** Returns the number of bytes received so far, including those that were discarded. */
+  long receivedBytes() {
+    return bytes;
+  }
+
   boolean isOverLimit() {
     return bytes > maxBytes;
   }
 
-  /** Returns whether the body was discarded because the node had no memory left for it. */
-  boolean isMemoryExhausted() {
-    return exhausted;
+  /** Returns whether the body is discarded, as its request was refused. */
+  boolean isDiscarding() {
+    return discarding;
   }
 
   Buffer body() {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryRequest.java
@@ -84,11 +84,26 @@
     return dialect.sharedPromptParts(head.headers());
   }
 
-  @Override
-  public RequestContent content(Optional<String> workspace) {
+  /** Returns the bytes of the body, which must not be changed; copies them only if necessary. */
+  private byte[] bodyBytes() {
     Buffer view = body();
-    byte[] bytes = new byte[view.readableBytes()];
+    int length = view.readableBytes();
+    // A body of stated length has an array of exactly that length.
+    boolean isWholeArray =
+        view.hasArray()
+            && view.arrayOffset() + view.readerIndex() == 0
+            && view.array().length == length;
+    if (isWholeArray) {
+      return view.array();
+    }
+    byte[] bytes = new byte[length];
     view.readBytes(bytes);
-    return RequestContent.of(workspace, head.method().name(), host(), head.requestTarget(), bytes);
+    return bytes;
+  }
+
+  @Override
+  public RequestContent content(Optional<String> workspace) {
+    return RequestContent.of(
+        workspace, head.method().name(), host(), head.requestTarget(), bodyBytes());
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -32,7 +32,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.forwarding.CallerRequest;
@@ -72,9 +71,6 @@
   /** What a peer adds to the headers of a caller, at most. */
   private static final int PEER_HEADER_BYTES = 1024;
 
-  /** Time without any part of a body after which its caller is refused, to free its memory. */
-  private static final Duration BODY_PAUSE_TIMEOUT = Duration.ofSeconds(30);
-
   /**
    * Minimum time after which to retry a request that was refused for lack of memory. A body is
    * usually held for less than a second.
@@ -279,13 +275,20 @@
             () -> refuseForMemory(response, id.get()));
     long length = statedLength(request.headers());
     collector.expect(length);
-    if (collector.isMemoryExhausted()) {
+    if (collector.isDiscarding()) {
       return response.response();
     }
     Publisher<Buffer> body = request.payloadBody();
     if (length > MemoryBudget.SMALL_REQUEST_BYTES || length < 0) {
-      // Small ones usually arrive with their head, and a timer costs more than they hold.
-      body = body.timeout(BODY_PAUSE_TIMEOUT, context.executionContext().executor());
+      // Small bodies usually arrive with their head, and a timer costs more than they hold.
+      BodyPauseTimer timer =
+          new BodyPauseTimer(
+              context.executionContext().executor(),
+              limits.get().idleTimeout(),
+              collector,
+              () -> refuseSlowBody(collector, response));
+      timer.start();
+      body = body.beforeFinally(timer::cancel);
     }
     // The response does not wait for the end of the body, as it may be refused before.
     Cancellable receiving =
@@ -294,9 +297,6 @@
             .onErrorReturn(
                 DecoderException.class,
                 failure -> response.refuseAndClose(Reason.MALFORMED_HTTP, failure.getMessage()))
-            .onErrorReturn(
-                TimeoutException.class,
-                failure -> response.refuseAndClose(Reason.BODY_TOO_SLOW, failure.getMessage()))
             .whenOnError(response::fail)
             .subscribe(unused -> {});
     return response.response().whenCancel(receiving::cancel);
@@ -326,6 +326,16 @@
     return response.refuseAndClose(refusal).response();
   }
 
+  private void refuseSlowBody(BodyCollector collector, EntryResponse response) {
+    collector.abandon();
+    if (!response.isEnded()) {
+      counters.count(Metric.REFUSALS, Reason.BODY_TOO_SLOW.code());
+      counters.count(Metric.VERDICTS, Verdict.NOT_RUN.name().toLowerCase(Locale.ROOT));
+      String detail = "received: " + collector.receivedBytes() + " bytes";
+      response.refuseAndClose(Reason.BODY_TOO_SLOW, detail);
+    }
+  }
+
   /** Returns when to retry; requests that are refused together are spread over a second. */
   private static Duration retryAfter(String id) {
     return MIN_RETRY_AFTER.plusMillis(Math.floorMod(id.hashCode(), RETRY_SPREAD_MILLIS));
