A node without memory tells so and exits, also if its log has ended

Ruled out: a reserve of memory for the log, as the next allocation of any thread may take it.

The guard writes its line itself. EventLoopGuardTest: end of the thread, error of a task, logged error, failed call; an exception does not end the process.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EventLoopGuard.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EventLoopGuard.java
@@ -3,15 +3,15 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.common.base.CharMatcher;
 import io.servicetalk.transport.api.IoExecutor;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.time.Instant;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.IntConsumer;
 import org.vaneworks.daemon.logging.ErrorDetector;
 import org.vaneworks.telemetry.Event;
-import org.vaneworks.telemetry.EventLog;
 
 /**
  * Ends the process when the thread of its event loop has ended, or when an {@link Error} such as
@@ -34,30 +34,37 @@
     }
   }
 
-  private static final byte[] PLAIN_LINE =
-      ("{\"level\":\"ERROR\",\"event\":\""
-              + Event.EVENT_LOOP_FAILED.code()
-              + "\",\"text\":\""
-              + Event.EVENT_LOOP_FAILED.text()
-              + "\"}\n")
-          .getBytes(UTF_8);
+  private static final String LINE_START =
+      "{\"level\":\"ERROR\",\"event\":\""
+          + Event.EVENT_LOOP_FAILED.code()
+          + "\",\"text\":\""
+          + Event.EVENT_LOOP_FAILED.text()
+          + "\"";
+
+  private static final byte[] PLAIN_LINE = (LINE_START + "}\n").getBytes(UTF_8);
+
+  /** Characters that a JSON string must escape. */
+  private static final CharMatcher ESCAPED =
+      CharMatcher.javaIsoControl().or(CharMatcher.anyOf("\"\\"));
 
   private final IntConsumer exit;
-  private final FileOutputStream out = new FileOutputStream(FileDescriptor.out);
+  private final OutputStream out;
   private final CountDownLatch failed = new CountDownLatch(1);
   private volatile Throwable failure = new ThreadEndedException();
 
-  private EventLoopGuard(IntConsumer exit) {
+  private EventLoopGuard(OutputStream out, IntConsumer exit) {
+    this.out = checkNotNull(out);
     this.exit = checkNotNull(exit);
   }
 
   /**
    * Starts to watch an event loop with one thread.
    *
+   * @param out receives the log line; must not buffer it
    * @param exit ends the process with an exit code; called once, on a thread of its own
    */
-  public static void start(IoExecutor io, IntConsumer exit) throws Exception {
-    EventLoopGuard guard = new EventLoopGuard(exit);
+  public static void start(IoExecutor io, OutputStream out, IntConsumer exit) throws Exception {
+    EventLoopGuard guard = new EventLoopGuard(out, exit);
     Thread loop = io.submit(Thread::currentThread).toFuture().get();
     loop.setUncaughtExceptionHandler((thread, error) -> guard.fail(error));
     ErrorDetector.install(loop, guard::fail);
@@ -96,17 +103,20 @@
     exit.accept(EXIT_CODE);
   }
 
+  /** Writes the line itself, as the thread of the log may have ended for lack of memory too. */
   private void log() {
+    byte[] line = PLAIN_LINE;
     try {
-      EventLog.error(Event.EVENT_LOOP_FAILED, failure);
-    } catch (Throwable noMemory) {
-      logPlainLine();
+      String cause = ESCAPED.replaceFrom(failure.toString(), ' ');
+      line =
+          (LINE_START + ",\"time\":\"" + Instant.now() + "\",\"cause\":\"" + cause + "\"}\n")
+              .getBytes(UTF_8);
+    } catch (OutOfMemoryError e) {
+      // The line without a cause is written.
     }
-  }
-
-  private void logPlainLine() {
     try {
-      out.write(PLAIN_LINE);
+      out.write(line);
+      out.flush();
     } catch (IOException e) {
       // There is no other output.
     }
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EventLoopGuardTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/EventLoopGuardTest.java
@@ -1,13 +1,15 @@
 package org.vaneworks.daemon.entry;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import ch.qos.logback.classic.Logger;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.read.ListAppender;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -26,29 +28,24 @@
 
   private final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
   private final CompletableFuture<Integer> exit = new CompletableFuture<>();
-  private final Logger logger = (Logger) LoggerFactory.getLogger("vaneworks");
-  private final ListAppender<ILoggingEvent> lines = new ListAppender<>();
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
 
   @BeforeEach
   void start() throws Exception {
-    lines.start();
-    logger.addAppender(lines);
-    EventLoopGuard.start(io, exit::complete);
+    EventLoopGuard.start(io, out, exit::complete);
   }
 
   @AfterEach
   void close() throws Exception {
-    logger.detachAppender(lines);
     io.closeAsync().toFuture().get();
   }
 
   private void assertExits() throws Exception {
     assertEquals(EventLoopGuard.EXIT_CODE, exit.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
-    long logged =
-        lines.list.stream()
-            .filter(line -> line.getMessage().equals(Event.EVENT_LOOP_FAILED.text()))
-            .count();
-    assertEquals(1, logged);
+    JsonNode line = new ObjectMapper().readTree(out.toString(UTF_8));
+    assertEquals(Event.EVENT_LOOP_FAILED.code(), line.get("event").textValue());
+    assertTrue(line.has("cause"), line.toString());
+    assertEquals(1, out.toString(UTF_8).lines().count());
   }
 
   // Guards against a process that accepts connections and answers none, as its event loop has
