--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/logging/ErrorDetector.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/logging/ErrorDetector.java
@@ -13,8 +13,7 @@
 /**
  * Detects {@link Error}s that a thread logs, such as {@link OutOfMemoryError}.
  *
- * <p>Netty and ServiceTalk catch what tasks and handlers throw on an event loop and only log it, so
- * the log is the one place through which all such errors pass.
+ * <p>Netty and ServiceTalk catch most of what handlers throw on an event loop, and only log it.
  */
 public final class ErrorDetector extends UnsynchronizedAppenderBase<ILoggingEvent> {
   /** Bounds the search in chains of causes, which may be circular. */
