--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -565,9 +565,17 @@
   }
 
   private void passOn(byte[] bytes, RunningAttempt running) {
-    byte[] whole = route.kind().streamed() ? splitter.append(bytes) : bytes;
+    boolean streamed = route.kind().streamed();
+    if (streamed && !response.holdPartialEvent(splitter.bytesToAppend(bytes.length))) {
+      endLongEvent(running);
+      return;
+    }
+    byte[] whole = streamed ? splitter.append(bytes) : bytes;
+    response.holdPartialEvent(splitter.bufferBytes());
     if (whole.length == 0) {
-      endIfEventTooLong(running);
+      if (splitter.isTooLong()) {
+        endLongEvent(running);
+      }
       return;
     }
     if (splitter.hasCompletedEvent()) {
@@ -581,12 +589,11 @@
     }
   }
 
-  private void endIfEventTooLong(RunningAttempt running) {
-    if (splitter.isTooLong()) {
-      running.cancel();
-      String cause = "an event of over " + EventSplitter.MAX_EVENT_BYTES + " bytes";
-      attemptEnded(Verdict.RAN, AttemptFailure.EVENT_TOO_LONG, cause);
-    }
+  /** Ends an attempt whose event is over the limit, or over what the node has memory for. */
+  private void endLongEvent(RunningAttempt running) {
+    running.cancel();
+    String cause = "an incomplete event of over " + splitter.partialBytes() + " bytes";
+    attemptEnded(Verdict.RAN, AttemptFailure.EVENT_TOO_LONG, cause);
   }
 
   @Override
