vaneworksd passes on answers of services up to 64 MiB again

Cause: the limit of 4 MiB for answers of the store also applied to HttpSender.create, by which vaneworksd calls plain services; CallerSocketTest, with answers of 16 MiB, failed in 4 of 6 tests. Ruled out: changing the test, as such answers were passed on before.

HttpSender.create has a limit of its own, 64 MiB. The forwarding node, which calls its services through EndpointConnections, is not affected. CallerSocketTest, HttpSenderTest, EndlessResponseTest pass.

--- a/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/HttpSender.java
@@ -52,6 +52,12 @@
    */
   private static final int MAX_ANSWER_BYTES = 4 << 20;
 
+  /**
+   * The same for {@code vaneworksd}, which passes on whole answers of plain services. Its heap is
+   * not that of a forwarding node.
+   */
+  private static final int MAX_SERVICE_ANSWER_BYTES = 64 << 20;
+
   /** Maximum number of bytes of a head, and of lines between the parts of a body. */
   private static final int MAX_UNDECODED_BYTES = 64 << 10;
 
@@ -73,7 +79,7 @@
    * @param executor the worker pool, which also provides timers and the clock
    */
   public static HttpSender create(Executor executor) {
-    return new HttpSender(executor, Optional.empty(), MAX_ANSWER_BYTES);
+    return new HttpSender(executor, Optional.empty(), MAX_SERVICE_ANSWER_BYTES);
   }
 
   /**
