--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
@@ -49,6 +49,14 @@
     this.endedByNode = endedByNode;
   }
 
+  /** Returns the reason for an attempt whose sending or response failed. */
+  static AttemptFailure of(boolean neverSent, Throwable cause) {
+    if (neverSent) {
+      return NOT_CONNECTED;
+    }
+    return cause instanceof TruncatedResponseException ? RESPONSE_TRUNCATED : CONNECTION_LOST;
+  }
+
   /** Returns the code for logs and metrics. */
   String code() {
     return code;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -351,7 +351,8 @@
 
     @Override
     public void end(BodyDelimiter delimiter) {
-      Optional<TruncatedResponseException> truncation = truncation(delimiter, running);
+      Optional<TruncatedResponseException> truncation =
+          TruncatedResponseException.of(delimiter, running, partialEventBytes(running));
       boolean mayBeLost =
           delimiter == BodyDelimiter.CONNECTION_CLOSE
               && running.isStream()
@@ -396,30 +397,6 @@
     }
   }
 
-  /**
-   * Returns why a response that has ended is incomplete, if its framing shows that. Peers state the
-   * ends of their responses. The close of a connection marks the end of a stream only after a
-   * complete event, as a lost endpoint closes it as well.
-   */
-  private Optional<TruncatedResponseException> truncation(
-      BodyDelimiter delimiter, RunningAttempt running) {
-    if (delimiter != BodyDelimiter.CONNECTION_CLOSE) {
-      return Optional.empty();
-    }
-    if (running.endpoint().isPeer()) {
-      return Optional.of(new TruncatedResponseException("closed by the peer without an end"));
-    }
-    if (!running.isStream()) {
-      return Optional.empty();
-    }
-    if (partialEventBytes(running) > 0) {
-      return Optional.of(new TruncatedResponseException("closed inside an event"));
-    }
-    return running.hasEvents()
-        ? Optional.empty()
-        : Optional.of(new TruncatedResponseException("closed before the first event"));
-  }
-
   private int partialEventBytes(RunningAttempt running) {
     return isPrevious(running)
         ? previous.get(running).partOfEvent().length
@@ -644,19 +621,10 @@
   private void attemptFailed(boolean neverSent, Throwable cause) {
     attemptEnded(
         neverSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
-        failureOf(neverSent, cause),
+        AttemptFailure.of(neverSent, cause),
         String.valueOf(cause));
   }
 
-  private static AttemptFailure failureOf(boolean neverSent, Throwable cause) {
-    if (neverSent) {
-      return AttemptFailure.NOT_CONNECTED;
-    }
-    return cause instanceof TruncatedResponseException
-        ? AttemptFailure.RESPONSE_TRUNCATED
-        : AttemptFailure.CONNECTION_LOST;
-  }
-
   private void recordFailure(Throwable cause, TrackedEndpoint endpoint) {
     if (endpoint.isPeer()) {
       return;
