Engines are probed early; a request leaves them no earlier than before

Only the probe needs to be early: an engine that has ended refuses it, and its requests move at once. The time-out after which a request may leave its engines is 250 ms again. Engines are probed 40 ms after the last event at the earliest, also on a route without an objective for pauses, for which the check repeated without a pause.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/EarlyStallTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/EarlyStallTest.java
@@ -1,9 +1,17 @@
 package org.vaneworks.tests.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
+import org.vaneworks.state.entry.ApiKeys;
+import org.vaneworks.state.entry.EntryConfiguration;
+import org.vaneworks.state.entry.EntryRoute;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
 
 /**
@@ -42,6 +50,39 @@
     assertEquals(1, node.control.repathedPaths.size(), "path changes");
   }
 
+  // Guards against checks without a pause in between, which would occupy the event loop.
+  @Test
+  @Timeout(20)
+  void routeWithoutObjectiveForPausesIsCheckedAtIntervals() {
+    EntryConfiguration standard = ForwardingFixture.configuration();
+    EntryRoute route = standard.route("host.example", "/stream/").orElseThrow();
+    EntryRoute withoutObjective =
+        new EntryRoute(
+            route.name(),
+            route.host(),
+            route.pathPrefix(),
+            route.kind(),
+            route.timeout(),
+            route.objective(),
+            Duration.ZERO,
+            route.priority(),
+            route.services(),
+            route.attempts(),
+            true);
+    node.configuration =
+        Optional.of(
+            EntryConfiguration.of(
+                4,
+                List.of(withoutObjective),
+                List.of(standard.service(ForwardingFixture.MODEL).orElseThrow()),
+                ApiKeys.notRequired(),
+                standard.limits()));
+    startStream(EVENT_INTERVAL_MILLIS);
+    node.advance(1000);
+    // Engines are probed 200 ms after the last answer at the earliest.
+    assertTrue(node.control.probed.size() <= 12, node.control.probed::toString);
+  }
+
   // Guards against probes of healthy engines for each event of a slow stream.
   @Test
   void enginesWithLongPausesAreNotProbedBetweenEvents() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ProgressMonitor.java
@@ -20,17 +20,21 @@
  * is not stalled. Confined to the node's event loop.
  */
 final class ProgressMonitor {
-  /** Maximum time without an event after which the engines are probed. */
-  private static final Duration MAX_STALL_TIMEOUT = Duration.ofMillis(250);
+  /** Time without an event after which a request is stalled. */
+  private static final Duration STALL_TIMEOUT = Duration.ofMillis(250);
+
+  /** Minimum time without an event after which engines are probed; a token takes 10 to 30 ms. */
+  private static final Duration MIN_PROBE_TIMEOUT = Duration.ofMillis(40);
 
   /**
-   * Stall timeout as a fraction of the objective for pauses. The rest is left for the probe, for
-   * another path and for its engines to read the tokens so far, so that the response stays in time.
+   * Time without an event after which engines are probed, as a fraction of the objective for
+   * pauses. The rest is left for the probe, for another path and for its engines to read the tokens
+   * so far, so that the response stays in time if an engine has ended.
    */
-  private static final double STALL_FRACTION = 0.4;
+  private static final double PROBE_FRACTION = 0.4;
 
-  /** Stall timeout as a multiple of the usual pause; events of slow engines are no stall. */
-  private static final double USUAL_PAUSES_PER_STALL = 3;
+  /** The same time as a multiple of the usual pause, so that slow engines are not probed. */
+  private static final double USUAL_PAUSES_PER_PROBE = 3;
 
   /** Weight of a new sample in the moving average of the pauses. */
   private static final double PAUSE_SMOOTHING = 0.2;
@@ -44,7 +48,7 @@
   private final ForwardContext context;
   private final EndpointSelector selector;
   private final long longPauseNanos;
-  private final double minStallNanos;
+  private final double minProbeNanos;
   private final Runnable onStall;
   private Cancellable timer = () -> {};
   private boolean paused;
@@ -73,7 +77,8 @@
     this.selector = selector;
     // Two thirds of the objective: longer pauses come close to missing it.
     this.longPauseNanos = pauseObjective.toNanos() * 2 / 3;
-    this.minStallNanos = pauseObjective.toNanos() * STALL_FRACTION;
+    this.minProbeNanos =
+        Math.max(MIN_PROBE_TIMEOUT.toNanos(), pauseObjective.toNanos() * PROBE_FRACTION);
   }
 
   /** Returns when the request last made progress; now, if its response is not being read. */
@@ -86,12 +91,18 @@
    * could not, as its response is not being read.
    */
   boolean hasRecentProgress() {
-    return paused || now() - lastProgress < MAX_STALL_TIMEOUT.toNanos();
+    return paused || now() - lastProgress < STALL_TIMEOUT.toNanos();
   }
 
-  /** Returns whether the request made no progress for so long that its engines are probed. */
+  /** Returns whether the request made no progress for so long that it may leave its engines. */
   boolean isStalled() {
-    return !paused && now() - lastProgress >= stallTimeout().toNanos();
+    Duration timeout = awaitsHead ? FIRST_EVENT_STALL_TIMEOUT : STALL_TIMEOUT;
+    return !paused && now() - lastProgress >= timeout.toNanos();
+  }
+
+  /** Returns whether the request made no progress for so long that its engines are probed. */
+  private boolean isSilent() {
+    return !paused && now() - lastProgress >= probeTimeout().toNanos();
   }
 
   /** Records that the response is not read until {@link #resumed}. */
@@ -175,8 +186,8 @@
     if (!selector.isSelected()) {
       return;
     }
-    long wait = stallTimeout().toNanos() - (now() - lastProgress);
-    long minWait = eventStallTimeout().toNanos() / 4;
+    long wait = probeTimeout().toNanos() - (now() - lastProgress);
+    long minWait = eventProbeTimeout().toNanos() / 4;
     checkAfter(Math.max(wait, minWait));
   }
 
@@ -185,13 +196,13 @@
     timer = context.clock().schedule(this::check, nanos, NANOSECONDS);
   }
 
-  private Duration stallTimeout() {
-    return awaitsHead ? FIRST_EVENT_STALL_TIMEOUT : eventStallTimeout();
+  private Duration probeTimeout() {
+    return awaitsHead ? FIRST_EVENT_STALL_TIMEOUT : eventProbeTimeout();
   }
 
-  private Duration eventStallTimeout() {
-    double nanos = Math.max(minStallNanos, USUAL_PAUSES_PER_STALL * usualPauseNanos);
-    return Duration.ofNanos((long) Math.min(nanos, MAX_STALL_TIMEOUT.toNanos()));
+  private Duration eventProbeTimeout() {
+    double nanos = Math.max(minProbeNanos, USUAL_PAUSES_PER_PROBE * usualPauseNanos);
+    return Duration.ofNanos((long) Math.min(nanos, STALL_TIMEOUT.toNanos()));
   }
 
   private void check() {
@@ -200,20 +211,23 @@
     if (!selector.isSelected()) {
       return;
     }
-    boolean stalled = isStalled();
-    if (stalled && EventLoopDelay.explainsSilence(delay, ignoredStalls)) {
+    boolean silent = isSilent();
+    if (silent && EventLoopDelay.explainsSilence(delay, ignoredStalls)) {
       ignoredStalls++;
       context.counters().count(Metric.UNCOUNTED_SILENCES, "look");
       checkAfter(EventLoopDelay.SOCKET_READ_GRACE.toNanos());
       return;
     }
     ignoredStalls = 0;
-    if (stalled) {
+    if (silent) {
       Optional<EnginePath> path = selector.path();
       TrackedEndpoint target = selector.target();
-      onStall.run();
+      boolean stalled = isStalled();
+      if (stalled) {
+        onStall.run();
+      }
       path.ifPresent(this::probeSilentEngines);
-      if (path.isEmpty() && !target.isPeer()) {
+      if (stalled && path.isEmpty() && !target.isPeer()) {
         context.reachability().recordUnanswered(target);
       }
     }
@@ -222,7 +236,7 @@
 
   private void probeSilentEngines(EnginePath path) {
     for (PathPart part : path.parts()) {
-      if (now() - part.engine().lastProgress() >= eventStallTimeout().toNanos()) {
+      if (now() - part.engine().lastProgress() >= eventProbeTimeout().toNanos()) {
         context.health().check(part.engine());
       }
     }
