Keys are refused where the configuration has no workspaces

Cause: a key was looked at only where keys are required. What a configuration without workspaces requires (no key) and what it grants (no key either) were one question. Ruled out: the age of the configuration, which the node confirmed, and the decoder, whose ApiKeys is right.

Change: a key that no workspace holds is refused on every route that is not public, with or without workspaces; requests without a key run as before. The rule holds no state, so it also holds on a node that starts after the change. Endpoints are never shown a key, so none can depend on receiving one.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwarderTest.java
@@ -6,6 +6,7 @@
 
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
@@ -15,6 +16,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Verdict;
+import org.vaneworks.state.entry.ApiKeys;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
 
 /** Tests admission, retries and the resumption of interrupted streams. */
@@ -35,6 +37,36 @@
     assertEquals(Reason.UNKNOWN_KEY, reason(node.request("/safe/x", Optional.empty())));
   }
 
+  // Guards against routes that open, also to unknown keys, when the last key is revoked.
+  @Test
+  void revocationOfLastKeyRefusesAllKeys() {
+    node.replica(1);
+    node.configuration = Optional.of(ForwardingFixture.configuration(ApiKeys.of(Map.of())));
+    assertEquals(Reason.UNKNOWN_KEY, reason(node.request("/safe/x")));
+    assertEquals(Reason.UNKNOWN_KEY, reason(node.request("/safe/x", Optional.of("never-held"))));
+    assertEquals(Reason.UNKNOWN_KEY, reason(node.request("/safe/x", Optional.empty())));
+    assertTrue(node.sent.isEmpty());
+  }
+
+  // Guards against revoked and unknown keys that are accepted once no workspace is configured.
+  @Test
+  void configurationWithoutWorkspacesRefusesKeys() {
+    node.replica(1);
+    node.configuration = Optional.of(ForwardingFixture.configuration(ApiKeys.notRequired()));
+    assertEquals(Reason.UNKNOWN_KEY, reason(node.request("/safe/x")));
+    assertEquals(Reason.UNKNOWN_KEY, reason(node.request("/safe/x", Optional.of("never-held"))));
+    assertTrue(node.sent.isEmpty());
+  }
+
+  @Test
+  void configurationWithoutWorkspacesServesCallersWithoutKey() {
+    node.replica(1);
+    node.configuration = Optional.of(ForwardingFixture.configuration(ApiKeys.notRequired()));
+    node.request("/safe/x", Optional.empty());
+    assertEquals(1, node.sent.size());
+    assertEquals(Optional.empty(), node.lastAttempt().attempt.workspace());
+  }
+
   @Test
   void staleConfigurationRefusesRequests() {
     node.replica(1);
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -306,6 +306,16 @@
   }
 
   static EntryConfiguration configuration() {
+    return configuration(
+        ApiKeys.of(
+            Map.of(
+                KEY,
+                new Caller("ward", OptionalInt.empty()),
+                PATIENT_KEY,
+                new Caller("archive", OptionalInt.of(3)))));
+  }
+
+  static EntryConfiguration configuration(ApiKeys keys) {
     return EntryConfiguration.of(
         3,
         List.of(
@@ -318,12 +328,7 @@
         List.of(
             new ServiceProfile(MODEL, 1000, Optional.of(Models.eightyLayers())),
             new ServiceProfile(PLAIN, 100, Optional.empty())),
-        ApiKeys.of(
-            Map.of(
-                KEY,
-                new Caller("ward", OptionalInt.empty()),
-                PATIENT_KEY,
-                new Caller("archive", OptionalInt.of(3)))),
+        keys,
         new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -222,21 +222,14 @@
     if (hop.isPresent() && !reachesService(configured, hop.get().service())) {
       return refuse(request, response, Reason.NODE_ISOLATED, hop.get().service());
     }
-    Optional<Caller> caller = request.key().flatMap(configured::caller);
-    boolean keyed = configured.needsKeys() && !route.get().open();
-    if (keyed && caller.isEmpty()) {
+    boolean open = route.get().open();
+    if (!open && !configured.accepts(request.key())) {
       return refuse(request, response, Reason.UNKNOWN_KEY, "route " + route.get().name());
     }
+    Optional<Caller> caller = open ? Optional.empty() : request.key().flatMap(configured::caller);
     ForwardedRequest forwarded =
         ForwardedRequest.create(
-            context,
-            configured,
-            route.get(),
-            keyed ? caller : Optional.empty(),
-            request,
-            response,
-            hop,
-            inFlight::remove);
+            context, configured, route.get(), caller, request, response, hop, inFlight::remove);
     inFlight.add(forwarded);
     context.counters().count(Metric.REQUESTS, route.get().kind().name());
     forwarded.start();
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/ApiKeys.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/ApiKeys.java
@@ -21,7 +21,10 @@
     this.callersByKey = callersByKey;
   }
 
-  /** Returns the keys of a configuration without workspaces, whose requests need none. */
+  /**
+   * Returns the keys of a configuration without workspaces: requests need none, and no key is
+   * valid.
+   */
   public static ApiKeys notRequired() {
     return NOT_REQUIRED;
   }
@@ -40,6 +43,17 @@
     return required;
   }
 
+  /**
+   * Returns whether a request with the given key, or without one, may use routes that are not open.
+   *
+   * <p>A key that no workspace holds is never accepted. This includes configurations without
+   * workspaces, which follow the revocation of all keys, and which don't tell revoked keys from
+   * others.
+   */
+  public boolean accept(Optional<String> key) {
+    return key.isPresent() ? callersByKey.containsKey(key.get()) : !required;
+  }
+
   /** Returns the caller that a key identifies. */
   public Optional<Caller> caller(String key) {
     return Optional.ofNullable(callersByKey.get(key));
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/EntryConfiguration.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/EntryConfiguration.java
@@ -70,6 +70,13 @@
     return keys.required();
   }
 
+  /**
+   * Returns whether requests with the given key, or without one, may use routes that are not open.
+   */
+  public boolean accepts(Optional<String> key) {
+    return keys.accept(key);
+  }
+
   /** Returns the caller that a key identifies. */
   public Optional<Caller> caller(String key) {
     return keys.caller(key);
