A service without a share of a route receives none of its requests

Callers would see: a route whose services all have weight 0 sent every request to the last of them, and a weight that is missing or a word was read as 0.

Cause: the selection falls through to the last service if the weights end before the draw, whatever its weight. Ruled out: rounding, which reaches the end only for draws next to 1.

Change: a route drops services of weight 0 and must be left with one; weights are numbers. Otherwise the configuration is rejected, as one without any service already was. hasService no longer names a service without a share, so a peer's request for one is refused as well.

--- a/vaneworks/src/main/java/org/vaneworks/state/entry/EntryRoute.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/EntryRoute.java
@@ -17,7 +17,7 @@
  * @param objective target time to a complete answer, or to the first event of a stream
  * @param pauseObjective target maximum time between two events of a stream
  * @param priority 0 is the most urgent
- * @param services one or more services, by weight
+ * @param services one or more services, by weight; those of weight 0 receive no requests
  * @param attempts maximum number of endpoints that one request may run on
  * @param open whether requests require no key
  */
@@ -33,19 +33,23 @@
     ImmutableList<WeightedService> services,
     int attempts,
     boolean open) {
-  /** Returns whether requests of the route may go to a service. */
-  public boolean hasService(String name) {
-    return services.stream().anyMatch(service -> service.service().equals(name));
-  }
-
-  /** Checks kind, services, attempts and timeout. */
+  /** Checks kind, services, attempts and timeout; drops services that receive no share. */
   public EntryRoute {
     checkNotNull(kind);
-    checkArgument(!services.isEmpty(), "route %s must name a service", name);
+    services =
+        services.stream()
+            .filter(service -> service.weight() > 0)
+            .collect(ImmutableList.toImmutableList());
+    checkArgument(!services.isEmpty(), "route %s must send its requests to a service", name);
     checkArgument(attempts >= 1, "attempts of route %s must be 1 or more: %s", name, attempts);
     checkArgument(!timeout.isNegative(), "timeout of route %s is negative: %s", name, timeout);
   }
 
+  /** Returns whether requests of the route may go to a service. */
+  public boolean hasService(String name) {
+    return services.stream().anyMatch(service -> service.service().equals(name));
+  }
+
   /**
    * Selects the service for a request, in proportion to the weights.
    *
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/WeightedService.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/WeightedService.java
@@ -11,6 +11,10 @@
 public record WeightedService(String service, double weight) {
   /** Checks the weight. */
   public WeightedService {
-    checkArgument(weight >= 0, "weight of %s must not be negative: %s", service, weight);
+    checkArgument(
+        weight >= 0 && Double.isFinite(weight),
+        "weight of %s must be finite and not negative: %s",
+        service,
+        weight);
   }
 }
