Keys that a rejected configuration revokes are refused

Cause: a configuration that is invalid in any field was dropped with its keys. Ruled out: the watch, which had read it.

Change: the decoder reads the keys of an invalid configuration by themselves (KeyRevision), and the watch applies them to the configuration in force; its routes, services, limits, weights and priorities stay. No route opens by it. A list of keys that can't be read leaves the keys of its workspace valid; a value without a version or without a list of workspaces revokes nothing, as it says nothing about keys, and is logged and counted as that (VW2003, vaneworks.configurations.rejected). A version older than the newest revocation is ignored. A node that starts and finds only such a value stays out of service.

Weighed: refusing all callers while the newest value can't be read.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -180,7 +180,8 @@
             settings.name() + "/" + incarnationId,
             fleet,
             counters);
-    configuration = new ConfigurationWatch(adapters.configurationKey(), adapters.configuration());
+    configuration =
+        new ConfigurationWatch(adapters.configurationKey(), adapters.configuration(), counters);
     follower =
         PrefixFollower.create(
             clock,
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreRestoreSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreRestoreSimulation.java
@@ -110,7 +110,8 @@
       Random nodeRandom = new Random(random.nextLong());
       fleet = Fleet.create(clock, counters, EntryNode.RELIST_GRACE);
       configuration =
-          new ConfigurationWatch(CONFIGURATION, StoreRestoreSimulation::readConfiguration);
+          new ConfigurationWatch(
+              CONFIGURATION, StoreRestoreSimulation::readConfiguration, counters);
       lease =
           NodeLease.create(
               clock,
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/ApiKeys.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/ApiKeys.java
@@ -58,4 +58,16 @@
   public Optional<Caller> caller(String key) {
     return Optional.ofNullable(callersByKey.get(key));
   }
+
+  /** Returns the caller that the keys of a workspace identify, if the workspace has a key. */
+  Optional<Caller> callerOfWorkspace(String workspace) {
+    return callersByKey.values().stream()
+        .filter(caller -> caller.workspace().equals(workspace))
+        .findFirst();
+  }
+
+  /** Returns the callers by their secret keys. */
+  ImmutableMap<String, Caller> callersByKey() {
+    return callersByKey;
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/state/entry/EntryConfiguration.java
+++ b/vaneworks/src/main/java/org/vaneworks/state/entry/EntryConfiguration.java
@@ -50,6 +50,11 @@
     return new EntryConfiguration(version, byHost.build(), byName.buildKeepingLast(), keys, limits);
   }
 
+  /** Returns this configuration with the keys that remain valid after a revision. */
+  public EntryConfiguration withKeys(KeyRevision revision) {
+    return new EntryConfiguration(version, routesByHost, services, revision.applyTo(keys), limits);
+  }
+
   /** Returns the version; higher is newer. */
   public long version() {
     return version;
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Metric.java
@@ -25,6 +25,9 @@
   HOP_CALLS("vaneworks.hop.calls", "calls to engines, by outcome"),
   STORE_CALLS("vaneworks.store.calls", "calls to the platform's store, by purpose"),
   STORE_FAILURES("vaneworks.store.failures", "failed calls to the store, by purpose"),
+  REJECTED_CONFIGURATIONS(
+      "vaneworks.configurations.rejected",
+      "configurations that were rejected, by what became of their keys"),
   STORE_ERAS("vaneworks.store.eras", "times that the store came back from an older copy"),
   ORDERS("vaneworks.orders", "orders to engines, by outcome"),
   EJECTIONS("vaneworks.ejections", "endpoints ejected, by cause"),
