A key that several workspaces list is told in the log

PeerForwardingTest gains the two questions on the second node of a hop: a key that its configuration does not list is refused there, and so is every key if its configuration is not fresh. Both pass on: the second node admits a request like the first.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
@@ -8,6 +8,7 @@
 import java.net.ConnectException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,6 +22,7 @@
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.Verdict;
+import org.vaneworks.state.entry.ApiKeys;
 import org.vaneworks.tests.forwarding.ForwardingFixture.SentAttempt;
 
 /** Tests what a node does with requests while it is isolated from all endpoints. */
@@ -62,6 +64,32 @@
     return node.toPeers.get(node.toPeers.size() - 1);
   }
 
+  private RecordedResponse forwardForPeer() {
+    RecordedResponse response = new RecordedResponse();
+    node.forwarder.forwardForPeer(
+        node.callerRequest("/stream/"),
+        response,
+        new PeerHop("token", ForwardingFixture.MODEL, false));
+    return response;
+  }
+
+  // Guards against a revoked key that is accepted as the request comes from a peer, which may have
+  // an older configuration.
+  @Test
+  void revokedKeyIsRefusedOnTheSecondNode() {
+    node.configuration = Optional.of(ForwardingFixture.configuration(ApiKeys.of(Map.of())));
+    assertEquals(Reason.UNKNOWN_KEY, forwardForPeer().refusal.get().reason());
+    assertTrue(node.sent.isEmpty());
+  }
+
+  // Guards against a second node that accepts a key by a configuration which may be out of date.
+  @Test
+  void secondNodeNeedsAFreshConfiguration() {
+    node.advance(4800);
+    assertEquals(Reason.CONFIGURATION_STALE, forwardForPeer().refusal.get().reason());
+    assertTrue(node.sent.isEmpty());
+  }
+
   // Guards against a node that refuses what its peers could serve, because it reaches no endpoint.
   @Test
   void isolatedNodeForwardsToPeer() {
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -35,6 +35,8 @@
   STORE_READ_ANEW(2011, "all entries were read again after the store was restored from a backup"),
   CONFIGURATION_BEHIND_PEERS(
       2012, "the store confirms an older configuration than peers have seen"),
+  CONFIGURATION_KEY_SHARED(
+      2013, "workspaces have an API key in common; requests with it run under the last of them"),
   ENDPOINT_FOUND(3001, "an endpoint was found"),
   ENDPOINT_LEAVING(3002, "an endpoint is leaving and receives no new work"),
   ENDPOINT_GONE(3003, "an endpoint is no longer listed"),
