A refused probe of an engine holds until the engine answers

Cause: the check after a close between events probes the engine anew. A probe that is not answered in time counted as "no sign of an end", although the engine had refused one 0.4 s before and had not answered since. Ruled out: a close before the crash, and a node that is cut off (log of n3).

Change: a refusal that precedes the check counts as the end until the engine answers. The check whether this node is cut off follows as before.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/UndelimitedStreamTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/UndelimitedStreamTest.java
@@ -218,6 +218,42 @@
     assertFalse(response.whole, "taken as complete");
   }
 
+  // Guards against a stream of a process that is known to have ended, and that counts as complete
+  // because the next probe of its box gets no answer in time.
+  @Test
+  void streamWhoseEngineRefusedAProbeBeforeIsNotCompleteAfterASilentProbe() {
+    startStream("/stream/x");
+    HostPort address = running.attempt.endpoint().address();
+    TrackedEndpoint engine = node.fleet.find(ForwardingFixture.MODEL, address).orElseThrow();
+    node.control.refusing.add(address);
+    node.health.check(engine);
+    node.advance(50);
+    assertTrue(engine.suspected(), "suspected");
+    node.control.refusing.remove(address);
+    node.control.silent.add(address);
+    endConnection();
+    node.advance(1000);
+    assertFalse(response.whole, "taken as complete");
+  }
+
+  // Control case: the engine answers after the refusal, so that its later silence shows nothing.
+  @Test
+  void streamWhoseEngineAnsweredSinceTheRefusalIsCompleteAfterASilentProbe() {
+    startStream("/once/x");
+    HostPort address = running.attempt.endpoint().address();
+    TrackedEndpoint engine = node.fleet.find(ForwardingFixture.MODEL, address).orElseThrow();
+    node.control.refusing.add(address);
+    node.health.check(engine);
+    node.advance(50);
+    node.control.refusing.remove(address);
+    node.advance(1000);
+    assertFalse(engine.suspected(), "suspected");
+    node.control.silent.add(address);
+    endConnection();
+    node.advance(1000);
+    assertTrue(response.whole, "whole");
+  }
+
   // Guards against the end of a process that is taken for life, as another engine's report that
   // requests are stalled on it ends the wait for the probe.
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ProcessEndCheck.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/fleet/ProcessEndCheck.java
@@ -12,12 +12,13 @@
 /**
  * Determines whether the process of an engine that has closed a connection has ended.
  *
- * <p>A refused probe shows that, unless this node is cut off: then connections to all endpoints are
- * refused, while those that were open before may live on and end in order. In this case the answer
- * waits for other evidence. The process has ended if its entry goes or a later process is known. It
- * runs if it answers once this node reaches endpoints again, or if its entry outlives the time in
- * which entries of ended processes expire. What arrives over other connections proves nothing, as
- * it may have been sent before. Confined to the node's event loop.
+ * <p>A refused probe shows that, also an earlier one if the engine has not answered since, unless
+ * this node is cut off: then connections to all endpoints are refused, while those that were open
+ * before may live on and end in order. In this case the answer waits for other evidence. The
+ * process has ended if its entry goes or a later process is known. It runs if it answers once this
+ * node reaches endpoints again, or if its entry outlives the time in which entries of ended
+ * processes expire. What arrives over other connections proves nothing, as it may have been sent
+ * before. Confined to the node's event loop.
  */
 final class ProcessEndCheck {
   /**
@@ -70,9 +71,12 @@
     probe.start(this::probed);
   }
 
-  private void probed(boolean ended) {
-    if (!ended || engine.hasEnded()) {
-      onChecked.accept(ended);
+  private void probed(boolean endShown) {
+    // A refusal that precedes this probe holds until the engine answers; silence does not revoke
+    // it.
+    boolean down = endShown || engine.processDown();
+    if (!down || engine.hasEnded()) {
+      onChecked.accept(down);
       return;
     }
     reachability.confirmReach(
