ConfigurationWatchTest: the message of its invalid configuration speaks of workspaces

The platform's word for a workspace stood outside platform/. Only the text of an exception that the test throws itself; ConfigurationWatchTest and LayersTest pass.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ConfigurationWatchTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/ConfigurationWatchTest.java
@@ -44,7 +44,7 @@
    * the version the configuration is invalid, and revokes the key of the ward.
    */
   private static EntryConfiguration read(StoredItem item) {
-    checkArgument(!item.value().equals("wrong"), "weight of tenant ward must be a number");
+    checkArgument(!item.value().equals("wrong"), "weight of workspace ward must be a number");
     long version = Long.parseLong(item.value().replace("!", ""));
     if (item.value().endsWith("!")) {
       throw new RejectedConfigurationException(
@@ -53,7 +53,7 @@
               true,
               ImmutableMap.of("ward", ImmutableSet.of(), "desk", ImmutableSet.of(DESK_KEY)),
               ImmutableSet.of()),
-          new IllegalArgumentException("weight of tenant ward must be a number"));
+          new IllegalArgumentException("weight of workspace ward must be a number"));
     }
     return EntryConfiguration.of(
         version,
