--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetSimulation.java
@@ -0,0 +1,297 @@
+package org.vaneworks.coordination.forwarding;
+
+import com.google.common.collect.ImmutableList;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.vaneworks.coordination.shared.NodeLease;
+import org.vaneworks.coordination.shared.PeerRelay;
+import org.vaneworks.coordination.shared.PrefixFollower;
+import org.vaneworks.state.HostPort;
+import org.vaneworks.telemetry.Counters;
+import org.vaneworks.testlib.PausedExecutor;
+import org.vaneworks.tests.shared.BoxClock;
+import org.vaneworks.tests.shared.InMemorySharedStore;
+import org.vaneworks.tests.shared.StoreLink;
+
+/**
+ * One random simulation of the retry budgets of a fleet, in which each process that may serve
+ * spends all that its budget allows, at once. Processes are killed and start again, alone and
+ * together, boxes are added, and the store fails, loses its contents, or can't be reached by some.
+ *
+ * <p>The repeats of all processes together are judged by the bound of the whole fleet, over each
+ * window.
+ */
+final class FleetBudgetSimulation {
+  static final int WINDOW_MILLIS = 10_000;
+  private static final double SHARE = 0.2;
+  private static final int RESERVE = 200;
+  private static final int STEP_MILLIS = 50;
+  private static final int WARM_UP_MILLIS = 15_000;
+  private static final int LENGTH_MILLIS = 60_000;
+
+  /** Maximum age of the confirmed configuration with which a node serves. */
+  private static final Duration FRESHNESS = Duration.ofMillis(4750);
+
+  private static final int MEAN_FAULT_INTERVAL_MILLIS = 2500;
+  private static final int MAX_DOWN_MILLIS = 5000;
+  private static final int MAX_OUTAGE_MILLIS = 16_000;
+  private static final String PREFIX = "vaneworks/";
+
+  private static final ForwardingLimits LIMITS =
+      new ForwardingLimits(FRESHNESS, SHARE, RESERVE, Duration.ofMillis(WINDOW_MILLIS));
+
+  private final PausedExecutor clock = PausedExecutor.create();
+  private final InMemorySharedStore store = new InMemorySharedStore(clock);
+  private final Random random;
+  private final double requestsPerStep;
+  private final List<Box> boxes = new ArrayList<>();
+
+  /** The requests and the repeats of each step. */
+  private final List<Integer> requests = new ArrayList<>();
+
+  private final List<Integer> repeats = new ArrayList<>();
+  private final List<String> events = new ArrayList<>();
+
+  /**
+   * Creates a simulation.
+   *
+   * @param requestsPerSecond the requests of the whole fleet
+   */
+  FleetBudgetSimulation(long seed, int boxCount, int requestsPerSecond) {
+    random = new Random(seed);
+    requestsPerStep = requestsPerSecond * STEP_MILLIS / 1000.0;
+    for (int i = 0; i < boxCount; i++) {
+      boxes.add(new Box(i));
+    }
+  }
+
+  /** A box and the process that runs on it, if any. */
+  private final class Box {
+    private final int number;
+    private int runs;
+    private Optional<Process> process = Optional.empty();
+
+    Box(int number) {
+      this.number = number;
+    }
+
+    void start() {
+      if (process.isEmpty()) {
+        process = Optional.of(new Process(number, ++runs));
+      }
+    }
+
+    void kill() {
+      process.ifPresent(Process::kill);
+      process = Optional.empty();
+    }
+  }
+
+  /** A process: its entry in the store, what it reads there, and its budget. */
+  private final class Process {
+    private final StoreLink link = new StoreLink(clock, store);
+    private final NodeLease lease;
+    private final PrefixFollower follower;
+    private final ResendBudget budget;
+
+    Process(int box, int run) {
+      BoxClock time = new BoxClock(clock);
+      HostPort address = new HostPort("10.1." + box / 250 + "." + (1 + box % 250), 7340);
+      lease =
+          NodeLease.create(
+              clock,
+              new Random(random.nextLong()),
+              link,
+              time.suspensionDetector(),
+              PREFIX,
+              "box" + box,
+              "dc1",
+              Integer.toString(run),
+              () -> Optional.of(address),
+              () -> Optional.of(new PeerRelay(address, "token")));
+      follower =
+          PrefixFollower.create(
+              clock,
+              new Random(random.nextLong()),
+              link,
+              Counters.in(new SimpleMeterRegistry()),
+              PREFIX,
+              () -> Duration.ofMillis(1500),
+              () -> Duration.ofMillis(100),
+              lease,
+              time.suspensionDetector());
+      budget =
+          ResendBudget.of(
+              FleetBudgetSimulation.this::nowNanos, nowNanos(), LIMITS, lease::sharingNodes);
+      follower.start();
+      lease.start();
+    }
+
+    void kill() {
+      link.cut(true);
+    }
+
+    int spendAll() {
+      int spent = 0;
+      while (budget.tryWithdraw()) {
+        spent++;
+      }
+      return spent;
+    }
+  }
+
+  private long nowNanos() {
+    return clock.currentTime(TimeUnit.NANOSECONDS);
+  }
+
+  /** Runs the simulation; returns a description of the first window beyond the bound, if any. */
+  Optional<String> run() {
+    boxes.forEach(Box::start);
+    play(WARM_UP_MILLIS, false);
+    play(LENGTH_MILLIS, true);
+    return worstWindow().filter(window -> window.repeats() > window.allowed()).map(this::describe);
+  }
+
+  private void play(int millis, boolean faults) {
+    for (int passed = 0; passed < millis; passed += STEP_MILLIS) {
+      if (faults && random.nextInt(MEAN_FAULT_INTERVAL_MILLIS) < STEP_MILLIS) {
+        injectFault();
+      }
+      clock.advance(Duration.ofMillis(STEP_MILLIS));
+      step();
+    }
+  }
+
+  private void step() {
+    int arrived = 0;
+    int repeated = 0;
+    for (Box box : boxes) {
+      if (box.process.filter(each -> each.follower.isConfirmedWithin(FRESHNESS)).isEmpty()) {
+        continue;
+      }
+      Process process = box.process.get();
+      double mean = requestsPerStep / boxes.size();
+      int count = (int) mean + (random.nextDouble() < mean % 1 ? 1 : 0);
+      for (int i = 0; i < count; i++) {
+        process.budget.deposit();
+      }
+      arrived += count;
+      repeated += process.spendAll();
+    }
+    requests.add(arrived);
+    repeats.add(repeated);
+  }
+
+  private void injectFault() {
+    switch (random.nextInt(9)) {
+      case 0, 1 -> restart("some", anyBoxes());
+      case 2 -> restart("all", boxes);
+      case 3, 4 -> stopStore(1 + random.nextInt(MAX_OUTAGE_MILLIS));
+      case 5 -> cut(anyBoxes(), 1 + random.nextInt(MAX_OUTAGE_MILLIS));
+      case 6 -> replaceStore();
+      case 7 -> {
+        int outage = 1 + random.nextInt(MAX_OUTAGE_MILLIS);
+        stopStore(outage);
+        restart("all, store away", boxes);
+      }
+      default -> addBox();
+    }
+  }
+
+  private ImmutableList<Box> anyBoxes() {
+    List<Box> shuffled = new ArrayList<>(boxes);
+    Collections.shuffle(shuffled, random);
+    return ImmutableList.copyOf(shuffled.subList(0, 1 + random.nextInt(boxes.size())));
+  }
+
+  private void restart(String which, List<Box> chosen) {
+    record("kill of " + which + " (" + chosen.size() + ")");
+    for (Box box : ImmutableList.copyOf(chosen)) {
+      box.kill();
+      later(random.nextInt(MAX_DOWN_MILLIS), box::start);
+    }
+  }
+
+  private void stopStore(int millis) {
+    record("store away for " + millis);
+    store.down = true;
+    later(millis, () -> store.down = false);
+  }
+
+  private void cut(ImmutableList<Box> chosen, int millis) {
+    record(chosen.size() + " boxes cut off from the store for " + millis);
+    for (Box box : chosen) {
+      box.process.ifPresent(
+          cut -> {
+            cut.link.cut(true);
+            later(millis, () -> cut.link.cut(box.process.filter(cut::equals).isEmpty()));
+          });
+    }
+  }
+
+  private void replaceStore() {
+    record("store restored without entries");
+    store.takeEmptyBackup();
+    store.restoreBackup();
+  }
+
+  private void addBox() {
+    record("a box more");
+    Box box = new Box(boxes.size());
+    boxes.add(box);
+    box.start();
+  }
+
+  private void record(String event) {
+    events.add(nowMillis() + " " + event);
+  }
+
+  private long nowMillis() {
+    return clock.currentTime(TimeUnit.MILLISECONDS);
+  }
+
+  private void later(int millis, Runnable task) {
+    clock.schedule(task, millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** The repeats of a window, and how many it may have. */
+  record Window(long startMillis, int repeats, double allowed) {
+    double use() {
+      return repeats / allowed;
+    }
+  }
+
+  /** Returns the window that uses the largest part of the bound. */
+  Optional<Window> worstWindow() {
+    int steps = WINDOW_MILLIS / STEP_MILLIS;
+    return IntStream.rangeClosed(0, repeats.size() - steps)
+        .mapToObj(
+            start -> {
+              int most =
+                  IntStream.of(start, start - steps / 2, start - steps)
+                      .map(from -> sum(requests, from, from + steps))
+                      .max()
+                      .getAsInt();
+              return new Window(
+                  (long) start * STEP_MILLIS,
+                  sum(repeats, start, start + steps),
+                  SHARE * most + RESERVE);
+            })
+        .max((one, other) -> Double.compare(one.use(), other.use()));
+  }
+
+  private static int sum(List<Integer> counts, int from, int to) {
+    return counts.subList(Math.max(0, from), to).stream().mapToInt(Integer::intValue).sum();
+  }
+
+  private String describe(Window window) {
+    return window + " after " + events;
+  }
+}
--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetTest.java
@@ -0,0 +1,21 @@
+package org.vaneworks.coordination.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests that the retry budgets of all nodes together stay within that of the fleet. */
+final class FleetBudgetTest {
+  // Guards against nodes whose parts of the reserve add up to more than the whole, as each divides
+  // it by the nodes that it sees.
+  @ParameterizedTest
+  @CsvSource({"8, 60, 30", "3, 20, 30", "24, 1500, 30"})
+  void partsOfTheReserveAreNeverMoreThanTheWhole(int boxes, int requestsPerSecond, int seeds) {
+    for (int seed = 0; seed < seeds; seed++) {
+      FleetBudgetSimulation simulation = new FleetBudgetSimulation(seed, boxes, requestsPerSecond);
+      assertEquals(Optional.empty(), simulation.run(), "seed " + seed);
+    }
+  }
+}
