A request that reached no endpoint is sent again without the retry budget

Cause: the bound counts arrivals beyond the first of a request; a node also charged the send after an attempt that could not connect. With a budget of nothing, a request whose first endpoint refuses the connection was refused although nothing would be repeated.

Change: a resend after an attempt that can't have arrived takes nothing; nor does the replacement of one that has not connected. Before, FailoverTest#requestThatReachedNoEngineNeedsNoRetryBudget got no second attempt.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/FailoverTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/FailoverTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.ConnectException;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -75,6 +77,23 @@
     return sent;
   }
 
+  // Guards against requests that are refused for want of retry budget although none arrived.
+  @Test
+  void requestThatReachedNoEngineNeedsNoRetryBudget() {
+    setRetryBudget(0);
+    node.engine(1, 0, 80);
+    node.engine(2, 0, 80);
+    node.request("/stream/x");
+    SentAttempt first = node.lastAttempt();
+    first.listener.failed(true, new ConnectException("refused"));
+    node.advance(200);
+    assertEquals(2, node.sent.size());
+    // The second one arrives, so that a third one would be a repeat.
+    node.lastAttempt().listener.failed(false, new ClosedChannelException());
+    node.advance(200);
+    assertEquals(2, node.sent.size());
+  }
+
   // Guards against spending retry budget on the engine that already runs the request.
   @Test
   void streamDoesNotFailOverToSameEngine() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -662,7 +662,8 @@
       sendElsewhere(triedAt, failure, detail);
       return;
     }
-    resend.start(new EndedAttempt(verdict, failure, cause, triedAt, detail));
+    boolean arrived = verdict != Verdict.NOT_RUN || failure == AttemptFailure.ENDPOINT_REFUSED;
+    resend.start(new EndedAttempt(verdict, arrived, failure, cause, triedAt, detail));
   }
 
   /** Sends a request again that reached no endpoint, so that it needs no retry budget. */
@@ -1082,8 +1083,8 @@
     Verdict verdict = running().verdictIfAbandoned();
     int counted = verdict == Verdict.NOT_RUN ? countedRuns() : countedRuns(running());
     Optional<ResendDenial> denial = denial(verdict, counted);
-    boolean exhausted = denial.isEmpty() && !budget.canWithdraw();
-    return exhausted ? Optional.of(ResendDenial.BUDGET_EXHAUSTED) : denial;
+    boolean exhausted = running().mayHaveArrived() && !budget.canWithdraw();
+    return denial.isEmpty() && exhausted ? Optional.of(ResendDenial.BUDGET_EXHAUSTED) : denial;
   }
 
   /** Replaces the attempt by one at another endpoint, if one has capacity now. */
@@ -1109,7 +1110,9 @@
     if (!selector.select(previous.endpoints())) {
       return false;
     }
-    budget.tryWithdraw();
+    if (running().mayHaveArrived()) {
+      budget.tryWithdraw();
+    }
     String detail = abortAttempt(trigger, endpoint);
     logSentAgain(endpoint.toString(), trigger.failure(), detail);
     send();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
@@ -27,11 +27,17 @@
   /**
    * An attempt that ended without a complete response.
    *
+   * @param arrived whether the request may have arrived at an endpoint
    * @param triedAt the endpoint
    * @param detail the cause, including whether a partial event was dropped
    */
   record EndedAttempt(
-      Verdict verdict, AttemptFailure failure, String cause, String triedAt, String detail) {}
+      Verdict verdict,
+      boolean arrived,
+      AttemptFailure failure,
+      String cause,
+      String triedAt,
+      String detail) {}
 
   /** Operations of the request that is to be sent again. */
   interface Callbacks {
@@ -88,6 +94,10 @@
   /** Sends the request again or denies it, now or later, unless cancelled before. */
   void start(EndedAttempt attempt) {
     ended = Optional.of(attempt);
+    if (!attempt.arrived()) {
+      sendUncharged();
+      return;
+    }
     boolean exhausted =
         callbacks.denial(attempt.verdict()).equals(Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED));
     if (exhausted && callbacks.isInterrupted() && callbacks.runsOnEngines()) {
@@ -98,6 +108,17 @@
     }
   }
 
+  /** Sends the request again without the retry budget, as the next arrival repeats none. */
+  private void sendUncharged() {
+    Optional<ResendDenial> denial = callbacks.denial(ended().verdict());
+    if (denial.isPresent()) {
+      callbacks.denied(ended(), denial.get());
+    } else {
+      callbacks.allowed(ended());
+      callbacks.acquireEndpoint();
+    }
+  }
+
   /** Returns whether the request may be sent: for the first time, or within the retry budget. */
   boolean maySend() {
     return !reserved || budget.canWithdrawReserved();
