A process uses its part of the retry reserve once all others count it

Cause: a node divides the reserve by the nodes that it sees, and used its part from its own start on. A process that starts after entries of others have expired (an outage of the store longer than their lease with a kill of all, a store restored without entries) sees one to a few nodes; all of them together used up to three times the whole. It also used what had grown while it could not serve. Class: shares of a whole that each holder computes from a view that others don't have yet.

Fix: NodeLease tells since when all nodes that forward requests count this box: at once if a former run of it is listed, else once its entry has been listed for as long as a node serves with an old list (keyFreshness). The reserve is used from then on, and its first window begins then. So whoever uses a part is counted by whoever uses another. VW5011 tells when, and how many nodes it saw.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -26,6 +26,7 @@
 import org.vaneworks.coordination.forwarding.Forwarder;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.forwarding.PeerNodes;
+import org.vaneworks.coordination.forwarding.SharingNodes;
 import org.vaneworks.coordination.load.LoadExchange;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.coordination.load.LoadSender;
@@ -161,7 +162,8 @@
             settings.dataCentre(),
             incarnationId,
             this::loadReportsAddress,
-            () -> peerServer.map(server -> new PeerRelay(address(server), peerToken)));
+            () -> peerServer.map(server -> new PeerRelay(address(server), peerToken)),
+            () -> forwardingLimits(this.settings).keyFreshness());
     loadExchange =
         LoadExchange.create(
             clock,
@@ -245,7 +247,7 @@
             forwardingLimits(settings),
             configuration::newest,
             this::isConfirmedWithin,
-            lease::sharingNodes,
+            new SharingNodes(lease::sharingNodes, lease::countedSince),
             settings.dataCentre(),
             counters);
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetSimulation.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -15,7 +16,7 @@
 import org.vaneworks.coordination.shared.PrefixFollower;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.telemetry.Counters;
-import org.vaneworks.testlib.PausedExecutor;
+import org.vaneworks.tests.forwarding.PausedClock;
 import org.vaneworks.tests.shared.BoxClock;
 import org.vaneworks.tests.shared.InMemorySharedStore;
 import org.vaneworks.tests.shared.StoreLink;
@@ -47,7 +48,8 @@
   private static final ForwardingLimits LIMITS =
       new ForwardingLimits(FRESHNESS, SHARE, RESERVE, Duration.ofMillis(WINDOW_MILLIS));
 
-  private final PausedExecutor clock = PausedExecutor.create();
+  private final PausedClock time = PausedClock.create();
+  private final Executor clock = time.executor();
   private final InMemorySharedStore store = new InMemorySharedStore(clock);
   private final Random random;
   private final double requestsPerStep;
@@ -102,20 +104,21 @@
     private final ResendBudget budget;
 
     Process(int box, int run) {
-      BoxClock time = new BoxClock(clock);
+      BoxClock boxClock = new BoxClock(clock);
       HostPort address = new HostPort("10.1." + box / 250 + "." + (1 + box % 250), 7340);
       lease =
           NodeLease.create(
               clock,
               new Random(random.nextLong()),
               link,
-              time.suspensionDetector(),
+              boxClock.suspensionDetector(),
               PREFIX,
               "box" + box,
               "dc1",
               Integer.toString(run),
               () -> Optional.of(address),
-              () -> Optional.of(new PeerRelay(address, "token")));
+              () -> Optional.of(new PeerRelay(address, "token")),
+              () -> FRESHNESS);
       follower =
           PrefixFollower.create(
               clock,
@@ -126,10 +129,12 @@
               () -> Duration.ofMillis(1500),
               () -> Duration.ofMillis(100),
               lease,
-              time.suspensionDetector());
+              boxClock.suspensionDetector());
       budget =
           ResendBudget.of(
-              FleetBudgetSimulation.this::nowNanos, nowNanos(), LIMITS, lease::sharingNodes);
+              FleetBudgetSimulation.this::nowNanos,
+              LIMITS,
+              new SharingNodes(lease::sharingNodes, lease::countedSince));
       follower.start();
       lease.start();
     }
@@ -164,7 +169,7 @@
       if (faults && random.nextInt(MEAN_FAULT_INTERVAL_MILLIS) < STEP_MILLIS) {
         injectFault();
       }
-      clock.advance(Duration.ofMillis(STEP_MILLIS));
+      time.advance(Duration.ofMillis(STEP_MILLIS));
       step();
     }
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/ResendBudgetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/ResendBudgetTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -27,7 +28,8 @@
 
   private ResendBudget startProcess() {
     ForwardingLimits limits = new ForwardingLimits(Duration.ofSeconds(1), 0.2, RESERVE, WINDOW);
-    return ResendBudget.of(() -> nowNanos, nowNanos, limits, () -> NODES);
+    OptionalLong startedAt = OptionalLong.of(nowNanos);
+    return ResendBudget.of(() -> nowNanos, limits, new SharingNodes(() -> NODES, () -> startedAt));
   }
 
   private static int withdrawAll(ResendBudget budget) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -56,6 +56,7 @@
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.forwarding.PeerNodes;
 import org.vaneworks.coordination.forwarding.ResponseHead;
+import org.vaneworks.coordination.forwarding.SharingNodes;
 import org.vaneworks.coordination.load.LoadExchange;
 import org.vaneworks.coordination.load.LoadReport;
 import org.vaneworks.coordination.load.RateLimitShares;
@@ -851,13 +852,18 @@
               limits,
               () -> Optional.of(active),
               follower::isConfirmedWithin,
-              nodes::size,
+              sharingNodes(),
               dataCentre(index),
               counters);
       follower.start();
       exchange.start();
     }
 
+    private SharingNodes sharingNodes() {
+      OptionalLong startedAt = OptionalLong.of(eventLoop.currentTime(TimeUnit.NANOSECONDS));
+      return new SharingNodes(nodes::size, () -> startedAt);
+    }
+
     /** Cuts the node off from all engines, or ends that. */
     private void cutFromEngines(EndpointCut next) {
       if (next == EndpointCut.RESET) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreRestoreCostTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreRestoreCostTest.java
@@ -44,7 +44,8 @@
             "dc1",
             "run",
             () -> Optional.of(new HostPort("10.1.0.1", 7000 + index)),
-            Optional::empty);
+            Optional::empty,
+            () -> KEY_REVOCATION);
     PrefixFollower.create(
             clock,
             new Random(index),
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreRestoreSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/StoreRestoreSimulation.java
@@ -123,7 +123,8 @@
               "dc1",
               "run" + incarnations++,
               () -> Optional.of(new HostPort("10.1.0.1", 7000 + index)),
-              Optional::empty);
+              Optional::empty,
+              () -> Duration.ofMillis(4750));
       follower =
           PrefixFollower.create(
               clock,
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
 import org.vaneworks.coordination.forwarding.Forwarder;
 import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.forwarding.PeerNodes;
+import org.vaneworks.coordination.forwarding.SharingNodes;
 import org.vaneworks.coordination.quarantine.SharedQuarantine;
 import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.coordination.shared.Peer;
@@ -293,7 +295,7 @@
             new ForwardingLimits(Duration.ofMillis(4750), 0.2, reserve, Duration.ZERO),
             () -> configuration,
             age -> now() - confirmedAt < age.toNanos(),
-            () -> 1,
+            new SharingNodes(() -> 1, () -> OptionalLong.of(0)),
             "dc1",
             counters);
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -31,6 +31,7 @@
  */
 final class NodeLeaseTest {
   private static final String PREFIX = "vaneworks/";
+  private static final Duration MAX_LIST_AGE = Duration.ofMillis(4750);
 
   private final PausedExecutor clock = PausedExecutor.create();
   private final InMemorySharedStore store = new InMemorySharedStore(clock);
@@ -52,7 +53,8 @@
             "dc1",
             run,
             () -> addressOf(box),
-            () -> relayOf(box));
+            () -> relayOf(box),
+            () -> MAX_LIST_AGE);
     PrefixFollower.create(
             clock,
             new Random(9),
@@ -370,6 +372,39 @@
     assertEquals(1, nodes.get(0).sharingNodes());
   }
 
+  // Guards against a node that uses its part of the retry reserve before others have left it room.
+  @Test
+  void firstRunOnABoxIsCountedOnceAllListsShowIt() {
+    NodeLease first = node(store, "box1", "1");
+    advance((int) MAX_LIST_AGE.toMillis() - 100);
+    assertTrue(first.countedSince().isEmpty());
+    advance(1000);
+    assertTrue(first.countedSince().isPresent());
+  }
+
+  @Test
+  void runThatFollowsAListedOneIsCountedAtOnce() {
+    StoreLink link = new StoreLink(clock, store);
+    node(link, "box1", "1");
+    advance(1000);
+    link.cut(true);
+    NodeLease second = node(store, "box1", "2");
+    advance(100);
+    assertTrue(second.countedSince().isPresent());
+  }
+
+  @Test
+  void entryThatTheStoreLostDoesNotCount() {
+    NodeLease first = node(store, "box1", "1");
+    advance(3000);
+    store.takeEmptyBackup();
+    store.restoreBackup();
+    advance(3000);
+    assertTrue(first.countedSince().isEmpty());
+    advance(5000);
+    assertTrue(first.countedSince().isPresent());
+  }
+
   @Test
   void laterRunOnABoxReplacesTheEarlierRun() {
     node(store, "box1", "1");
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.fleet.EngineControl;
@@ -111,7 +110,7 @@
    * @param configuration the latest configuration known to the node
    * @param confirmedWithin whether the store confirmed the configuration in response to a request
    *     sent within the given time
-   * @param sharingNodes the number of nodes that share the retry budget
+   * @param sharing the nodes that share the retry budget
    */
   public static Forwarder create(
       Executor clock,
@@ -126,7 +125,7 @@
       ForwardingLimits limits,
       Supplier<Optional<EntryConfiguration>> configuration,
       Predicate<Duration> confirmedWithin,
-      IntSupplier sharingNodes,
+      SharingNodes sharing,
       String dataCentre,
       Counters counters) {
     ForwardContext context =
@@ -141,7 +140,7 @@
             control,
             transport,
             new CapacityQueues(clock),
-            new ResendBudgets(clock, limits, sharingNodes),
+            new ResendBudgets(clock, limits, sharing),
             quarantine.quarantine(),
             quarantine.crashDetector(),
             dataCentre,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
@@ -4,7 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static com.google.common.base.Preconditions.checkState;
 
-import java.util.function.IntSupplier;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 
 /**
@@ -14,6 +14,9 @@
  * covers the first failures. In any time window, a node sends again at most the configured share of
  * the requests of that window plus its reserve.
  *
+ * <p>None of the reserve is used while other nodes may not count this one, as their parts and that
+ * of this node could be more than the whole.
+ *
  * <p>An earlier process on the box may have spent its reserve just before this one started.
  * Therefore less of it is used during the first window, and that little by little: however often
  * processes succeed each other on a box, they use no more than its part of the reserve in any
@@ -32,10 +35,7 @@
   private static final double USABLE_SHARE_FRACTION = 0.8;
 
   private final LongSupplier clock;
-  private final IntSupplier liveNodes;
-
-  /** When the process started, in nanoseconds of the clock. */
-  private final long startedAt;
+  private final SharingNodes sharing;
 
   private double share;
   private double fleetReserve;
@@ -44,21 +44,19 @@
   private int reserved;
   private int awaited;
 
-  private ResendBudget(LongSupplier clock, long startedAt, IntSupplier liveNodes) {
+  private ResendBudget(LongSupplier clock, SharingNodes sharing) {
     this.clock = checkNotNull(clock);
-    this.startedAt = startedAt;
-    this.liveNodes = checkNotNull(liveNodes);
+    this.sharing = checkNotNull(sharing);
   }
 
   /**
    * Returns a budget from which this process has spent nothing.
    *
    * @param clock returns the present time in nanoseconds
-   * @param startedAt when the process started, in nanoseconds of the clock
+   * @param sharing the nodes that divide the reserve
    */
-  public static ResendBudget of(
-      LongSupplier clock, long startedAt, ForwardingLimits limits, IntSupplier liveNodes) {
-    ResendBudget budget = new ResendBudget(clock, startedAt, liveNodes);
+  public static ResendBudget of(LongSupplier clock, ForwardingLimits limits, SharingNodes sharing) {
+    ResendBudget budget = new ResendBudget(clock, sharing);
     budget.updateLimits(limits);
     return budget;
   }
@@ -147,7 +145,7 @@
    */
   boolean canRecover() {
     return reservePerNode() * USABLE_RESERVE_FRACTION >= 1
-        && (share > 0 || allows(1) || isFirstWindow());
+        && (share > 0 || allows(1) || usableFraction() < USABLE_RESERVE_FRACTION);
   }
 
   private boolean allows(int retries) {
@@ -155,18 +153,17 @@
   }
 
   private double usableFraction() {
-    return isFirstWindow() ? FIRST_WINDOW_FRACTION * age() / windowNanos : USABLE_RESERVE_FRACTION;
-  }
-
-  private boolean isFirstWindow() {
-    return age() < windowNanos;
-  }
-
-  private double age() {
-    return clock.getAsLong() - startedAt;
+    OptionalLong countedSince = sharing.countedSince().get();
+    if (countedSince.isEmpty()) {
+      return 0;
+    }
+    double countedNanos = clock.getAsLong() - countedSince.getAsLong();
+    return countedNanos < windowNanos
+        ? FIRST_WINDOW_FRACTION * countedNanos / windowNanos
+        : USABLE_RESERVE_FRACTION;
   }
 
   private double reservePerNode() {
-    return fleetReserve / liveNodes.getAsInt();
+    return fleetReserve / sharing.count().getAsInt();
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudgets.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudgets.java
@@ -6,7 +6,6 @@
 import io.servicetalk.concurrent.Executor;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntSupplier;
 
 /**
  * This node's shares of the fleet's retry budgets, of which each service has its own: requests of
@@ -17,20 +16,17 @@
   private record ServiceBudget(ResendBudget budget, ResendQueue queue) {}
 
   private final Executor clock;
-  private final IntSupplier liveNodes;
-  private final long startedAt;
+  private final SharingNodes sharing;
 
   /** Entries remain when a service is removed from the configuration, as it may return. */
   private final Map<String, ServiceBudget> byService = new HashMap<>();
 
   private ForwardingLimits limits;
 
-  /** Returns budgets of a process that starts now. */
-  ResendBudgets(Executor clock, ForwardingLimits limits, IntSupplier liveNodes) {
+  ResendBudgets(Executor clock, ForwardingLimits limits, SharingNodes sharing) {
     this.clock = checkNotNull(clock);
     this.limits = checkNotNull(limits);
-    this.liveNodes = checkNotNull(liveNodes);
-    this.startedAt = clock.currentTime(NANOSECONDS);
+    this.sharing = checkNotNull(sharing);
   }
 
   /** Updates the limits; retries spent before remain spent. */
@@ -54,8 +50,7 @@
   }
 
   private ServiceBudget newBudget(String service) {
-    ResendBudget budget =
-        ResendBudget.of(() -> clock.currentTime(NANOSECONDS), startedAt, limits, liveNodes);
+    ResendBudget budget = ResendBudget.of(() -> clock.currentTime(NANOSECONDS), limits, sharing);
     return new ServiceBudget(budget, new ResendQueue(clock, budget));
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -87,6 +87,7 @@
 
   private final Supplier<Optional<HostPort>> address;
   private final Supplier<Optional<PeerRelay>> relay;
+  private final Supplier<Duration> maxListAge;
 
   /** The live nodes by key, with their peer address if they accept peer connections. */
   private final Map<String, Optional<Peer>> nodes = new TreeMap<>();
@@ -107,6 +108,11 @@
   private boolean entryExisted;
   private int liveNodes = 1;
 
+  /** When the list last began to show this run's entry; empty while it does not. */
+  private OptionalLong listedSince = OptionalLong.empty();
+
+  private OptionalLong countedSince = OptionalLong.empty();
+
   /** Live nodes before the outage: the number of nodes that may have to rewrite their entries. */
   private int nodesBeforeOutage = 1;
 
@@ -124,7 +130,8 @@
       String run,
       String dataCentre,
       Supplier<Optional<HostPort>> address,
-      Supplier<Optional<PeerRelay>> relay) {
+      Supplier<Optional<PeerRelay>> relay,
+      Supplier<Duration> maxListAge) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
     this.store = checkNotNull(store);
@@ -134,6 +141,7 @@
     this.dataCentre = checkNotNull(dataCentre);
     this.address = checkNotNull(address);
     this.relay = checkNotNull(relay);
+    this.maxListAge = checkNotNull(maxListAge);
     entry =
         new AutoRenewedLease(
             clock,
@@ -164,6 +172,7 @@
    * @param run identifies this run of the process; unique among all runs
    * @param address address on which this node receives load reports, if it does
    * @param relay where this node accepts requests that peers forward, if it does
+   * @param maxListAge the maximum age of the list of nodes with which a node forwards requests
    */
   public static NodeLease create(
       Executor clock,
@@ -175,10 +184,11 @@
       String dataCentre,
       String run,
       Supplier<Optional<HostPort>> address,
-      Supplier<Optional<PeerRelay>> relay) {
+      Supplier<Optional<PeerRelay>> relay,
+      Supplier<Duration> maxListAge) {
     String node = box + RUN_SEPARATOR + run;
     return new NodeLease(
-        clock, random, store, suspensions, prefix, node, dataCentre, address, relay);
+        clock, random, store, suspensions, prefix, node, dataCentre, address, relay, maxListAge);
   }
 
   /** Adds a listener that runs each time this node becomes the controller. */
@@ -254,6 +264,45 @@
     return Math.max(liveNodes, (int) boxes + 1);
   }
 
+  /**
+   * Returns since when all other nodes that forward requests count this one, in nanoseconds of the
+   * clock; empty while some may not. A box that is counted stays so: the nodes that know it count
+   * it for a while after its entry was removed.
+   */
+  public OptionalLong countedSince() {
+    return countedSince;
+  }
+
+  private void recordListed() {
+    if (listedSince.isEmpty()) {
+      long now = clock.currentTime(NANOSECONDS);
+      listedSince = OptionalLong.of(now);
+      clock.schedule(() -> countIfListedSince(now), maxListAge.get().toNanos(), NANOSECONDS);
+    }
+  }
+
+  private void countIfListedSince(long since) {
+    if (listedSince.equals(OptionalLong.of(since))) {
+      recordCounted("listed");
+    }
+  }
+
+  private void recordCounted(String cause) {
+    if (countedSince.isEmpty()) {
+      countedSince = OptionalLong.of(clock.currentTime(NANOSECONDS));
+      EventLog.info(Event.NODE_COUNTED, "cause", cause, "nodes", sharingNodes());
+    }
+  }
+
+  /** Returns whether an earlier run on this box is listed, so that the others count the box. */
+  private boolean isEarlierRunListed() {
+    return nodes.keySet().stream()
+        .anyMatch(
+            name ->
+                !name.equals(NODES_PREFIX + node)
+                    && boxOf(name).equals(boxOf(NODES_PREFIX + node)));
+  }
+
   private void recordUnlisted(Peer peer) {
     unlisted.put(peer.box(), new Unlisted(peer, clock.currentTime(NANOSECONDS)));
   }
@@ -395,6 +444,7 @@
   public void newEra(long era) {
     String cause = "the store was restored from a backup";
     node = run + ERA_SEPARATOR + era;
+    listedSince = OptionalLong.empty();
     entryCreatedAt = Optional.empty();
     entryExisted = false;
     nodesBeforeOutage = liveNodes;
@@ -408,6 +458,7 @@
 
   @Override
   public void replace(ImmutableList<StoredItem> items) {
+    boolean first = !loaded;
     loaded = true;
     nodes.values().forEach(peer -> peer.ifPresent(this::recordUnlisted));
     nodes.clear();
@@ -415,6 +466,12 @@
     controllerPresent = false;
     items.forEach(item -> apply(item, false));
     countNodes();
+    if (!nodes.containsKey(NODES_PREFIX + node)) {
+      listedSince = OptionalLong.empty();
+    }
+    if (first && isEarlierRunListed()) {
+      recordCounted("earlier run");
+    }
     if (!controllerPresent) {
       scheduleClaim();
     }
@@ -440,6 +497,9 @@
         handleOwnEntryRemoval(name, item.changedAt());
       } else {
         nodes.put(name, parsePeer(item));
+        if (name.equals(NODES_PREFIX + node)) {
+          recordListed();
+        }
       }
     } else if (name.equals(CONTROLLER_KEY)) {
       handleControllerChange(item, removed);
@@ -449,6 +509,9 @@
   /** Reopens the entry without waiting for the next renewal if it expired during a partition. */
   private void handleOwnEntryRemoval(String name, StorePosition removedAt) {
     boolean own = name.equals(NODES_PREFIX + node);
+    if (own) {
+      listedSince = OptionalLong.empty();
+    }
     boolean removedSince = entryCreatedAt.isPresent() && removedAt.isAfter(entryCreatedAt.get());
     if (own && (entryExisted || removedSince)) {
       entryExisted = false;
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -105,7 +105,8 @@
   PEER_ADDRESS_NOT_READ(5007, "a node's entry has no readable address"),
   PEER_REPORT_NOT_READ(5008, "a peer's load report could not be read"),
   PEER_REQUEST_TAKEN(5009, "a request was taken that a peer forwarded"),
-  PEER_REQUEST_REJECTED(5010, "a request on the port for peers had no valid token");
+  PEER_REQUEST_REJECTED(5010, "a request on the port for peers had no valid token"),
+  NODE_COUNTED(5011, "all nodes count this one; it uses its part of the retry reserve");
 
   private final int number;
   private final String text;
