UndecodedInputLimit counts the memory of lines

A head or trailers of an endpoint or the store may be 64 KiB long; as lines of four bytes they take some two megabytes once decoded.

--- a/vaneworks/src/main/java/org/vaneworks/transport/UndecodedInputLimit.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/UndecodedInputLimit.java
@@ -9,22 +9,27 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.util.ByteProcessor;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.HttpMetaData;
 import io.servicetalk.transport.netty.internal.ByteToMessageDecoder;
 import java.util.Map;
 
 /**
- * Closes a connection to a server that sends more than a number of bytes which are neither a
- * complete head nor a part of a body: a head, chunk extensions or trailers without end.
+ * Closes a connection whose peer sends more than a number of bytes which are neither a complete
+ * head nor a part of a body: a head, chunk extensions or trailers without end.
  *
- * <p>ServiceTalk limits single lines, but not all lines of a head or of trailers together. Confined
- * to the event loop of its connection.
+ * <p>ServiceTalk limits single lines, but not all lines of a head or of trailers together. Each
+ * line counts with the memory that it takes once decoded. Confined to the event loop of its
+ * connection.
  */
 public final class UndecodedInputLimit {
   private static final String INPUT_HANDLER_NAME = "undecoded-input";
   private static final String MESSAGE_HANDLER_NAME = "decoded-messages";
 
+  /** Memory of a decoded header field besides its bytes. */
+  private static final int LINE_BYTES = 192;
+
   private final int maxBytes;
   private long undecodedBytes;
 
@@ -33,7 +38,11 @@
     this.maxBytes = maxBytes;
   }
 
-  /** Adds the limit to the pipeline of a client connection. */
+  /**
+   * Adds the limit to the pipeline of a connection.
+   *
+   * @param maxBytes maximum number of bytes, including those that decoded lines take
+   */
   public static void install(ChannelPipeline pipeline, int maxBytes) {
     UndecodedInputLimit limit = new UndecodedInputLimit(maxBytes);
     // Placed before ServiceTalk's last handler, which receives what was decoded. The last name in
@@ -56,7 +65,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
       if (message instanceof ByteBuf bytes) {
-        undecodedBytes += bytes.readableBytes();
+        undecodedBytes += bytes.readableBytes() + (long) LINE_BYTES * lines(bytes);
       }
       super.channelRead(context, message);
       if (undecodedBytes > maxBytes) {
@@ -68,6 +77,22 @@
     }
   }
 
+  private static int lines(ByteBuf bytes) {
+    LineCounter counter = new LineCounter();
+    var unused = bytes.forEachByte(counter);
+    return counter.lines;
+  }
+
+  private static final class LineCounter implements ByteProcessor {
+    private int lines;
+
+    @Override
+    public boolean process(byte value) {
+      lines += value == '\n' ? 1 : 0;
+      return true;
+    }
+  }
+
   /** Starts to count anew after each head and each part of a body. */
   private final class MessageHandler extends ChannelInboundHandlerAdapter {
     @Override
