What callers make a node hold is counted in memory, before it is held

What callers saw: the process ended (code 3, heap) under 200 heads of legal size made of lines of four bytes, or 4 bodies with trailers without end; under 800 small bodies that stopped short, ordinary callers were not served for good, as only large bodies had an idle limit.

Cause: heads were counted by their bytes, once they were whole; trailers, heads behind another request, connections, and the other ports not at all. Class: what is held for a peer is counted in the peer's bytes, when it is complete. If memory is short, connections whose caller has stopped or is very slow are closed (PendingInput). Ruled out: a limit on the number of lines (a legal head may have 4,000).

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -312,7 +312,8 @@
 
   /** Opens the sockets; that for callers last, as the node serves them once it listens. */
   private void listen() throws Exception {
-    readinessServer = EntryServer.listenReadiness(settings.readiness(), io, this::checkReady);
+    readinessServer =
+        EntryServer.listenReadiness(settings.readiness(), io, this::checkReady, memory);
     loadDatagrams =
         settings
             .peers()
@@ -322,7 +323,8 @@
     }
     if (settings.metrics().isPresent()) {
       metricsServer =
-          Optional.of(EntryServer.listenMetrics(settings.metrics().get(), io, meters::scrape));
+          Optional.of(
+              EntryServer.listenMetrics(settings.metrics().get(), io, meters::scrape, memory));
     }
     callerServer =
         EntryServer.listen(
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/BodyPauseTimer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/BodyPauseTimer.java
@@ -1,5 +1,6 @@
 package org.vaneworks.transport.entry;
 
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Executor;
 import java.time.Duration;
@@ -28,9 +29,15 @@
     this.onPause = onPause;
   }
 
-  void start() {
+  /** Starts the timer; returns false if it was cancelled before. */
+  @CanIgnoreReturnValue
+  boolean start() {
+    if (cancelled) {
+      return false;
+    }
     long receivedBytes = collector.receivedBytes();
     timer = executor.schedule(() -> check(receivedBytes), pause);
+    return true;
   }
 
   private void check(long previousBytes) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -23,8 +23,11 @@
 import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.servicetalk.concurrent.Executor;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.entry.EntryLimits;
@@ -100,6 +103,12 @@
   private final Supplier<EntryLimits> limits;
   private final Counters counters;
   private final CallerConnections openConnections;
+
+  /** Refuses the request whose body is being received. */
+  private Optional<Consumer<Reason>> bodyRefusal = Optional.empty();
+
+  private Runnable afterRead = () -> {};
+  private Runnable onAwaitingRequest = () -> {};
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
   private PendingResponse response = NO_RESPONSE;
@@ -160,11 +169,82 @@
     requestInProgress = true;
     headStarted = false;
     response = started;
+    bodyRefusal = Optional.empty();
     if (!lingering) {
       timer.cancel(false);
     }
   }
 
+  /** Counts what is held of the input in a budget, and bounds trailers. */
+  void countInput(MemoryBudget memory, Executor clock) {
+    InputMemory.install(
+        context.channel(),
+        memory,
+        clock,
+        () -> 2 * limits.get().maxHeaderBytes(), // The start line and the fields.
+        () -> limits.get().maxHeaderBytes(),
+        new InputOwner());
+    onAwaitingRequest = InputMemory.of(context.channel())::awaitRequest;
+  }
+
+  /** Sets how the request in progress is refused if the rest of its input can't be held. */
+  void onBodyRefused(Consumer<Reason> refusal) {
+    bodyRefusal = Optional.of(refusal);
+  }
+
+  /** Records that the body of the request in progress was received. */
+  void bodyReceived() {
+    bodyRefusal = Optional.empty();
+  }
+
+  /** Runs a task once all input was decoded that has arrived. */
+  void afterRead(Runnable task) {
+    afterRead = task;
+  }
+
+  /** Closes the connection, whose caller has stopped within a head or a body. */
+  void giveUpInput() {
+    recordClose(CloseReason.INPUT_GIVEN_UP, "memory");
+    closeNow();
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext channel) throws Exception {
+    Runnable task = afterRead;
+    afterRead = () -> {};
+    task.run();
+    super.channelReadComplete(channel);
+  }
+
+  /** Answers input that can't be held; none of it has been forwarded. */
+  private final class InputOwner implements InputMemory.Owner {
+    @Override
+    public void memoryExhausted() {
+      refuseInput(Reason.NODE_MEMORY);
+    }
+
+    @Override
+    public void stalled() {
+      giveUpInput();
+    }
+
+    @Override
+    public void linesTooLong() {
+      refuseInput(bodyRefusal.isPresent() ? Reason.HEADERS_TOO_LARGE : tooLargeReason());
+    }
+
+    private void refuseInput(Reason reason) {
+      if (bodyRefusal.isPresent()) {
+        bodyRefusal.get().accept(reason);
+      } else if (isActive()) {
+        // A next request, which can't be answered yet.
+        closeNow();
+      } else {
+        reject(reason);
+      }
+    }
+  }
+
   @Override
   public void requestEnded(PendingResponse ended) {
     // With pipelining, the next request starts with the last byte of the previous response, which
@@ -283,6 +363,7 @@
     if (lingering) {
       return;
     }
+    onAwaitingRequest.run();
     headStarted = false;
     headBytes = 0;
     startLineBytes = 0;
@@ -452,8 +533,13 @@
     }
     recordClose(CloseReason.REJECTED, reason.code());
     counters.count(Metric.REFUSALS, reason.code());
+    String retry = reason == Reason.NODE_MEMORY ? "Retry-After: 1\r\n" : "";
     String response =
-        "HTTP/1.1 " + reason.status() + " \r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        "HTTP/1.1 "
+            + reason.status()
+            + " \r\n"
+            + retry
+            + "Content-Length: 0\r\nConnection: close\r\n\r\n";
     // Written from the first handler, so that the bytes bypass the HTTP encoder.
     var unused =
         context
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CloseReason.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CloseReason.java
@@ -14,6 +14,9 @@
   /** The request head was malformed, too large or too slow. */
   REJECTED("rejected", false),
 
+  /** Memory was short, and the caller had stopped within a head or a body. */
+  INPUT_GIVEN_UP("input-given-up", false),
+
   /** The node closed the connection during a response. */
   ABORTED("cut", false),
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.DecoderException;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.Executor;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
@@ -26,6 +27,7 @@
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -65,6 +67,11 @@
     CallerResponse.Listener handle(CallerRequest request, CallerResponse response, PeerHop hop);
   }
 
+  /** Time after which an idle connection to the ports for readiness and metrics is closed. */
+  private static final Duration INTERNAL_IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+  private static final int MAX_INTERNAL_HEAD_BYTES = 8 << 10;
+
   /** Time for which an idle connection of a peer stays open; peers close them before. */
   private static final Duration PEER_IDLE_TIMEOUT = Duration.ofSeconds(10);
 
@@ -192,37 +199,96 @@
   }
 
   private Completable accept(ConnectionInfo connection) {
-    CallerConnection.install(
-        ((NettyConnectionContext) connection).nettyChannel(), limits, counters, connections);
+    Channel channel = ((NettyConnectionContext) connection).nettyChannel();
+    CallerConnection.install(channel, limits, counters, connections);
+    CallerConnection.of(channel).countInput(memory, connection.executionContext().executor());
     return Completable.completed();
   }
 
   /** Starts the server for the load balancer's readiness check, which responds on every path. */
   public static HttpServerContext listenReadiness(
-      HostPort address, IoExecutor io, BooleanSupplier ready) throws Exception {
-    return eventLoopServer(address, io)
+      HostPort address, IoExecutor io, BooleanSupplier ready, MemoryBudget memory)
+      throws Exception {
+    return internalServer(address, io, memory)
         .listenStreamingAndAwait(
-            (context, request, factory) ->
-                Single.succeeded(
-                    ready.getAsBoolean() ? factory.ok() : factory.serviceUnavailable()));
+            (context, request, factory) -> {
+              startRequest(context, memory);
+              return Single.succeeded(
+                  ready.getAsBoolean() ? factory.ok() : factory.serviceUnavailable());
+            });
   }
 
   /** Starts the server for the node's metrics, which returns the text on every path. */
   public static HttpServerContext listenMetrics(
-      HostPort address, IoExecutor io, Supplier<String> metrics) throws Exception {
-    return eventLoopServer(address, io)
+      HostPort address, IoExecutor io, Supplier<String> metrics, MemoryBudget memory)
+      throws Exception {
+    return internalServer(address, io, memory)
         .listenStreamingAndAwait(
-            (context, request, factory) ->
-                Single.succeeded(
-                    factory
-                        .ok()
-                        .setHeader(HttpHeaderNames.CONTENT_TYPE, METRICS_TYPE)
-                        .payloadBody(
-                            Publisher.from(
-                                context
-                                    .executionContext()
-                                    .bufferAllocator()
-                                    .fromUtf8(metrics.get())))));
+            (context, request, factory) -> {
+              startRequest(context, memory);
+              return Single.succeeded(
+                  factory
+                      .ok()
+                      .setHeader(HttpHeaderNames.CONTENT_TYPE, METRICS_TYPE)
+                      .payloadBody(
+                          Publisher.from(
+                              context
+                                  .executionContext()
+                                  .bufferAllocator()
+                                  .fromUtf8(metrics.get()))));
+            });
+  }
+
+  /** Returns a server that closes connections which send long heads or trailers, or nothing. */
+  private static HttpServerBuilder internalServer(
+      HostPort address, IoExecutor io, MemoryBudget memory) {
+    return eventLoopServer(address, io)
+        .socketOption(ServiceTalkSocketOptions.IDLE_TIMEOUT, INTERNAL_IDLE_TIMEOUT.toMillis())
+        .appendLateConnectionAcceptor(
+            EventLoopConnectionAcceptor.onEventLoop(
+                connection -> {
+                  boundInput(
+                      ((NettyConnectionContext) connection).nettyChannel(),
+                      memory,
+                      connection.executionContext().executor());
+                  return Completable.completed();
+                }));
+  }
+
+  /** Accounts for a request that is answered at once. */
+  private static void startRequest(HttpServiceContext context, MemoryBudget memory) {
+    InputMemory input = InputMemory.of(((NettyConnectionContext) context).nettyChannel());
+    MemoryLease lease = memory.lease();
+    input.startRequest(lease);
+    lease.release();
+    input.awaitRequest();
+  }
+
+  private static void boundInput(Channel channel, MemoryBudget memory, Executor clock) {
+    InputMemory.Owner owner =
+        new InputMemory.Owner() {
+          @Override
+          public void memoryExhausted() {
+            var unused = channel.close();
+          }
+
+          @Override
+          public void stalled() {
+            var unused = channel.close();
+          }
+
+          @Override
+          public void linesTooLong() {
+            var unused = channel.close();
+          }
+        };
+    InputMemory.install(
+        channel,
+        memory,
+        clock,
+        () -> MAX_INTERNAL_HEAD_BYTES,
+        () -> MAX_INTERNAL_HEAD_BYTES,
+        owner);
   }
 
   private static HttpServerBuilder eventLoopServer(HostPort address, IoExecutor io) {
@@ -248,12 +314,16 @@
             connection,
             lease);
     connection.requestStarted(response);
+    InputMemory.of(channel).startRequest(lease);
+    // The decoder bounds a line only if it arrives in few parts.
+    if (request.requestTarget().length() > limits.get().maxHeaderBytes()) {
+      return response.refuseAndClose(Reason.TARGET_TOO_LONG, "the request target").response();
+    }
     Optional<String> id = dialect.requestId(request.headers());
     if (id.isEmpty()) {
       return response.refuseUnsent(Reason.INVALID_HEADER, "the request has no id").response();
     }
     response.requestId(id.get());
-    long headBytes = totalBytes(request.headers()) + request.requestTarget().length();
     if (totalBytes(request.headers()) > limits.get().maxHeaderBytes()) {
       return response.refuseAndClose(Reason.HEADERS_TOO_LARGE, "all headers together").response();
     }
@@ -264,9 +334,6 @@
               "a transfer coding other than chunked does not delimit the body")
           .response();
     }
-    if (!lease.tryGrow(headBytes)) {
-      return refuseForMemory(response, id.get());
-    }
     BodyCollector collector =
         new BodyCollector(
             context.executionContext().bufferAllocator(),
@@ -278,18 +345,39 @@
     if (collector.isDiscarding()) {
       return response.response();
     }
-    Publisher<Buffer> body = request.payloadBody();
-    if (length > MemoryBudget.SMALL_REQUEST_BYTES || length < 0) {
-      // Small bodies usually arrive with their head, and a timer costs more than they hold.
-      BodyPauseTimer timer =
-          new BodyPauseTimer(
-              context.executionContext().executor(),
-              limits.get().idleTimeout(),
-              collector,
-              () -> refuseSlowBody(collector, response));
-      timer.start();
-      body = body.beforeFinally(timer::cancel);
-    }
+    connection.onBodyRefused(reason -> refuseBody(reason, collector, response, id.get()));
+    BodyPauseTimer timer =
+        new BodyPauseTimer(
+            context.executionContext().executor(),
+            limits.get().idleTimeout(),
+            collector,
+            () -> refuseSlowBody(collector, response));
+    PendingInput pending =
+        new PendingInput(
+            context.executionContext().executor(),
+            collector::receivedBytes,
+            connection::giveUpInput);
+    // Most bodies arrive with their head.
+    connection.afterRead(
+        () -> {
+          if (timer.start() && !collector.isDiscarding()) {
+            memory.addPending(pending);
+          }
+        });
+    Publisher<Buffer> body =
+        request
+            .payloadBody()
+            .afterOnNext(part -> pending.recordRead())
+            .beforeFinally(
+                () -> {
+                  timer.cancel();
+                  memory.removePending(pending);
+                })
+            .beforeOnComplete(
+                () -> {
+                  connection.bodyReceived();
+                  InputMemory.of(channel).endRequest();
+                });
     // The response does not wait for the end of the body, as it may be refused before.
     Cancellable receiving =
         body.collect(() -> collector, BodyCollector::add)
@@ -326,6 +414,17 @@
     return response.refuseAndClose(refusal).response();
   }
 
+  /** Refuses a request the rest of whose input can't be held. */
+  private void refuseBody(
+      Reason reason, BodyCollector collector, EntryResponse response, String id) {
+    collector.abandon();
+    if (reason == Reason.NODE_MEMORY) {
+      var unused = refuseForMemory(response, id);
+    } else if (!response.isEnded()) {
+      response.refuseAndClose(reason, "trailers or chunk extensions");
+    }
+  }
+
   private void refuseSlowBody(BodyCollector collector, EntryResponse response) {
     collector.abandon();
     if (!response.isEnded()) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryBudget.java
@@ -3,7 +3,11 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.annotations.VisibleForTesting;
+import com.google.common.collect.ImmutableList;
 import io.netty.util.internal.PlatformDependent;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -29,6 +33,9 @@
   /** Share of the limit that is kept free for small requests. */
   private static final double SMALL_REQUEST_SHARE = 1.0 / 8;
 
+  /** Share of the limit by which small heads and connections may exceed it. */
+  private static final double HEAD_SHARE = 1.0 / 8;
+
   /** Maximum size of a request that counts as small. */
   static final int SMALL_REQUEST_BYTES = 32 << 10;
 
@@ -36,6 +43,12 @@
   private final LongSupplier unwrittenBytes;
   private volatile long heldBytes;
 
+  /** What connections, heads and input that is not decoded yet hold. */
+  private long inputBytes;
+
+  /** Input that has arrived in part, oldest first. */
+  private final Set<PendingInput> pendingInputs = new LinkedHashSet<>();
+
   private MemoryBudget(long limitBytes, LongSupplier unwrittenBytes) {
     checkArgument(limitBytes > 0, "limit must be positive: %s", limitBytes);
     this.limitBytes = limitBytes;
@@ -71,21 +84,76 @@
     return (long) Math.min(heapBytes * HEAP_SHARE, directBytes * DIRECT_SHARE);
   }
 
+  /** Returns all bytes that are counted now, without those of {@code unwrittenBytes}. */
+  @VisibleForTesting
+  long countedBytes() {
+    return heldBytes + inputBytes;
+  }
+
   /** Returns the maximum number of bytes. */
   public long limitBytes() {
     return limitBytes;
   }
 
-  /** Returns the number of bytes that are counted now, without those of {@code unwrittenBytes}. */
+  /**
+   * Returns the number of bytes that are counted now for bodies and answers, without those of
+   * {@code unwrittenBytes}.
+   */
   public long heldBytes() {
     return heldBytes;
   }
 
-  /** Returns whether more bytes may be held for a request that holds a total of so many bytes. */
+  /**
+   * Returns whether more bytes may be held for a request that holds a total of so many bytes. If
+   * memory is short, gives up input whose client has stalled.
+   */
   boolean hasRoom(long moreBytes, long totalBytes) {
     boolean small = totalBytes <= SMALL_REQUEST_BYTES;
     long allowed = small ? limitBytes : (long) (limitBytes * (1 - SMALL_REQUEST_SHARE));
-    return heldBytes + moreBytes + unwrittenBytes.getAsLong() <= allowed;
+    return isWithin(moreBytes, allowed) || makesRoom(moreBytes, allowed);
+  }
+
+  /**
+   * Returns whether more bytes may be held for a connection, or for a head. Small ones may exceed
+   * the limit by a share of it, so that a request that is refused gets an answer.
+   */
+  boolean hasRoomForHead(long moreBytes, long totalBytes) {
+    if (totalBytes > SMALL_REQUEST_BYTES) {
+      return hasRoom(moreBytes, totalBytes);
+    }
+    long allowed = (long) (limitBytes * (1 + HEAD_SHARE));
+    return isWithin(moreBytes, allowed) || makesRoom(moreBytes, allowed);
+  }
+
+  private boolean isWithin(long moreBytes, long allowed) {
+    return heldBytes + inputBytes + moreBytes + unwrittenBytes.getAsLong() <= allowed;
+  }
+
+  private boolean makesRoom(long moreBytes, long allowed) {
+    for (PendingInput input : ImmutableList.copyOf(pendingInputs)) {
+      if (input.isStalled() && pendingInputs.remove(input)) {
+        input.giveUp();
+        if (isWithin(moreBytes, allowed)) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  /** Changes the number of bytes that are held for connections, heads and undecoded input. */
+  void addInput(long bytes) {
+    inputBytes += bytes;
+  }
+
+  /** Adds input that may be given up once it has stalled. */
+  void addPending(PendingInput input) {
+    pendingInputs.add(input);
+  }
+
+  /** Removes input that has arrived completely, or whose connection was closed. */
+  void removePending(PendingInput input) {
+    pendingInputs.remove(input);
   }
 
   /** Changes the number of bytes that are held, whether or not they are within the limit. */
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryLease.java
@@ -12,6 +12,10 @@
 final class MemoryLease {
   private final MemoryBudget budget;
   private long bytes;
+
+  /** The memory of the request's head, which is held until the last user has released the lease. */
+  private long headBytes;
+
   private long partialEventBytes;
   private int users = 1;
 
@@ -26,7 +30,8 @@
 
   /** Takes more bytes; returns false and takes none if the budget has no room or all have ended. */
   boolean tryGrow(long moreBytes) {
-    if (users == 0 || !budget.hasRoom(moreBytes, bytes + moreBytes)) {
+    // Making room may end this request itself.
+    if (users == 0 || !budget.hasRoom(moreBytes, bytes + moreBytes) || users == 0) {
       return false;
     }
     bytes += moreBytes;
@@ -34,6 +39,12 @@
     return true;
   }
 
+  /** Takes over the memory of the request's head, which the budget counts already. */
+  void adoptHead(long countedBytes) {
+    checkState(users > 0, "the lease has ended");
+    headBytes += countedBytes;
+  }
+
   /**
    * Sets the number of bytes of an incomplete event; returns whether the budget has room for them.
    * Streams with events of the usual size go on when it has not.
@@ -52,7 +63,7 @@
     return allowed;
   }
 
-  /** Returns all bytes to the budget before the request has ended, as nothing is held any more. */
+  /** Returns the bytes of the body before the request has ended, as it is not held any more. */
   void shrinkToNothing() {
     budget.add(-bytes - partialEventBytes);
     bytes = 0;
@@ -71,6 +82,8 @@
     users--;
     if (users == 0) {
       shrinkToNothing();
+      budget.addInput(-headBytes);
+      headBytes = 0;
     }
   }
 }
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingInput.java
@@ -0,0 +1,71 @@
+package org.vaneworks.transport.entry;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import io.servicetalk.concurrent.Executor;
+import java.time.Duration;
+import java.util.function.LongSupplier;
+
+/**
+ * A head or a body that has arrived in part. It may be given up when memory is short and its client
+ * has stopped sending, or sends very slowly. Confined to the event loop of its connection.
+ */
+final class PendingInput {
+  /** Time without input after which a client counts as stalled. */
+  private static final Duration MAX_PAUSE = Duration.ofSeconds(1);
+
+  /** Time after which the rate of the input is judged. */
+  private static final Duration MIN_JUDGED = Duration.ofSeconds(3);
+
+  /** Rate below which a client counts as stalled. */
+  private static final long MIN_BYTES_PER_SECOND = 8 << 10;
+
+  private final Executor clock;
+  private final LongSupplier receivedBytes;
+  private final Runnable giveUp;
+  private final long startedAt;
+  private long lastInputAt;
+  private long lastReceivedBytes;
+
+  /**
+   * Creates input that has just begun.
+   *
+   * @param receivedBytes returns how much has arrived
+   * @param giveUp closes the connection
+   */
+  PendingInput(Executor clock, LongSupplier receivedBytes, Runnable giveUp) {
+    this.clock = checkNotNull(clock);
+    this.receivedBytes = checkNotNull(receivedBytes);
+    this.giveUp = checkNotNull(giveUp);
+    startedAt = now();
+    lastInputAt = startedAt;
+    lastReceivedBytes = receivedBytes.getAsLong();
+  }
+
+  /** Records that input has been read. */
+  void recordRead() {
+    long received = receivedBytes.getAsLong();
+    if (received != lastReceivedBytes) {
+      lastReceivedBytes = received;
+      lastInputAt = now();
+    }
+  }
+
+  /** Returns whether the client has stopped sending, or sends very slowly. */
+  boolean isStalled() {
+    long age = now() - startedAt;
+    boolean paused = now() - lastInputAt >= MAX_PAUSE.toNanos();
+    boolean slow =
+        age >= MIN_JUDGED.toNanos() && receivedBytes.getAsLong() * 1e9 / age < MIN_BYTES_PER_SECOND;
+    return paused || slow;
+  }
+
+  void giveUp() {
+    giveUp.run();
+  }
+
+  private long now() {
+    return clock.currentTime(NANOSECONDS);
+  }
+}
