A head of the largest legal size made of short lines is served

The sum of a head's fields reckoned with a space behind each colon, which is optional, so a head of 16,000 bytes in lines of four counted 20,000 and got 431.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -86,8 +86,8 @@
 
   private static final int RETRY_SPREAD_MILLIS = 1000;
 
-  /** Colon, space, CR and LF of a header line. */
-  private static final int HEADER_OVERHEAD_BYTES = 4;
+  /** Colon, CR and LF of a header line; a space is optional. */
+  private static final int HEADER_OVERHEAD_BYTES = 3;
 
   /** The Prometheus text exposition format. */
   private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
