Counted input: pipelined requests, accepted connections that are gone, answers being delivered

Found by reading InputMemory. A request that waited for the one before got no idle limit for its body, as no read followed; a connection that was gone before its handlers were added stayed counted for good; a stated length beside chunks would have passed trailers uncounted; a connection whose caller was still taking its answer could be closed for room. A connection that has delivered its last answer may be closed for room at once: with NodeMemoryTest's 123 refused callers that stayed connected, the small request after them got no answer otherwise (that test failed before this, and passes).

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -108,6 +108,7 @@
   private Optional<Consumer<Reason>> bodyRefusal = Optional.empty();
 
   private Runnable afterRead = () -> {};
+  private boolean reading;
   private Runnable onAwaitingRequest = () -> {};
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
@@ -199,7 +200,12 @@
 
   /** Runs a task once all input was decoded that has arrived. */
   void afterRead(Runnable task) {
-    afterRead = task;
+    if (reading) {
+      afterRead = task;
+    } else {
+      // The request had waited for the one before.
+      task.run();
+    }
   }
 
   /** Closes the connection, whose caller has stopped within a head or a body. */
@@ -210,6 +216,7 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext channel) throws Exception {
+    reading = false;
     Runnable task = afterRead;
     afterRead = () -> {};
     task.run();
@@ -223,6 +230,16 @@
       refuseInput(Reason.NODE_MEMORY);
     }
 
+    @Override
+    public boolean isWaiting() {
+      return !isActive();
+    }
+
+    @Override
+    public boolean isEnding() {
+      return lastResponse && !isActive();
+    }
+
     @Override
     public void stalled() {
       giveUpInput();
@@ -485,6 +502,7 @@
       ReferenceCountUtil.release(message);
       return;
     }
+    reading = true;
     if (awaitsHead() && message instanceof ByteBuf bytes) {
       trackHead(bytes);
     }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -267,6 +267,16 @@
   private static void boundInput(Channel channel, MemoryBudget memory, Executor clock) {
     InputMemory.Owner owner =
         new InputMemory.Owner() {
+          @Override
+          public boolean isWaiting() {
+            return true;
+          }
+
+          @Override
+          public boolean isEnding() {
+            return false;
+          }
+
           @Override
           public void memoryExhausted() {
             var unused = channel.close();
@@ -356,6 +366,8 @@
         new PendingInput(
             context.executionContext().executor(),
             collector::receivedBytes,
+            () -> true,
+            () -> false,
             connection::giveUpInput);
     // Most bodies arrive with their head.
     connection.afterRead(
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -34,6 +34,12 @@
     /** There is no memory for more input. */
     void memoryExhausted();
 
+    /** Returns whether the connection waits for a head, and has delivered its last response. */
+    boolean isWaiting();
+
+    /** Returns whether the connection has delivered its last response. */
+    boolean isEnding();
+
     /** The client has stopped within a head, and memory is short. */
     void stalled();
 
@@ -119,6 +125,11 @@
     pipeline.addBefore(last, MESSAGE_HANDLER_NAME, memory.new MessageHandler());
     pipeline.addBefore(
         UndecodedInputLimit.decoderName(pipeline), INPUT_HANDLER_NAME, memory.new InputHandler());
+    if (!channel.isActive()) {
+      memory.closed = true; // No event will tell of it.
+      memory.refused = true;
+      return;
+    }
     boolean room = budget.hasRoomForHead(CONNECTION_BYTES, CONNECTION_BYTES);
     budget.addInput(CONNECTION_BYTES);
     if (room) {
@@ -152,7 +163,9 @@
   /** Records that the connection waits for the next request. */
   void awaitRequest() {
     if (pending.isEmpty() && !closed) {
-      PendingInput next = new PendingInput(clock, () -> undecodedBytes, owner::stalled);
+      PendingInput next =
+          new PendingInput(
+              clock, () -> undecodedBytes, owner::isWaiting, owner::isEnding, owner::stalled);
       pending = Optional.of(next);
       budget.addPending(next);
     }
@@ -189,8 +202,9 @@
       waitingHeadBytes += undecodedMemory;
       undecodedMemory = 0;
       undecodedBytes = 0;
-      bodyBytes = statedLength(head);
-      afterHead = bodyBytes > 0 || HeaderUtils.isTransferEncodingChunked(head.headers());
+      boolean chunked = HeaderUtils.isTransferEncodingChunked(head.headers());
+      bodyBytes = chunked ? 0 : statedLength(head);
+      afterHead = chunked || bodyBytes > 0;
     } else if (message instanceof Buffer part && part.readableBytes() > 0) {
       boolean last = bodyBytes > 0 && bodyBytes <= part.readableBytes();
       bodyBytes = Math.max(0, bodyBytes - part.readableBytes());
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingInput.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingInput.java
@@ -5,6 +5,7 @@
 
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -23,6 +24,8 @@
 
   private final Executor clock;
   private final LongSupplier receivedBytes;
+  private final BooleanSupplier waiting;
+  private final BooleanSupplier ending;
   private final Runnable giveUp;
   private final long startedAt;
   private long lastInputAt;
@@ -32,11 +35,20 @@
    * Creates input that has just begun.
    *
    * @param receivedBytes returns how much has arrived
+   * @param waiting returns whether nothing else is in progress on the connection
+   * @param ending returns whether the connection has delivered its last response
    * @param giveUp closes the connection
    */
-  PendingInput(Executor clock, LongSupplier receivedBytes, Runnable giveUp) {
+  PendingInput(
+      Executor clock,
+      LongSupplier receivedBytes,
+      BooleanSupplier waiting,
+      BooleanSupplier ending,
+      Runnable giveUp) {
     this.clock = checkNotNull(clock);
     this.receivedBytes = checkNotNull(receivedBytes);
+    this.waiting = checkNotNull(waiting);
+    this.ending = checkNotNull(ending);
     this.giveUp = checkNotNull(giveUp);
     startedAt = now();
     lastInputAt = startedAt;
@@ -52,13 +64,13 @@
     }
   }
 
-  /** Returns whether the client has stopped sending, or sends very slowly. */
+  /** Returns whether the client has stopped, is very slow, or has nothing more to receive. */
   boolean isStalled() {
     long age = now() - startedAt;
     boolean paused = now() - lastInputAt >= MAX_PAUSE.toNanos();
     boolean slow =
         age >= MIN_JUDGED.toNanos() && receivedBytes.getAsLong() * 1e9 / age < MIN_BYTES_PER_SECOND;
-    return paused || slow;
+    return ending.getAsBoolean() || ((paused || slow) && waiting.getAsBoolean());
   }
 
   void giveUp() {
