A request that endpoints of a peer rejected is sent again only within the retry budget

What callers saw: nothing; the fleet sent more repeats than its retry budget allows. Cause: a peer that stopped, while a forwarded request waited for room after endpoints had rejected it, answered stopping and not run. Rejected arrivals count as repeats. Evidence: PeerForwardingTest#requestThatEndpointsOfAStoppingPeerRejectedNeedsRetryBudget, on with a budget of zero: sent to 2 peers where 1 was expected. Why it works: a refusal carries the evidence that it has (NotRunProof), over the hop too; only a proof that nothing was sent lets a request go on without the budget. A peer of an earlier build states none, which counts as arrived. A node that is isolated after such a rejection can say so again: its sender may use another peer, within the budget.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/FakeResponseHead.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/FakeResponseHead.java
@@ -6,6 +6,7 @@
 import org.vaneworks.state.AdvertisedRateLimit;
 import org.vaneworks.state.EndpointSignal;
 import org.vaneworks.state.HostPort;
+import org.vaneworks.state.NotRunProof;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.RequestedBackoff;
 import org.vaneworks.state.Verdict;
@@ -37,7 +38,12 @@
         false,
         Optional.empty(),
         EndpointSignal.NONE,
-        Optional.of(new PeerRefusal(refusal.reason(), refusal.verdict(), refusal.retryAfter())));
+        Optional.of(
+            new PeerRefusal(
+                refusal.reason(),
+                refusal.verdict(),
+                !refusal.proof().equals(Optional.of(NotRunProof.NOTHING_SENT)),
+                refusal.retryAfter())));
   }
 
   /** Returns a head with the given status that matches the request. */
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
@@ -127,6 +127,28 @@
     assertEquals("remote", lastToPeer().attempt.endpoint().id());
   }
 
+  // Guards against repeats beyond the retry budget: requests that endpoints of a peer had rejected
+  // were sent again as if they had reached none, once the peer stopped.
+  @Test
+  void requestThatEndpointsOfAStoppingPeerRejectedNeedsRetryBudget() {
+    ForwardingFixture peer = new ForwardingFixture();
+    FleetEndpoint onlyReplica = peer.replica(1);
+    RecordedResponse fromPeer = new RecordedResponse();
+    peer.forwarder.forwardForPeer(
+        peer.callerRequest("/unsafe/"), fromPeer, new PeerHop("", ForwardingFixture.PLAIN, false));
+    peer.lastAttempt().notRun(503, Optional.of(onlyReplica.address()));
+    assertEquals(Optional.empty(), fromPeer.refusal, "it waits for room");
+    peer.forwarder.endRequests();
+    assertEquals(Reason.STOPPING, fromPeer.refusal.get().reason());
+
+    node.forwarder.updateLimits(new ForwardingLimits(Duration.ofMillis(4750), 0, 0, Duration.ZERO));
+    RecordedResponse response = isolate("/unsafe/");
+    lastToPeer().listener.head(FakeResponseHead.refusedByPeer(fromPeer.refusal.get()));
+    node.advance(100);
+    assertEquals(1, node.toPeers.size());
+    assertEquals(Verdict.NOT_RUN, response.refusal.get().verdict());
+  }
+
   @Test
   void peerThatCannotBeReachedIsReplaced() {
     RecordedResponse response = isolate("/unsafe/");
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
@@ -9,12 +9,17 @@
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.http.api.DefaultHttpHeadersFactory;
 import io.servicetalk.http.api.DefaultStreamingHttpRequestResponseFactory;
+import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpProtocolVersion;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vaneworks.coordination.forwarding.CallerResponse;
+import org.vaneworks.coordination.forwarding.PeerRefusal;
+import org.vaneworks.state.NotRunProof;
+import org.vaneworks.state.Reason;
+import org.vaneworks.state.Refusal;
 
 /** Tests the events that a response reports to its connection and its listener. */
 final class EntryResponseTest {
@@ -112,4 +117,30 @@
     toPeer.head(head);
     assertTrue(PeerHeaders.readRefusal(responseFuture.get().headers()).isEmpty());
   }
+
+  // Guards against a peer's rejected requests that are taken for ones that reached no endpoint.
+  @Test
+  void peerLearnsWhetherARefusedRequestArrivedAtAnEndpoint() throws Exception {
+    assertFalse(refusedToPeer(Refusal.nothingSent(Reason.STOPPING, "")).arrived());
+    assertTrue(
+        refusedToPeer(Refusal.notRun(NotRunProof.ENDPOINT_REFUSED, Reason.STOPPING, "")).arrived());
+  }
+
+  @Test
+  void refusalWithoutAProofIsTakenForOneOfARequestThatArrived() throws Exception {
+    HttpHeaders headers = refusalHeaders(Refusal.nothingSent(Reason.STOPPING, ""));
+    headers.remove("vaneworks-proof");
+    assertTrue(PeerHeaders.readRefusal(headers).get().arrived());
+  }
+
+  private PeerRefusal refusedToPeer(Refusal refusal) throws Exception {
+    return PeerHeaders.readRefusal(refusalHeaders(refusal)).get();
+  }
+
+  private HttpHeaders refusalHeaders(Refusal refusal) throws Exception {
+    EntryResponse toPeer = newResponse(Optional.of(Duration.ofSeconds(1)));
+    var responseFuture = toPeer.response().toFuture();
+    toPeer.refuse(refusal);
+    return responseFuture.get().headers();
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
@@ -6,6 +6,8 @@
   ENDPOINT_REFUSED("endpoint-refused", false),
   /** The endpoint answered with a status that callers take for a refusal, but may have run it. */
   UNPROVEN_REFUSAL("unproven-refusal", false),
+  /** The peer did not run the request, which its endpoints had rejected; another one may. */
+  REJECTED_AT_PEER("rejected-at-peer", false),
   /** The peer did not take the request; another one may. */
   PEER_DECLINED("peer-declined", false),
   /** The peer responded that the request may have run, but failed. */
@@ -66,6 +68,14 @@
     return code;
   }
 
+  /**
+   * Returns whether the request arrived at an endpoint, which did not run it. Such arrivals count
+   * towards the retry budget.
+   */
+  boolean isRejection() {
+    return this == ENDPOINT_REFUSED || this == REJECTED_AT_PEER;
+  }
+
   /** Returns whether this node ended the attempt while the endpoint had not. */
   boolean endedByNode() {
     return endedByNode;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -5,10 +5,9 @@
 import com.google.common.collect.ImmutableMap;
 import io.servicetalk.concurrent.Cancellable;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.vaneworks.coordination.fleet.ConnectionRefusedException;
 import org.vaneworks.coordination.fleet.RequestSchedule;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
@@ -84,10 +83,9 @@
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
   private int sends;
 
-  /** The attempts that ran or may have run, apart from the current one. */
-  private final List<RunningAttempt> runs = new ArrayList<>();
+  /** All attempts apart from the current one. */
+  private final PastAttempts past = new PastAttempts();
 
-  private AttemptFailure lastFailure = AttemptFailure.NOT_CONNECTED;
   private boolean firstPartReceived;
   private boolean headSent;
   private boolean queued;
@@ -468,7 +466,9 @@
     if (refusal.verdict() != Verdict.NOT_RUN) {
       attemptEnded(refusal.verdict(), AttemptFailure.PEER_FAILED, cause);
     } else if (refusal.isDeclined()) {
-      attemptEnded(Verdict.NOT_RUN, AttemptFailure.PEER_DECLINED, cause);
+      AttemptFailure failure =
+          refusal.arrived() ? AttemptFailure.REJECTED_AT_PEER : AttemptFailure.PEER_DECLINED;
+      attemptEnded(Verdict.NOT_RUN, failure, cause);
     } else {
       peerHasNoCapacity(refusal, cause);
     }
@@ -482,7 +482,7 @@
       return;
     }
     selector.release();
-    if (headSent || !runs.isEmpty()) {
+    if (headSent || past.mayHaveRun()) {
       giveUp(Verdict.MAY_HAVE_RUN, ResendDenial.NO_CAPACITY, cause);
       return;
     }
@@ -658,18 +658,18 @@
       return;
     }
     selector.release();
-    if (viaPeer && verdict == Verdict.NOT_RUN) {
+    boolean arrived = verdict != Verdict.NOT_RUN || failure.isRejection();
+    if (viaPeer && !arrived) {
       sendElsewhere(triedAt, failure, detail);
       return;
     }
-    boolean arrived = verdict != Verdict.NOT_RUN || failure == AttemptFailure.ENDPOINT_REFUSED;
     resend.start(new EndedAttempt(verdict, arrived, failure, cause, triedAt, detail));
   }
 
   /** Sends a request again that reached no endpoint, so that it needs no retry budget. */
   private void sendElsewhere(String triedAt, AttemptFailure failure, String detail) {
     peerSends.recordUncounted();
-    Optional<ResendDenial> denial = denial(Verdict.NOT_RUN, countedRuns());
+    Optional<ResendDenial> denial = denial(Verdict.NOT_RUN, past.countedRuns());
     if (denial.isPresent()) {
       giveUp(Verdict.NOT_RUN, denial.get(), failure.code() + ": " + detail);
       return;
@@ -682,7 +682,7 @@
   private final class ResendCallbacks implements PendingResend.Callbacks {
     @Override
     public Optional<ResendDenial> denial(Verdict verdict) {
-      return ForwardedRequest.this.denial(verdict, countedRuns());
+      return ForwardedRequest.this.denial(verdict, past.countedRuns());
     }
 
     @Override
@@ -731,10 +731,10 @@
    */
   private String closeAttempt(Verdict verdict, AttemptFailure failure, String cause) {
     if (verdict != Verdict.NOT_RUN) {
-      runs.add(running());
+      past.addRun(running());
     }
     attempt = Optional.empty();
-    lastFailure = failure;
+    past.recordFailure(failure);
     repairs.attemptEnded();
     failover.stop();
     return splitter.takePartial().length == 0 ? cause : cause + ", partial event dropped";
@@ -756,17 +756,9 @@
     return resendDenial(verdict, runsSoFar);
   }
 
-  /**
-   * Returns the number of runs that count towards the attempts of the route: those at endpoints
-   * whose process is not known to have ended.
-   */
-  private int countedRuns() {
-    return (int) runs.stream().filter(run -> !run.hasEndpointEnded()).count();
-  }
-
   /** Returns the number of runs that count if an attempt is counted as well. */
   private int countedRuns(RunningAttempt running) {
-    return countedRuns() + (running.hasEndpointEnded() ? 0 : 1);
+    return past.countedRuns() + (running.hasEndpointEnded() ? 0 : 1);
   }
 
   private Optional<ResendDenial> resendDenial(Verdict verdict, int runsSoFar) {
@@ -786,17 +778,17 @@
     if (headSent) {
       close();
       ForwardLog.aborted(
-          request, lastFailure, denial, detail, requestProgress(), context.counters());
+          request, past.lastFailure(), denial, detail, requestProgress(), context.counters());
       response.abort();
       return;
     }
     Refusal refusal;
-    if (runs.isEmpty() && lastVerdict == Verdict.NOT_RUN) {
+    if (!past.mayHaveRun() && lastVerdict == Verdict.NOT_RUN) {
       Reason reason =
           denial == ResendDenial.NO_CAPACITY ? Reason.NO_ENDPOINT : Reason.ENDPOINT_OVERLOADED;
-      refusal = Refusal.nothingSent(reason, detail).withRetryAfter(retryAfter());
+      refusal = notRun(reason, detail);
     } else {
-      boolean answered = lastFailure == AttemptFailure.UNPROVEN_REFUSAL;
+      boolean answered = past.lastFailure() == AttemptFailure.UNPROVEN_REFUSAL;
       Reason reason = answered ? Reason.UNPROVEN_REFUSAL : Reason.ENDPOINT_LOST;
       refusal = Refusal.mayHaveRun(reason, detail);
     }
@@ -804,6 +796,10 @@
     refuse(refusal);
   }
 
+  private Refusal notRun(Reason reason, String detail) {
+    return Refusal.notRun(past.notRunProof(), reason, detail).withRetryAfter(retryAfter());
+  }
+
   private RequestProgress requestProgress() {
     long progressAt = sends == 0 ? startedAt : progress.lastProgress();
     return new RequestProgress(
@@ -822,7 +818,7 @@
   private void onDeadline() {
     end(
         AttemptFailure.DEADLINE_EXCEEDED,
-        Refusal.nothingSent(Reason.NOT_STARTED_IN_TIME, "no place"),
+        () -> notRun(Reason.NOT_STARTED_IN_TIME, "no place"),
         Refusal.mayHaveRun(Reason.DEADLINE, "the time limit passed"));
   }
 
@@ -830,17 +826,17 @@
   void nodeEnds() {
     end(
         AttemptFailure.NODE_STOPPED,
-        Refusal.nothingSent(Reason.STOPPING, "no place in time"),
+        () -> notRun(Reason.STOPPING, "no place in time"),
         Refusal.mayHaveRun(Reason.NODE_STOPPED, "no answer in time"));
   }
 
   /**
    * Ends the request, whatever its attempts do.
    *
-   * @param ifUnsent the answer if it has not been sent to an endpoint
-   * @param ifSent the answer if it may have run, unless the caller has a part of the response
+   * @param ifNotRun the answer if it has not run
+   * @param ifRun the answer if it may have run, unless the caller has a part of the response
    */
-  private void end(AttemptFailure failure, Refusal ifUnsent, Refusal ifSent) {
+  private void end(AttemptFailure failure, Supplier<Refusal> ifNotRun, Refusal ifRun) {
     if (done) {
       return;
     }
@@ -848,12 +844,12 @@
     attempt.ifPresent(selector::recordUnfinished);
     attempt.ifPresent(RunningAttempt::cancel);
     if (headSent) {
-      lastFailure = failure;
-      giveUp(Verdict.RAN, ResendDenial.DEADLINE_EXCEEDED, ifSent.detail());
+      past.recordFailure(failure);
+      giveUp(Verdict.RAN, ResendDenial.DEADLINE_EXCEEDED, ifRun.detail());
       return;
     }
     close();
-    refuse(runs.isEmpty() && !mayRunNow ? ifUnsent.withRetryAfter(retryAfter()) : ifSent);
+    refuse(past.mayHaveRun() || mayRunNow ? ifRun : ifNotRun.get());
   }
 
   @Override
@@ -940,15 +936,10 @@
   /** Refuses a request that a peer forwarded to this node, unless a part of it may have run. */
   private void returnToSender() {
     boolean unsent = attempt.isEmpty() || !running().mayHaveArrived();
-    if (unsent && runs.isEmpty() && !headSent) {
+    if (unsent && !past.mayHaveRun() && !headSent) {
       attempt.ifPresent(RunningAttempt::cancel);
       close();
-      // Arrivals that endpoints rejected count against the retry budget, so the sender may not
-      // send the request again.
-      Reason reason = sends == 0 ? Reason.NODE_ISOLATED : Reason.ENDPOINT_OVERLOADED;
-      refuse(
-          Refusal.nothingSent(reason, "this node reaches no endpoint")
-              .withRetryAfter(retryAfter()));
+      refuse(notRun(Reason.NODE_ISOLATED, "this node reaches no endpoint"));
     }
   }
 
@@ -1081,7 +1072,7 @@
 
   private Optional<ResendDenial> denialIfAbandoned() {
     Verdict verdict = running().verdictIfAbandoned();
-    int counted = verdict == Verdict.NOT_RUN ? countedRuns() : countedRuns(running());
+    int counted = verdict == Verdict.NOT_RUN ? past.countedRuns() : countedRuns(running());
     Optional<ResendDenial> denial = denial(verdict, counted);
     boolean exhausted = running().mayHaveArrived() && !budget.canWithdraw();
     return denial.isEmpty() && exhausted ? Optional.of(ResendDenial.BUDGET_EXHAUSTED) : denial;
@@ -1179,7 +1170,7 @@
 
   private void restore(PreviousAttempt resumed) {
     attempt = Optional.of(resumed.attempt());
-    runs.remove(resumed.attempt());
+    past.removeRun(resumed.attempt());
     splitter.restorePartial(resumed.partOfEvent());
     progress.previousResumed(headSent || resumed.attempt().hasHead());
     resumed.attempt().resume();
@@ -1218,7 +1209,8 @@
     } else if (head.notRun()) {
       drop(running, AttemptFailure.ENDPOINT_REFUSED);
       running.discard();
-      runs.remove(running);
+      past.removeRun(running);
+      past.recordFailure(AttemptFailure.ENDPOINT_REFUSED);
     } else if (headSent ? !head.success() : head.status() >= SERVER_ERROR) {
       drop(running, headSent ? AttemptFailure.RESUME_REFUSED : AttemptFailure.ENDPOINT_ERROR);
       running.discard();
@@ -1377,7 +1369,7 @@
   }
 
   private void refuseQuarantined() {
-    if (headSent || !runs.isEmpty()) {
+    if (headSent || past.mayHaveRun()) {
       giveUp(Verdict.MAY_HAVE_RUN, ResendDenial.QUARANTINED, "held back");
       return;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerRefusal.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerRefusal.java
@@ -12,9 +12,11 @@
 /**
  * A peer's own refusal of a request that was forwarded to it, as opposed to an endpoint's response.
  *
+ * @param arrived whether the request may have arrived at an endpoint, even if it did not run
  * @param retryAfter how long the peer asks the caller to wait, if it does
  */
-public record PeerRefusal(Reason reason, Verdict verdict, Optional<Duration> retryAfter) {
+public record PeerRefusal(
+    Reason reason, Verdict verdict, boolean arrived, Optional<Duration> retryAfter) {
   /** Reasons that concern the endpoints, so that another peer would refuse as well. */
   private static final ImmutableSet<Reason> FLEET_WIDE =
       Sets.immutableEnumSet(
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaders.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaders.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Maps;
 import com.google.common.primitives.Longs;
 import io.servicetalk.http.api.HttpHeaders;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import org.vaneworks.coordination.forwarding.PeerHop;
 import org.vaneworks.coordination.forwarding.PeerRefusal;
+import org.vaneworks.state.NotRunProof;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.state.Verdict;
@@ -23,14 +25,17 @@
   private static final CharSequence CONTINUES = "vaneworks-continues";
   private static final CharSequence REASON = "vaneworks-refusal";
   private static final CharSequence VERDICT = "vaneworks-verdict";
+  private static final CharSequence PROOF = "vaneworks-proof";
   private static final CharSequence RETRY_AFTER_MILLIS = "vaneworks-retry-after-ms";
 
   private static final ImmutableList<CharSequence> REQUEST_HEADERS =
       ImmutableList.of(TOKEN, SERVICE, CONTINUES);
   private static final ImmutableList<CharSequence> RESPONSE_HEADERS =
-      ImmutableList.of(REASON, VERDICT, RETRY_AFTER_MILLIS);
+      ImmutableList.of(REASON, VERDICT, PROOF, RETRY_AFTER_MILLIS);
   private static final ImmutableMap<String, Reason> REASONS =
       Maps.uniqueIndex(Arrays.asList(Reason.values()), Reason::code);
+  private static final ImmutableSet<String> NO_ARRIVAL =
+      ImmutableSet.of(NotRunProof.NOTHING_SENT.name(), NotRunProof.NEVER_CONNECTED.name());
   private static final ImmutableMap<String, Verdict> VERDICTS =
       Maps.uniqueIndex(Arrays.asList(Verdict.values()), Verdict::name);
 
@@ -67,6 +72,7 @@
   static void write(HttpHeaders headers, Refusal refusal) {
     headers.set(REASON, refusal.reason().code());
     headers.set(VERDICT, refusal.verdict().name());
+    refusal.proof().ifPresent(proof -> headers.set(PROOF, proof.name()));
     refusal
         .retryAfter()
         .ifPresent(wait -> headers.set(RETRY_AFTER_MILLIS, Long.toString(wait.toMillis())));
@@ -75,7 +81,8 @@
   /**
    * Reads the refusal of a peer; empty if the response is that of an endpoint.
    *
-   * <p>A refusal that can't be read counts as one of a request that may have run.
+   * <p>A refusal that can't be read counts as one of a request that may have run, and one without a
+   * proof that nothing was sent as one of a request that arrived at an endpoint.
    */
   static Optional<PeerRefusal> readRefusal(HttpHeaders headers) {
     Optional<String> reason = text(headers, REASON);
@@ -89,8 +96,10 @@
             .map(Duration::ofMillis);
     Verdict verdict =
         VERDICTS.getOrDefault(text(headers, VERDICT).orElse(""), Verdict.MAY_HAVE_RUN);
+    boolean arrived = !text(headers, PROOF).filter(NO_ARRIVAL::contains).isPresent();
     return Optional.of(
-        new PeerRefusal(REASONS.getOrDefault(reason.get(), Reason.INTERNAL), verdict, retryAfter));
+        new PeerRefusal(
+            REASONS.getOrDefault(reason.get(), Reason.INTERNAL), verdict, arrived, retryAfter));
   }
 
   private static Optional<String> text(HttpHeaders headers, CharSequence name) {
