The connection of an attempt that is abandoned before its response is reset

What callers saw: nothing; attempts that a link had held arrived seconds after they were abandoned, as repeats of a later window of the retry budget, or after their callers had left. Cause: a cancelled attempt closed its connection in an orderly way, so that what this box or a link still held of the request was delivered first. Why it works: a reset drops what the sender's box still holds. Attempts whose response has begun have arrived and are closed as before. What the endpoint's box has received can still be read late.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
@@ -293,6 +294,13 @@
     return delegate().request(request);
   }
 
+  /** Lets the next close of the connection drop what the endpoint has not received. */
+  void resetOnClose() {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
+  }
+
   /** Records that a response was received completely, but its request may not be written yet. */
   void received() {
     writeFailures.release();
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -399,6 +399,8 @@
       if (body != null) {
         body.cancel();
       } else {
+        // What has not arrived of the request would arrive later if the connection were closed.
+        connection.filter(used -> !finished).ifPresent(EndpointConnection::resetOnClose);
         pendingHead.cancel();
       }
       finish();
