A node that others may not count uses hardly any of the limits that endpoints name

What callers saw: nothing; endpoints that name a limit got a multiple of it. Cause: as for the retry reserve, a node divides such a limit by the nodes that it sees. A process that starts into an empty list (entries expired, or lost with the store) takes the whole of each limit, and so does each other one.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -175,7 +175,13 @@
             this::configurationVersion,
             new DatagramLoadSender());
     RateLimitShares.maintain(
-        clock, random, fleet, settings.name(), settings.dataCentre(), lease::sharingPeers);
+        clock,
+        random,
+        fleet,
+        settings.name(),
+        settings.dataCentre(),
+        lease::sharingPeers,
+        () -> lease.countedSince().isPresent());
     SharedQuarantine quarantine =
         SharedQuarantine.create(
             clock,
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCluster.java
@@ -804,7 +804,13 @@
               () -> active.version(),
               this::sendReport);
       RateLimitShares.maintain(
-          eventLoop, random, fleet, boxAt(index), dataCentre(index), () -> peersOf(index));
+          eventLoop,
+          random,
+          fleet,
+          boxAt(index),
+          dataCentre(index),
+          () -> peersOf(index),
+          () -> true);
       SharedQuarantine quarantine =
           SharedQuarantine.create(
               eventLoop, random, link, QUARANTINE, "n" + number, fleet, counters);
