A process counts as known to all others only once its list shows them, too

What callers saw: nothing; two or more nodes each took the whole of the retry reserve after a kill of all and an outage of the store. Cause: a process took itself for counted as soon as it read the entry of its box's former run, also if that expired before its own was written; and 4.75 s after its own entry was listed, also while the store was away. Others that started in between, or were listed shortly before the outage, did not know it, nor it them, and each divided by those that it knew. NodeLeaseTest#runWhoseFormerEntryExpiresBeforeItsOwnIsWrittenIsNotCountedAtOnce and #runIsNotCountedWhileTheStoreIsAway failed before. Why it works: a former run counts only if its entry is still listed when the next one is: then each list shows one of them at all times. While the store is away nobody becomes counted; once it is back, the entry has to be listed still, and the list is up to date.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -418,6 +418,43 @@
     assertTrue(second.countedSince().isPresent());
   }
 
+  // Guards against repeats beyond the retry budget: runs that had read the entries of their former
+  // runs were taken for counted, although those expired before the next ones were written.
+  @Test
+  void runWhoseFormerEntryExpiresBeforeItsOwnIsWrittenIsNotCountedAtOnce() {
+    StoreLink link = new StoreLink(clock, store);
+    node(link, "box1", "1");
+    advance(1000);
+    link.cut(true);
+    StoreLink slow = new StoreLink(clock, store);
+    slow.cutWrites(true);
+    NodeLease second = node(slow, "box1", "2");
+    advance(100);
+    assertTrue(second.countedSince().isEmpty());
+    advance(14_000);
+    slow.cutWrites(false);
+    advance(4000);
+    assertTrue(second.countedSince().isEmpty());
+    advance(6000);
+    assertTrue(second.countedSince().isPresent());
+  }
+
+  // Guards against the same with runs that were listed shortly before an outage of the store: each
+  // knew only those that were listed before it.
+  @Test
+  void runIsNotCountedWhileTheStoreIsAway() {
+    NodeLease first = node(store, "box1", "1");
+    advance(2000);
+    store.down = true;
+    advance(14_000);
+    assertTrue(first.countedSince().isEmpty());
+    store.down = false;
+    advance(3000);
+    assertTrue(first.countedSince().isEmpty());
+    advance(5000);
+    assertTrue(first.countedSince().isPresent());
+  }
+
   @Test
   void entryThatTheStoreLostDoesNotCount() {
     NodeLease first = node(store, "box1", "1");
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/StoreLink.java
@@ -30,6 +30,7 @@
   private final InMemorySharedStore store;
   private final StoreEraTracker eras = StoreEraTracker.create();
   private boolean cut;
+  private boolean writesCut;
   private int responseDelayMillis;
 
   /** Creates a connection that is not cut. */
@@ -43,6 +44,11 @@
     cut = value;
   }
 
+  /** Leaves new leases and entries unanswered and without effect, or no longer. */
+  public void cutWrites(boolean value) {
+    writesCut = value;
+  }
+
   private <T> CompletableFuture<T> callUnlessCut(Supplier<CompletableFuture<T>> call) {
     return cut ? unanswered() : Async.compose(call.get(), this::respondUnlessCut);
   }
@@ -103,12 +109,12 @@
 
   @Override
   public CompletableFuture<Optional<StorePosition>> create(String key, String value, long lease) {
-    return callUnlessCut(() -> store.create(key, value, lease));
+    return writesCut ? unanswered() : callUnlessCut(() -> store.create(key, value, lease));
   }
 
   @Override
   public CompletableFuture<Long> openLease(Duration lifetime) {
-    return callUnlessCut(() -> store.openLease(lifetime));
+    return writesCut ? unanswered() : callUnlessCut(() -> store.openLease(lifetime));
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -283,12 +283,20 @@
     if (listedSince.isEmpty()) {
       long now = clock.currentTime(NANOSECONDS);
       listedSince = OptionalLong.of(now);
-      clock.schedule(() -> countIfListedSince(now), maxListAge.get().toNanos(), NANOSECONDS);
+      clock.schedule(this::countIfInAllLists, maxListAge.get().toNanos(), NANOSECONDS);
     }
   }
 
-  private void countIfListedSince(long since) {
-    if (listedSince.equals(OptionalLong.of(since))) {
+  /**
+   * Records that the others count this box if it has been listed for as long as a node forwards
+   * requests with an old list. While the store is away, this node may not know the others.
+   */
+  private void countIfInAllLists() {
+    if (storeAway || listedSince.isEmpty() || countedSince.isPresent()) {
+      return;
+    }
+    long listedNanos = clock.currentTime(NANOSECONDS) - listedSince.getAsLong();
+    if (listedNanos >= maxListAge.get().toNanos()) {
       recordCounted("listed");
     }
   }
@@ -300,7 +308,17 @@
     }
   }
 
-  /** Returns whether an earlier run on this box is listed, so that the others count the box. */
+  /**
+   * Records that the others count this box if its entry was written while that of an earlier run
+   * was listed: then each list that they have read shows one of them.
+   */
+  private void countIfListedWithoutGap() {
+    if (countedSince.isEmpty() && listedSince.isPresent() && isEarlierRunListed()) {
+      recordCounted("earlier run");
+    }
+  }
+
+  /** Returns whether an earlier run on this box is listed. */
   private boolean isEarlierRunListed() {
     return nodes.keySet().stream()
         .anyMatch(
@@ -442,6 +460,7 @@
       storeAway = false;
       unlisted.replaceAll((box, node) -> new Unlisted(node.peer(), upToDateAt));
     }
+    countIfInAllLists();
   }
 
   @Override
@@ -474,7 +493,6 @@
 
   @Override
   public void replace(ImmutableList<StoredItem> items) {
-    boolean first = !loaded;
     loaded = true;
     nodes.values().forEach(peer -> peer.ifPresent(this::recordUnlisted));
     nodes.clear();
@@ -485,9 +503,7 @@
     if (!nodes.containsKey(NODES_PREFIX + node)) {
       listedSince = OptionalLong.empty();
     }
-    if (first && isEarlierRunListed()) {
-      recordCounted("earlier run");
-    }
+    countIfListedWithoutGap();
     if (!controllerPresent) {
       scheduleClaim();
     }
@@ -497,6 +513,7 @@
   public void change(StoreChanges.Change change) {
     apply(change.item(), change.removed());
     countNodes();
+    countIfListedWithoutGap();
   }
 
   private void apply(StoredItem item, boolean removed) {
