Revert "A node that others may not count uses hardly any of the limits that endpoints name"

The test is right; callers lose more by that than endpoints by a limit that is exceeded for as long.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -175,13 +175,7 @@
             this::configurationVersion,
             new DatagramLoadSender());
     RateLimitShares.maintain(
-        clock,
-        random,
-        fleet,
-        settings.name(),
-        settings.dataCentre(),
-        lease::sharingPeers,
-        () -> lease.countedSince().isPresent());
+        clock, random, fleet, settings.name(), settings.dataCentre(), lease::sharingPeers);
     SharedQuarantine quarantine =
         SharedQuarantine.create(
             clock,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/load/RateLimitShares.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/load/RateLimitShares.java
@@ -12,7 +12,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Random;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.fleet.EndpointRateLimit;
 import org.vaneworks.coordination.fleet.Fleet;
@@ -30,7 +29,6 @@
  * coordinate, and a box that joins or leaves changes at most one of them. They are nodes of the
  * endpoint's data centre, if it has any, because those use the endpoint most. A node can save up at
  * most one request, so all nodes together exceed the limit by at most one request per sharing node.
- * A node that others may not count, and that may not know them, uses hardly any of a limit.
  * Confined to the node's event loop.
  */
 public final class RateLimitShares {
@@ -67,7 +65,6 @@
   private final String box;
   private final String dataCentre;
   private final Supplier<ImmutableList<Peer>> peers;
-  private final BooleanSupplier counted;
 
   private RateLimitShares(
       Executor clock,
@@ -75,15 +72,13 @@
       Fleet fleet,
       String box,
       String dataCentre,
-      Supplier<ImmutableList<Peer>> peers,
-      BooleanSupplier counted) {
+      Supplier<ImmutableList<Peer>> peers) {
     this.clock = checkNotNull(clock);
     this.random = checkNotNull(random);
     this.fleet = checkNotNull(fleet);
     this.box = checkNotNull(box);
     this.dataCentre = checkNotNull(dataCentre);
     this.peers = checkNotNull(peers);
-    this.counted = checkNotNull(counted);
   }
 
   /**
@@ -93,7 +88,6 @@
    * @param dataCentre the data centre of this node's box
    * @param peers the other nodes that may send requests, including those whose entries may have
    *     lapsed
-   * @param counted returns whether all other nodes that may send requests count this one
    */
   public static void maintain(
       Executor clock,
@@ -101,10 +95,8 @@
       Fleet fleet,
       String box,
       String dataCentre,
-      Supplier<ImmutableList<Peer>> peers,
-      BooleanSupplier counted) {
-    RateLimitShares shares =
-        new RateLimitShares(clock, random, fleet, box, dataCentre, peers, counted);
+      Supplier<ImmutableList<Peer>> peers) {
+    RateLimitShares shares = new RateLimitShares(clock, random, fleet, box, dataCentre, peers);
     fleet.beforeSelection(shares::update);
   }
 
@@ -136,9 +128,6 @@
     if (share == 0 && now - rateLimit.receivedAt() > LIMIT_EXPIRY.toNanos()) {
       share = perSecond * OTHERS_FRACTION / dataCentres.size();
     }
-    if (!counted.getAsBoolean()) {
-      share = Math.min(share, MIN_PER_SECOND);
-    }
     rateLimit.setShare(share, random.nextDouble(), now);
   }
 
