--- a/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetTest.java
@@ -8,6 +8,9 @@
 
 /** Tests that the retry budgets of all nodes together stay within that of the fleet. */
 final class FleetBudgetTest {
+  /** How long endpoints stand still at most while nodes go on sending to them. */
+  private static final int MAX_HOLD_MILLIS = 1000;
+
   // Guards against nodes whose parts of the reserve add up to more than the whole, as each divides
   // it by the nodes that it sees.
   @ParameterizedTest
@@ -20,9 +23,8 @@
     }
   }
 
-  // Guards against nodes that divide the reserve by too few, as the entries of others expired
-  // before
-  // an outage of the store and the next ones could not be read in it.
+  // Guards against nodes that divide the reserve by too few: the entries of others expired before
+  // an outage of the store, in which the next ones could not be read.
   @ParameterizedTest
   @CsvSource({"8, 60, 30", "3, 20, 30", "24, 1500, 30"})
   void partsOfTheReserveAreNeverMoreThanTheWholeAfterRepeatedOutages(
@@ -33,4 +35,15 @@
       assertEquals(Optional.empty(), simulation.run(), "seed " + seed);
     }
   }
+
+  // Guards against repeats that endpoints read a little late, together with those sent meanwhile.
+  @ParameterizedTest
+  @CsvSource({"8, 60, 30", "3, 20, 30", "24, 1500, 30"})
+  void repeatsThatArriveLateKeepTheBudget(int boxes, int requestsPerSecond, int seeds) {
+    for (int seed = 0; seed < seeds; seed++) {
+      FleetBudgetSimulation simulation =
+          new FleetBudgetSimulation(seed, boxes, requestsPerSecond, MAX_HOLD_MILLIS, false);
+      assertEquals(Optional.empty(), simulation.run(), "seed " + seed);
+    }
+  }
 }
