--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -20,7 +20,6 @@
 import io.netty.channel.socket.ChannelOutputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
-import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.servicetalk.concurrent.Executor;
@@ -113,6 +112,7 @@
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
   private PendingResponse response = NO_RESPONSE;
+  private final HeadProgress head = new HeadProgress();
   private boolean closeRecorded;
   private boolean requestInProgress;
   private boolean wasActive;
@@ -120,14 +120,10 @@
   private long stalledNanos;
   private long idleNanos;
   private boolean lastResponse;
-  private boolean headStarted;
-  private boolean startLineEnded;
   private boolean rejected;
   private boolean aborted;
   private boolean outputShutdown;
   private boolean lingering;
-  private long headBytes;
-  private long startLineBytes;
 
   private CallerConnection(
       Supplier<EntryLimits> limits, Counters counters, CallerConnections openConnections) {
@@ -168,7 +164,7 @@
   /** Records that a request head was read; the response is notified if the caller disconnects. */
   void requestStarted(PendingResponse started) {
     requestInProgress = true;
-    headStarted = false;
+    head.ended();
     response = started;
     bodyRefusal = Optional.empty();
     if (!lingering) {
@@ -381,10 +377,7 @@
       return;
     }
     onAwaitingRequest.run();
-    headStarted = false;
-    headBytes = 0;
-    startLineBytes = 0;
-    startLineEnded = false;
+    head.awaitNext();
     idleNanos = 0;
     stalledNanos = 0;
     wasActive = isActive();
@@ -508,7 +501,7 @@
     }
     super.channelRead(channel, message);
     // The decoder has processed these bytes: if no request has started, all belong to the head.
-    if (awaitsHead() && headBytes > limits.get().maxHeaderBytes()) {
+    if (awaitsHead() && head.exceeds(limits.get().maxHeaderBytes())) {
       reject(tooLargeReason());
     }
   }
@@ -519,24 +512,14 @@
   }
 
   private void trackHead(ByteBuf bytes) {
-    // Empty lines before a request are ignored (RFC 9112, section 2.2).
-    if (!headStarted && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0) {
-      headStarted = true;
+    if (head.add(bytes)) {
       schedule(
           limits.get().headerTimeout(), () -> runAfterRead(() -> reject(Reason.HEADERS_TOO_SLOW)));
     }
-    headBytes += bytes.readableBytes();
-    if (!startLineEnded) {
-      int lineFeed = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) '\n');
-      startLineEnded = lineFeed >= 0;
-      startLineBytes += startLineEnded ? lineFeed - bytes.readerIndex() : bytes.readableBytes();
-    }
   }
 
   private Reason tooLargeReason() {
-    return startLineBytes > limits.get().maxHeaderBytes()
-        ? Reason.TARGET_TOO_LONG
-        : Reason.HEADERS_TOO_LARGE;
+    return head.tooLargeReason(limits.get().maxHeaderBytes());
   }
 
   /** Responds to input that is not a valid request, and closes the connection. */
@@ -608,7 +591,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) throws Exception {
       if (cause instanceof DecoderException && !isActive()) {
-        boolean tooLong = headBytes > limits.get().maxHeaderBytes();
+        boolean tooLong = head.exceeds(limits.get().maxHeaderBytes());
         reject(tooLong ? tooLargeReason() : Reason.MALFORMED_HTTP);
       } else {
         super.exceptionCaught(channel, cause);
