Reasons of their own for closes by a node during a response

VW4017 said cut for every close by the node between a request and the end of its response, whatever had closed it, and took a close for the caller's when the node had shut down its output before: the caller's FIN is the consequence. So the lines could not tell the causes of a lost request apart.

New: next-refused (what came after a request is malformed, too large or finds no memory) and stop-over (the process ends before a response was delivered). cut stays for aborts and for closes by the HTTP library.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerCloseReasonTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/CallerCloseReasonTest.java
@@ -1,5 +1,6 @@
 package org.vaneworks.transport.entry;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -20,6 +21,8 @@
   /** Only bounds a failing test. */
   private static final int MAX_CHECKS = 1000;
 
+  private static final int MAX_HEAD_BYTES = 100;
+
   private final RecordedEvents events = RecordedEvents.create();
   private EntryFixture server;
 
@@ -210,6 +213,32 @@
     }
   }
 
+  // Guards against a close for what came after a request that can't be told from an abort.
+  @Test
+  void closeForNextRequestIsCounted() throws Exception {
+    server.setMaxHeaderBytes(MAX_HEAD_BYTES);
+    try (Socket caller = server.connect()) {
+      String next = "GET / HTTP/1.1\r\nX: " + "x".repeat(15 * MAX_HEAD_BYTES);
+      String request = "GET / HTTP/1.1\r\n\r\n";
+      caller.getOutputStream().write((request + next).getBytes(US_ASCII));
+      sendResponse(server.next());
+      readToEnd(caller);
+    }
+    assertCountedAs(CloseReason.INPUT_REFUSED);
+  }
+
+  // Guards against a response that a stop cuts and that can't be told from an abort.
+  @Test
+  void closeAtEndOfStopIsCounted() throws Exception {
+    try (Socket caller = server.connect()) {
+      var unused = startResponse(caller);
+      server.runOnEventLoop(server.connections::closeNow);
+      readToEnd(caller);
+    }
+    assertCountedAs(CloseReason.STOP_EXPIRED);
+    assertLogged("node", CloseReason.STOP_EXPIRED, "exit", 1, false);
+  }
+
   // Guards against a close by the server itself that can't be told from an aborted response.
   @Test
   void closeOfServerDuringResponseIsLogged() throws Exception {
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -116,6 +116,12 @@
     return new EntryLimits(16_384, 1 << 20, Duration.ofSeconds(TIMEOUT_SECONDS), idle);
   }
 
+  void setMaxHeaderBytes(int maxBytes) {
+    limits =
+        new EntryLimits(
+            maxBytes, limits.maxBodyBytes(), limits.headerTimeout(), limits.idleTimeout());
+  }
+
   void setMaxBodyBytes(int maxBytes) {
     limits =
         new EntryLimits(
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -120,6 +120,7 @@
   private long stalledNanos;
   private long idleNanos;
   private boolean lastResponse;
+
   private boolean rejected;
   private boolean aborted;
   private boolean outputShutdown;
@@ -251,6 +252,7 @@
         bodyRefusal.get().accept(reason);
       } else if (isActive()) {
         // A next request, which can't be answered yet.
+        recordClose(CloseReason.INPUT_REFUSED, reason.code());
         closeNow();
       } else {
         reject(reason);
@@ -325,14 +327,13 @@
     }
   }
 
-  private void recordCloseByNode() {
+  private void recordCloseByNode(String cause) {
     if (hasWriteFailed()) {
       recordClose(CloseReason.DISCONNECTED_DURING_RESPONSE, "write");
     } else if (isResponseIncomplete()) {
-      recordClose(CloseReason.ABORTED, "close");
+      recordClose(CloseReason.ABORTED, cause);
     } else {
-      recordClose(
-          lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.BETWEEN_RESPONSES, "close");
+      recordClose(lastResponse ? CloseReason.LAST_RESPONSE : CloseReason.BETWEEN_RESPONSES, cause);
     }
   }
 
@@ -448,9 +449,16 @@
     }
   }
 
-  /** Closes the connection without waiting for the caller. */
-  void closeNow() {
-    recordCloseByNode();
+  /** Closes the connection without waiting for the caller, as the process is about to end. */
+  void closeForExit() {
+    if (!hasWriteFailed() && isResponseIncomplete()) {
+      recordClose(CloseReason.STOP_EXPIRED, "exit");
+    }
+    closeNow();
+  }
+
+  private void closeNow() {
+    recordCloseByNode("close");
     if (lingering) {
       // ServiceTalk sets it to zero if a part of a request has arrived, and the kernel then drops
       // the end of the response.
@@ -555,6 +563,8 @@
       response.callerDisconnected();
     } else if (event instanceof ChannelOutputShutdownEvent) {
       outputShutdown = true;
+      // A failed write has closed the connection before.
+      recordCloseByNode("output");
       linger();
     }
     super.userEventTriggered(channel, event);
@@ -573,7 +583,7 @@
 
   @Override
   public void close(ChannelHandlerContext channel, ChannelPromise promise) throws Exception {
-    recordCloseByNode();
+    recordCloseByNode("close");
     closeOrLinger(promise);
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
@@ -32,9 +32,9 @@
     ImmutableList.copyOf(open).forEach(CallerConnection::closeIfIdle);
   }
 
-  /** Closes all connections without waiting for their callers. */
+  /** Closes all connections without waiting for their callers, as the process is about to end. */
   public void closeNow() {
-    ImmutableList.copyOf(open).forEach(CallerConnection::closeNow);
+    ImmutableList.copyOf(open).forEach(CallerConnection::closeForExit);
   }
 
   /** Returns whether no connection is open. */
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CloseReason.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CloseReason.java
@@ -17,6 +17,12 @@
   /** Memory was short, and the caller had stopped within a head or a body. */
   INPUT_GIVEN_UP("input-given-up", false),
 
+  /** Input after a request was malformed, too large, or could not be held. */
+  INPUT_REFUSED("next-refused", false),
+
+  /** The time for a stop was over before a response was delivered. */
+  STOP_EXPIRED("stop-over", false),
+
   /** The node closed the connection during a response. */
   ABORTED("cut", false),
 
