A response in progress is delivered whatever its caller sent after the request

Callers that sent more than one request at a time lost the answer to the first, which had been read whole and passed on: their connection was closed or reset as soon as the next head or body was too large, malformed, or found no memory. The first caller to lose was one within all limits, whose next request met a node that was short of memory.

Cause: InputOwner.refuseInput closed the connection at once while a response was in progress, as the next request could not be answered yet. A decoder error went to ServiceTalk, which resets the connection after the response, so that its end may be lost; or answered the next request, whose body was malformed, with 500 and a reset.

Change: the refusal is kept, and the rest of the input is dropped before it is decoded. Once nothing that was decoded before is left and all responses were written, the connection gets the same refusal and close as without a response in progress. If the refused input is the body of a request that was read in part, that request is refused when its turn comes. Nothing that was decoded after the refused input is passed on. The memory of callers stays bounded: a connection holds what was counted before the refusal and reads no more.

--- /dev/null
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -0,0 +1,194 @@
+package org.vaneworks.transport.entry;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests over sockets that a response in progress is delivered whatever its caller has sent after
+ * the request on the same connection.
+ */
+final class NextRequestTest {
+  private static final String REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  private static final String CHUNKED = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final String MALFORMED = "\u0001 no request\r\n\r\n";
+  private static final String CLOSE = "Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+  private static final int MAX_HEAD_BYTES = 100;
+
+  /** Less than is read at a time, so that it is read with the request before it. */
+  private static final String LONG_TEXT = "x".repeat(1500);
+
+  /** Suffices for a connection and a request, but not for more than a part of another head. */
+  private static final long MEMORY_BYTES = InputMemory.CONNECTION_BYTES + InputMemory.REQUEST_BYTES;
+
+  private EntryFixture server;
+
+  @AfterEach
+  void stop() throws Exception {
+    server.close();
+  }
+
+  private static void send(Socket caller, String text) throws IOException {
+    caller.getOutputStream().write(text.getBytes(ISO_8859_1));
+  }
+
+  private void respond(EntryFixture.ReceivedRequest request, String body) throws Exception {
+    server.runOnEventLoop(
+        () -> {
+          request.response.head(EntryFixture.responseHead());
+          request.response.data(body.getBytes(US_ASCII));
+          request.response.end();
+        });
+  }
+
+  /** Reads to the end of the connection; a reset ends the text with its exception. */
+  private static String readToEnd(Socket caller) {
+    ByteArrayOutputStream received = new ByteArrayOutputStream();
+    try {
+      caller.getInputStream().transferTo(received);
+    } catch (IOException e) {
+      return received.toString(ISO_8859_1) + " then " + e;
+    }
+    return received.toString(ISO_8859_1);
+  }
+
+  /** Removes the response with a body from the start of a text, and returns the rest. */
+  private static String afterResponse(String body, String received) {
+    String end = body.length() + "\r\n" + body + "\r\n0\r\n\r\n";
+    assertTrue(received.startsWith("HTTP/1.1 200 "), () -> "received: " + received);
+    assertTrue(received.contains(end), () -> "received: " + received);
+    return received.substring(received.indexOf(end) + end.length());
+  }
+
+  /** Sends a request with what follows it, and returns what comes after its response. */
+  private String exchangeFollowedBy(String next) throws Exception {
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST + next);
+      EntryFixture.ReceivedRequest request = server.next();
+      // What follows the request has been read by the time that the event loop runs this.
+      server.runOnEventLoop(() -> {});
+      respond(request, "first");
+      return afterResponse("first", readToEnd(caller));
+    }
+  }
+
+  // Guards against a response in progress that is cut because the next request is malformed.
+  @Test
+  void malformedNextRequestDoesNotCutResponse() throws Exception {
+    server = EntryFixture.start();
+    assertEquals("HTTP/1.1 400 \r\n" + CLOSE, exchangeFollowedBy(MALFORMED));
+  }
+
+  // Guards against a response in progress that is cut because the next head is too large.
+  @Test
+  void oversizedNextHeadDoesNotCutResponse() throws Exception {
+    server = EntryFixture.start();
+    server.setMaxHeaderBytes(MAX_HEAD_BYTES);
+    String next = "GET / HTTP/1.1\r\nX: " + LONG_TEXT;
+    assertEquals("HTTP/1.1 431 \r\n" + CLOSE, exchangeFollowedBy(next));
+  }
+
+  // Guards against a response in progress that is cut as there is no memory for the next request.
+  @Test
+  void nextRequestWithoutMemoryDoesNotCutResponse() throws Exception {
+    server = EntryFixture.start(MEMORY_BYTES);
+    String next = "GET / HTTP/1.1\r\nX: " + LONG_TEXT + "\r\n\r\n";
+    assertEquals("HTTP/1.1 503 \r\nRetry-After: 1\r\n" + CLOSE, exchangeFollowedBy(next));
+  }
+
+  // Guards against a response in progress that is cut because the next body is malformed.
+  @Test
+  void malformedNextBodyDoesNotCutResponse() throws Exception {
+    server = EntryFixture.start();
+    String rest = exchangeFollowedBy(CHUNKED + "5\r\nhello\r\nzz\r\n");
+    assertTrue(rest.startsWith("HTTP/1.1 400 "), rest);
+    assertEquals(0, rest.lastIndexOf("HTTP/1.1 "), rest);
+    assertEquals(0, server.receivedRequests());
+  }
+
+  // Guards against a response in progress that is cut because the next trailers are too long.
+  @Test
+  void oversizedNextTrailersDoNotCutResponse() throws Exception {
+    server = EntryFixture.start();
+    server.setMaxHeaderBytes(MAX_HEAD_BYTES);
+    String rest = exchangeFollowedBy(CHUNKED + "0\r\n" + "T: y\r\n".repeat(250));
+    assertTrue(rest.startsWith("HTTP/1.1 431 "), rest);
+    assertEquals(0, rest.lastIndexOf("HTTP/1.1 "), rest);
+    assertEquals(0, server.receivedRequests());
+  }
+
+  // Guards against a valid request that gets no answer because the one after it is malformed.
+  @Test
+  void requestBeforeMalformedOneIsAnswered() throws Exception {
+    server = EntryFixture.start();
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST + REQUEST + MALFORMED);
+      EntryFixture.ReceivedRequest request = server.next();
+      server.runOnEventLoop(() -> {});
+      respond(request, "first");
+      respond(server.next(), "second");
+      String rest = afterResponse("second", afterResponse("first", readToEnd(caller)));
+      assertEquals("HTTP/1.1 400 \r\n" + CLOSE, rest);
+    }
+  }
+
+  // Guards against bytes after a malformed request that are taken for a request.
+  @Test
+  void requestAfterMalformedOneIsNotPassedOn() throws Exception {
+    server = EntryFixture.start();
+    assertEquals("HTTP/1.1 400 \r\n" + CLOSE, exchangeFollowedBy(MALFORMED + REQUEST));
+    assertEquals(0, server.receivedRequests());
+  }
+
+  // Guards against a request that was read, and is passed on without an answer, because the server
+  // is closed.
+  @Test
+  void requestThatWaitsIsAnsweredByClosingServer() throws Exception {
+    server = EntryFixture.start();
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST + REQUEST);
+      EntryFixture.ReceivedRequest request = server.next();
+      server.runOnEventLoop(() -> server.server.closeAsyncGracefully().subscribe());
+      respond(request, "first");
+      respond(server.next(), "second");
+      assertEquals("", afterResponse("second", afterResponse("first", readToEnd(caller))));
+    }
+  }
+
+  // Guards against a request that is passed on although its caller has asked to close the
+  // connection before it, so that it can't be answered.
+  @Test
+  void requestAfterRequestedCloseIsNotPassedOn() throws Exception {
+    server = EntryFixture.start();
+    try (Socket caller = server.connect()) {
+      send(caller, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n" + REQUEST);
+      EntryFixture.ReceivedRequest request = server.next();
+      server.runOnEventLoop(() -> {});
+      respond(request, "first");
+      assertEquals("", afterResponse("first", readToEnd(caller)));
+    }
+    assertEquals(0, server.receivedRequests());
+  }
+
+  // Guards against a request that is passed on although the one before it was refused with a close
+  // of the connection.
+  @Test
+  void requestAfterRefusedBodyIsNotPassedOn() throws Exception {
+    server = EntryFixture.start();
+    server.setMaxBodyBytes(1);
+    try (Socket caller = server.connect()) {
+      send(caller, "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello" + REQUEST);
+      String received = readToEnd(caller);
+      assertTrue(received.startsWith("HTTP/1.1 413 "), received);
+    }
+    assertEquals(0, server.receivedRequests());
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -20,6 +20,7 @@
 import io.netty.channel.socket.ChannelOutputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.servicetalk.concurrent.Executor;
@@ -108,7 +109,11 @@
 
   private Runnable afterRead = () -> {};
   private boolean reading;
-  private Runnable onAwaitingRequest = () -> {};
+  private Optional<InputMemory> input = Optional.empty();
+
+  /** Why the rest of the input is refused, once the responses to what came before are delivered. */
+  private Optional<Reason> laterRefusal = Optional.empty();
+
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
   private PendingResponse response = NO_RESPONSE;
@@ -182,12 +187,24 @@
         () -> 2 * limits.get().maxHeaderBytes(), // The start line and the fields.
         () -> limits.get().maxHeaderBytes(),
         new InputOwner());
-    onAwaitingRequest = InputMemory.of(context.channel())::awaitRequest;
+    input = Optional.of(InputMemory.of(context.channel()));
   }
 
   /** Sets how the request in progress is refused if the rest of its input can't be held. */
   void onBodyRefused(Consumer<Reason> refusal) {
-    bodyRefusal = Optional.of(refusal);
+    Optional<Consumer<Reason>> current = Optional.of(refusal);
+    bodyRefusal = current;
+    // The part of the body that arrived before is read first; it may be all.
+    laterRefusal.ifPresent(
+        reason ->
+            context
+                .executor()
+                .execute(
+                    () -> {
+                      if (bodyRefusal.equals(current)) {
+                        refusal.accept(reason);
+                      }
+                    }));
   }
 
   /** Records that the body of the request in progress was received. */
@@ -251,15 +268,28 @@
       if (bodyRefusal.isPresent()) {
         bodyRefusal.get().accept(reason);
       } else if (isActive()) {
-        // A next request, which can't be answered yet.
-        recordClose(CloseReason.INPUT_REFUSED, reason.code());
-        closeNow();
+        refuseLater(reason);
       } else {
         reject(reason);
       }
     }
   }
 
+  /** Drops the rest of the input, which can't be refused before the responses in progress end. */
+  private void refuseLater(Reason reason) {
+    if (laterRefusal.isEmpty()) {
+      laterRefusal = Optional.of(reason);
+      input.ifPresent(InputMemory::dropRest);
+    }
+  }
+
+  /** Returns whether the rest of the input is to be refused, and nothing before it is left. */
+  private boolean isRefusalDue() {
+    return laterRefusal.isPresent()
+        && !isActive()
+        && !input.map(InputMemory::hasWaitingRequests).orElse(false);
+  }
+
   @Override
   public void requestEnded(PendingResponse ended) {
     // With pipelining, the next request starts with the last byte of the previous response, which
@@ -377,13 +407,17 @@
     if (lingering) {
       return;
     }
-    onAwaitingRequest.run();
+    input.ifPresent(InputMemory::awaitRequest);
     head.awaitNext();
     idleNanos = 0;
     stalledNanos = 0;
     wasActive = isActive();
     previousUnsentBytes = unsentBytes();
-    scheduleIdleCheck();
+    if (laterRefusal.isPresent()) {
+      schedule(Duration.ZERO, () -> checkIdle(0));
+    } else {
+      scheduleIdleCheck();
+    }
   }
 
   private void scheduleIdleCheck() {
@@ -398,6 +432,8 @@
     updateIdleTime(isActive(), waitedNanos);
     if (stalledNanos >= STALL_TIMEOUT.toNanos()) {
       closeWith(CloseReason.STALLED);
+    } else if (isRefusalDue()) {
+      reject(laterRefusal.get());
     } else if (idleNanos >= limits.get().idleTimeout().toNanos()) {
       runAfterRead(
           () -> closeWith(isActive() ? CloseReason.IDLE_DURING_RESPONSE : CloseReason.IDLE));
@@ -536,11 +572,12 @@
       return;
     }
     rejected = true;
-    if (lastResponse) {
+    recordClose(
+        laterRefusal.isPresent() ? CloseReason.INPUT_REFUSED : CloseReason.REJECTED, reason.code());
+    if (lastResponse || isRestOfAnsweredRequest()) {
       closeOrLinger(context.newPromise());
       return;
     }
-    recordClose(CloseReason.REJECTED, reason.code());
     counters.count(Metric.REFUSALS, reason.code());
     String retry = reason == Reason.NODE_MEMORY ? "Retry-After: 1\r\n" : "";
     String response =
@@ -556,6 +593,11 @@
             .addListener(ChannelFutureListener.CLOSE);
   }
 
+  /** Returns whether the refused input belongs to a request that was answered before its end. */
+  private boolean isRestOfAnsweredRequest() {
+    return laterRefusal.isPresent() && input.map(InputMemory::isWithinBody).orElse(false);
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext channel, Object event) throws Exception {
     if (event instanceof ChannelInputShutdownEvent) {
@@ -598,11 +640,26 @@
 
   /** Handles errors of the HTTP decoder. */
   private final class DecoderErrorHandler extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext channel, Object message) throws Exception {
+      if (laterRefusal.isPresent()) {
+        // Decoded from what follows the input that is refused.
+        ReferenceCountUtil.release(message);
+      } else {
+        super.channelRead(channel, message);
+      }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) throws Exception {
-      if (cause instanceof DecoderException && !isActive()) {
+      if (!(cause instanceof DecoderException)) {
+        super.exceptionCaught(channel, cause);
+      } else if (!isActive()) {
         boolean tooLong = head.exceeds(limits.get().maxHeaderBytes());
         reject(tooLong ? tooLargeReason() : Reason.MALFORMED_HTTP);
+      } else if (bodyRefusal.isEmpty()) {
+        boolean tooLong = cause instanceof TooLongFrameException;
+        refuseLater(tooLong ? Reason.HEADERS_TOO_LARGE : Reason.MALFORMED_HTTP);
       } else {
         super.exceptionCaught(channel, cause);
       }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -171,6 +171,21 @@
     }
   }
 
+  /** Drops the input that has not been decoded yet. */
+  void dropRest() {
+    refused = true;
+  }
+
+  /** Returns whether the heads of requests were decoded that have not been started yet. */
+  boolean hasWaitingRequests() {
+    return !waitingHeads.isEmpty();
+  }
+
+  /** Returns whether the input of the last request has not ended. */
+  boolean isWithinBody() {
+    return afterHead;
+  }
+
   private void stopAwaiting() {
     pending.ifPresent(budget::removePending);
     pending = Optional.empty();
