A response does not announce a close while another request has arrived

Callers that sent the next request before the end of a response lost it while a node stopped, or while its configuration was not confirmed (the store away): the request was read, passed on to an endpoint, and the connection closed without its response. If it was still in the socket, it was dropped after the close.

Cause: the head of a response carried Connection: close whenever the node was closing, and nothing looked at what had arrived behind its request. ServiceTalk starts the next decoded request with the last byte of the response and then shuts down the output.

Change: before a response announces the close, the connection reads once what has arrived. If a whole head was decoded, that request is answered, and its response announces the close. A refusal that closes because the rest of the input can't be parsed announces it as before. What is read is counted by InputMemory and bounded as ever.

Run: all tests of org.vaneworks.transport.entry, green.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
@@ -51,6 +51,11 @@
     @Override
     public void closesAfterResponse() {}
 
+    @Override
+    public void readArrived(Runnable task) {
+      task.run();
+    }
+
     @Override
     public void aborted() {}
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -10,6 +10,8 @@
 import java.net.Socket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.vaneworks.state.Reason;
+import org.vaneworks.state.Refusal;
 
 /**
  * Tests over sockets that a response in progress is delivered whatever its caller has sent after
@@ -148,6 +150,57 @@
     assertEquals(0, server.receivedRequests());
   }
 
+  // Guards against a request that was read, and gets no answer because the response before it
+  // announced the close of the connection.
+  @Test
+  void requestThatWaitsIsAnsweredBeforeTheClose() throws Exception {
+    server = EntryFixture.start();
+    server.closeAfterResponses();
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST + REQUEST);
+      EntryFixture.ReceivedRequest request = server.next();
+      server.runOnEventLoop(() -> {});
+      respond(request, "first");
+      respond(server.next(), "second");
+      assertEquals("", afterResponse("second", afterResponse("first", readToEnd(caller))));
+    }
+  }
+
+  // Guards against a request that had arrived, and gets no answer because the response before it
+  // announced the close of the connection.
+  @Test
+  void requestThatHasArrivedIsAnsweredBeforeTheClose() throws Exception {
+    server = EntryFixture.start();
+    server.closeAfterResponses();
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST);
+      EntryFixture.ReceivedRequest request = server.next();
+      send(caller, REQUEST);
+      respond(request, "first");
+      respond(server.next(), "second");
+      assertEquals("", afterResponse("second", afterResponse("first", readToEnd(caller))));
+    }
+  }
+
+  // Guards against a request that had arrived, and gets no answer because the response before it
+  // announced the close of the connection.
+  @Test
+  void requestThatHasArrivedIsAnsweredAfterRefusalBeforeTheClose() throws Exception {
+    server = EntryFixture.start();
+    server.closeAfterResponses();
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST);
+      EntryFixture.ReceivedRequest request = server.next();
+      send(caller, REQUEST);
+      server.runOnEventLoop(
+          () -> request.response.refuse(Refusal.nothingSent(Reason.NO_ENDPOINT, "full")));
+      respond(server.next(), "second");
+      String received = readToEnd(caller);
+      assertTrue(received.startsWith("HTTP/1.1 503 "), received);
+      assertEquals("", afterResponse("second", received.substring(received.indexOf("}") + 1)));
+    }
+  }
+
   // Guards against a request that was read, and is passed on without an answer, because the server
   // is closed.
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -305,6 +305,17 @@
     lastResponse = true;
   }
 
+  @Override
+  public void readArrived(Runnable task) {
+    context.read();
+    // Called while sockets are read, or by a task. The second task runs after they were read again.
+    var unused = context.executor().schedule(() -> afterPoll(task), 0, NANOSECONDS);
+  }
+
+  private void afterPoll(Runnable task) {
+    var unused = context.executor().schedule(task, 0, NANOSECONDS);
+  }
+
   @Override
   public void aborted() {
     aborted = true;
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
@@ -32,6 +32,9 @@
     /** Called when the connection will be closed after the response. */
     void closesAfterResponse();
 
+    /** Reads requests that have arrived, without starting them, and then runs a task. */
+    void readArrived(Runnable task);
+
     /** Called when the connection will be closed in the middle of the response. */
     void aborted();
   }
@@ -127,12 +130,16 @@
 
   private void recordEnd() {
     if (!ended) {
-      ended = true;
-      memory.release();
+      endWork();
       connection.requestEnded(this);
     }
   }
 
+  private void endWork() {
+    ended = true;
+    memory.release();
+  }
+
   /** Returns whether the response is complete, was aborted, or has no caller any more. */
   boolean isEnded() {
     return ended;
@@ -190,13 +197,29 @@
     if (peerKeepAlive.isPresent()) {
       PeerHeaders.removeFromResponse(callerResponse.headers());
     }
-    addConnectionHeaders(callerResponse);
     return callerResponse;
   }
 
   private void respond(StreamingHttpResponse callerResponse) {
     headSent = true;
     callerResponse.payloadBody(SourceAdapters.fromSource(body));
+    beforeClose(() -> send(callerResponse));
+  }
+
+  /**
+   * Runs a task, after reading requests that have arrived if the close of the connection is to be
+   * announced: they could not be answered afterwards.
+   */
+  private void beforeClose(Runnable task) {
+    if (!closeAfterwards && closing.getAsBoolean()) {
+      connection.readArrived(task);
+    } else {
+      task.run();
+    }
+  }
+
+  private void send(StreamingHttpResponse callerResponse) {
+    addConnectionHeaders(callerResponse);
     response.onSuccess(callerResponse);
   }
 
@@ -234,12 +257,20 @@
 
   @Override
   public void refuse(Refusal refusal) {
-    recordEnd();
+    boolean first = !ended;
+    if (first) {
+      endWork();
+    }
     StreamingHttpResponse callerResponse = Refusals.response(factory, allocator, refusal);
     if (peerKeepAlive.isPresent()) {
       PeerHeaders.write(callerResponse.headers(), refusal);
     }
-    addConnectionHeaders(callerResponse);
-    response.onSuccess(callerResponse);
+    beforeClose(
+        () -> {
+          if (first) {
+            connection.requestEnded(this);
+          }
+          send(callerResponse);
+        });
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -314,17 +314,19 @@
       StreamingHttpResponseFactory factory) {
     Channel channel = ((NettyConnectionContext) context).nettyChannel();
     CallerConnection connection = CallerConnection.of(channel);
+    InputMemory input = InputMemory.of(channel);
     MemoryLease lease = memory.lease();
     EntryResponse response =
         new EntryResponse(
             factory,
             context.executionContext().bufferAllocator(),
-            closing,
+            // A request that has arrived is answered first.
+            () -> closing.getAsBoolean() && !input.hasWaitingRequests(),
             peerKeepAlive,
             connection,
             lease);
     connection.requestStarted(response);
-    InputMemory.of(channel).startRequest(lease);
+    input.startRequest(lease);
     // The decoder bounds a line only if it arrives in few parts.
     if (request.requestTarget().length() > limits.get().maxHeaderBytes()) {
       return response.refuseAndClose(Reason.TARGET_TOO_LONG, "the request target").response();
@@ -388,7 +390,7 @@
             .beforeOnComplete(
                 () -> {
                   connection.bodyReceived();
-                  InputMemory.of(channel).endRequest();
+                  input.endRequest();
                 });
     // The response does not wait for the end of the body, as it may be refused before.
     Cancellable receiving =
