A process that has just started sends streams again: share at once, reserve in a few rounds

What callers saw: a request whose engine broke off failed (502, VW4003 or VW4008 budget-spent) at a node that had started less than 4.75 s before, though the fleet's budget was hardly used. Nodes are restarted, added and replaced in turn, so this fell together with planned work.

Cause: since a process uses none of the reserve until its entry has been listed for 4.75 s, and without a reserve its share allowed nothing, as a balance can't be saved. A request that had no part of a response was denied at once, although the reserve grows within its time.

Change, and why the parts stay within the whole: - While its part of the reserve allows no retry, a process saves at most 0.2 of the share of its own requests of the last window. 0.2 x share x a + 0.8 x share x b <= share x max(a, b), a and b being the requests of the preceding and of the present window; a sum over nodes and runs keeps that. - A process is counted once each box of its list, and each that left it lately, has sent it a load report after its own entry was listed: whoever was listed before lists it, whoever comes later reads both entries. Alone in that list, without an entry lost in ten seconds: at once. - While the reserve grows, a request that may have run waits in ResendQueue behind the interrupted streams until its caller would give up. One that has not run is refused at once, as before.

Three tests of NodeLeaseTest got a second box that reports to nobody, as they are about runs that others may not count; their assertions are unchanged.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -273,6 +273,7 @@
 
   private void receiveLoadReport(LoadReport report) {
     peerVersions.recordVersion(report.configurationVersion());
+    lease.recordReportOf(report.sender());
     loadExchange.receive(report);
   }
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetSimulation.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetSimulation.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.vaneworks.coordination.shared.NodeLease;
+import org.vaneworks.coordination.shared.Peer;
 import org.vaneworks.coordination.shared.PeerRelay;
 import org.vaneworks.coordination.shared.PrefixFollower;
 import org.vaneworks.state.HostPort;
@@ -23,10 +24,10 @@
 
 /**
  * One random simulation of the retry budgets of a fleet, in which each process that may serve
- * spends all that its budget allows, at once. Processes are killed and start again, alone and
- * together, boxes are added, and the store fails, loses its contents, or can't be reached by some.
- * Endpoints may stand still: what was sent to them in that time arrives at its end, also that of
- * processes that were killed meanwhile.
+ * spends all that its budget allows, at once or from time to time. Processes are killed and start
+ * again, alone and together, boxes are added, and the store fails, loses its contents, or can't be
+ * reached by some. Endpoints may stand still: what was sent to them in that time arrives at its
+ * end, also that of processes that were killed meanwhile.
  *
  * <p>The repeats of all processes together, as they arrive, are judged by the bound of the whole
  * fleet, over each window.
@@ -42,8 +43,16 @@
   /** Maximum age of the confirmed configuration with which a node serves. */
   private static final Duration FRESHNESS = Duration.ofMillis(4750);
 
+  /** Mean steps between two reports of a process to the same peer. */
+  private static final int MEAN_REPORT_STEPS = 6;
+
   private static final int MEAN_FAULT_INTERVAL_MILLIS = 2500;
+
+  /** How long all processes need no repeats at most, before they need as many as they may send. */
+  private static final int MAX_QUIET_MILLIS = 12_000;
+
   private static final int MAX_DOWN_MILLIS = 5000;
+  private static final int MAX_STOP_MILLIS = 3000;
   private static final int MAX_OUTAGE_MILLIS = 16_000;
 
   /** How long the store is back at most between two outages. */
@@ -63,9 +72,14 @@
   private final Executor clock = time.executor();
   private final InMemorySharedStore store = new InMemorySharedStore(clock);
   private final Random random;
+
+  /** Draws reports and bursts, so that the other faults of a seed do not depend on them. */
+  private final Random reports;
+
   private final double requestsPerStep;
   private final int maxHoldMillis;
   private final boolean repeatedOutages;
+  private final boolean bursts;
   private final List<Box> boxes = new ArrayList<>();
 
   /** The requests and the repeats of each step. */
@@ -78,6 +92,8 @@
   private final List<Process> held = new ArrayList<>();
 
   private long heldUntilMillis;
+  private long quietUntilMillis;
+  private long burstUntilMillis;
   private long outagesUntilMillis;
 
   /**
@@ -86,12 +102,21 @@
    * @param requestsPerSecond the requests of the whole fleet
    * @param maxHoldMillis how long endpoints stand still at most; 0 if they never do
    * @param repeatedOutages whether the only faults are kills of all processes, each with two
-   *     outages of the store shortly after one another
+   *     outages of the store shortly after one another, and those of bursts
+   * @param bursts whether repeats are needed from time to time only, and then as many as may be
+   *     sent, otherwise they always are; with it, single boxes stop, are added, or can't write
    */
   FleetBudgetSimulation(
-      long seed, int boxCount, int requestsPerSecond, int maxHoldMillis, boolean repeatedOutages) {
+      long seed,
+      int boxCount,
+      int requestsPerSecond,
+      int maxHoldMillis,
+      boolean repeatedOutages,
+      boolean bursts) {
     this.repeatedOutages = repeatedOutages;
+    this.bursts = bursts;
     random = new Random(seed);
+    reports = new Random(~seed);
     this.maxHoldMillis = maxHoldMillis;
     requestsPerStep = requestsPerSecond * STEP_MILLIS / 1000.0;
     for (int i = 0; i < boxCount; i++) {
@@ -168,6 +193,18 @@
       link.cut(true);
     }
 
+    /** Reports to peers, now and then to each; the report of a process that has ended is lost. */
+    void reportToPeers(int box) {
+      for (Peer peer : lease.peers()) {
+        if (reports.nextInt(MEAN_REPORT_STEPS) == 0) {
+          boxes.stream()
+              .filter(other -> peer.box().equals("box" + other.number))
+              .flatMap(other -> other.process.stream())
+              .forEach(other -> other.lease.recordReportOf("box" + box));
+        }
+      }
+    }
+
     void spendAll() {
       while (budget.tryWithdraw()) {
         held.add(this);
@@ -198,6 +235,8 @@
   }
 
   private void step() {
+    boxes.forEach(box -> box.process.ifPresent(each -> each.reportToPeers(box.number)));
+    boolean spends = needsRepeats();
     int arrived = 0;
     for (Box box : boxes) {
       if (box.process.filter(each -> each.follower.isConfirmedWithin(FRESHNESS)).isEmpty()) {
@@ -210,12 +249,22 @@
         process.budget.deposit();
       }
       arrived += count;
-      process.spendAll();
+      if (spends) {
+        process.spendAll();
+      }
     }
     requests.add(arrived);
     repeats.add(nowMillis() < heldUntilMillis ? 0 : deliver());
   }
 
+  private boolean needsRepeats() {
+    if (bursts && nowMillis() >= burstUntilMillis) {
+      quietUntilMillis = nowMillis() + reports.nextInt(MAX_QUIET_MILLIS);
+      burstUntilMillis = quietUntilMillis + 1 + reports.nextInt(WINDOW_MILLIS);
+    }
+    return nowMillis() >= quietUntilMillis;
+  }
+
   /** Delivers the repeats that have not arrived; returns their number. */
   private int deliver() {
     int delivered = held.size();
@@ -228,6 +277,10 @@
       hold(1 + random.nextInt(maxHoldMillis));
       return;
     }
+    if (bursts && reports.nextBoolean()) {
+      injectFaultOfFewBoxes();
+      return;
+    }
     if (repeatedOutages) {
       if (!store.down && nowMillis() > outagesUntilMillis) {
         stopStoreTwice();
@@ -249,6 +302,45 @@
     }
   }
 
+  /** Faults after which processes start, or lose their entries, while all others go on. */
+  private void injectFaultOfFewBoxes() {
+    switch (reports.nextInt(4)) {
+      case 0 ->
+          boxes.forEach(box -> later(reports.nextInt(LENGTH_MILLIS), () -> stopAndStart(box)));
+      case 1 -> stopAndStart(boxes.get(reports.nextInt(boxes.size())));
+      case 2 -> cutWrites(anyBoxes(), 1 + reports.nextInt(2 * MAX_OUTAGE_MILLIS));
+      default -> addBox();
+    }
+  }
+
+  /** Stops a process, which goes on serving for a while, and starts another one. */
+  private void stopAndStart(Box box) {
+    record("stop of box " + box.number);
+    box.process.ifPresent(
+        stopping -> {
+          stopping.lease.stop();
+          later(
+              reports.nextInt(MAX_STOP_MILLIS),
+              () -> {
+                if (box.process.filter(stopping::equals).isPresent()) {
+                  box.kill();
+                  later(reports.nextInt(MAX_DOWN_MILLIS), box::start);
+                }
+              });
+        });
+  }
+
+  private void cutWrites(ImmutableList<Box> chosen, int millis) {
+    record(chosen.size() + " boxes can't write for " + millis);
+    for (Box box : chosen) {
+      box.process.ifPresent(
+          cut -> {
+            cut.link.cutWrites(true);
+            later(millis, () -> cut.link.cutWrites(false));
+          });
+    }
+  }
+
   private void hold(int millis) {
     record("endpoints stand still for " + millis);
     heldUntilMillis = Math.max(heldUntilMillis, nowMillis() + millis);
--- a/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/coordination/forwarding/FleetBudgetTest.java
@@ -18,7 +18,7 @@
   void partsOfTheReserveAreNeverMoreThanTheWhole(int boxes, int requestsPerSecond, int seeds) {
     for (int seed = 0; seed < seeds; seed++) {
       FleetBudgetSimulation simulation =
-          new FleetBudgetSimulation(seed, boxes, requestsPerSecond, 0, false);
+          new FleetBudgetSimulation(seed, boxes, requestsPerSecond, 0, false, false);
       assertEquals(Optional.empty(), simulation.run(), "seed " + seed);
     }
   }
@@ -31,7 +31,7 @@
       int boxes, int requestsPerSecond, int seeds) {
     for (int seed = 0; seed < seeds; seed++) {
       FleetBudgetSimulation simulation =
-          new FleetBudgetSimulation(seed, boxes, requestsPerSecond, 0, true);
+          new FleetBudgetSimulation(seed, boxes, requestsPerSecond, 0, true, false);
       assertEquals(Optional.empty(), simulation.run(), "seed " + seed);
     }
   }
@@ -42,7 +42,26 @@
   void repeatsThatArriveLateKeepTheBudget(int boxes, int requestsPerSecond, int seeds) {
     for (int seed = 0; seed < seeds; seed++) {
       FleetBudgetSimulation simulation =
-          new FleetBudgetSimulation(seed, boxes, requestsPerSecond, MAX_HOLD_MILLIS, false);
+          new FleetBudgetSimulation(seed, boxes, requestsPerSecond, MAX_HOLD_MILLIS, false, false);
+      assertEquals(Optional.empty(), simulation.run(), "seed " + seed);
+    }
+  }
+
+  // Guards against processes that save what their requests deposit and spend it beyond the bound.
+  @ParameterizedTest
+  @CsvSource({
+    "8, 60, false",
+    "3, 20, false",
+    "24, 1500, false",
+    "8, 60, true",
+    "3, 20, true",
+    "24, 1500, true"
+  })
+  void repeatsThatComeInBurstsKeepTheBudget(
+      int boxes, int requestsPerSecond, boolean repeatedOutages) {
+    for (int seed = 0; seed < 15; seed++) {
+      FleetBudgetSimulation simulation =
+          new FleetBudgetSimulation(seed, boxes, requestsPerSecond, 0, repeatedOutages, true);
       assertEquals(Optional.empty(), simulation.run(), "seed " + seed);
     }
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/NodeLeaseTest.java
@@ -397,9 +397,15 @@
     assertEquals(1, nodes.get(0).sharingNodes());
   }
 
+  /** Lists a box that reports to nobody. */
+  private void listOther() {
+    store.put(PREFIX + "nodes/box9/1", "10.1.0.9:7340 dc1");
+  }
+
   // Guards against a node that uses its part of the retry reserve before others have left it room.
   @Test
   void firstRunOnABoxIsCountedOnceAllListsShowIt() {
+    listOther();
     NodeLease first = node(store, "box1", "1");
     advance((int) MAX_LIST_AGE.toMillis() - 100);
     assertTrue(first.countedSince().isEmpty());
@@ -443,6 +449,7 @@
   // knew only those that were listed before it.
   @Test
   void runIsNotCountedWhileTheStoreIsAway() {
+    listOther();
     NodeLease first = node(store, "box1", "1");
     advance(2000);
     store.down = true;
@@ -457,6 +464,7 @@
 
   @Test
   void entryThatTheStoreLostDoesNotCount() {
+    listOther();
     NodeLease first = node(store, "box1", "1");
     advance(3000);
     store.takeEmptyBackup();
@@ -467,6 +475,61 @@
     assertTrue(first.countedSince().isPresent());
   }
 
+  // Guards against streams that are cut at a node that has just started, though all others report
+  // to it, so that they count it.
+  @Test
+  void runIsCountedOnceAllOthersReportToIt() {
+    listOther();
+    node(store, "box2", "1");
+    advance(6000);
+    NodeLease third = node(store, "box3", "1");
+    third.recordReportOf("box2");
+    third.recordReportOf("box9");
+    advance(200);
+    assertTrue(third.countedSince().isEmpty(), "reports from before its entry was listed");
+    third.recordReportOf("box2");
+    advance(1000);
+    assertTrue(third.countedSince().isEmpty(), "one of two others");
+    third.recordReportOf("box9");
+    assertTrue(third.countedSince().isPresent());
+  }
+
+  // Guards against a node that takes a box for one that counts it, as that has left the list.
+  @Test
+  void runAwaitsAlsoTheReportsOfBoxesThatLeftTheList() {
+    listOther();
+    NodeLease second = node(store, "box2", "1");
+    advance(1000);
+    store.remove(PREFIX + "nodes/box9/1");
+    advance(2000);
+    assertTrue(second.countedSince().isEmpty());
+    second.recordReportOf("box9");
+    assertTrue(second.countedSince().isPresent());
+  }
+
+  // Guards against streams that are cut at the only node, as it awaits that others count it.
+  @Test
+  void runThatIsAloneInTheListIsCountedAtOnce() {
+    NodeLease alone = node(store, "box1", "1");
+    advance(200);
+    assertTrue(alone.countedSince().isPresent());
+  }
+
+  // Guards against a node that takes itself for alone, as the entries of the others have expired.
+  @Test
+  void runThatSawEntriesExpireIsNotAlone() {
+    store.put(PREFIX + "nodes/silent/1", "");
+    StoreLink slow = new StoreLink(clock, store);
+    slow.cutWrites(true);
+    NodeLease second = node(slow, "box2", "1");
+    advance(1000);
+    store.remove(PREFIX + "nodes/silent/1");
+    advance(1000);
+    slow.cutWrites(false);
+    advance(3000);
+    assertTrue(second.countedSince().isEmpty());
+  }
+
   @Test
   void laterRunOnABoxReplacesTheEarlierRun() {
     node(store, "box1", "1");
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
@@ -12,9 +12,9 @@
  * Decides whether and when a request whose attempt has ended is sent again.
  *
  * <p>Before that, the request waits until it is known whether its engine has crashed, if that
- * matters, and for the retry budget, if its caller has a part of the response. The retry is
- * reserved then, and withdrawn from the budget when the request is sent. Confined to the node's
- * event loop.
+ * matters, and for the retry budget, if its caller has a part of the response or this process has
+ * just started. The retry is reserved then, and withdrawn from the budget when the request is sent.
+ * Confined to the node's event loop.
  */
 final class PendingResend {
   /**
@@ -57,9 +57,7 @@
     /** Returns whether one more crash would quarantine the request. */
     boolean isOneCrashFromQuarantine();
 
-    /**
-     * Returns until when an interrupted stream may wait, in nanoseconds of the executor's clock.
-     */
+    /** Returns until when the request may wait, in nanoseconds of the executor's clock. */
     long waitsUntil();
 
     /** Returns the priority; 0 is the most urgent. */
@@ -125,15 +123,16 @@
   }
 
   /**
-   * Reserves a retry or denies the request; an interrupted stream waits for the budget. A retry
-   * that was reserved before is released.
+   * Reserves a retry or denies the request; an interrupted stream waits for the budget, and so does
+   * a request that may have run while the reserve of this process grows. A retry that was reserved
+   * before is released.
    */
   void awaitBudget() {
     release();
     Optional<ResendDenial> denial = callbacks.denial(ended().verdict());
     if (denial.isPresent()) {
       callbacks.denied(ended(), denial.get());
-    } else if (callbacks.isInterrupted()) {
+    } else if (callbacks.isInterrupted() || waitsForGrowingReserve()) {
       queue.join(waiter);
     } else if (budget.tryReserve()) {
       reserved();
@@ -142,7 +141,12 @@
     }
   }
 
-  /** An interrupted stream while it waits for the retry budget. */
+  /** A request that has certainly not run is refused instead, as its caller can send it again. */
+  private boolean waitsForGrowingReserve() {
+    return ended().verdict() != Verdict.NOT_RUN && budget.reserveGrows();
+  }
+
+  /** The request while it waits for the retry budget. */
   private final class BudgetWaiter implements ResendQueue.Waiter {
     @Override
     public void granted() {
@@ -159,6 +163,11 @@
       return callbacks.waitsUntil();
     }
 
+    @Override
+    public boolean isInterrupted() {
+      return callbacks.isInterrupted();
+    }
+
     @Override
     public int priority() {
       return callbacks.priority();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendBudget.java
@@ -15,7 +15,9 @@
  * the requests of that window plus its reserve.
  *
  * <p>None of the reserve is used while other nodes may not count this one, as their parts and that
- * of this node could be more than the whole.
+ * of this node could be more than the whole. The share needs no division. While its part of the
+ * reserve allows no retry, a node saves some of the share for failures that follow; what it saved
+ * expires with the window of its requests.
  *
  * <p>An earlier process on the box may have spent its reserve just before this one started.
  * Therefore less of it is used during the first window, and that little by little: however often
@@ -34,19 +36,31 @@
    */
   private static final double USABLE_SHARE_FRACTION = 0.8;
 
+  /**
+   * Fraction of the share that can be saved. Retries of a window that are paid by requests of the
+   * preceding one, and those paid by its own, are together at most the share of either.
+   */
+  private static final double SAVED_SHARE_FRACTION = 1 - USABLE_SHARE_FRACTION;
+
   private final LongSupplier clock;
   private final SharingNodes sharing;
 
   private double share;
+  private double savedShare;
   private double fleetReserve;
   private long windowNanos;
+  private RecentRequests recentRequests;
+
+  /** Negative by as much of the share as is saved. */
   private double spentBeyondShare;
+
   private int reserved;
   private int awaited;
 
   private ResendBudget(LongSupplier clock, SharingNodes sharing) {
     this.clock = checkNotNull(clock);
     this.sharing = checkNotNull(sharing);
+    recentRequests = RecentRequests.startingAt(windowNanos, clock.getAsLong());
   }
 
   /**
@@ -65,13 +79,18 @@
   void updateLimits(ForwardingLimits limits) {
     checkArgument(limits.retryShare() >= 0, "retryShare is negative: %s", limits.retryShare());
     share = limits.retryShare() * USABLE_SHARE_FRACTION;
+    savedShare = limits.retryShare() * SAVED_SHARE_FRACTION;
     fleetReserve = limits.retryReserve();
-    windowNanos = limits.retryWindow().toNanos();
+    if (windowNanos != limits.retryWindow().toNanos()) {
+      windowNanos = limits.retryWindow().toNanos();
+      recentRequests = RecentRequests.startingAt(windowNanos, clock.getAsLong());
+    }
   }
 
   /** Deposits the share of a new request. */
   void deposit() {
-    spentBeyondShare = Math.max(0, spentBeyondShare - share);
+    recentRequests.record(clock.getAsLong());
+    spentBeyondShare = Math.max(-savable(), spent() - share);
   }
 
   /** Returns whether the budget allows another retry besides those reserved or awaited. */
@@ -84,7 +103,7 @@
     if (!canWithdraw()) {
       return false;
     }
-    spentBeyondShare += 1;
+    spend();
     return true;
   }
 
@@ -130,7 +149,7 @@
   void withdrawReserved() {
     checkState(canWithdrawReserved(), "withdrawal beyond the budget: %s spent", spentBeyondShare);
     releaseReserved();
-    spentBeyondShare += 1;
+    spend();
   }
 
   /** Releases a retry that was reserved. */
@@ -144,12 +163,37 @@
    * retries are released, or because the reserve grows.
    */
   boolean canRecover() {
-    return reservePerNode() * USABLE_RESERVE_FRACTION >= 1
-        && (share > 0 || allows(1) || usableFraction() < USABLE_RESERVE_FRACTION);
+    return canReserveAllow() && (share > 0 || allows(1) || reserveGrows()) || savable() >= 1;
+  }
+
+  /** Returns whether this process does not use its whole part of the reserve yet. */
+  boolean reserveGrows() {
+    return canReserveAllow() && usableFraction() < USABLE_RESERVE_FRACTION;
+  }
+
+  private boolean canReserveAllow() {
+    return reservePerNode() * USABLE_RESERVE_FRACTION >= 1;
   }
 
   private boolean allows(int retries) {
-    return spentBeyondShare + retries <= reservePerNode() * usableFraction();
+    return spent() + retries <= usableReserve();
+  }
+
+  private void spend() {
+    spentBeyondShare = spent() + 1;
+  }
+
+  private double spent() {
+    return Math.max(-savable(), spentBeyondShare);
+  }
+
+  /** Returns how much of the share may be saved. */
+  private double savable() {
+    return usableReserve() < 1 ? savedShare * recentRequests.count(clock.getAsLong()) : 0;
+  }
+
+  private double usableReserve() {
+    return reservePerNode() * usableFraction();
   }
 
   private double usableFraction() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendQueue.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendQueue.java
@@ -16,14 +16,15 @@
  * <p>Streams are ordered by priority and arrival. No other request of the service gets a retry
  * while one waits: an interrupted stream is lost if it is refused, a request without any part of a
  * response can be retried by its caller, and a stream that fails over still has an attempt. A
- * stream waits while its caller does, and only if the budget can allow a retry again. Confined to
- * the node's event loop.
+ * stream waits while its caller does, and only if the budget can allow a retry again. While the
+ * reserve of a process that has just started grows, requests without any part of a response wait as
+ * well, behind the streams. Confined to the node's event loop.
  */
 final class ResendQueue {
   /** Interval between polls of the budget. */
   private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
-  /** A waiting stream. */
+  /** A waiting stream or request. */
   interface Waiter {
     /** Called once a retry has been reserved, which the stream must withdraw or release. */
     void granted();
@@ -34,10 +35,17 @@
     /** Returns until when the stream may wait, in nanoseconds of the executor's clock. */
     long waitsUntil();
 
+    /** Returns whether the caller has received a part of the response. */
+    boolean isInterrupted();
+
     /** Returns the priority; 0 is the most urgent. */
     int priority();
   }
 
+  private static final Comparator<Waiter> ORDER =
+      Comparator.comparing(Waiter::isInterrupted, Comparator.reverseOrder())
+          .thenComparingInt(Waiter::priority);
+
   private final Executor clock;
   private final ResendBudget budget;
 
@@ -91,7 +99,7 @@
   }
 
   private ImmutableList<Waiter> ordered() {
-    return ImmutableList.sortedCopyOf(Comparator.comparingInt(Waiter::priority), waiters);
+    return ImmutableList.sortedCopyOf(ORDER, waiters);
   }
 
   private long now() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/NodeLease.java
@@ -5,14 +5,17 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.servicetalk.concurrent.Executor;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -119,6 +122,12 @@
 
   private OptionalLong countedSince = OptionalLong.empty();
 
+  /** Boxes that have shown, since this run's entry was listed, that they list this box. */
+  private final Set<String> listedBy = new HashSet<>();
+
+  /** When the list last lost an entry; empty if it has not. */
+  private OptionalLong lastRemovalAt = OptionalLong.empty();
+
   /** Live nodes before the outage: the number of nodes that may have to rewrite their entries. */
   private int nodesBeforeOutage = 1;
 
@@ -279,6 +288,56 @@
     return countedSince;
   }
 
+  /**
+   * Records a report of a peer. Peers report only to boxes that they list, so the peer counts this
+   * one.
+   *
+   * @param box the peer's box
+   */
+  public void recordReportOf(String box) {
+    if (listedSince.isPresent() && countedSince.isEmpty() && listedBy.add(box)) {
+      countIfAllReported();
+    }
+  }
+
+  /**
+   * Records that the others count this box if all of them have reported to it. The list is newer
+   * than this run's entry, so it shows each node that was listed before; those that are listed
+   * later read this run's entry with their own. A node that is cut off from the store stops
+   * forwarding before its entry expires. If entries were lost otherwise, those who lost them write
+   * them again while the reserve that this run may use is still small.
+   */
+  private void countIfAllReported() {
+    if (storeAway || listedSince.isEmpty() || countedSince.isPresent()) {
+      return;
+    }
+    ImmutableSet<String> others = otherBoxes();
+    if (others.isEmpty() ? !hasLostEntriesLately() : listedBy.containsAll(others)) {
+      recordCounted(others.isEmpty() ? "alone" : "reports");
+    }
+  }
+
+  /** Returns the other boxes that are listed, or were until lately. */
+  private ImmutableSet<String> otherBoxes() {
+    String own = boxOf(NODES_PREFIX + node);
+    return Stream.concat(
+            nodes.keySet().stream().map(NodeLease::boxOf),
+            sharingPeers().stream().map(peer -> NODES_PREFIX + peer.box()))
+        .filter(box -> !box.equals(own))
+        .map(box -> box.substring(NODES_PREFIX.length()))
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  private boolean hasLostEntriesLately() {
+    return lastRemovalAt.isPresent()
+        && upToDateAt - lastRemovalAt.getAsLong() < UNLISTED_GRACE_PERIOD.toNanos();
+  }
+
+  private void forgetOwnListing() {
+    listedSince = OptionalLong.empty();
+    listedBy.clear();
+  }
+
   private void recordListed() {
     if (listedSince.isEmpty()) {
       long now = clock.currentTime(NANOSECONDS);
@@ -327,6 +386,10 @@
                     && boxOf(name).equals(boxOf(NODES_PREFIX + node)));
   }
 
+  private void recordRemoval() {
+    lastRemovalAt = OptionalLong.of(clock.currentTime(NANOSECONDS));
+  }
+
   private void recordUnlisted(Peer peer) {
     unlisted.put(peer.box(), new Unlisted(peer, clock.currentTime(NANOSECONDS)));
   }
@@ -461,6 +524,7 @@
       unlisted.replaceAll((box, node) -> new Unlisted(node.peer(), upToDateAt));
     }
     countIfInAllLists();
+    countIfAllReported();
   }
 
   @Override
@@ -479,7 +543,7 @@
   public void newEra(long era) {
     String cause = "the store was restored from a backup";
     node = run + ERA_SEPARATOR + era;
-    listedSince = OptionalLong.empty();
+    forgetOwnListing();
     entryCreatedAt = Optional.empty();
     entryExisted = false;
     nodesBeforeOutage = liveNodes;
@@ -494,14 +558,18 @@
   @Override
   public void replace(ImmutableList<StoredItem> items) {
     loaded = true;
+    ImmutableSet<String> before = ImmutableSet.copyOf(nodes.keySet());
     nodes.values().forEach(peer -> peer.ifPresent(this::recordUnlisted));
     nodes.clear();
     peers = Optional.empty();
     controllerPresent = false;
     items.forEach(item -> apply(item, false));
     countNodes();
+    if (!nodes.keySet().containsAll(before)) {
+      recordRemoval();
+    }
     if (!nodes.containsKey(NODES_PREFIX + node)) {
-      listedSince = OptionalLong.empty();
+      forgetOwnListing();
     }
     countIfListedWithoutGap();
     if (!controllerPresent) {
@@ -527,6 +595,7 @@
       if (removed) {
         nodes.getOrDefault(name, Optional.empty()).ifPresent(this::recordUnlisted);
         nodes.remove(name);
+        recordRemoval();
         handleOwnEntryRemoval(name, item.changedAt());
       } else {
         nodes.put(name, parsePeer(item));
@@ -543,7 +612,7 @@
   private void handleOwnEntryRemoval(String name, StorePosition removedAt) {
     boolean own = name.equals(NODES_PREFIX + node);
     if (own) {
-      listedSince = OptionalLong.empty();
+      forgetOwnListing();
     }
     boolean removedSince = entryCreatedAt.isPresent() && removedAt.isAfter(entryCreatedAt.get());
     if (own && (entryExisted || removedSince)) {
