--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -72,6 +72,7 @@
   private final RequestQuarantine quarantine;
   private final Failover failover;
   private final PathRepairs repairs;
+  private final ResendPolicy policy;
   private final PendingResend resend;
 
   /** The current attempt, if one is in progress. */
@@ -81,7 +82,6 @@
   private final PreviousAttempts previous = new PreviousAttempts();
 
   private Optional<TrackedEndpoint> lastSentTo = Optional.empty();
-  private int sends;
 
   /** All attempts apart from the current one. */
   private final PastAttempts past = new PastAttempts();
@@ -133,6 +133,9 @@
     this.startedAt = now();
     this.deadlines = CallerDeadlines.of(route, request.callerTimeout(), startedAt);
     this.deadline = deadlines.deadline();
+    this.policy =
+        new ResendPolicy(
+            context, route, incomingHop.isPresent(), quarantine, peerSends, past, deadline);
     this.metrics = new ResponseMetrics(context.counters(), route.kind().streamed(), startedAt);
   }
 
@@ -284,7 +287,7 @@
   }
 
   private void send() {
-    sends++;
+    policy.recordSent();
     quarantine.recordSent();
     RunningAttempt running = new RunningAttempt(selector.target(), now());
     attempt = Optional.of(running);
@@ -299,7 +302,7 @@
             splitter.lastId(),
             continuesResponse() ? MOST_URGENT : priority.engineLevel(),
             peerSends.hopTo(running.endpoint(), headSent));
-    ForwardLog.sent(request, sent, sends);
+    ForwardLog.sent(request, sent, policy.sends());
     progress.attemptStarted(headSent);
     EndpointTransport transport =
         running.endpoint().isPeer() ? context.peers().transport() : context.transport();
@@ -414,7 +417,7 @@
     if (running.recordPart(now(), bytes) && !running.endpoint().isPeer()) {
       quarantine.recordSurvival();
     }
-    if (!firstPartReceived && sends == 1) {
+    if (!firstPartReceived && policy.sends() == 1) {
       queue.recordFirstPartTime(now() - running.sentAt());
     }
     firstPartReceived = true;
@@ -526,7 +529,7 @@
   }
 
   private void serverError(ResponseHead head, RunningAttempt running) {
-    boolean retry = !headSent && resendDenial(Verdict.RAN, countedRuns(running)).isEmpty();
+    boolean retry = !headSent && policy.denialAfterFailure(running).isEmpty();
     if (retry || headSent || !previous.isEmpty()) {
       running.discard();
       attemptEnded(Verdict.RAN, AttemptFailure.ENDPOINT_ERROR, "status " + head.status());
@@ -669,7 +672,7 @@
   /** Sends a request again that reached no endpoint, so that it needs no retry budget. */
   private void sendElsewhere(String triedAt, AttemptFailure failure, String detail) {
     peerSends.recordUncounted();
-    Optional<ResendDenial> denial = denial(Verdict.NOT_RUN, past.countedRuns());
+    Optional<ResendDenial> denial = policy.denial(Verdict.NOT_RUN, Optional.empty(), headSent);
     if (denial.isPresent()) {
       giveUp(Verdict.NOT_RUN, denial.get(), failure.code() + ": " + detail);
       return;
@@ -682,7 +685,7 @@
   private final class ResendCallbacks implements PendingResend.Callbacks {
     @Override
     public Optional<ResendDenial> denial(Verdict verdict) {
-      return ForwardedRequest.this.denial(verdict, past.countedRuns());
+      return policy.denial(verdict, Optional.empty(), headSent);
     }
 
     @Override
@@ -742,36 +745,8 @@
 
   private void logSentAgain(String triedAt, AttemptFailure failure, String detail) {
     long millis = NANOSECONDS.toMillis(now() - startedAt);
-    ForwardLog.sentAgain(request, failure, sends, triedAt, millis, detail, context.counters());
-  }
-
-  /** Returns why the request may not be sent again, regardless of retry budget and capacity. */
-  private Optional<ResendDenial> denial(Verdict verdict, int runsSoFar) {
-    if (headSent && !(route.kind().idempotent() && route.kind().streamed())) {
-      return Optional.of(ResendDenial.NOT_RESUMABLE);
-    }
-    if (quarantine.isQuarantined()) {
-      return Optional.of(ResendDenial.QUARANTINED);
-    }
-    return resendDenial(verdict, runsSoFar);
-  }
-
-  /** Returns the number of runs that count if an attempt is counted as well. */
-  private int countedRuns(RunningAttempt running) {
-    return past.countedRuns() + (running.hasEndpointEnded() ? 0 : 1);
-  }
-
-  private Optional<ResendDenial> resendDenial(Verdict verdict, int runsSoFar) {
-    if (now() >= deadline) {
-      return Optional.of(ResendDenial.DEADLINE_EXCEEDED);
-    }
-    if (peerSends.isExhausted()) {
-      return Optional.of(ResendDenial.SENDS_EXHAUSTED);
-    }
-    // What a peer runs is repeated by the node that forwarded it, if at all.
-    int attempts = incomingHop.isPresent() ? 1 : route.attempts();
-    int counted = sends - peerSends.uncounted();
-    return ResendRule.denial(route.kind(), verdict, runsSoFar, attempts, counted);
+    ForwardLog.sentAgain(
+        request, failure, policy.sends(), triedAt, millis, detail, context.counters());
   }
 
   private void giveUp(Verdict lastVerdict, ResendDenial denial, String detail) {
@@ -782,29 +757,20 @@
       response.abort();
       return;
     }
-    Refusal refusal;
-    if (!past.mayHaveRun() && lastVerdict == Verdict.NOT_RUN) {
-      Reason reason =
-          denial == ResendDenial.NO_CAPACITY ? Reason.NO_ENDPOINT : Reason.ENDPOINT_OVERLOADED;
-      refusal = notRun(reason, detail);
-    } else {
-      boolean answered = past.lastFailure() == AttemptFailure.UNPROVEN_REFUSAL;
-      Reason reason = answered ? Reason.UNPROVEN_REFUSAL : Reason.ENDPOINT_LOST;
-      refusal = Refusal.mayHaveRun(reason, detail);
-    }
+    Refusal refusal = past.refusal(lastVerdict, denial, detail, this::retryAfter);
     close();
     refuse(refusal);
   }
 
   private Refusal notRun(Reason reason, String detail) {
-    return Refusal.notRun(past.notRunProof(), reason, detail).withRetryAfter(retryAfter());
+    return past.notRun(reason, detail, this::retryAfter);
   }
 
   private RequestProgress requestProgress() {
-    long progressAt = sends == 0 ? startedAt : progress.lastProgress();
+    long progressAt = policy.sends() == 0 ? startedAt : progress.lastProgress();
     return new RequestProgress(
         lastSentTo,
-        sends,
+        policy.sends(),
         Duration.ofNanos(now() - startedAt),
         Duration.ofNanos(now() - progressAt));
   }
@@ -1071,9 +1037,11 @@
   }
 
   private Optional<ResendDenial> denialIfAbandoned() {
-    Verdict verdict = running().verdictIfAbandoned();
-    int counted = verdict == Verdict.NOT_RUN ? past.countedRuns() : countedRuns(running());
-    Optional<ResendDenial> denial = denial(verdict, counted);
+    Optional<ResendDenial> denial =
+        policy.denial(
+            running().verdictIfAbandoned(),
+            attempt.filter(RunningAttempt::mayHaveArrived),
+            headSent);
     boolean exhausted = running().mayHaveArrived() && !budget.canWithdraw();
     return denial.isEmpty() && exhausted ? Optional.of(ResendDenial.BUDGET_EXHAUSTED) : denial;
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PastAttempts.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PastAttempts.java
@@ -1,8 +1,15 @@
 package org.vaneworks.coordination.forwarding;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.vaneworks.state.NotRunProof;
+import org.vaneworks.state.Reason;
+import org.vaneworks.state.Refusal;
+import org.vaneworks.state.Verdict;
 
 /**
  * The attempts of a request that have ended, or that others replace. Confined to the node's event
@@ -33,9 +40,14 @@
   /**
    * Returns the number of runs that count towards the attempts of the route: those at endpoints
    * whose process is not known to have ended.
+   *
+   * @param running an attempt that counts as well
    */
-  int countedRuns() {
-    return (int) runs.stream().filter(run -> !run.hasEndpointEnded()).count();
+  int countedRuns(Optional<RunningAttempt> running) {
+    return (int)
+        Stream.concat(runs.stream(), running.stream())
+            .filter(run -> !run.hasEndpointEnded())
+            .count();
   }
 
   /** Records why an attempt ended. */
@@ -49,8 +61,27 @@
     return lastFailure;
   }
 
-  /** Returns the evidence that the request has not run; it must not have. */
-  NotRunProof notRunProof() {
-    return rejected ? NotRunProof.ENDPOINT_REFUSED : NotRunProof.NOTHING_SENT;
+  /**
+   * Returns the answer to a caller that has no part of a response, if the request is not sent
+   * again.
+   *
+   * @param lastVerdict whether the latest attempt ran
+   * @param retryAfter asked only if the request has not run
+   */
+  Refusal refusal(
+      Verdict lastVerdict, ResendDenial denial, String detail, Supplier<Duration> retryAfter) {
+    if (!mayHaveRun() && lastVerdict == Verdict.NOT_RUN) {
+      boolean noCapacity = denial == ResendDenial.NO_CAPACITY;
+      return notRun(
+          noCapacity ? Reason.NO_ENDPOINT : Reason.ENDPOINT_OVERLOADED, detail, retryAfter);
+    }
+    boolean answered = lastFailure == AttemptFailure.UNPROVEN_REFUSAL;
+    return Refusal.mayHaveRun(answered ? Reason.UNPROVEN_REFUSAL : Reason.ENDPOINT_LOST, detail);
+  }
+
+  /** Returns the refusal of a request that has not run. */
+  Refusal notRun(Reason reason, String detail, Supplier<Duration> retryAfter) {
+    NotRunProof proof = rejected ? NotRunProof.ENDPOINT_REFUSED : NotRunProof.NOTHING_SENT;
+    return Refusal.notRun(proof, reason, detail).withRetryAfter(retryAfter.get());
   }
 }
--- /dev/null
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendPolicy.java
@@ -0,0 +1,103 @@
+package org.vaneworks.coordination.forwarding;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import java.util.Optional;
+import org.vaneworks.state.Verdict;
+import org.vaneworks.state.entry.EntryRoute;
+
+/**
+ * Decides whether one request may be sent again, regardless of retry budget and capacity.
+ *
+ * <p>Confined to the node's event loop.
+ */
+final class ResendPolicy {
+  private final ForwardContext context;
+  private final EntryRoute route;
+  private final boolean sentByPeer;
+  private final RequestQuarantine quarantine;
+  private final PeerSends peerSends;
+  private final PastAttempts past;
+  private final long deadline;
+  private int sends;
+
+  /**
+   * Creates the policy of a request that was not sent yet.
+   *
+   * @param sentByPeer whether a peer forwarded the request to this node
+   * @param past the attempts of the request apart from the current one
+   * @param deadline in nanoseconds of the executor's clock
+   */
+  ResendPolicy(
+      ForwardContext context,
+      EntryRoute route,
+      boolean sentByPeer,
+      RequestQuarantine quarantine,
+      PeerSends peerSends,
+      PastAttempts past,
+      long deadline) {
+    this.context = checkNotNull(context);
+    this.route = checkNotNull(route);
+    this.sentByPeer = sentByPeer;
+    this.quarantine = checkNotNull(quarantine);
+    this.peerSends = checkNotNull(peerSends);
+    this.past = checkNotNull(past);
+    this.deadline = deadline;
+  }
+
+  /** Records that the request is sent. */
+  void recordSent() {
+    sends++;
+  }
+
+  /** Returns the number of sends so far. */
+  int sends() {
+    return sends;
+  }
+
+  /**
+   * Returns why the request may not be sent again, empty if it may.
+   *
+   * @param verdict whether the last send ran
+   * @param running an attempt that counts as well
+   * @param headSent whether the caller has a part of the response
+   */
+  Optional<ResendDenial> denial(
+      Verdict verdict, Optional<RunningAttempt> running, boolean headSent) {
+    if (headSent && !(route.kind().idempotent() && route.kind().streamed())) {
+      return Optional.of(ResendDenial.NOT_RESUMABLE);
+    }
+    if (quarantine.isQuarantined()) {
+      return Optional.of(ResendDenial.QUARANTINED);
+    }
+    return limitReached(verdict, running);
+  }
+
+  /**
+   * Returns why a request that an endpoint answered with a failure may not be sent again instead.
+   */
+  Optional<ResendDenial> denialAfterFailure(RunningAttempt failed) {
+    return limitReached(Verdict.RAN, Optional.of(failed));
+  }
+
+  private Optional<ResendDenial> limitReached(Verdict verdict, Optional<RunningAttempt> running) {
+    if (context.clock().currentTime(NANOSECONDS) >= deadline) {
+      return Optional.of(ResendDenial.DEADLINE_EXCEEDED);
+    }
+    if (peerSends.isExhausted()) {
+      return Optional.of(ResendDenial.SENDS_EXHAUSTED);
+    }
+    return ResendRule.denial(
+        route.kind(),
+        verdict,
+        past.countedRuns(running),
+        attempts(),
+        sends - peerSends.uncounted());
+  }
+
+  /** What a peer runs is repeated by the node that forwarded it, if at all. */
+  private int attempts() {
+    return sentByPeer ? 1 : route.attempts();
+  }
+}
