--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.vaneworks.coordination.fleet.ConnectionRefusedException;
 import org.vaneworks.coordination.fleet.RequestSchedule;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.coordination.forwarding.Failover.Trigger;
@@ -34,17 +33,10 @@
  * the node's event loop.
  */
 final class ForwardedRequest implements CallerResponse.Listener {
-  /**
-   * Time for which an endpoint gets no new requests after it refused a connection, and a plain
-   * endpoint also after its connection failed.
-   */
-  private static final Duration FAILED_ENDPOINT_PAUSE = Duration.ofMillis(500);
-
   /** Level for engines of a response that continues, which is lost if it waits. */
   private static final int MOST_URGENT = 0;
 
   private static final int SERVER_ERROR = 500;
-  private static final int MISDIRECTED = 421;
 
   private final ForwardContext context;
   private final EntryRoute route;
@@ -70,6 +62,7 @@
   private final CapacityQueue.Waiter waiter = new QueueWaiter();
   private final EventSplitter splitter = new EventSplitter();
   private final RequestQuarantine quarantine;
+  private final EndpointObservations observations;
   private final Failover failover;
   private final PathRepairs repairs;
   private final ResendPolicy policy;
@@ -125,6 +118,7 @@
             incomingHop.isEmpty() ? Optional.of(peerSends) : Optional.empty());
     this.quarantine =
         new RequestQuarantine(context, request, service, caller.map(Caller::workspace));
+    this.observations = new EndpointObservations(context, selector, quarantine);
     this.queue = context.queues().of(service);
     this.progress = new ProgressMonitor(context, selector, route.pauseObjective(), this::onStall);
     this.failover = new Failover(context.clock(), new FailoverCallbacks());
@@ -328,7 +322,7 @@
 
     @Override
     public void head(ResponseHead head) {
-      recordSignal(head, running.endpoint());
+      observations.recordSignal(head, running.endpoint());
       running.recordHead(isStream(head), head.success());
       if (head.matches() && !head.notRun()) {
         running.endpoint().recordAcceptance(running.sentAt(), now());
@@ -425,13 +419,6 @@
     metrics.recordPart(now());
   }
 
-  /** Records the endpoint's signals, unless another endpoint may have responded in its place. */
-  private void recordSignal(ResponseHead head, TrackedEndpoint endpoint) {
-    if (!endpoint.isPeer() && head.matches() && head.status() != MISDIRECTED) {
-      context.fleet().signals().recordAnswer(endpoint, head.signal());
-    }
-  }
-
   private void head(ResponseHead head, RunningAttempt running) {
     if (head.peerRefusal().isPresent()) {
       running.discard();
@@ -619,11 +606,7 @@
     if (!neverSent) {
       recordLoss(endpoint);
     }
-    recordFailure(cause, endpoint);
-    boolean replicaFails = !selector.runsOnEngines() && (endpoint.recordFailure() > 1 || neverSent);
-    if (replicaFails || cause instanceof ConnectionRefusedException) {
-      endpoint.avoidUntil(now() + FAILED_ENDPOINT_PAUSE.toNanos());
-    }
+    observations.recordFailure(neverSent, cause, endpoint);
     attemptFailed(neverSent, cause);
   }
 
@@ -634,23 +617,6 @@
         String.valueOf(cause));
   }
 
-  private void recordFailure(Throwable cause, TrackedEndpoint endpoint) {
-    if (endpoint.isPeer()) {
-      return;
-    }
-    if (cause instanceof ConnectionRefusedException) {
-      context.reachability().recordRefused(endpoint);
-      context
-          .reachability()
-          .unlessIsolated(() -> context.fleet().recordConnectionRefused(endpoint));
-    } else {
-      context.reachability().recordUnanswered(endpoint);
-    }
-    if (selector.runsOnEngines()) {
-      context.health().checkAfterDisconnect(endpoint);
-    }
-  }
-
   /** Retries or fails the request after an attempt that ended without a complete response. */
   private void attemptEnded(Verdict verdict, AttemptFailure failure, String cause) {
     boolean viaPeer = selector.target().isPeer();
@@ -1155,7 +1121,7 @@
   private void abandon(PreviousAttempt abandoned) {
     boolean superseded = abandoned.trigger().failure() == AttemptFailure.SUPERSEDED;
     if (abandoned.attempt().mayHaveArrived() && !superseded) {
-      recordLoss(abandoned.attempt(), abandoned.attempt().endpoint());
+      observations.recordLoss(abandoned.attempt(), abandoned.attempt().endpoint());
     }
     cancel(abandoned);
   }
@@ -1199,10 +1165,10 @@
   }
 
   private void previousFailed(RunningAttempt failed, Throwable cause) {
-    recordLoss(failed, failed.endpoint());
+    observations.recordLoss(failed, failed.endpoint());
     cancel(previous.remove(failed));
     selector.recordFailure(failed.endpoint());
-    recordFailure(cause, failed.endpoint());
+    observations.recordDisconnect(cause, failed.endpoint());
   }
 
   private boolean isPrevious(RunningAttempt candidate) {
@@ -1316,17 +1282,7 @@
   }
 
   private void recordLoss(TrackedEndpoint endpoint) {
-    recordLoss(running(), endpoint);
-  }
-
-  /** Records the loss of an endpoint that has the attempt or is on its path. */
-  private void recordLoss(RunningAttempt affected, TrackedEndpoint endpoint) {
-    if (endpoint.isPeer() || context.reachability().isIsolated()) {
-      return;
-    }
-    long now = now();
-    Duration sinceSent = Duration.ofNanos(now - affected.sentAt());
-    quarantine.recordLoss(endpoint, sinceSent, affected.sinceFirstPart(now));
+    observations.recordLoss(running(), endpoint);
   }
 
   /** Called when requests with a trait are quarantined: refuses this one if it is waiting. */
