An interrupted stream may return to the engines that had it

What callers saw: a stream whose engine was suspected got a second engine; one of the two delivered and the other was left. When the delivering one broke off later, the stream was cut (VW4003, attempts-used), although the engine that was left lived.

Cause: the route's attempts bound the endpoints on which a request runs, and the node compared them with the number of runs. A run at an endpoint that had the request adds none.

Change: for a resumable stream of which the caller has a part, PastAttempts counts distinct endpoints whose process is not known to have ended, by ID, as of the incarnations of an endpoint one runs at a time. Once they are as many as the attempts, the stream may be sent to exactly these (EndpointFilter), rather not to the one that failed last; on a path this is the first engine (PathPlanner). It looks for them outside of the capacity queue, as requests behind it could start at other engines, until resumableUntil; if one of them ends, other engines open up. Where only the engine that failed last is left, it is first awaited for 100 ms whether that engine crashed. A stalled stream may return as well, but not to an engine that broke it off while its own may go on. Each run at a peer counts, and a peer gets no restricted stream. Unchanged: six sends, retry budget, quarantine, deadlines, attempts of other requests, what a peer runs for another node, events that are too long.

No run with real processes.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -322,6 +322,7 @@
         3,
         List.of(
             route("/stream/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 2),
+            route("/single/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 1),
             route("/thrice/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 3),
             route("/patient/", CallKind.RESUMABLE_STREAM, MODEL, 20_000, 2, 2000),
             route("/once/", CallKind.STREAM, MODEL, 20_000, 2),
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/LongEventTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/LongEventTest.java
@@ -55,6 +55,19 @@
     assertTrue(response.cut, "cut");
   }
 
+  // Guards against reading an event without an end again from an engine that sent it.
+  @Test
+  void streamDoesNotReturnForEventOverTheLimit() {
+    node.engine(1, 0, 80);
+    RecordedResponse response = node.request("/single/x");
+    SentAttempt attempt = node.lastAttempt();
+    attempt.head(200);
+    sendPieces(attempt, ALLOWED_PIECES + 1);
+    node.advance(200);
+    assertTrue(response.cut, "cut");
+    assertEquals(1, node.sent.size(), "sends");
+  }
+
   // Guards against a long event that is cut although it ends within the limit.
   @Test
   void eventWithinTheLimitIsPassedOn() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/EndpointSelector.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.vaneworks.coordination.fleet.CallPurpose;
 import org.vaneworks.coordination.fleet.RequestSchedule;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
@@ -156,11 +158,9 @@
   /**
    * Selects an endpoint in place of the present one. Returns false, without any change, if none has
    * capacity now.
-   *
-   * @param inUse endpoints of other attempts, which are not selected
    */
-  boolean select(ImmutableSet<TrackedEndpoint> inUse) {
-    Optional<Selection> next = findReachable(inUse);
+  boolean select(EndpointFilter filter) {
+    Optional<Selection> next = findReachable(filter);
     if (next.isPresent()) {
       release();
       assign(next.get());
@@ -171,12 +171,10 @@
   /**
    * Selects another endpoint and keeps the reservation at the present one, whose selection is
    * returned. Returns empty, without any change, if no other endpoint has capacity now.
-   *
-   * @param inUse endpoints that are not selected, apart from the present one
    */
-  Optional<Selection> selectAdditional(ImmutableSet<TrackedEndpoint> inUse) {
+  Optional<Selection> selectAdditional(EndpointFilter filter) {
     Selection previous = present();
-    Optional<Selection> next = findReachable(Sets.union(inUse, ImmutableSet.of(target())));
+    Optional<Selection> next = findReachable(elsewhere(filter));
     next.ifPresent(this::assign);
     return next.map(selection -> previous);
   }
@@ -198,6 +196,28 @@
     links = previous.links();
   }
 
+  /**
+   * Returns whether the request may be sent to one of the allowed endpoints beside the present one.
+   *
+   * @param mayContinue whether the present attempt may continue, for which no endpoint that failed
+   *     is selected
+   */
+  boolean isAnyUsableElsewhere(EndpointFilter filter, boolean mayContinue) {
+    EndpointFilter others =
+        mayContinue ? elsewhere(filter) : filter.excluding(ImmutableSet.of(target()));
+    return !context.reachability().isIsolated() && isAnyUsable(others);
+  }
+
+  /** Returns whether one of the allowed endpoints may get new work, capacity aside. */
+  boolean isAnyUsable(EndpointFilter filter) {
+    return context.fleet().usable(service).stream().anyMatch(filter::allows);
+  }
+
+  private EndpointFilter elsewhere(EndpointFilter filter) {
+    EndpointFilter others = filter.excluding(ImmutableSet.of(target()));
+    return filter.isRestricted() ? others.excluding(failed) : others;
+  }
+
   private Selection present() {
     return new Selection(target(), path, links);
   }
@@ -206,23 +226,29 @@
    * Finds an endpoint, or a peer if this node reaches too few endpoints; nothing while it is
    * checked whether it is isolated, or which peers take requests, as attempts would be wasted.
    */
-  private Optional<Selection> findReachable(Set<TrackedEndpoint> inUse) {
+  private Optional<Selection> findReachable(EndpointFilter filter) {
+    ImmutableSet<TrackedEndpoint> inUse = filter.excluded();
     if (context.reachability().isChecking()) {
       return Optional.empty();
     }
     if (context.reachability().isIsolated() && isAnyPeerAvailable(inUse)) {
-      return findPeer(inUse);
+      return findPeer(filter);
     }
     if (context.reachability().isIsolatedBySilence()) {
       return Optional.empty();
     }
+    if (filter.isRestricted()) {
+      return findAllowed(filter);
+    }
     Optional<Selection> direct = inUse.isEmpty() ? find() : findElsewhere(inUse);
-    return direct.isEmpty() && isServiceLost() ? findPeer(inUse) : direct;
+    return direct.isEmpty() && isServiceLost() ? findPeer(filter) : direct;
   }
 
-  private Optional<Selection> findPeer(Set<TrackedEndpoint> inUse) {
+  /** Finds a peer; none for a restricted request, as it is unknown which endpoint a peer uses. */
+  private Optional<Selection> findPeer(EndpointFilter filter) {
     return peerSends
-        .flatMap(sends -> context.peers().select(sends.excluded(inUse)))
+        .filter(sends -> !filter.isRestricted())
+        .flatMap(sends -> context.peers().select(sends.excluded(filter.excluded())))
         .map(Selection::of);
   }
 
@@ -240,9 +266,30 @@
         && context.fleet().listsAllLayers(service, model.get().layers());
   }
 
+  /** Finds one of the allowed endpoints, preferably one that did not fail, or did not fail last. */
+  private Optional<Selection> findAllowed(EndpointFilter filter) {
+    if (!isAnyUsable(filter)) {
+      return Optional.empty();
+    }
+    return Stream.of(filter.excluding(failed), filter.excludingLastTried(), filter)
+        .map(this::findFirst)
+        .flatMap(Optional::stream)
+        .findFirst();
+  }
+
+  private Optional<Selection> findFirst(EndpointFilter filter) {
+    if (model.isEmpty()) {
+      return chooseReplica(filter::allows).map(Selection::of);
+    }
+    return context
+        .planner()
+        .plan(query(), usable(filter.excluded().asList()), filter::allows)
+        .map(Selection::of);
+  }
+
   private Optional<Selection> find() {
     if (model.isEmpty()) {
-      return chooseReplica().map(Selection::of);
+      return chooseReplica(replica -> true).map(Selection::of);
     }
     Optional<EnginePath> next =
         context.planner().plan(query(), usable(ImmutableList.copyOf(failed)));
@@ -458,19 +505,25 @@
   }
 
   /** Returns the replica at which the request is expected to be answered first. */
-  private Optional<TrackedEndpoint> chooseReplica() {
-    ImmutableList<TrackedEndpoint> replicas = context.fleet().usable(service);
-    ImmutableList<ReplicaChoice.Candidate> candidates =
-        replicas.stream().map(this::candidate).collect(ImmutableList.toImmutableList());
-    ReplicaChoice choice = ReplicaChoice.among(candidates);
-    for (int i = 0; i < replicas.size(); i++) {
-      replicas.get(i).setReplicaSlowness(choice.slownessToReport(i));
+  private Optional<TrackedEndpoint> chooseReplica(Predicate<TrackedEndpoint> allowed) {
+    ImmutableList<TrackedEndpoint> all = context.fleet().usable(service);
+    ReplicaChoice amongAll = choiceAmong(all);
+    for (int i = 0; i < all.size(); i++) {
+      all.get(i).setReplicaSlowness(amongAll.slownessToReport(i));
     }
+    ImmutableList<TrackedEndpoint> replicas =
+        all.stream().filter(allowed).collect(ImmutableList.toImmutableList());
+    ReplicaChoice choice = replicas.size() == all.size() ? amongAll : choiceAmong(replicas);
     double peers = replicas.stream().mapToDouble(TrackedEndpoint::similarPeers).max().orElse(0);
     OptionalInt chosen = choice.choose(peers, now(), context.random());
     return chosen.isPresent() ? Optional.of(replicas.get(chosen.getAsInt())) : Optional.empty();
   }
 
+  private ReplicaChoice choiceAmong(ImmutableList<TrackedEndpoint> replicas) {
+    return ReplicaChoice.among(
+        replicas.stream().map(this::candidate).collect(ImmutableList.toImmutableList()));
+  }
+
   private ReplicaChoice.Candidate candidate(TrackedEndpoint replica) {
     boolean connected = context.transport().hasIdleConnection(replica.address());
     return ReplicaChoice.Candidate.of(replica, tried.contains(replica), connected, now());
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -272,7 +272,7 @@
   }
 
   private boolean startAttempt() {
-    if (!resend.maySend() || !selector.select(previous.endpoints())) {
+    if (!resend.maySend() || !selector.select(eligible())) {
       return false;
     }
     resend.sent();
@@ -664,6 +664,16 @@
       return continuesResponse();
     }
 
+    @Override
+    public boolean mayOnlyReturn() {
+      return ForwardedRequest.this.mayOnlyReturn();
+    }
+
+    @Override
+    public boolean mayOnlyReturnToLast() {
+      return mayOnlyReturn() && !selector.isAnyUsable(eligible().excludingLastTried());
+    }
+
     @Override
     public boolean isOneCrashFromQuarantine() {
       return quarantine.isOneCrashFromQuarantine();
@@ -689,6 +699,11 @@
       ForwardedRequest.this.acquireEndpoint();
     }
 
+    @Override
+    public boolean sendNow() {
+      return startAttempt();
+    }
+
     @Override
     public void denied(EndedAttempt ended, ResendDenial denial) {
       giveUp(ended.verdict(), denial, ended.failure().code() + ": " + ended.cause());
@@ -988,7 +1003,11 @@
 
     @Override
     public void acquireEndpoint() {
-      ForwardedRequest.this.acquireEndpoint();
+      if (!mayOnlyReturn()) {
+        ForwardedRequest.this.acquireEndpoint();
+      } else if (!failOver()) {
+        failover.capacityRefused();
+      }
     }
 
     @Override
@@ -1008,8 +1027,25 @@
             running().verdictIfAbandoned(),
             attempt.filter(RunningAttempt::mayHaveArrived),
             headSent);
-    boolean exhausted = running().mayHaveArrived() && !budget.canWithdraw();
-    return denial.isEmpty() && exhausted ? Optional.of(ResendDenial.BUDGET_EXHAUSTED) : denial;
+    if (denial.isPresent()) {
+      return denial;
+    }
+    boolean arrived = running().mayHaveArrived();
+    if (mayOnlyReturn() && !selector.isAnyUsableElsewhere(eligible(), arrived)) {
+      return Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED);
+    }
+    boolean exhausted = arrived && !budget.canWithdraw();
+    return exhausted ? Optional.of(ResendDenial.BUDGET_EXHAUSTED) : Optional.empty();
+  }
+
+  /** Returns the endpoints to which the request may be sent, beside those of other attempts. */
+  private EndpointFilter eligible() {
+    return policy.eligible(
+        previous.endpoints(), attempt.filter(RunningAttempt::mayHaveArrived), headSent);
+  }
+
+  private boolean mayOnlyReturn() {
+    return eligible().isRestricted();
   }
 
   /** Replaces the attempt by one at another endpoint, if one has capacity now. */
@@ -1032,7 +1068,7 @@
   private boolean replaceAttempt() {
     Trigger trigger = failover.trigger();
     TrackedEndpoint endpoint = selector.target();
-    if (!selector.select(previous.endpoints())) {
+    if (!selector.select(eligible())) {
       return false;
     }
     if (running().mayHaveArrived()) {
@@ -1046,7 +1082,7 @@
 
   /** Starts another attempt elsewhere and keeps the present one, as the new one may be refused. */
   private boolean startConcurrentAttempt() {
-    Optional<EndpointSelector.Selection> present = selector.selectAdditional(previous.endpoints());
+    Optional<EndpointSelector.Selection> present = selector.selectAdditional(eligible());
     if (present.isEmpty()) {
       return false;
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PastAttempts.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PastAttempts.java
@@ -1,11 +1,13 @@
 package org.vaneworks.coordination.forwarding;
 
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.NotRunProof;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
@@ -44,10 +46,41 @@
    * @param running an attempt that counts as well
    */
   int countedRuns(Optional<RunningAttempt> running) {
-    return (int)
-        Stream.concat(runs.stream(), running.stream())
-            .filter(run -> !run.hasEndpointEnded())
-            .count();
+    return (int) counted(running).count();
+  }
+
+  /**
+   * Returns the IDs of the endpoints on which the request ran or may have run and whose process is
+   * not known to have ended; peers are none. Of the incarnations of an endpoint one runs at a time.
+   *
+   * @param running an attempt that counts as well
+   */
+  ImmutableSet<String> endpoints(Optional<RunningAttempt> running) {
+    return counted(running)
+        .map(RunningAttempt::endpoint)
+        .filter(endpoint -> !endpoint.isPeer())
+        .map(endpoint -> endpoint.endpoint().id())
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  /**
+   * Returns the number of endpoints that count towards the attempts of the route. Each run at a
+   * peer counts, as a peer may use another endpoint each time.
+   *
+   * @param running an attempt that counts as well
+   */
+  int countedEndpoints(Optional<RunningAttempt> running) {
+    long atPeers = counted(running).filter(run -> run.endpoint().isPeer()).count();
+    return endpoints(running).size() + (int) atPeers;
+  }
+
+  private Stream<RunningAttempt> counted(Optional<RunningAttempt> running) {
+    return Stream.concat(runs.stream(), running.stream()).filter(run -> !run.hasEndpointEnded());
+  }
+
+  /** Returns the endpoint of the run that ended last. */
+  Optional<TrackedEndpoint> lastEndpoint() {
+    return runs.isEmpty() ? Optional.empty() : Optional.of(runs.get(runs.size() - 1).endpoint());
   }
 
   /** Records why an attempt ended. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
@@ -24,6 +24,9 @@
    */
   static final Duration FAILURE_DETECTION_DELAY = Duration.ofMillis(100);
 
+  /** Interval between polls for an endpoint to which a stream may return. */
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+
   /**
    * An attempt that ended without a complete response.
    *
@@ -54,6 +57,12 @@
     /** Returns whether the caller has received a part of the response. */
     boolean isInterrupted();
 
+    /** Returns whether the request may only be sent to endpoints on which it ran. */
+    boolean mayOnlyReturn();
+
+    /** Returns whether, of those endpoints, none is usable but the one that failed last. */
+    boolean mayOnlyReturnToLast();
+
     /** Returns whether one more crash would quarantine the request. */
     boolean isOneCrashFromQuarantine();
 
@@ -69,6 +78,9 @@
     /** Acquires an endpoint, or waits in the queue for capacity. */
     void acquireEndpoint();
 
+    /** Sends the request if an endpoint has capacity now; returns whether it was sent. */
+    boolean sendNow();
+
     /** Called when the request is not sent again. */
     void denied(EndedAttempt ended, ResendDenial denial);
   }
@@ -96,9 +108,12 @@
       sendUncharged();
       return;
     }
-    boolean exhausted =
-        callbacks.denial(attempt.verdict()).equals(Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED));
-    if (exhausted && callbacks.isInterrupted() && callbacks.runsOnEngines()) {
+    Optional<ResendDenial> denial = callbacks.denial(attempt.verdict());
+    boolean crashMatters =
+        denial.isPresent()
+            ? denial.get() == ResendDenial.ATTEMPTS_EXHAUSTED
+            : callbacks.mayOnlyReturnToLast();
+    if (crashMatters && callbacks.isInterrupted() && callbacks.runsOnEngines()) {
       // If the engine crashed, its run does not count.
       runDelayed(this::awaitBudget);
     } else {
@@ -113,7 +128,29 @@
       callbacks.denied(ended(), denial.get());
     } else {
       callbacks.allowed(ended());
+      acquire();
+    }
+  }
+
+  /**
+   * Acquires an endpoint. A request that may only return to certain ones does not wait in the
+   * queue, where it would hold up requests that others can take.
+   */
+  private void acquire() {
+    if (!callbacks.mayOnlyReturn()) {
       callbacks.acquireEndpoint();
+    } else if (!maySend()) {
+      awaitBudget();
+    } else if (!callbacks.sendNow()) {
+      awaitReturn();
+    }
+  }
+
+  private void awaitReturn() {
+    if (context.clock().currentTime(NANOSECONDS) > callbacks.waitsUntil()) {
+      callbacks.denied(ended(), ResendDenial.ATTEMPTS_EXHAUSTED);
+    } else {
+      timer = context.clock().schedule(this::acquire, POLL_INTERVAL.toNanos(), NANOSECONDS);
     }
   }
 
@@ -179,10 +216,10 @@
     reserved = true;
     callbacks.allowed(ended());
     if (ended().verdict() == Verdict.NOT_RUN || !callbacks.isOneCrashFromQuarantine()) {
-      callbacks.acquireEndpoint();
+      acquire();
     } else {
       // If the endpoint crashed, the request is quarantined and refused in the meantime.
-      runDelayed(callbacks::acquireEndpoint);
+      runDelayed(this::acquire);
     }
   }
 
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendPolicy.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendPolicy.java
@@ -3,12 +3,20 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
+import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.Verdict;
 import org.vaneworks.state.entry.EntryRoute;
 
 /**
- * Decides whether one request may be sent again, regardless of retry budget and capacity.
+ * Decides whether one request may be sent again, and to which endpoints, regardless of retry budget
+ * and capacity.
+ *
+ * <p>The attempts of a route limit the endpoints on which a request runs, apart from those whose
+ * process has ended. A caller that has a part of a stream can't send it again itself, so its stream
+ * may return to endpoints that had it, which adds none. Other requests run at most as often as
+ * their route has attempts.
  *
  * <p>Confined to the node's event loop.
  */
@@ -65,35 +73,63 @@
    */
   Optional<ResendDenial> denial(
       Verdict verdict, Optional<RunningAttempt> running, boolean headSent) {
-    if (headSent && !(route.kind().idempotent() && route.kind().streamed())) {
+    if (headSent && !isResumable()) {
       return Optional.of(ResendDenial.NOT_RESUMABLE);
     }
     if (quarantine.isQuarantined()) {
       return Optional.of(ResendDenial.QUARANTINED);
     }
-    return limitReached(verdict, running);
+    return limitReached(verdict, hasEndpointLeft(running, headSent));
   }
 
   /**
    * Returns why a request that an endpoint answered with a failure may not be sent again instead.
    */
   Optional<ResendDenial> denialAfterFailure(RunningAttempt failed) {
-    return limitReached(Verdict.RAN, Optional.of(failed));
+    return limitReached(Verdict.RAN, hasEndpointLeft(Optional.of(failed), false));
+  }
+
+  /**
+   * Returns the endpoints to which the request may be sent if it may be sent again.
+   *
+   * @param inUse endpoints of other attempts
+   * @param running an attempt that counts as well
+   * @param headSent whether the caller has a part of the response
+   */
+  EndpointFilter eligible(
+      ImmutableSet<TrackedEndpoint> inUse, Optional<RunningAttempt> running, boolean headSent) {
+    boolean mayOnlyReturn = mayReturn(headSent) && past.countedEndpoints(running) >= attempts();
+    return new EndpointFilter(
+        inUse,
+        mayOnlyReturn ? Optional.of(past.endpoints(running)) : Optional.empty(),
+        past.lastEndpoint());
+  }
+
+  private boolean hasEndpointLeft(Optional<RunningAttempt> running, boolean headSent) {
+    if (!mayReturn(headSent)) {
+      return past.countedRuns(running) < attempts();
+    }
+    return past.countedEndpoints(running) < attempts() || !past.endpoints(running).isEmpty();
+  }
+
+  private boolean mayReturn(boolean headSent) {
+    // An event that is too long would be read again from each of them.
+    boolean tooLong = past.lastFailure() == AttemptFailure.EVENT_TOO_LONG;
+    return headSent && isResumable() && !sentByPeer && !tooLong;
+  }
+
+  private boolean isResumable() {
+    return route.kind().idempotent() && route.kind().streamed();
   }
 
-  private Optional<ResendDenial> limitReached(Verdict verdict, Optional<RunningAttempt> running) {
+  private Optional<ResendDenial> limitReached(Verdict verdict, boolean endpointLeft) {
     if (context.clock().currentTime(NANOSECONDS) >= deadline) {
       return Optional.of(ResendDenial.DEADLINE_EXCEEDED);
     }
     if (peerSends.isExhausted()) {
       return Optional.of(ResendDenial.SENDS_EXHAUSTED);
     }
-    return ResendRule.denial(
-        route.kind(),
-        verdict,
-        past.countedRuns(running),
-        attempts(),
-        sends - peerSends.uncounted());
+    return ResendRule.denial(route.kind(), verdict, endpointLeft, sends - peerSends.uncounted());
   }
 
   /** What a peer runs is repeated by the node that forwarded it, if at all. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendRule.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendRule.java
@@ -11,7 +11,7 @@
  * <caption>Decisions</caption>
  * <tr><th>verdict</th><th>kind</th><th>decision</th></tr>
  * <tr><td>not run</td><td>any</td><td>again, up to {@link #MAX_SENDS} sends</td></tr>
- * <tr><td>may have run, ran</td><td>idempotent</td><td>again while runs remain</td></tr>
+ * <tr><td>may have run, ran</td><td>idempotent</td><td>again while an endpoint may take it</td></tr>
  * <tr><td>may have run, ran</td><td>other</td><td>never</td></tr>
  * </table>
  *
@@ -28,19 +28,18 @@
    * Returns why a request may not be sent again, empty if it may.
    *
    * @param verdict whether the last send ran
-   * @param runs the number of endpoints on which the request ran or may have run, without those
-   *     whose process has ended since
-   * @param attempts the maximum number of endpoints on which it may run
+   * @param endpointLeft whether the request may run on an endpoint, as it ran on fewer than its
+   *     route allows or may return to one of them
    * @param sends the number of sends so far
    */
   static Optional<ResendDenial> denial(
-      CallKind kind, Verdict verdict, int runs, int attempts, int sends) {
+      CallKind kind, Verdict verdict, boolean endpointLeft, int sends) {
     if (sends >= MAX_SENDS) {
       return Optional.of(ResendDenial.SENDS_EXHAUSTED);
     }
     if (verdict != Verdict.NOT_RUN && !kind.idempotent()) {
       return Optional.of(ResendDenial.NOT_REPEATABLE);
     }
-    return runs < attempts ? Optional.empty() : Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED);
+    return endpointLeft ? Optional.empty() : Optional.of(ResendDenial.ATTEMPTS_EXHAUSTED);
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/relay/PathPlanner.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
 import org.vaneworks.state.LayerRange;
@@ -117,7 +118,16 @@
    * do not hold every layer.
    */
   public Optional<EnginePath> plan(Query query, List<TrackedEndpoint> engines) {
-    return search(query, engines, Optional.empty());
+    return plan(query, engines, engine -> true);
+  }
+
+  /**
+   * Returns the cheapest path over the engines whose first engine is allowed, or empty if there is
+   * none.
+   */
+  public Optional<EnginePath> plan(
+      Query query, List<TrackedEndpoint> engines, Predicate<TrackedEndpoint> mayBeFirst) {
+    return search(query, engines, Optional.empty(), mayBeFirst);
   }
 
   /** Returns the cheapest path that begins with the given part, or empty if there is none. */
@@ -127,11 +137,14 @@
         engines.stream()
             .filter(engine -> engine != firstPart.engine())
             .collect(ImmutableList.toImmutableList());
-    return search(query, others, Optional.of(firstPart));
+    return search(query, others, Optional.of(firstPart), engine -> true);
   }
 
   private Optional<EnginePath> search(
-      Query query, List<TrackedEndpoint> engines, Optional<PathPart> firstPart) {
+      Query query,
+      List<TrackedEndpoint> engines,
+      Optional<PathPart> firstPart,
+      Predicate<TrackedEndpoint> mayBeFirst) {
     if (engines.isEmpty() && firstPart.isEmpty()) {
       return Optional.empty();
     }
@@ -156,6 +169,9 @@
         if (layer < candidate.heldFrom || layer >= candidate.heldTo) {
           continue;
         }
+        if (index == 0 && !mayBeFirst.test(candidate.engine)) {
+          continue;
+        }
         int from = cheapestState(cost, index, candidate.dataCentre, crossingCosts);
         if (cost[from] == Double.MAX_VALUE) {
           continue;
