CallerConnection: the absent response moves to PendingResponse

Run: all tests of org.vaneworks.transport.entry and org.vaneworks.tests.callers, CataloguesTest, LayersTest: green.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -79,27 +79,6 @@
   /** The kernel sends what was written after the close. */
   private static final int SO_LINGER_OFF = -1;
 
-  private static final PendingResponse NO_RESPONSE =
-      new PendingResponse() {
-        @Override
-        public void callerDisconnected() {}
-
-        @Override
-        public boolean isTerminated() {
-          return true;
-        }
-
-        @Override
-        public long bufferedBytes() {
-          return 0;
-        }
-
-        @Override
-        public ResponseProgress progress() {
-          return ResponseProgress.NONE;
-        }
-      };
-
   private final Supplier<EntryLimits> limits;
   private final Counters counters;
   private final CallerConnections openConnections;
@@ -116,7 +95,7 @@
 
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
-  private PendingResponse response = NO_RESPONSE;
+  private PendingResponse response = PendingResponse.NONE;
   private final HeadProgress head = new HeadProgress();
   private boolean closeRecorded;
   private boolean requestInProgress;
