No request is passed on behind a response that announced the close

Callers lost a request that stood behind one that was refused with a close while another response was under way: it was passed on, and the connection closed without its answer.

Cause: refusals that close because the rest of the input can't be parsed announce the close whatever waits, and nothing asked, as the next decoded request was started, whether the last response had been announced.

NextRequestTest#requestAfterRefusalOfWaitingOneIsNotPassedOn before: expected: <0> but was: <1>. A request that comes after the last response is refused now in place of being passed on; the refusal can't be sent, and its caller may repeat it.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -244,4 +244,17 @@
     }
     assertEquals(0, server.receivedRequests());
   }
+
+  // Guards against a request that is passed on behind the refusal, with a close, of one that had
+  // waited for another response.
+  @Test
+  void requestAfterRefusalOfWaitingOneIsNotPassedOn() throws Exception {
+    server = EntryFixture.start();
+    server.setMaxHeaderBytes(MAX_HEAD_BYTES);
+    String refused = "GET / HTTP/1.1\r\nX: " + "x".repeat(MAX_HEAD_BYTES) + "\r\n\r\n";
+    String rest = exchangeFollowedBy(refused + REQUEST);
+    assertTrue(rest.startsWith("HTTP/1.1 431 "), rest);
+    assertEquals(0, rest.lastIndexOf("HTTP/1.1 "), rest);
+    assertEquals(0, server.receivedRequests());
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -284,6 +284,11 @@
     lastResponse = true;
   }
 
+  /** Returns whether a former response announced the close, so that no other can be sent. */
+  boolean closesAfterFormerResponse() {
+    return lastResponse;
+  }
+
   @Override
   public void readArrived(Runnable task) {
     context.read();
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -325,8 +325,12 @@
             peerKeepAlive,
             connection,
             lease);
+    boolean answerable = !connection.closesAfterFormerResponse();
     connection.requestStarted(response);
     input.startRequest(lease);
+    if (!answerable) {
+      return response.refuseAndClose(Reason.STOPPING, "after the last response").response();
+    }
     // The decoder bounds a line only if it arrives in few parts.
     if (request.requestTarget().length() > limits.get().maxHeaderBytes()) {
       return response.refuseAndClose(Reason.TARGET_TOO_LONG, "the request target").response();
