The body of a response that is not sent any more is released

While the node closes connections, a response is sent two tasks after its head. If its caller left in between, the bytes that had arrived stayed counted for good, which may refuse other requests for want of memory. Found by the review.

EntryResponseTest#bodyIsReleasedIfCallerLeavesBeforeItIsSent before: expected: <0> but was: <1000>.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
@@ -92,6 +92,17 @@
     assertEquals(1, connection.ends);
   }
 
+  // Guards against memory that stays counted because the caller left before its response was sent.
+  @Test
+  void bodyIsReleasedIfCallerLeavesBeforeItIsSent() {
+    entryResponse.listener(new RecordingListener());
+    entryResponse.head(EntryFixture.responseHead());
+    entryResponse.data(new byte[1000]);
+    assertEquals(1000, memory.heldBytes());
+    entryResponse.callerDisconnected();
+    assertEquals(0, memory.heldBytes());
+  }
+
   // Guards against a response that is framed by the length that one of several endpoints stated.
   @Test
   void streamThatMayBeContinuedHasNoLength() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
@@ -126,6 +126,7 @@
         listener.disconnected();
       }
     }
+    body.discardUnlessSubscribed();
   }
 
   private void recordEnd() {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/ResponseBody.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/ResponseBody.java
@@ -113,6 +113,13 @@
     }
   }
 
+  /** Discards the body of a response that is not sent any more. */
+  void discardUnlessSubscribed() {
+    if (subscriber == null) {
+      cancel();
+    }
+  }
+
   private void emit() {
     if (subscriber == null || emitting || terminated) {
       return;
