Input is judged as stalled by a clock that tests advance

Cause: while memory is short, a body that has paused for a second is given up (PendingInput.MAX_PAUSE). The test leaves its bodies unsent while it opens up to 150 connections, and the pause was measured in real time. Change: the memory budget brings the clock by which input is judged; the fixture's is paused, so no caller of these tests stalls unless the test says so. Checks and rows are as they were. In the product it is the clock of the node, as before.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -108,7 +108,7 @@
   private final EntryAdapters adapters;
   private final Counters counters;
   private final CallerConnections callerConnections = CallerConnections.create();
-  private final MemoryBudget memory = MemoryBudget.ofProcess(callerConnections::unwrittenBytes);
+  private final MemoryBudget memory;
   private HttpServerContext callerServer;
   private HttpServerContext readinessServer;
   private Optional<HttpServerContext> metricsServer = Optional.empty();
@@ -143,6 +143,7 @@
     this.io = io;
     clock = ErrorReportingExecutor.of(io);
     startedAt = clock.currentTime(NANOSECONDS);
+    memory = MemoryBudget.ofProcess(callerConnections::unwrittenBytes, clock);
     peerToken = randomToken();
     counters = Counters.in(meters);
     fleet = Fleet.create(clock, counters, RELIST_GRACE);
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -37,6 +37,7 @@
 import org.vaneworks.coordination.forwarding.ResponseHead;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.StorePosition;
+import org.vaneworks.testlib.PausedExecutor;
 
 /** Tests whether an attempt reports that its request may have reached the endpoint. */
 final class EndpointConnectionsTest {
@@ -138,7 +139,8 @@
   }
 
   static Attempt attempt(InetSocketAddress to, String text) {
-    return attempt(to, text, MemoryBudget.of(Long.MAX_VALUE, () -> 0).lease());
+    return attempt(
+        to, text, MemoryBudget.of(Long.MAX_VALUE, () -> 0, PausedExecutor.create()).lease());
   }
 
   /** Returns an attempt of a request of its own. */
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -29,6 +29,7 @@
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.entry.EntryLimits;
 import org.vaneworks.telemetry.Counters;
+import org.vaneworks.testlib.PausedExecutor;
 
 /** An {@link EntryServer} on loopback whose requests are answered by the test. */
 final class EntryFixture implements AutoCloseable {
@@ -79,6 +80,10 @@
 
   final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
   final CallerConnections connections = CallerConnections.create();
+
+  /** The clock by which input is judged as stalled; advanced on the event loop. */
+  private final PausedExecutor clock = PausedExecutor.create();
+
   final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
   final MemoryBudget memory;
@@ -88,7 +93,7 @@
   private volatile EntryLimits limits = limits(Duration.ofHours(1));
 
   private EntryFixture(long memoryBytes) throws Exception {
-    memory = MemoryBudget.of(memoryBytes, connections::unwrittenBytes);
+    memory = MemoryBudget.of(memoryBytes, connections::unwrittenBytes, clock);
     server =
         EntryServer.listen(
             new HostPort("127.0.0.1", 0),
@@ -200,6 +205,11 @@
         Optional.empty());
   }
 
+  /** Lets time pass in which no caller sends anything. */
+  void advanceTime(Duration by) throws Exception {
+    runOnEventLoop(() -> clock.advance(by));
+  }
+
   /** Waits until a newly opened connection was closed by the idle timeout. */
   void awaitIdleTimeout() throws IOException {
     try (Socket idle = connect()) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -21,6 +21,7 @@
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.telemetry.Metric;
+import org.vaneworks.testlib.PausedExecutor;
 import org.vaneworks.transport.entry.EntryFixture.ReceivedRequest;
 
 /** Tests that what a node holds for callers is bounded and released. */
@@ -346,7 +347,7 @@
   @Test
   void lastUserOfALeaseReturnsItsBytes() throws Exception {
     start(MEGABYTE);
-    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> 0);
+    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> 0, PausedExecutor.create());
     MemoryLease lease = budget.lease();
     assertTrue(lease.tryGrow(1000));
     lease.retain();
@@ -364,7 +365,7 @@
   void smallRequestsMayUseWhatLargeOnesMustLeave() throws Exception {
     start(MEGABYTE);
     long[] unread = {0};
-    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> unread[0]);
+    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> unread[0], PausedExecutor.create());
     MemoryLease large = budget.lease();
     assertTrue(large.tryGrow(MEGABYTE * 7 / 8));
     assertFalse(budget.lease().tryGrow(MemoryBudget.SMALL_REQUEST_BYTES + 1));
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import io.servicetalk.concurrent.Executor;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
@@ -158,11 +157,10 @@
   }
 
   /** Counts what is held of the input in a budget, and bounds trailers. */
-  void countInput(MemoryBudget memory, Executor clock) {
+  void countInput(MemoryBudget memory) {
     InputMemory.install(
         context.channel(),
         memory,
-        clock,
         () -> 2 * limits.get().maxHeaderBytes(), // The start line and the fields.
         () -> limits.get().maxHeaderBytes(),
         new InputOwner());
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.DecoderException;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
-import io.servicetalk.concurrent.Executor;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
@@ -201,7 +200,7 @@
   private Completable accept(ConnectionInfo connection) {
     Channel channel = ((NettyConnectionContext) connection).nettyChannel();
     CallerConnection.install(channel, limits, counters, connections);
-    CallerConnection.of(channel).countInput(memory, connection.executionContext().executor());
+    CallerConnection.of(channel).countInput(memory);
     return Completable.completed();
   }
 
@@ -247,10 +246,7 @@
         .appendLateConnectionAcceptor(
             EventLoopConnectionAcceptor.onEventLoop(
                 connection -> {
-                  boundInput(
-                      ((NettyConnectionContext) connection).nettyChannel(),
-                      memory,
-                      connection.executionContext().executor());
+                  boundInput(((NettyConnectionContext) connection).nettyChannel(), memory);
                   return Completable.completed();
                 }));
   }
@@ -264,7 +260,7 @@
     input.awaitRequest();
   }
 
-  private static void boundInput(Channel channel, MemoryBudget memory, Executor clock) {
+  private static void boundInput(Channel channel, MemoryBudget memory) {
     InputMemory.Owner owner =
         new InputMemory.Owner() {
           @Override
@@ -293,12 +289,7 @@
           }
         };
     InputMemory.install(
-        channel,
-        memory,
-        clock,
-        () -> MAX_INTERNAL_HEAD_BYTES,
-        () -> MAX_INTERNAL_HEAD_BYTES,
-        owner);
+        channel, memory, () -> MAX_INTERNAL_HEAD_BYTES, () -> MAX_INTERNAL_HEAD_BYTES, owner);
   }
 
   private static HttpServerBuilder eventLoopServer(HostPort address, IoExecutor io) {
@@ -370,7 +361,7 @@
             () -> refuseSlowBody(collector, response));
     PendingInput pending =
         new PendingInput(
-            context.executionContext().executor(),
+            memory.clock(),
             collector::receivedBytes,
             () -> true,
             () -> false,
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.util.ReferenceCountUtil;
 import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.concurrent.Executor;
 import io.servicetalk.http.api.HeaderUtils;
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpMetaData;
@@ -66,7 +65,6 @@
   private final IntSupplier maxHeadBytes;
   private final IntSupplier maxTrailerBytes;
   private final Owner owner;
-  private final Executor clock;
 
   /** Present while the connection waits for a head. */
   private Optional<PendingInput> pending = Optional.empty();
@@ -92,13 +90,8 @@
   private boolean closed;
 
   private InputMemory(
-      MemoryBudget budget,
-      Executor clock,
-      IntSupplier maxHeadBytes,
-      IntSupplier maxTrailerBytes,
-      Owner owner) {
+      MemoryBudget budget, IntSupplier maxHeadBytes, IntSupplier maxTrailerBytes, Owner owner) {
     this.budget = checkNotNull(budget);
-    this.clock = checkNotNull(clock);
     this.maxHeadBytes = checkNotNull(maxHeadBytes);
     this.maxTrailerBytes = checkNotNull(maxTrailerBytes);
     this.owner = checkNotNull(owner);
@@ -113,11 +106,10 @@
   static void install(
       Channel channel,
       MemoryBudget budget,
-      Executor clock,
       IntSupplier maxHeadBytes,
       IntSupplier maxTrailerBytes,
       Owner owner) {
-    InputMemory memory = new InputMemory(budget, clock, maxHeadBytes, maxTrailerBytes, owner);
+    InputMemory memory = new InputMemory(budget, maxHeadBytes, maxTrailerBytes, owner);
     ChannelPipeline pipeline = channel.pipeline();
     // Placed before ServiceTalk's last handler, which receives what was decoded. The last name in
     // the list is the pipeline's tail.
@@ -165,7 +157,11 @@
     if (pending.isEmpty() && !closed) {
       PendingInput next =
           new PendingInput(
-              clock, () -> undecodedBytes, owner::isWaiting, owner::isEnding, owner::stalled);
+              budget.clock(),
+              () -> undecodedBytes,
+              owner::isWaiting,
+              owner::isEnding,
+              owner::stalled);
       pending = Optional.of(next);
       budget.addPending(next);
     }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryBudget.java
@@ -6,6 +6,7 @@
 import com.google.common.annotations.VisibleForTesting;
 import com.google.common.collect.ImmutableList;
 import io.netty.util.internal.PlatformDependent;
+import io.servicetalk.concurrent.TimeSource;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -41,6 +42,7 @@
 
   private final long limitBytes;
   private final LongSupplier unwrittenBytes;
+  private final TimeSource clock;
   private volatile long heldBytes;
 
   /** What connections, heads and input that is not decoded yet hold. */
@@ -49,10 +51,11 @@
   /** Input that has arrived in part, oldest first. */
   private final Set<PendingInput> pendingInputs = new LinkedHashSet<>();
 
-  private MemoryBudget(long limitBytes, LongSupplier unwrittenBytes) {
+  private MemoryBudget(long limitBytes, LongSupplier unwrittenBytes, TimeSource clock) {
     checkArgument(limitBytes > 0, "limit must be positive: %s", limitBytes);
     this.limitBytes = limitBytes;
     this.unwrittenBytes = checkNotNull(unwrittenBytes);
+    this.clock = checkNotNull(clock);
   }
 
   /**
@@ -60,9 +63,10 @@
    *
    * @param unwrittenBytes returns the bytes that the transport holds for callers that have not read
    *     them yet, in addition to those that are counted here
+   * @param clock by which input is judged as stalled
    */
-  public static MemoryBudget of(long limitBytes, LongSupplier unwrittenBytes) {
-    return new MemoryBudget(limitBytes, unwrittenBytes);
+  public static MemoryBudget of(long limitBytes, LongSupplier unwrittenBytes, TimeSource clock) {
+    return new MemoryBudget(limitBytes, unwrittenBytes, clock);
   }
 
   /**
@@ -70,10 +74,11 @@
    *
    * @see #of
    */
-  public static MemoryBudget ofProcess(LongSupplier unwrittenBytes) {
+  public static MemoryBudget ofProcess(LongSupplier unwrittenBytes, TimeSource clock) {
     return of(
         limitFor(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory()),
-        unwrittenBytes);
+        unwrittenBytes,
+        clock);
   }
 
   /**
@@ -161,6 +166,11 @@
     heldBytes += bytes;
   }
 
+  /** Returns the clock by which input is judged as stalled. */
+  TimeSource clock() {
+    return clock;
+  }
+
   /** Returns a lease that holds nothing yet. */
   MemoryLease lease() {
     return new MemoryLease(this);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingInput.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingInput.java
@@ -3,7 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
-import io.servicetalk.concurrent.Executor;
+import com.google.common.annotations.VisibleForTesting;
+import io.servicetalk.concurrent.TimeSource;
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -14,7 +15,7 @@
  */
 final class PendingInput {
   /** Time without input after which a client counts as stalled. */
-  private static final Duration MAX_PAUSE = Duration.ofSeconds(1);
+  @VisibleForTesting static final Duration MAX_PAUSE = Duration.ofSeconds(1);
 
   /** Time after which the rate of the input is judged. */
   private static final Duration MIN_JUDGED = Duration.ofSeconds(3);
@@ -22,7 +23,7 @@
   /** Rate below which a client counts as stalled. */
   private static final long MIN_BYTES_PER_SECOND = 8 << 10;
 
-  private final Executor clock;
+  private final TimeSource clock;
   private final LongSupplier receivedBytes;
   private final BooleanSupplier waiting;
   private final BooleanSupplier ending;
@@ -40,7 +41,7 @@
    * @param giveUp closes the connection
    */
   PendingInput(
-      Executor clock,
+      TimeSource clock,
       LongSupplier receivedBytes,
       BooleanSupplier waiting,
       BooleanSupplier ending,
