Memory of input that is given up counts as free at once

What callers saw: while memory was short, the node closed the connections of all callers that had paused for a second, and refused the request that needed the room all the same (503 node-memory). Cause: MemoryBudget.makesRoom gives up stalled input, oldest first, until the request fits. The memory came back only with the channel's event of its close, which Netty fires in a later task, so each one that was given up made no room, and the next went. Change: input that is given up returns its memory at once, bodies too. NodeMemoryTest.onlyStalledBodiesAreGivenUpWhenMemoryIsShort failed before (the request that fits once one stalled caller is gone was refused) and passes with it; NodeMemoryTest and NextRequestTest passed.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -188,6 +188,29 @@
     }
   }
 
+  // Guards against callers that are refused because others hold memory for bodies that they do not
+  // send, and against the loss of a caller that has paused for less time.
+  @Test
+  void onlyStalledBodiesAreGivenUpWhenMemoryIsShort() throws Exception {
+    start(MEGABYTE * 3 / 2);
+    int thirdBytes = 850_000; // Fits once one of the others is given up.
+    Socket stalled = sendHead(BODY_BYTES);
+    awaitHeld(BODY_BYTES);
+    server.advanceTime(PendingInput.MAX_PAUSE.dividedBy(2));
+    Socket paused = sendHead(BODY_BYTES);
+    awaitHeld(2 * BODY_BYTES);
+    server.advanceTime(PendingInput.MAX_PAUSE.dividedBy(2));
+    Socket third = sendHead(thirdBytes);
+
+    assertEquals("", readAll(stalled));
+    for (Socket caller : List.of(paused, third)) {
+      caller.getOutputStream().write(new byte[caller == third ? thirdBytes : BODY_BYTES]);
+      answer(server.next());
+      assertAnswered(caller);
+    }
+    assertEquals(1, server.counters.value(Metric.CALLER_CLOSES, "input-given-up"));
+  }
+
   // Guards against a body of unknown length that is collected although no memory is left.
   @Test
   void chunkedBodyIsRefusedAsSoonAsItExceedsTheBudget() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -365,7 +365,11 @@
             collector::receivedBytes,
             () -> true,
             () -> false,
-            connection::giveUpInput);
+            () -> {
+              connection.giveUpInput();
+              input.giveUp();
+              collector.abandon();
+            });
     // Most bodies arrive with their head.
     connection.afterRead(
         () -> {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -161,7 +161,7 @@
               () -> undecodedBytes,
               owner::isWaiting,
               owner::isEnding,
-              owner::stalled);
+              this::stalled);
       pending = Optional.of(next);
       budget.addPending(next);
     }
@@ -172,6 +172,23 @@
     refused = true;
   }
 
+  private void stalled() {
+    owner.stalled();
+    giveUp();
+  }
+
+  /**
+   * Drops the input and returns its memory at once, as the connection is closed; the channel tells
+   * of that in a later task.
+   */
+  void giveUp() {
+    refused = true;
+    if (!closed) {
+      closed = true;
+      releaseAll();
+    }
+  }
+
   /** Returns whether the heads of requests were decoded that have not been started yet. */
   boolean hasWaitingRequests() {
     return !waitingHeads.isEmpty();
@@ -315,11 +332,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
-      refused = true;
-      if (!closed) {
-        closed = true;
-        releaseAll();
-      }
+      giveUp();
       super.channelInactive(context);
     }
   }
