NextRequestTest: a body that is given up does not cut the response before it

The reading of each place that closes a caller's channel listed this one as open: a caller that stops within its next body, while memory is short and its former response is not read yet. Passes without a change.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -25,6 +25,13 @@
 
   private static final int MAX_HEAD_BYTES = 100;
 
+  private static final int LARGE_MEMORY_BYTES = 32 << 20;
+  private static final int BODY_BYTES = 600_000;
+  private static final int PART_BYTES = 1 << 16;
+  private static final int PARTS = 128;
+  private static final int READ_BYTES = 1 << 14;
+  private static final int LAST_CHARACTERS = 100;
+
   /** Less than is read at a time, so that it is read with the request before it. */
   private static final String LONG_TEXT = "x".repeat(1500);
 
@@ -70,6 +77,25 @@
     return received.substring(received.indexOf(end) + end.length());
   }
 
+  private void respondInParts(EntryFixture.ReceivedRequest request, int parts) throws Exception {
+    server.runOnEventLoop(
+        () -> {
+          request.response.head(EntryFixture.responseHead());
+          for (int i = 0; i < parts; i++) {
+            request.response.data("x".repeat(PART_BYTES).getBytes(US_ASCII));
+          }
+          request.response.end();
+        });
+  }
+
+  private static String headOfBody(int bytes) {
+    return "POST / HTTP/1.1\r\nContent-Length: " + bytes + "\r\n\r\n";
+  }
+
+  private static String lastOf(String text) {
+    return text.substring(Math.max(0, text.length() - LAST_CHARACTERS));
+  }
+
   /** Sends a request with what follows it, and returns what comes after its response. */
   private String exchangeFollowedBy(String next) throws Exception {
     try (Socket caller = server.connect()) {
@@ -106,6 +132,31 @@
     assertEquals("HTTP/1.1 503 \r\nRetry-After: 1\r\n" + CLOSE, exchangeFollowedBy(next));
   }
 
+  // Guards against a response that is cut, though its caller still reads it, because that caller
+  // has stopped within the body of the next request and memory is short.
+  @Test
+  void nextBodyThatIsGivenUpDoesNotCutResponse() throws Exception {
+    server = EntryFixture.start(LARGE_MEMORY_BYTES);
+    server.setMaxBodyBytes(LARGE_MEMORY_BYTES);
+    try (Socket caller = server.connect();
+        Socket other = server.connect()) {
+      send(caller, REQUEST + headOfBody(BODY_BYTES));
+      respondInParts(server.next(), PARTS);
+      ByteArrayOutputStream received = new ByteArrayOutputStream();
+      // The second request starts once the response was passed to the channel.
+      while (server.memory.heldBytes() != BODY_BYTES + BodyCollector.WRITE_COPY_BYTES) {
+        received.write(caller.getInputStream().readNBytes(READ_BYTES));
+      }
+      server.advanceTime(PendingInput.MAX_PAUSE);
+      send(other, headOfBody(LARGE_MEMORY_BYTES));
+      assertEquals("HTTP/1.1 503 ", new String(other.getInputStream().readNBytes(13), ISO_8859_1));
+
+      received.write(readToEnd(caller).getBytes(ISO_8859_1));
+      String text = received.toString(ISO_8859_1);
+      assertTrue(text.endsWith("x\r\n0\r\n\r\n"), () -> "the end: " + lastOf(text));
+    }
+  }
+
   // Guards against a response in progress that is cut because the next body is malformed.
   @Test
   void malformedNextBodyDoesNotCutResponse() throws Exception {
