A connection that lingers is not closed for memory

What callers saw: the end of a complete last response is lost (Connection reset). The node stops, or has refused, and announced the close; the kernel holds the end of the response, and the caller still reads. Another caller's body finds no memory, and the caller sends its next request. Cause: MemoryBudget.makesRoom took a connection that has delivered its last response for stalled at once (isEnding), also while it lingers so that its caller receives the end (RFC 9112, 9.6); closed with input to come, it resets. Class: the end of a channel is decided without what is outstanding on it.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -7,11 +7,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +36,11 @@
 
   private static final int BODY_BYTES = 300_000;
 
+  /** Has no room in one and a half megabytes, even if nothing else is held. */
+  private static final int TOO_LARGE_BYTES = 1_400_000;
+
+  private static final int SMALL_BODY_BYTES = 1000;
+
   /** More than the head of a request of this test. */
   private static final int HEAD_BYTES = 2048;
 
@@ -84,6 +92,13 @@
     }
   }
 
+  private void awaitRefusals(int count) {
+    long giveUpAt = System.nanoTime() + MAX_WAIT_NANOS;
+    while (server.counters.value(Metric.REFUSALS, "node-memory") < count) {
+      assertTrue(System.nanoTime() < giveUpAt, "refusals");
+    }
+  }
+
   /** Reads up to the end of the connection. */
   private static String readAll(Socket caller) throws IOException {
     return new String(caller.getInputStream().readAllBytes(), ISO_8859_1);
@@ -211,6 +226,69 @@
     assertEquals(1, server.counters.value(Metric.CALLER_CLOSES, "input-given-up"));
   }
 
+  // Guards against a refused caller that is reset while it still sends its body, as the node has no
+  // memory for the body of another one either.
+  @Test
+  void refusedCallerIsNotResetByNextRefusal() throws Exception {
+    start(MEGABYTE * 3 / 2);
+    Socket first = sendHead(TOO_LARGE_BYTES);
+    awaitRefusals(1);
+    assertRefusedForMemory(sendHead(TOO_LARGE_BYTES));
+
+    first.getOutputStream().write(new byte[TOO_LARGE_BYTES]);
+    assertRefusedForMemory(first);
+  }
+
+  // Guards against callers that are given up for a body that has no room without them either.
+  @Test
+  void stalledBodyIsNotGivenUpForBodyThatNeverFits() throws Exception {
+    start(MEGABYTE * 3 / 2);
+    Socket stalled = sendHead(BODY_BYTES);
+    awaitHeld(BODY_BYTES);
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    assertRefusedForMemory(sendHead(TOO_LARGE_BYTES));
+
+    stalled.getOutputStream().write(new byte[BODY_BYTES]);
+    answer(server.next());
+    assertAnswered(stalled);
+  }
+
+  // Guards against a caller that counts as stalled because the node did not read its body.
+  @Test
+  void bodyThatHasArrivedIsNotGivenUpAfterPauseOfNode() throws Exception {
+    start(MEGABYTE * 3 / 2);
+    Socket arrived = sendHead(SMALL_BODY_BYTES);
+    awaitHeld(SMALL_BODY_BYTES);
+    long counted = counted();
+    Socket other = connect();
+    other.getOutputStream().write("POST / HTTP/1.1\r\n".getBytes(US_ASCII));
+    while (counted() <= counted + InputMemory.CONNECTION_BYTES) {
+      Thread.onSpinWait();
+    }
+    CountDownLatch sent = new CountDownLatch(1);
+    CountDownLatch paused = new CountDownLatch(1);
+    Future<?> pause =
+        server
+            .io
+            .submit(
+                () -> {
+                  paused.countDown();
+                  Uninterruptibles.awaitUninterruptibly(sent);
+                  server.advanceTimeOnEventLoop(PendingInput.MAX_PAUSE);
+                })
+            .toFuture();
+    paused.await();
+    other
+        .getOutputStream()
+        .write(("content-length: " + TOO_LARGE_BYTES + "\r\n\r\n").getBytes(US_ASCII));
+    arrived.getOutputStream().write(new byte[SMALL_BODY_BYTES]);
+    sent.countDown();
+    pause.get();
+
+    answer(server.next());
+    assertAnswered(arrived);
+  }
+
   // Guards against a body of unknown length that is collected although no memory is left.
   @Test
   void chunkedBodyIsRefusedAsSoonAsItExceedsTheBudget() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -228,7 +228,8 @@
 
     @Override
     public boolean isEnding() {
-      return lastResponse && !isActive();
+      // While a connection lingers, the kernel may hold the end of the response.
+      return lastResponse && !isActive() && !lingering;
     }
 
     @Override
