As few callers as needed are given up for memory, and none in vain

What callers saw: while memory was short, callers that had paused for a second were closed without an answer although the body that needed the room did not fit without them either and was refused; also callers that had been refused and still sent their body, whose write then failed before they read the refusal. Cause: MemoryBudget.makesRoom gave up stalled input one by one and looked afterwards whether that sufficed. Change: it adds up what the oldest ones hold until that suffices, and gives up these or none. A request that is given up to make room for itself takes nothing more.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -363,6 +363,7 @@
             collector::receivedBytes,
             () -> true,
             () -> false,
+            lease::bodyBytes,
             () -> {
               connection.giveUpInput();
               input.giveUp();
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -36,7 +36,9 @@
     /** Returns whether the connection waits for a head, and has delivered its last response. */
     boolean isWaiting();
 
-    /** Returns whether the connection has delivered its last response. */
+    /**
+     * Returns whether the connection has delivered its last response, and does not close by itself.
+     */
     boolean isEnding();
 
     /** The client has stopped within a head, and memory is short. */
@@ -161,6 +163,7 @@
               () -> undecodedBytes,
               owner::isWaiting,
               owner::isEnding,
+              () -> undecodedMemory + waitingHeadBytes + CONNECTION_BYTES,
               this::stalled);
       pending = Optional.of(next);
       budget.addPending(next);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryBudget.java
@@ -4,10 +4,11 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.annotations.VisibleForTesting;
-import com.google.common.collect.ImmutableList;
 import io.netty.util.internal.PlatformDependent;
 import io.servicetalk.concurrent.TimeSource;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
@@ -134,16 +135,25 @@
     return heldBytes + inputBytes + moreBytes + unwrittenBytes.getAsLong() <= allowed;
   }
 
+  /** Gives up as little stalled input as needed, oldest first, or none if all is not enough. */
   private boolean makesRoom(long moreBytes, long allowed) {
-    for (PendingInput input : ImmutableList.copyOf(pendingInputs)) {
-      if (input.isStalled() && pendingInputs.remove(input)) {
-        input.giveUp();
-        if (isWithin(moreBytes, allowed)) {
-          return true;
-        }
+    List<PendingInput> stalled = new ArrayList<>();
+    long freedBytes = 0;
+    for (PendingInput input : pendingInputs) {
+      if (isWithin(moreBytes - freedBytes, allowed)) {
+        break;
       }
+      if (input.isStalled()) {
+        stalled.add(input);
+        freedBytes += input.heldBytes();
+      }
+    }
+    if (!isWithin(moreBytes - freedBytes, allowed)) {
+      return false;
     }
-    return false;
+    pendingInputs.removeAll(stalled);
+    stalled.forEach(PendingInput::giveUp);
+    return isWithin(moreBytes, allowed);
   }
 
   /** Changes the number of bytes that are held for connections, heads and undecoded input. */
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryLease.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryLease.java
@@ -30,8 +30,12 @@
 
   /** Takes more bytes; returns false and takes none if the budget has no room or all have ended. */
   boolean tryGrow(long moreBytes) {
+    long before = bytes;
     // Making room may end this request itself.
-    if (users == 0 || !budget.hasRoom(moreBytes, bytes + moreBytes) || users == 0) {
+    if (users == 0
+        || !budget.hasRoom(moreBytes, bytes + moreBytes)
+        || users == 0
+        || bytes != before) {
       return false;
     }
     bytes += moreBytes;
@@ -63,6 +67,11 @@
     return allowed;
   }
 
+  /** Returns the bytes that are held for the body. */
+  long bodyBytes() {
+    return bytes;
+  }
+
   /** Returns the bytes of the body before the request has ended, as it is not held any more. */
   void shrinkToNothing() {
     budget.add(-bytes - partialEventBytes);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingInput.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PendingInput.java
@@ -27,6 +27,7 @@
   private final LongSupplier receivedBytes;
   private final BooleanSupplier waiting;
   private final BooleanSupplier ending;
+  private final LongSupplier heldBytes;
   private final Runnable giveUp;
   private final long startedAt;
   private long lastInputAt;
@@ -38,6 +39,7 @@
    * @param receivedBytes returns how much has arrived
    * @param waiting returns whether nothing else is in progress on the connection
    * @param ending returns whether the connection has delivered its last response
+   * @param heldBytes returns the memory that is free once the input is given up
    * @param giveUp closes the connection
    */
   PendingInput(
@@ -45,11 +47,13 @@
       LongSupplier receivedBytes,
       BooleanSupplier waiting,
       BooleanSupplier ending,
+      LongSupplier heldBytes,
       Runnable giveUp) {
     this.clock = checkNotNull(clock);
     this.receivedBytes = checkNotNull(receivedBytes);
     this.waiting = checkNotNull(waiting);
     this.ending = checkNotNull(ending);
+    this.heldBytes = checkNotNull(heldBytes);
     this.giveUp = checkNotNull(giveUp);
     startedAt = now();
     lastInputAt = startedAt;
@@ -74,6 +78,11 @@
     return ending.getAsBoolean() || ((paused || slow) && waiting.getAsBoolean());
   }
 
+  /** Returns the memory that is free once the input is given up. */
+  long heldBytes() {
+    return heldBytes.getAsLong();
+  }
+
   void giveUp() {
     giveUp.run();
   }
