Accepted connections are registered between two batches of events

But if the event says that the caller has left (FIN or reset), Netty believes it of the new connection and reads from it in a task of each round of the loop, until its caller really leaves.

The change: a handler of the listening socket passes accepted connections on in a task, so that they are registered between two batches. Netty drops an event of a descriptor that has no channel. What the caller has sent is read in the poll after, as before; afterRead, runAfterRead and readArrived concern connections that are registered.

Ruled out: an event loop group that defers every registration, as Netty's group is final.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -23,6 +23,7 @@
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.ConnectionInfo;
@@ -187,14 +188,20 @@
 
   private HttpServerContext listen(HostPort address, IoExecutor io, int maxHeaderBytes)
       throws Exception {
-    return eventLoopServer(address, io)
-        .protocols(
-            HttpProtocolConfigs.h1()
-                .maxStartLineLength(maxHeaderBytes)
-                .maxHeaderFieldLength(maxHeaderBytes)
-                .build())
-        .appendLateConnectionAcceptor(EventLoopConnectionAcceptor.onEventLoop(this::accept))
-        .listenStreamingAndAwait(this::handle);
+    HttpServerBuilder server =
+        eventLoopServer(address, io)
+            .protocols(
+                HttpProtocolConfigs.h1()
+                    .maxStartLineLength(maxHeaderBytes)
+                    .maxHeaderFieldLength(maxHeaderBytes)
+                    .build())
+            .appendLateConnectionAcceptor(EventLoopConnectionAcceptor.onEventLoop(this::accept));
+    return listen(server, io, this::handle);
+  }
+
+  private static HttpServerContext listen(
+      HttpServerBuilder server, IoExecutor io, StreamingHttpService service) throws Exception {
+    return DeferredRegistration.install(server.listenStreamingAndAwait(service), io);
   }
 
   private Completable accept(ConnectionInfo connection) {
@@ -208,34 +215,33 @@
   public static HttpServerContext listenReadiness(
       HostPort address, IoExecutor io, BooleanSupplier ready, MemoryBudget memory)
       throws Exception {
-    return internalServer(address, io, memory)
-        .listenStreamingAndAwait(
-            (context, request, factory) -> {
-              startRequest(context, memory);
-              return Single.succeeded(
-                  ready.getAsBoolean() ? factory.ok() : factory.serviceUnavailable());
-            });
+    return listen(
+        internalServer(address, io, memory),
+        io,
+        (context, request, factory) -> {
+          startRequest(context, memory);
+          return Single.succeeded(
+              ready.getAsBoolean() ? factory.ok() : factory.serviceUnavailable());
+        });
   }
 
   /** Starts the server for the node's metrics, which returns the text on every path. */
   public static HttpServerContext listenMetrics(
       HostPort address, IoExecutor io, Supplier<String> metrics, MemoryBudget memory)
       throws Exception {
-    return internalServer(address, io, memory)
-        .listenStreamingAndAwait(
-            (context, request, factory) -> {
-              startRequest(context, memory);
-              return Single.succeeded(
-                  factory
-                      .ok()
-                      .setHeader(HttpHeaderNames.CONTENT_TYPE, METRICS_TYPE)
-                      .payloadBody(
-                          Publisher.from(
-                              context
-                                  .executionContext()
-                                  .bufferAllocator()
-                                  .fromUtf8(metrics.get()))));
-            });
+    return listen(
+        internalServer(address, io, memory),
+        io,
+        (context, request, factory) -> {
+          startRequest(context, memory);
+          return Single.succeeded(
+              factory
+                  .ok()
+                  .setHeader(HttpHeaderNames.CONTENT_TYPE, METRICS_TYPE)
+                  .payloadBody(
+                      Publisher.from(
+                          context.executionContext().bufferAllocator().fromUtf8(metrics.get()))));
+        });
   }
 
   /** Returns a server that closes connections which send long heads or trailers, or nothing. */
