An exception of a step ends its request, and no other one

What callers saw: a request whose endpoint callback, timer, start from the queue or admission threw had no answer before its time limit, or none (the time limit is itself such a timer). No log line named it.

Cause: nothing between the event loop and the steps of a request handles exceptions. They went to whoever ran the step: ServiceTalk's event loop, which drops them; the queue, which had taken the request out and then did not schedule its next poll, so all who waited behind it waited on; the loops over the requests in flight, whose rest then was not told of a lost engine.

Now each request has a guard (RequestGuard) at its entry points: events of attempts and of the caller, all timers and futures' callbacks (through the clock that the request's parts get), the notices of Forwarder, and the queue. An exception is logged (VW4007 with the request's id), the attempt is cancelled, what the request holds is released, and the caller gets 500 "internal": not run if nothing was sent, else may have run. A response whose head was passed on is cut (VW4003 internal/internal). The queue goes on with the next entry, and polls on in any case. A request that can't be admitted is refused as not run.

close() takes the request out of the set in flight and stops timers first, as cancelling attempts and releasing engines may throw.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ForwardingFixture.java
@@ -182,6 +182,10 @@
     boolean withholdsRepathOutcomes;
 
     final List<CompletableFuture<RepathOutcome>> withheldOutcomes = new ArrayList<>();
+
+    /** Called before each path change. */
+    Runnable onRepath = () -> {};
+
     RepathOutcome repathOutcome = new RepathOutcome(RepathOutcome.Kind.ACCEPTED, Optional.empty());
 
     @Override
@@ -221,6 +225,7 @@
     @Override
     public CompletableFuture<RepathOutcome> repath(
         FleetEndpoint first, String requestId, String path) {
+      onRepath.run();
       repathedPaths.add(path);
       repathedRequests.add(requestId);
       if (withholdsRepathOutcomes) {
@@ -232,9 +237,11 @@
   }
 
   /** Records attempts; the test provides their responses. */
-  private record RecordingTransport(List<SentAttempt> attempts) implements EndpointTransport {
+  private record RecordingTransport(List<SentAttempt> attempts, Runnable onSend)
+      implements EndpointTransport {
     @Override
     public EndpointCall send(Attempt attempt, Listener listener) {
+      onSend.run();
       SentAttempt made = new SentAttempt(attempt, listener);
       attempts.add(made);
       return made;
@@ -246,6 +253,9 @@
   /** The attempts at endpoints. */
   final List<SentAttempt> sent = new ArrayList<>();
 
+  /** Called before each attempt at an endpoint. */
+  Runnable onSend = () -> {};
+
   /** The attempts at peers. */
   final List<SentAttempt> toPeers = new ArrayList<>();
 
@@ -280,10 +290,10 @@
                 new Random(10),
                 () -> peers,
                 "dc1",
-                new RecordingTransport(toPeers),
+                new RecordingTransport(toPeers, () -> {}),
                 counters),
             control,
-            new RecordingTransport(sent),
+            new RecordingTransport(sent, () -> onSend.run()),
             SharedQuarantine.create(
                 clock,
                 new Random(8),
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RecordedResponse.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/RecordedResponse.java
@@ -22,6 +22,12 @@
   public boolean keepsUp = true;
   CallerResponse.Listener listener;
 
+  /** Called for each head. */
+  Runnable onHead = () -> {};
+
+  /** Called for each part of the body. */
+  Runnable onData = () -> {};
+
   /** What the node has memory for of an incomplete event. */
   int maxPartialEventBytes = Integer.MAX_VALUE;
 
@@ -32,6 +38,7 @@
 
   @Override
   public void head(ResponseHead head) {
+    onHead.run();
     heads++;
     status = Optional.of(head.status());
   }
@@ -44,6 +51,7 @@
 
   @Override
   public boolean data(byte[] bytes) {
+    onData.run();
     body += new String(bytes, UTF_8);
     return keepsUp;
   }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/AttemptFailure.java
@@ -45,7 +45,9 @@
   /** The caller's or the route's deadline passed. */
   DEADLINE_EXCEEDED("time-up", true),
   /** The node has to end. */
-  NODE_STOPPED("node-stopped", true);
+  NODE_STOPPED("node-stopped", true),
+  /** An exception of this node. */
+  INTERNAL("internal", true);
 
   private final String code;
   private final boolean endedByNode;
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CapacityQueue.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CapacityQueue.java
@@ -66,6 +66,11 @@
     /** Refuses the request: no capacity is expected in time. */
     void refuse();
 
+    /** Ends the request, one of whose other methods has thrown an exception. */
+    default void fail(RuntimeException cause) {
+      throw cause;
+    }
+
     /** Returns whether the caller has already received a part of the response. */
     boolean continues();
 
@@ -227,35 +232,50 @@
 
   private void poll() {
     pollScheduled = false;
+    try {
+      pollEntries();
+    } finally {
+      if (!entries.isEmpty()) {
+        schedulePoll();
+      }
+    }
+  }
+
+  private void pollEntries() {
     PollAttempts attempts = new PollAttempts();
     int ahead = 0;
     for (Entry entry : ordered()) {
-      if (!entries.remove(entry)) {
-        continue;
-      }
-      if (!entry.waiter().mayStart()) {
-        entry.waiter().refuse();
-        continue;
-      }
-      if (attempts.mayTry(entry)) {
-        if (tryStart(entry)) {
-          attempts.started(entry);
-          entry.waiter().started(true);
-          continue;
+      try {
+        if (entries.remove(entry) && waits(entry, ahead, attempts)) {
+          entries.add(entry);
+          ahead++;
         }
-        attempts.missed(entry);
+      } catch (RuntimeException e) {
+        entry.waiter().fail(e);
       }
-      if (cannotBeServed(entry, ahead)) {
-        entry.waiter().refuse();
-      } else {
-        attempts.waits(entry);
-        entries.add(entry);
-        ahead++;
+    }
+  }
+
+  /** Starts or refuses a request, unless it is to wait; returns whether it is. */
+  private boolean waits(Entry entry, int ahead, PollAttempts attempts) {
+    if (!entry.waiter().mayStart()) {
+      entry.waiter().refuse();
+      return false;
+    }
+    if (attempts.mayTry(entry)) {
+      if (tryStart(entry)) {
+        attempts.started(entry);
+        entry.waiter().started(true);
+        return false;
       }
+      attempts.missed(entry);
     }
-    if (!entries.isEmpty()) {
-      schedulePoll();
+    if (cannotBeServed(entry, ahead)) {
+      entry.waiter().refuse();
+      return false;
     }
+    attempts.waits(entry);
+    return true;
   }
 
   private boolean tryStart(Entry entry) {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardContext.java
@@ -45,4 +45,24 @@
     Quarantine quarantine,
     CrashDetector crashDetector,
     String dataCentre,
-    Counters counters) {}
+    Counters counters) {
+  /** Returns the same dependencies with another clock. */
+  ForwardContext withClock(Executor newClock) {
+    return new ForwardContext(
+        newClock,
+        random,
+        fleet,
+        planner,
+        health,
+        reachability,
+        peers,
+        control,
+        transport,
+        queues,
+        budgets,
+        quarantine,
+        crashDetector,
+        dataCentre,
+        counters);
+  }
+}
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardLog.java
@@ -49,6 +49,11 @@
     EventLog.info(event, ObjectArrays.concat(pairs, progressPairs, Object.class));
   }
 
+  /** Logs that a step of a request has thrown an exception. */
+  static void failedInside(CallerRequest request, RuntimeException cause) {
+    EventLog.error(Event.REQUEST_FAILED_INSIDE, cause, "request", request.id());
+  }
+
   static void sent(CallerRequest request, Attempt attempt, int sends) {
     EventLog.debug(
         Event.REQUEST_SENT,
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -38,6 +38,7 @@
 
   private static final int SERVER_ERROR = 500;
 
+  private final RequestGuard guard;
   private final ForwardContext context;
   private final EntryRoute route;
   private final Optional<Caller> caller;
@@ -83,10 +84,14 @@
   private boolean headSent;
   private boolean queued;
   private boolean done;
+
+  /** Whether the caller has its answer, or has left. */
+  private boolean answered;
+
   private Cancellable deadlineTimer = () -> {};
 
   private ForwardedRequest(
-      ForwardContext context,
+      ForwardContext node,
       EntryConfiguration configuration,
       EntryRoute route,
       Optional<Caller> caller,
@@ -94,7 +99,8 @@
       CallerResponse response,
       Optional<PeerHop> incomingHop,
       Consumer<ForwardedRequest> onDone) {
-    this.context = context;
+    this.guard = new RequestGuard(request, this::cancelAttempt, this::close, this::answerFailure);
+    this.context = node.withClock(guard.clock(node.clock()));
     this.route = route;
     this.caller = caller;
     this.request = request;
@@ -217,6 +223,11 @@
           "no endpoint of " + service + " has room in time");
     }
 
+    @Override
+    public void fail(RuntimeException cause) {
+      guard.fail(cause);
+    }
+
     @Override
     public boolean continues() {
       return continuesResponse();
@@ -301,7 +312,7 @@
     EndpointTransport transport =
         running.endpoint().isPeer() ? context.peers().transport() : context.transport();
     // The attempt may have ended when send returns, and another one may be in progress.
-    running.setCall(transport.send(sent, new AttemptListener(running)));
+    running.setCall(transport.send(sent, guard.listener(new AttemptListener(running))));
   }
 
   /** Handles the events of one attempt; ignores them once another attempt is current. */
@@ -355,7 +366,9 @@
               && running.isStream()
               && selector.runsOnEngines();
       if (truncation.isEmpty() && mayBeLost) {
-        context.health().checkEnded(running.endpoint(), this::closedBetweenEvents);
+        context
+            .health()
+            .checkEnded(running.endpoint(), ended -> guard.run(() -> closedBetweenEvents(ended)));
       } else {
         ended(delimiter, truncation);
       }
@@ -571,6 +584,10 @@
 
   @Override
   public void drained() {
+    guard.run(this::resumeAttempts);
+  }
+
+  private void resumeAttempts() {
     if (!done) {
       progress.resumed();
       attempt.ifPresent(RunningAttempt::resume);
@@ -591,6 +608,7 @@
     close();
     metrics.recordCompletion(now());
     response.end();
+    answered = true;
   }
 
   private void failed(boolean neverSent, Throwable cause, TrackedEndpoint endpoint) {
@@ -736,6 +754,7 @@
       ForwardLog.aborted(
           request, past.lastFailure(), denial, detail, requestProgress(), context.counters());
       response.abort();
+      answered = true;
       return;
     }
     Refusal refusal = past.refusal(lastVerdict, denial, detail, this::retryAfter);
@@ -801,6 +820,11 @@
 
   @Override
   public void disconnected() {
+    answered = true;
+    guard.run(this::callerGone);
+  }
+
+  private void callerGone() {
     if (done) {
       return;
     }
@@ -812,14 +836,37 @@
 
   private void close() {
     done = true;
-    previous.removeAll().forEach(this::cancel);
-    selector.release();
+    onDone.accept(this);
     deadlineTimer.cancel();
     progress.stop();
     failover.stop();
     resend.cancel();
     leaveQueue();
-    onDone.accept(this);
+    previous.removeAll().forEach(this::cancel);
+    selector.release();
+  }
+
+  /** Runs a step of this request; an exception ends this request and no other one. */
+  void run(Runnable step) {
+    guard.run(step);
+  }
+
+  private void cancelAttempt() {
+    attempt.ifPresent(RunningAttempt::cancel);
+  }
+
+  private void answerFailure() {
+    if (answered) {
+      return;
+    }
+    if (headSent) {
+      past.recordFailure(AttemptFailure.INTERNAL);
+      giveUp(Verdict.MAY_HAVE_RUN, ResendDenial.INTERNAL, RequestGuard.DETAIL);
+    } else if (policy.sends() == 0) {
+      refuse(Refusal.nothingSent(Reason.INTERNAL, RequestGuard.DETAIL));
+    } else {
+      refuse(Refusal.mayHaveRun(Reason.INTERNAL, RequestGuard.DETAIL));
+    }
   }
 
   /** Migrates from an engine that is about to stop, unless it is the first one of the path. */
@@ -1340,6 +1387,7 @@
   private void refuse(Refusal refusal) {
     ForwardLog.refused(request, refusal, requestProgress(), context.counters());
     response.refuse(refusal);
+    answered = true;
   }
 
   private long now() {
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/Forwarder.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.fleet.EngineControl;
@@ -66,30 +67,32 @@
     context
         .fleet()
         .onSuspicion(
-            engine -> mostUrgentFirst().forEach(forwarded -> forwarded.engineSuspected(engine)));
+            engine -> notify(mostUrgentFirst(), forwarded -> forwarded.engineSuspected(engine)));
     context
         .fleet()
         .onRecovery(
             engine ->
-                ImmutableList.copyOf(inFlight)
-                    .forEach(forwarded -> forwarded.engineRecovered(engine)));
+                notify(
+                    ImmutableList.copyOf(inFlight),
+                    forwarded -> forwarded.engineRecovered(engine)));
     context
         .fleet()
         .onIncarnationEnd(
-            endpoint -> mostUrgentFirst().forEach(forwarded -> forwarded.endpointEnded(endpoint)));
+            endpoint -> notify(mostUrgentFirst(), forwarded -> forwarded.endpointEnded(endpoint)));
     context
         .health()
         .onStalls(
             (reporter, blockingEngines) ->
-                mostUrgentFirst()
-                    .forEach(forwarded -> forwarded.stallReported(reporter, blockingEngines)));
+                notify(
+                    mostUrgentFirst(),
+                    forwarded -> forwarded.stallReported(reporter, blockingEngines)));
     context
         .reachability()
         .onChange(
             isolated -> {
               if (isolated) {
                 context.crashDetector().discardLosses();
-                ImmutableList.copyOf(inFlight).forEach(ForwardedRequest::nodeIsolated);
+                notify(ImmutableList.copyOf(inFlight), ForwardedRequest::nodeIsolated);
               }
             });
     context.fleet().onLeaving(this::migrateFrom);
@@ -97,7 +100,7 @@
         .quarantine()
         .onQuarantined(
             trait ->
-                ImmutableList.copyOf(inFlight).forEach(forwarded -> forwarded.quarantined(trait)));
+                notify(ImmutableList.copyOf(inFlight), forwarded -> forwarded.quarantined(trait)));
   }
 
   /**
@@ -197,6 +200,17 @@
 
   private CallerResponse.Listener admit(
       CallerRequest request, CallerResponse response, Optional<PeerHop> hop) {
+    try {
+      return admitUnguarded(request, response, hop);
+    } catch (RuntimeException e) {
+      // Nothing was sent: a request that has started handles its exceptions.
+      ForwardLog.failedInside(request, e);
+      return refuse(request, response, Reason.INTERNAL, RequestGuard.DETAIL);
+    }
+  }
+
+  private CallerResponse.Listener admitUnguarded(
+      CallerRequest request, CallerResponse response, Optional<PeerHop> hop) {
     Optional<EntryConfiguration> known = configuration.get();
     if (known.isEmpty()) {
       return refuse(request, response, Reason.NOT_READY, "no configuration has been read yet");
@@ -229,7 +243,7 @@
             context, configured, route.get(), caller, request, response, hop, inFlight::remove);
     inFlight.add(forwarded);
     context.counters().count(Metric.REQUESTS, route.get().kind().name());
-    forwarded.start();
+    forwarded.run(forwarded::start);
     return forwarded;
   }
 
@@ -242,6 +256,12 @@
         .orElse(true);
   }
 
+  /** Runs a step of each request; one that throws an exception takes no other along. */
+  private static void notify(
+      ImmutableList<ForwardedRequest> requests, Consumer<ForwardedRequest> step) {
+    requests.forEach(forwarded -> forwarded.run(() -> step.accept(forwarded)));
+  }
+
   /** Returns the requests in the order in which they choose other endpoints after a loss. */
   private ImmutableList<ForwardedRequest> mostUrgentFirst() {
     return ImmutableList.sortedCopyOf(
@@ -251,7 +271,7 @@
   /** Migrates requests from an engine that is leaving, except those that complete soon. */
   private void migrateFrom(TrackedEndpoint engine) {
     clock.schedule(
-        () -> mostUrgentFirst().forEach(forwarded -> forwarded.engineLeaving(engine)),
+        () -> notify(mostUrgentFirst(), forwarded -> forwarded.engineLeaving(engine)),
         MIGRATION_DELAY.toNanos(),
         NANOSECONDS);
   }
@@ -273,7 +293,7 @@
 
   /** Gives the callers of all requests in flight a final answer. */
   public void endRequests() {
-    ImmutableList.copyOf(inFlight).forEach(ForwardedRequest::nodeEnds);
+    notify(ImmutableList.copyOf(inFlight), ForwardedRequest::nodeEnds);
   }
 
   private CallerResponse.Listener refuse(
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendDenial.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendDenial.java
@@ -17,7 +17,9 @@
   /** This node's share of the fleet's retry budget is exhausted. */
   BUDGET_EXHAUSTED("budget-spent"),
   /** No other endpoint has capacity in time. */
-  NO_CAPACITY("no-room");
+  NO_CAPACITY("no-room"),
+  /** This node failed. */
+  INTERNAL("internal");
 
   private final String code;
 
--- a/vaneworks/src/main/java/org/vaneworks/telemetry/EventLog.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/EventLog.java
@@ -30,15 +30,22 @@
     }
   }
 
-  /** Logs an event at level error, with the stack trace of its cause. */
-  public static void error(Event event, Throwable cause) {
-    LOGGER.atError().setCause(cause).addKeyValue("event", event.code()).log(event.text());
+  /**
+   * Logs an event at level error, with the stack trace of its cause; {@code pairs} alternates keys
+   * and values.
+   */
+  public static void error(Event event, Throwable cause, Object... pairs) {
+    log(LOGGER.atError().setCause(cause), event, pairs);
   }
 
   private static void log(Level level, Event event, Object... pairs) {
+    log(LOGGER.atLevel(level), event, pairs);
+  }
+
+  private static void log(LoggingEventBuilder started, Event event, Object... pairs) {
     checkArgument(
         pairs.length % 2 == 0, "keys and values must come in pairs, not %s items", pairs.length);
-    LoggingEventBuilder builder = LOGGER.atLevel(level).addKeyValue("event", event.code());
+    LoggingEventBuilder builder = started.addKeyValue("event", event.code());
     for (int i = 0; i < pairs.length; i += 2) {
       builder = builder.addKeyValue(pairs[i].toString(), pairs[i + 1]);
     }
