An exception in reading a head or in a handler ends with an answer

What callers saw: a request whose handler threw, or whose head the dialect could not read, ended without a verdict, a counter or a line of this program; the tests waited 30 s for the end of the connection. An attempt whose head of a response could not be read neither failed nor ended (30 s as well).

Cause: EntryServer passed such an exception to ServiceTalk and left its own state of the request open: the memory held, the response under way. EndpointConnections threw into ServiceTalk's subscriber before it had subscribed to the body, and send() kept the client and the memory if the request could not be built.

EndpointConnections logs it, cancels the call and reports the attempt as failed, without the claim that it was never sent; the request may be sent elsewhere under the usual rules. EntryResponse.abort ends a response whose head could not be written: it had no end.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -86,6 +86,7 @@
 
   final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
+  final StubHeaderDialect dialect = new StubHeaderDialect();
   final MemoryBudget memory;
   final HttpServerContext server;
   private volatile boolean closing;
@@ -99,7 +100,7 @@
             new HostPort("127.0.0.1", 0),
             io,
             this::receive,
-            new StubHeaderDialect(),
+            dialect,
             16_384,
             () -> limits,
             () -> closing,
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/StubHeaderDialect.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/StubHeaderDialect.java
@@ -11,8 +11,15 @@
 
 /** A dialect that reads and writes no headers; each request has the same ID. */
 final class StubHeaderDialect implements HeaderDialect {
+  /** Called for the headers of each request. */
+  Runnable onRequest = () -> {};
+
+  /** Called for the headers of each response. */
+  Runnable onResponse = () -> {};
+
   @Override
   public Optional<String> requestId(HttpHeaders headers) {
+    onRequest.run();
     return Optional.of("q1");
   }
 
@@ -59,6 +66,7 @@
 
   @Override
   public boolean matches(HttpHeaders headers, String requestId) {
+    onResponse.run();
     return true;
   }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EndpointConnections.java
@@ -115,8 +115,17 @@
         clients.computeIfAbsent(attempt.endpoint().address(), this::newRefCountedClient);
     // Can't fail: a client that closes its connections was removed before, on the same event loop.
     checkState(refCounted.tryAcquire(), "closed: %s", attempt.endpoint().address());
-    StreamingHttpClient client = refCounted.client();
     Call call = new Call(dialect, io, attempt, listener, refCounted::release);
+    try {
+      send(refCounted.client(), attempt, call);
+    } catch (RuntimeException e) {
+      call.cancel();
+      throw e;
+    }
+    return call;
+  }
+
+  private void send(StreamingHttpClient client, Attempt attempt, Call call) {
     StreamingHttpRequest request = request(client, attempt, call);
     request.context().put(EndpointConnection.USER, call);
     // Each such failure takes a connection from the pool, so that a fresh one is used at last.
@@ -125,7 +134,6 @@
                 .request(request)
                 .retry((count, cause) -> cause instanceof EndpointConnection.NotReusableException))
         .subscribe(call);
-    return call;
   }
 
   private StreamingHttpRequest request(StreamingHttpClient client, Attempt attempt, Call call) {
@@ -266,18 +274,38 @@
         SourceAdapters.toSource(response.payloadBody()).subscribe(this);
         return;
       }
+      responseHeaders = response.headers();
+      try {
+        listener.head(read(response));
+      } catch (RuntimeException e) {
+        failInside(e);
+      }
+      SourceAdapters.toSource(response.payloadBody()).subscribe(this);
+    }
+
+    private EndpointResponseHead read(StreamingHttpResponse response) {
       HttpHeaders headers = response.headers();
-      responseHeaders = headers;
       int status = response.status().code();
-      listener.head(
-          new EndpointResponseHead(
-              response,
-              dialect.notRun(status, headers),
-              dialect.matches(headers, attempt.request().id()),
-              dialect.obstacle(headers),
-              dialect.signal(status, headers),
-              dialect.peerRefusal(headers)));
-      SourceAdapters.toSource(response.payloadBody()).subscribe(this);
+      return new EndpointResponseHead(
+          response,
+          dialect.notRun(status, headers),
+          dialect.matches(headers, attempt.request().id()),
+          dialect.obstacle(headers),
+          dialect.signal(status, headers),
+          dialect.peerRefusal(headers));
+    }
+
+    /** Ends the call, an event of which can't be handled. */
+    private void failInside(RuntimeException cause) {
+      EventLog.error(
+          Event.REQUEST_FAILED_INSIDE,
+          cause,
+          "request",
+          requestId(),
+          "endpoint",
+          attempt.endpoint());
+      cancel();
+      listener.failed(false, cause);
     }
 
     @Override
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryResponse.java
@@ -87,6 +87,11 @@
     requestId = id;
   }
 
+  /** Returns the caller's id of the request; empty if it is not known. */
+  String requestId() {
+    return requestId;
+  }
+
   /** Sets the listener for events of the caller. */
   void listener(CallerResponse.Listener newListener) {
     listener = newListener;
@@ -254,6 +259,9 @@
     connection.aborted();
     body.fail(new ClosedChannelException());
     recordEnd();
+    if (!headSent) {
+      response.onError(new ClosedChannelException());
+    }
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -86,6 +86,8 @@
 
   private static final int RETRY_SPREAD_MILLIS = 1000;
 
+  private static final String FAILED_INSIDE = "an exception of the node";
+
   /** Colon, CR and LF of a header line; a space is optional. */
   private static final int HEADER_OVERHEAD_BYTES = 3;
 
@@ -322,6 +324,22 @@
             peerKeepAlive,
             connection,
             lease);
+    try {
+      return receive(context, request, response, lease);
+    } catch (RuntimeException e) {
+      return failInside(response, e, Refusal.nothingSent(Reason.INTERNAL, FAILED_INSIDE))
+          .response();
+    }
+  }
+
+  private Single<StreamingHttpResponse> receive(
+      HttpServiceContext context,
+      StreamingHttpRequest request,
+      EntryResponse response,
+      MemoryLease lease) {
+    Channel channel = ((NettyConnectionContext) context).nettyChannel();
+    CallerConnection connection = CallerConnection.of(channel);
+    InputMemory input = InputMemory.of(channel);
     boolean answerable = !connection.closesAfterFormerResponse();
     connection.requestStarted(response);
     input.startRequest(lease);
@@ -402,11 +420,31 @@
             .map(whole -> forward(request, whole, response, id.get(), lease))
             .onErrorReturn(
                 DecoderException.class, failure -> refuseMalformed(response, id.get(), failure))
-            .whenOnError(response::fail)
+            .whenOnError(cause -> inputFailed(response, cause))
             .subscribe(unused -> {});
     return response.response().whenCancel(receiving::cancel);
   }
 
+  /** Ends a request that has not been forwarded, as its input or this node failed. */
+  private void inputFailed(EntryResponse response, Throwable cause) {
+    if (cause instanceof RuntimeException exception && !response.isEnded()) {
+      failInside(response, exception, Refusal.nothingSent(Reason.INTERNAL, FAILED_INSIDE));
+    } else {
+      response.fail(cause);
+    }
+  }
+
+  /** Answers a request in whose handling this node has thrown an exception. */
+  @CanIgnoreReturnValue
+  private EntryResponse failInside(
+      EntryResponse response, RuntimeException cause, Refusal refusal) {
+    EventLog.error(Event.REQUEST_FAILED_INSIDE, cause, "request", response.requestId());
+    if (!response.isEnded()) {
+      refuseAndClose(response, response.requestId(), refusal);
+    }
+    return response;
+  }
+
   /** Refuses a request for whose body the node has no memory; it has not been forwarded. */
   private Single<StreamingHttpResponse> refuseForMemory(EntryResponse response, String id) {
     if (response.isEnded()) {
@@ -517,7 +555,12 @@
       return refuseAndClose(response, id, Refusal.nothingSent(Reason.BODY_TOO_LARGE, detail));
     }
     EntryRequest whole = new EntryRequest(request, collector.body(), dialect, id, lease);
-    response.listener(handler.handle(whole, response));
-    return response;
+    try {
+      response.listener(handler.handle(whole, response));
+      return response;
+    } catch (RuntimeException e) {
+      // The handler may have sent it before.
+      return failInside(response, e, Refusal.mayHaveRun(Reason.INTERNAL, FAILED_INSIDE));
+    }
   }
 }
