Exceptions of tasks on the event loop are logged

Cause: ErrorReportingExecutor reported Errors only; ServiceTalk's event loop drops the RuntimeExceptions of tasks, timers and thus of the callbacks of Async.onDone, without a line of this program. Now each is logged as VW1014 with its stack trace. The process goes on, as before. A loop that schedules its next step at the end of a callback still ends there; it now leaves a line.

--- a/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
+++ b/vaneworks/src/main/java/org/vaneworks/telemetry/Event.java
@@ -23,6 +23,7 @@
   EVENT_LOOP_FAILED(
       1013,
       "the event loop ended, or an error such as a lack of memory reached it; the node exits"),
+  TASK_FAILED(1014, "a task or callback of the event loop threw an exception; the node goes on"),
   CONFIGURATION_IN_FORCE(2001, "a newer configuration is active"),
   CONFIGURATION_STALE_IGNORED(2002, "an older configuration head was ignored"),
   CONFIGURATION_UNREADABLE(2003, "a configuration head or page could not be read"),
--- a/vaneworks/src/main/java/org/vaneworks/transport/ErrorReportingExecutor.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/ErrorReportingExecutor.java
@@ -5,9 +5,12 @@
 import io.servicetalk.concurrent.api.Executor;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.vaneworks.telemetry.Event;
+import org.vaneworks.telemetry.EventLog;
 
 /**
- * Reports the {@link Error}s of tasks, which ServiceTalk's event loop drops without a log line.
+ * Logs the exceptions and reports the {@link Error}s of tasks, which ServiceTalk's event loop drops
+ * without a log line.
  *
  * @see FatalErrors
  */
@@ -25,6 +28,8 @@
     return () -> {
       try {
         task.run();
+      } catch (RuntimeException e) {
+        EventLog.error(Event.TASK_FAILED, e);
       } catch (Error e) {
         FatalErrors.report(e);
         throw e;
