--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
@@ -33,6 +33,7 @@
   private boolean closed;
   private boolean incarnationOver;
   private boolean endedBeforeNextAttempt;
+  private boolean sentAfterCancel;
   private OptionalLong ambiguousSinceMillis = OptionalLong.empty();
   private long closedAtMillis;
   private final Set<Long> eventTimes = new HashSet<>();
@@ -85,6 +86,16 @@
     return endedBeforeNextAttempt;
   }
 
+  /** Records that a peer sent the attempt although it knew that the request was cancelled. */
+  void recordSentAfterCancel() {
+    sentAfterCancel = true;
+  }
+
+  /** Returns whether a peer sent the attempt although it knew that the request was cancelled. */
+  boolean wasSentAfterCancel() {
+    return sentAfterCancel;
+  }
+
   /** Records that the engine started the request. */
   void start() {
     started = true;
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
@@ -141,6 +141,14 @@
     assertEquals(ImmutableList.of(), InFlightResponseSimulation.withReplacementFaults(2869).run());
   }
 
+  // Control case: a peer sends a stream again before it learns that the node that forwarded it has
+  // left the peer for an engine that delivers.
+  @Test
+  void peerSendsStreamBeforeItLearnsOfItsCancellation() {
+    assertEquals(
+        ImmutableList.of(), InFlightResponseSimulation.withUndelimitedResponses(-237).run());
+  }
+
   // Control case: a node sends a retry shortly after the budget was lowered, before which other
   // nodes had sent more retries than the lower budget allows.
   @Test
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/SimulatedCaller.java
@@ -275,6 +275,7 @@
    */
   private void checkMoves(ImmutableList<AttemptRecord> attempts) {
     for (AttemptRecord attempt : attempts) {
+      check(!attempt.wasSentAfterCancel(), "sent by a peer that knew of its cancellation");
       long at = attempt.closedAtMillis();
       // The time limit also passes at a peer, while this node may be late.
       boolean finished =
