A stop answers requests that have arrived behind one in progress

Cause: 2.85 s after SIGTERM the node closed its server gracefully. ServiceTalk then ends each connection after the response in progress, and does not read what has arrived in the socket by then; requests that had been decoded before were answered, which is what requestThatWaitsIsAnsweredByClosingServer shows. Change: the node stops listening, and ends the callers' connections itself as it does idle ones: at each check of the stop those between two requests, after what has arrived was read. A request that comes by then is refused with an announced close (503 stopping, not run), so its caller may repeat it. Ports for peers are closed as before; peers have one request on a connection.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -525,17 +525,20 @@
   }
 
   /**
-   * Closes idle connections at once, and busy ones after their response. The load balancer opens no
-   * new connections by now.
+   * Closes idle connections at once, and busy ones after their response and those to the requests
+   * that have arrived by then. The load balancer opens no new connections by now.
    */
   private void closeCallerConnections() {
     if (!closingIdleConnections) {
       closingIdleConnections = true;
       callerConnections.closeIdle();
-    } else if (!closingServer) {
+      return;
+    }
+    callerConnections.closeBetweenRequests();
+    if (!closingServer) {
       // Only at the next check, as this closes idle connections even if a request has arrived.
       closingServer = true;
-      callerServer.closeAsyncGracefully().subscribe();
+      EntryServer.stopListening(callerServer, io);
       peerServer.ifPresent(server -> server.closeAsyncGracefully().subscribe());
     }
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -225,6 +225,11 @@
     return received.size();
   }
 
+  /** Stops listening, as a stop does; connections stay open. */
+  void stopListening() throws Exception {
+    runOnEventLoop(() -> EntryServer.stopListening(server, io));
+  }
+
   /** Starts to close the server and its connections, as a stop does; returns at once. */
   void startClosing() {
     server.closeAsyncGracefully().subscribe();
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -3,10 +3,12 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -286,6 +288,26 @@
     }
   }
 
+  // Guards against a request that has arrived, and gets no answer because the node stops listening
+  // while the one before it is in progress.
+  @Test
+  void requestThatHasArrivedIsAnsweredAfterListeningStops() throws Exception {
+    server = EntryFixture.start();
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST);
+      EntryFixture.ReceivedRequest first = server.next();
+      send(caller, REQUEST);
+      server.stopListening();
+      server.runOnEventLoop(server.connections::closeBetweenRequests);
+      respond(first, "first");
+      server.runOnEventLoop(server.connections::closeBetweenRequests);
+      respond(server.next(), "second");
+      server.runOnEventLoop(server.connections::closeBetweenRequests);
+      assertEquals("", afterResponse("second", afterResponse("first", readToEnd(caller))));
+      assertThrows(ConnectException.class, server::connect);
+    }
+  }
+
   // Guards against a request that was read, and is passed on without an answer, because the server
   // is closed.
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -479,6 +479,13 @@
     }
   }
 
+  /** Closes the connection as {@link #closeIfIdle} does, unless a head has begun. */
+  void closeBetweenRequests() {
+    if (!head.hasStarted()) {
+      closeIfIdle();
+    }
+  }
+
   /** Closes the connection without waiting for the caller, as the process is about to end. */
   void closeForExit() {
     if (!hasWriteFailed() && isResponseIncomplete()) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
@@ -32,6 +32,15 @@
     ImmutableList.copyOf(open).forEach(CallerConnection::closeIfIdle);
   }
 
+  /**
+   * Closes the connections that {@link #closeIdle} closes, but those on which a head has begun.
+   *
+   * @see #closeIdle
+   */
+  public void closeBetweenRequests() {
+    ImmutableList.copyOf(open).forEach(CallerConnection::closeBetweenRequests);
+  }
+
   /** Closes all connections without waiting for their callers, as the process is about to end. */
   public void closeNow() {
     ImmutableList.copyOf(open).forEach(CallerConnection::closeForExit);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/DeferredRegistration.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/DeferredRegistration.java
@@ -1,17 +1,10 @@
 package org.vaneworks.transport.entry;
 
-import static com.google.common.base.Preconditions.checkArgument;
-
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ServerChannel;
-import io.netty.channel.SingleThreadEventLoop;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.transport.api.IoExecutor;
-import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutor;
-import java.net.SocketAddress;
-import java.util.Iterator;
 
 /**
  * Registers each accepted connection in a task of the event loop, never while the loop handles
@@ -34,7 +27,8 @@
   static HttpServerContext install(HttpServerContext server, IoExecutor io) throws Exception {
     io.submit(
             () -> {
-              listeningChannel(server.listenAddress(), io)
+              ListeningChannels.find(server.listenAddress(), io)
+                  .orElseThrow()
                   .pipeline()
                   .addFirst(new DeferredRegistration());
             })
@@ -43,20 +37,6 @@
     return server;
   }
 
-  private static Channel listeningChannel(SocketAddress address, IoExecutor io) {
-    checkArgument(io instanceof EventLoopAwareNettyIoExecutor, "not Netty's event loop: %s", io);
-    // ServiceTalk does not hand out the channel.
-    var loop = ((EventLoopAwareNettyIoExecutor) io).eventLoopGroup().next();
-    Iterator<Channel> channels = ((SingleThreadEventLoop) loop).registeredChannelsIterator();
-    while (channels.hasNext()) {
-      Channel channel = channels.next();
-      if (channel instanceof ServerChannel && address.equals(channel.localAddress())) {
-        return channel;
-      }
-    }
-    throw new IllegalStateException("no listening socket at " + address);
-  }
-
   @Override
   public void channelRead(ChannelHandlerContext server, Object accepted) {
     server.executor().execute(() -> register(server, (Channel) accepted));
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -206,6 +206,19 @@
     return DeferredRegistration.install(server.listenStreamingAndAwait(service), io);
   }
 
+  /**
+   * Stops listening; connections that are open stay so. Must be called by the event loop.
+   *
+   * <p>A graceful close of the server would end each connection after its response in progress,
+   * without reading the requests that have arrived.
+   */
+  public static void stopListening(HttpServerContext server, IoExecutor io) {
+    Optional<Channel> listening = ListeningChannels.find(server.listenAddress(), io);
+    if (listening.isPresent()) {
+      var unused = listening.get().close();
+    }
+  }
+
   private Completable accept(ConnectionInfo connection) {
     Channel channel = ((NettyConnectionContext) connection).nettyChannel();
     CallerConnection.install(channel, limits, counters, connections);
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/HeadProgress.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/HeadProgress.java
@@ -40,6 +40,11 @@
     return starts;
   }
 
+  /** Returns whether a part of a head has arrived, but not all of it. */
+  boolean hasStarted() {
+    return started;
+  }
+
   boolean exceeds(int maxBytes) {
     return bytes > maxBytes;
   }
