Tests of transport keep a time of their own

After: all tests of org.vaneworks.transport.entry, LayersTest, CataloguesTest, ErrorReportingExecutorTest passed.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndlessResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndlessResponseTest.java
@@ -26,7 +26,6 @@
 import org.vaneworks.coordination.forwarding.EndpointTransport.Listener;
 import org.vaneworks.coordination.forwarding.ResponseHead;
 import org.vaneworks.state.HostPort;
-import org.vaneworks.testlib.PausedExecutor;
 import org.vaneworks.transport.HttpSender;
 
 /** Tests that connections are closed to servers that send without end. */
@@ -201,7 +200,7 @@
     "HTTP/1.1 200 OK~transfer-encoding: chunked~~0~, x: a~",
   })
   void connectionOfAResponseWithoutEndIsClosed(String start, String part) throws Exception {
-    MemoryBudget budget = MemoryBudget.of(1 << 20, () -> 0, PausedExecutor.create());
+    MemoryBudget budget = MemoryBudget.of(1 << 20, () -> 0, unit -> 0);
     MemoryLease memory = budget.lease();
     assertTrue(memory.tryGrow(1000));
     Outcome outcome = new Outcome(false);
@@ -221,7 +220,7 @@
     "HTTP/1.1 503 Busy~transfer-encoding: chunked~~, 5~hello~",
   })
   void connectionOfADiscardedBodyWithoutEndIsClosed(String start, String part) throws Exception {
-    MemoryBudget budget = MemoryBudget.of(1 << 20, () -> 0, PausedExecutor.create());
+    MemoryBudget budget = MemoryBudget.of(1 << 20, () -> 0, unit -> 0);
     MemoryLease memory = budget.lease();
     assertTrue(memory.tryGrow(1000));
     CompletableFuture<Long> closed = answerWithoutEnd(unescape(start), unescape(part));
@@ -235,7 +234,7 @@
   // although the endpoint reads nothing.
   @Test
   void bodyIsHeldUntilTheAttemptEnds() throws Exception {
-    MemoryBudget budget = MemoryBudget.of(64 << 20, () -> 0, PausedExecutor.create());
+    MemoryBudget budget = MemoryBudget.of(64 << 20, () -> 0, unit -> 0);
     MemoryLease memory = budget.lease();
     assertTrue(memory.tryGrow(1000));
     Outcome outcome = new Outcome(false);
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EndpointConnectionsTest.java
@@ -37,7 +37,6 @@
 import org.vaneworks.coordination.forwarding.ResponseHead;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.StorePosition;
-import org.vaneworks.testlib.PausedExecutor;
 
 /** Tests whether an attempt reports that its request may have reached the endpoint. */
 final class EndpointConnectionsTest {
@@ -139,8 +138,7 @@
   }
 
   static Attempt attempt(InetSocketAddress to, String text) {
-    return attempt(
-        to, text, MemoryBudget.of(Long.MAX_VALUE, () -> 0, PausedExecutor.create()).lease());
+    return attempt(to, text, MemoryBudget.of(Long.MAX_VALUE, () -> 0, unit -> 0).lease());
   }
 
   /** Returns an attempt of a request of its own. */
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -23,13 +23,13 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.vaneworks.coordination.forwarding.CallerRequest;
 import org.vaneworks.coordination.forwarding.CallerResponse;
 import org.vaneworks.state.EndpointSignal;
 import org.vaneworks.state.HostPort;
 import org.vaneworks.state.entry.EntryLimits;
 import org.vaneworks.telemetry.Counters;
-import org.vaneworks.testlib.PausedExecutor;
 
 /** An {@link EntryServer} on loopback whose requests are answered by the test. */
 final class EntryFixture implements AutoCloseable {
@@ -81,8 +81,8 @@
   final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
   final CallerConnections connections = CallerConnections.create();
 
-  /** The clock by which input is judged as stalled; advanced on the event loop. */
-  private final PausedExecutor clock = PausedExecutor.create();
+  /** The time by which input is judged as stalled. */
+  private final AtomicLong nowNanos = new AtomicLong();
 
   final Counters counters = Counters.in(new SimpleMeterRegistry());
   private final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
@@ -94,7 +94,11 @@
   private volatile EntryLimits limits = limits(Duration.ofHours(1));
 
   private EntryFixture(long memoryBytes) throws Exception {
-    memory = MemoryBudget.of(memoryBytes, connections::unwrittenBytes, clock);
+    memory =
+        MemoryBudget.of(
+            memoryBytes,
+            connections::unwrittenBytes,
+            unit -> unit.convert(nowNanos.get(), TimeUnit.NANOSECONDS));
     server =
         EntryServer.listen(
             new HostPort("127.0.0.1", 0),
@@ -207,8 +211,8 @@
   }
 
   /** Lets time pass in which no caller sends anything. */
-  void advanceTime(Duration by) throws Exception {
-    runOnEventLoop(() -> clock.advance(by));
+  void advanceTime(Duration by) {
+    nowNanos.addAndGet(by.toNanos());
   }
 
   /** Waits until a newly opened connection was closed by the idle timeout. */
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryResponseTest.java
@@ -20,13 +20,12 @@
 import org.vaneworks.state.NotRunProof;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
-import org.vaneworks.testlib.PausedExecutor;
 
 /** Tests the events that a response reports to its connection and its listener. */
 final class EntryResponseTest {
   private static final BufferAllocator ALLOCATOR = BufferAllocators.PREFER_HEAP_ALLOCATOR;
 
-  private final MemoryBudget memory = MemoryBudget.of(1 << 20, () -> 0, PausedExecutor.create());
+  private final MemoryBudget memory = MemoryBudget.of(1 << 20, () -> 0, unit -> 0);
   private final RecordingConnection connection = new RecordingConnection();
   private final EntryResponse entryResponse = newResponse(Optional.empty());
 
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -21,7 +21,6 @@
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.Refusal;
 import org.vaneworks.telemetry.Metric;
-import org.vaneworks.testlib.PausedExecutor;
 import org.vaneworks.transport.entry.EntryFixture.ReceivedRequest;
 
 /** Tests that what a node holds for callers is bounded and released. */
@@ -407,7 +406,7 @@
   @Test
   void lastUserOfALeaseReturnsItsBytes() throws Exception {
     start(MEGABYTE);
-    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> 0, PausedExecutor.create());
+    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> 0, unit -> 0);
     MemoryLease lease = budget.lease();
     assertTrue(lease.tryGrow(1000));
     lease.retain();
@@ -423,7 +422,7 @@
   @Test
   void leaseThatIsGivenUpToMakeRoomForItselfTakesNothing() throws Exception {
     start(MEGABYTE);
-    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> 0, PausedExecutor.create());
+    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> 0, unit -> 0);
     MemoryLease lease = budget.lease();
     assertTrue(lease.tryGrow(MEGABYTE / 2));
     budget.addPending(
@@ -444,7 +443,7 @@
   void smallRequestsMayUseWhatLargeOnesMustLeave() throws Exception {
     start(MEGABYTE);
     long[] unread = {0};
-    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> unread[0], PausedExecutor.create());
+    MemoryBudget budget = MemoryBudget.of(MEGABYTE, () -> unread[0], unit -> 0);
     MemoryLease large = budget.lease();
     assertTrue(large.tryGrow(MEGABYTE * 7 / 8));
     assertFalse(budget.lease().tryGrow(MemoryBudget.SMALL_REQUEST_BYTES + 1));
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/SurplusResponseTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/SurplusResponseTest.java
@@ -22,7 +22,6 @@
 import org.vaneworks.coordination.forwarding.EndpointTransport.Listener;
 import org.vaneworks.coordination.forwarding.ResponseHead;
 import org.vaneworks.telemetry.Event;
-import org.vaneworks.testlib.PausedExecutor;
 
 /** Tests over sockets with endpoints that send more than the response to a request. */
 final class SurplusResponseTest {
@@ -99,7 +98,7 @@
   /** Sends an attempt of the same request as all others sent with this method. */
   private void sendSameRequest(Outcome outcome) throws Exception {
     InetSocketAddress address = (InetSocketAddress) endpoint.getLocalSocketAddress();
-    MemoryLease memory = MemoryBudget.of(Long.MAX_VALUE, () -> 0, PausedExecutor.create()).lease();
+    MemoryLease memory = MemoryBudget.of(Long.MAX_VALUE, () -> 0, unit -> 0).lease();
     Attempt attempt = EndpointConnectionsTest.attempt(address, "", memory, "same");
     io.submit(() -> connections.send(attempt, outcome))
         .toFuture()
