NextRequestTest: the time is advanced once the body's pause is measured

Cause: the test. The memory of the body is taken by BodyCollector.expect, and the start of its pause is read a few statements later, in the same event of the event loop. The test, which polls that memory from its own thread, could advance the time in between. The pause then starts at the advanced time, the caller does not count as stalled, and the other body is refused.

NodeMemoryTest reads the memory on the event loop, so it has no such window.

The test now waits for the end of the event before it advances the time. Its assertions, sizes and pause are unchanged.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -156,6 +156,8 @@
       while (server.memory.heldBytes() != BODY_BYTES + BodyCollector.WRITE_COPY_BYTES) {
         received.write(caller.getInputStream().readNBytes(READ_BYTES));
       }
+      // The pause of the body is measured from the end of the event in which its memory is taken.
+      server.runOnEventLoop(() -> {});
       server.advanceTime(PendingInput.MAX_PAUSE);
       // Fits once the body of the other caller is given up.
       send(other, headOfBody(LARGE_MEMORY_BYTES * 7 / 8 - BODY_BYTES * 2 / 3));
