Connections that have arrived are accepted before a node stops listening

What callers saw: a request on a new connection was reset, if the connection had not been accepted as the node closed its listening socket in a stop. The kernel completes connections that the node has not accepted, and resets them with the listening socket; an event loop that waits for a processor keeps them waiting for as long as that takes. A node without open connections ended at once, too.

The listening socket is closed once a poll of the event loop accepts nothing, and a stop ends only after that.

Evidence: StopListeningTest opens 40 connections with a request each from the event loop, so that none is accepted, and stops listening.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -130,6 +130,9 @@
 
   private boolean closingIdleConnections;
   private boolean closingServer;
+
+  /** Whether no new connection of a caller is accepted any more. */
+  private boolean listeningStopped;
   private boolean wasReady;
 
   private EntryNode(
@@ -514,7 +517,7 @@
       callerConnections.closeIdle();
     }
     // Callers may still be receiving the end of a response.
-    boolean delivered = idle && callerConnections.isEmpty();
+    boolean delivered = idle && listeningStopped && callerConnections.isEmpty();
     if (delivered || plan.isExpired(elapsed)) {
       cutRequests += activeRequests();
       EventLog.info(cutRequests == 0 ? Event.STOPPED : Event.STOP_CUT, "inFlight", cutRequests);
@@ -538,7 +541,8 @@
     if (!closingServer) {
       // Only at the next check, as this closes idle connections even if a request has arrived.
       closingServer = true;
-      EntryServer.stopListening(callerServer, io);
+      var unused =
+          EntryServer.stopListening(callerServer, io).thenRun(() -> listeningStopped = true);
       peerServer.ifPresent(server -> server.closeAsyncGracefully().subscribe());
     }
   }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -19,6 +19,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -231,7 +232,12 @@
 
   /** Stops listening, as a stop does; connections stay open. */
   void stopListening() throws Exception {
-    runOnEventLoop(() -> EntryServer.stopListening(server, io));
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    runOnEventLoop(
+        () -> {
+          var unused = EntryServer.stopListening(server, io).thenRun(() -> stopped.complete(null));
+        });
+    stopped.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
   /** Starts to close the server and its connections, as a stop does; returns at once. */
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/DeferredRegistration.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/DeferredRegistration.java
@@ -1,10 +1,13 @@
 package org.vaneworks.transport.entry;
 
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.transport.api.IoExecutor;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Registers each accepted connection in a task of the event loop, never while the loop handles
@@ -17,6 +20,9 @@
  * the caller has sent is read in the next poll.
  */
 final class DeferredRegistration extends ChannelInboundHandlerAdapter {
+  /** Whether a connection was accepted since this was last reset. */
+  private boolean accepted;
+
   private DeferredRegistration() {}
 
   /**
@@ -37,9 +43,37 @@
     return server;
   }
 
+  /**
+   * Closes a listening socket once all connections that have arrived are registered; the kernel
+   * would reset those that it holds. Must be called by a task of the event loop.
+   *
+   * @return completes when the socket is closed
+   */
+  static CompletableFuture<Void> closeAfterAccepting(Channel listening) {
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    var unused = listening.closeFuture().addListener(future -> closed.complete(null));
+    listening.pipeline().get(DeferredRegistration.class).closeUnlessAccepting(listening);
+    return closed;
+  }
+
+  private void closeUnlessAccepting(Channel listening) {
+    accepted = false;
+    // The task runs after the next poll.
+    var unused = listening.eventLoop().schedule(() -> closeOrGoOn(listening), 0, NANOSECONDS);
+  }
+
+  private void closeOrGoOn(Channel listening) {
+    if (accepted) {
+      closeUnlessAccepting(listening);
+    } else {
+      var unused = listening.close();
+    }
+  }
+
   @Override
-  public void channelRead(ChannelHandlerContext server, Object accepted) {
-    server.executor().execute(() -> register(server, (Channel) accepted));
+  public void channelRead(ChannelHandlerContext server, Object connection) {
+    accepted = true;
+    server.executor().execute(() -> register(server, (Channel) connection));
   }
 
   private static void register(ChannelHandlerContext server, Channel accepted) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -35,6 +35,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.vaneworks.coordination.forwarding.CallerRequest;
@@ -207,16 +208,18 @@
   }
 
   /**
-   * Stops listening; connections that are open stay so. Must be called by the event loop.
+   * Stops listening once the connections that have arrived are accepted; open ones stay so. Must be
+   * called by a task of the event loop.
    *
    * <p>A graceful close of the server would end each connection after its response in progress,
    * without reading the requests that have arrived.
+   *
+   * @return completes on the event loop when the server has stopped listening
    */
-  public static void stopListening(HttpServerContext server, IoExecutor io) {
-    Optional<Channel> listening = ListeningChannels.find(server.listenAddress(), io);
-    if (listening.isPresent()) {
-      var unused = listening.get().close();
-    }
+  public static CompletableFuture<Void> stopListening(HttpServerContext server, IoExecutor io) {
+    return ListeningChannels.find(server.listenAddress(), io)
+        .map(DeferredRegistration::closeAfterAccepting)
+        .orElseGet(() -> CompletableFuture.completedFuture(null));
   }
 
   private Completable accept(ConnectionInfo connection) {
