A view of the store is read again if its listener fails

What operators would see: if anything throws as a change of the store is applied (a configuration, an entry of an endpoint or a node), the node never reads that prefix again. Its view counts as stale within seconds, it refuses all requests, and only a restart helps.

The exception is logged (VW1014, with the prefix), the whole view is read again after the backoff, and it is not confirmed until the listener has taken it.

Evidence: PrefixFollowerTest, two tests; before: the exception ends the calls. Open: the leases (AutoRenewedLease) and other loops that schedule their next step after a callback.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/PrefixFollowerTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/shared/PrefixFollowerTest.java
@@ -25,6 +25,8 @@
   private final BoxClock boxClock = new BoxClock(clock);
   private final Map<String, String> seen = new TreeMap<>();
   private int changesReceived;
+  private boolean listenerFails;
+  private boolean replaceFails;
   private final PrefixFollower follower =
       PrefixFollower.create(
           clock,
@@ -37,6 +39,9 @@
           new PrefixFollower.Listener() {
             @Override
             public void replace(ImmutableList<StoredItem> items) {
+              if (replaceFails) {
+                throw new IllegalStateException("the listener fails");
+              }
               seen.clear();
               items.forEach(item -> seen.put(item.key(), item.value()));
             }
@@ -44,6 +49,9 @@
             @Override
             public void change(StoreChanges.Change change) {
               changesReceived++;
+              if (listenerFails) {
+                throw new IllegalStateException("the listener fails");
+              }
               if (change.removed()) {
                 seen.remove(change.item().key());
               } else {
@@ -126,6 +134,37 @@
     assertEquals(Map.of("a/3", "z"), seen);
   }
 
+  // Guards against a view that is not updated any more because the listener has thrown an
+  // exception.
+  @Test
+  void viewIsReadAgainIfTheListenerFails() {
+    store.put("a/1", "x");
+    follower.start();
+    advance(200);
+    listenerFails = true;
+    store.put("a/2", "y");
+    store.put("a/3", "z");
+    advance(3000);
+    assertEquals(Map.of("a/1", "x", "a/2", "y", "a/3", "z"), seen);
+    assertTrue(ageMillis() <= 3400, "age " + ageMillis());
+  }
+
+  // Guards against a view that counts as fresh although the listener has not got it.
+  @Test
+  void viewIsNotConfirmedWhileTheListenerFails() {
+    follower.start();
+    advance(200);
+    replaceFails = true;
+    store.put("a/2", "y");
+    listenerFails = true;
+    advance(5000);
+    assertTrue(ageMillis() >= 5000, "age " + ageMillis());
+    replaceFails = false;
+    advance(3000);
+    assertEquals(Map.of("a/2", "y"), seen);
+    assertTrue(ageMillis() <= 3400, "age " + ageMillis());
+  }
+
   @Test
   void fewCallsAreMadeDuringAnOutage() {
     follower.start();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/shared/PrefixFollower.java
@@ -196,11 +196,7 @@
             if (failure != null) {
               handleFailure(requestedAt, failure);
             } else {
-              position = Optional.of(view.position());
-              listener.replace(view.items());
-              newEraSince.ifPresent(since -> logReread(since, view));
-              newEraSince = OptionalLong.empty();
-              handleSuccess(requestedAt, "whole");
+              apply(() -> replaceView(view, requestedAt));
             }
           });
       return;
@@ -215,13 +211,36 @@
           if (failure != null) {
             handleFailure(requestedAt, failure);
           } else {
-            position = Optional.of(max(position.get(), changes.position()));
-            changes.latestPerKey().forEach(listener::change);
-            handleSuccess(requestedAt, changes.changes().size() + " changes");
+            apply(() -> changeView(changes, requestedAt));
           }
         });
   }
 
+  private void replaceView(StoreSnapshot view, long requestedAt) {
+    position = Optional.of(view.position());
+    listener.replace(view.items());
+    newEraSince.ifPresent(since -> logReread(since, view));
+    newEraSince = OptionalLong.empty();
+    handleSuccess(requestedAt, "whole");
+  }
+
+  private void changeView(StoreChanges changes, long requestedAt) {
+    position = Optional.of(max(position.get(), changes.position()));
+    changes.latestPerKey().forEach(listener::change);
+    handleSuccess(requestedAt, changes.changes().size() + " changes");
+  }
+
+  /** Applies what was read. If the listener throws, the view counts as old and is read again. */
+  private void apply(Runnable update) {
+    try {
+      update.run();
+    } catch (RuntimeException e) {
+      EventLog.error(Event.TASK_FAILED, e, "prefix", prefix);
+      position = Optional.empty();
+      retryLater();
+    }
+  }
+
   private void logReread(long since, StoreSnapshot view) {
     EventLog.info(
         Event.STORE_READ_ANEW,
@@ -281,6 +300,10 @@
     } else {
       outage.ifPresent(listener::unavailable);
     }
+    retryLater();
+  }
+
+  private void retryLater() {
     long jittered = (long) (backoff.toNanos() * (0.5 + random.nextDouble()));
     Duration doubled = backoff.multipliedBy(2);
     backoff = doubled.compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : doubled;
