A head does not keep the body that was read with it

What callers saw: a node whose callers sent many bodies of 32 kB ended for lack of heap (exit code 3), and with it every request and connection of the node. CrowdTest#smallBodiesThatStopShort, listed as unsteady beside load, shows it: the ordinary caller got no answer because the process had ended.

Cause: the fields of a decoded head refer to the buffer from which they were decoded, which holds all that was read with the head, up to 64 kB of the body. It stays as long as the request, or the refusal of it, and is not counted. A heap dump had 450 buffers of 32,127 bytes (14 of 34 MB) for 148 bodies that were accepted.

Heads are decoded from copies of at most 1 kB, the size in which they are counted.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -61,7 +61,7 @@
   private static final String MESSAGE_HANDLER_NAME = "counted-messages";
 
   /** Maximum size of a part that is counted and then decoded. */
-  private static final int PART_BYTES = 1 << 10;
+  static final int PART_BYTES = 1 << 10;
 
   private final MemoryBudget budget;
   private final IntSupplier maxHeadBytes;
@@ -306,7 +306,7 @@
       budget.addInput(memory);
       undecodedMemory += memory;
       undecodedBytes += length;
-      super.channelRead(context, input.readRetainedSlice(length));
+      super.channelRead(context, readPart(input, length));
       int limit = (afterHead ? maxTrailerBytes : maxHeadBytes).getAsInt();
       if (undecodedBytes > limit && !refused) {
         refused = true;
@@ -314,6 +314,19 @@
       }
     }
 
+    /**
+     * Reads a part of a head. The fields of a head refer to the buffer from which they are decoded,
+     * so it must not hold more of the input, such as the body.
+     */
+    private static ByteBuf readPart(ByteBuf input, int length) {
+      if (input.capacity() <= PART_BYTES) {
+        return input.readRetainedSlice(length);
+      }
+      ByteBuf part = input.copy(input.readerIndex(), length);
+      input.skipBytes(length);
+      return part;
+    }
+
     private static int lines(ByteBuf input, int length) {
       int lines = 0;
       int end = input.readerIndex() + length;
