Connections that were closed for memory are gone before many more are closed

What callers saw: a node ended for lack of heap (exit code 3), and with it all its requests, beside a crowd of callers with trailers of short lines: CrowdTest#unfinishedTrailersOfShortLines in 1 of 2 runs at a load of 24.

Cause: a stalled connection that is closed to make room counted as free at once, but its decoder holds what it has decoded until the channel is gone, after the current batch of events. An event loop that waited for a processor finds many callers ready in one batch, and accepted as much as the whole limit once more. The heap dump had 170,000 decoded fields, where the limit allows about 75,000.

No more connections are closed to make room while those that were hold over an eighth of the limit; the input that asks for it is refused, as if nobody had stalled. Bodies are free at once, as before.

Evidence: InputMemoryTest; before: the second caller of a batch is accepted, too.

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -87,6 +87,9 @@
   /** The rest of a body of stated length, whose memory is counted with its request. */
   private long bodyBytes;
 
+  /** What the connection holds after it was closed to make room, until the channel is gone. */
+  private long closingBytes;
+
   private boolean afterHead;
   private boolean refused;
   private boolean closed;
@@ -182,16 +185,24 @@
 
   /**
    * Drops the input and returns its memory at once, as the connection is closed; the channel tells
-   * of that in a later task.
+   * of that in a later task, and the decoder holds what it has decoded until then.
    */
   void giveUp() {
     refused = true;
     if (!closed) {
       closed = true;
+      closingBytes = undecodedMemory + waitingHeadBytes + CONNECTION_BYTES;
+      budget.addClosing(closingBytes);
       releaseAll();
     }
   }
 
+  private void closed() {
+    giveUp();
+    budget.addClosing(-closingBytes);
+    closingBytes = 0;
+  }
+
   /** Returns whether the heads of requests were decoded that have not been started yet. */
   boolean hasWaitingRequests() {
     return !waitingHeads.isEmpty();
@@ -348,7 +359,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
-      giveUp();
+      closed();
       super.channelInactive(context);
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryBudget.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/MemoryBudget.java
@@ -38,6 +38,12 @@
   /** Share of the limit by which small heads and connections may exceed it. */
   private static final double HEAD_SHARE = 1.0 / 8;
 
+  /**
+   * Share of the limit that connections may hold which were closed to make room. They are free only
+   * after the current batch of events, in which many more connections may be read.
+   */
+  private static final double CLOSING_SHARE = 1.0 / 8;
+
   /** Maximum size of a request that counts as small. */
   static final int SMALL_REQUEST_BYTES = 32 << 10;
 
@@ -49,6 +55,9 @@
   /** What connections, heads and input that is not decoded yet hold. */
   private long inputBytes;
 
+  /** What closed connections hold of it, and the budget does not count, until they are gone. */
+  private long closingBytes;
+
   /** Input that has arrived in part, oldest first. */
   private final Set<PendingInput> pendingInputs = new LinkedHashSet<>();
 
@@ -137,6 +146,9 @@
 
   /** Gives up as little stalled input as needed, oldest first, or none if all is not enough. */
   private boolean makesRoom(long moreBytes, long allowed) {
+    if (closingBytes > limitBytes * CLOSING_SHARE) {
+      return false;
+    }
     List<PendingInput> stalled = new ArrayList<>();
     long freedBytes = 0;
     for (PendingInput input : pendingInputs) {
@@ -161,6 +173,11 @@
     inputBytes += bytes;
   }
 
+  /** Changes the number of bytes that connections hold which were closed to make room. */
+  void addClosing(long bytes) {
+    closingBytes += bytes;
+  }
+
   /** Adds input that may be given up once it has stalled. */
   void addPending(PendingInput input) {
     pendingInputs.add(input);
