NextRequestTest: the last response's connection lingers until its caller closes

lastResponseIsNotCut sends another request after the node has written its last response. The node closes a connection that lingers after 1 s of real time, and resets what is sent after that: a test that is late by more than a second finds its response cut ("Connection reset").

Cause: the test; that a connection lingers for 1 s is as designed. The test's wait for the close to be counted had no bound either.

How long connections linger is now given to CallerConnections, with 1 s as before; the test's server leaves it to the caller.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/EntryFixture.java
@@ -80,7 +80,7 @@
   }
 
   final IoExecutor io = NettyIoExecutors.createIoExecutor(1, "test");
-  final CallerConnections connections = CallerConnections.create();
+  final CallerConnections connections;
 
   /** The time by which input is judged as stalled. */
   private final AtomicLong nowNanos = new AtomicLong();
@@ -94,7 +94,8 @@
   private volatile Runnable onRequest = () -> {};
   private volatile EntryLimits limits = limits(Duration.ofHours(1));
 
-  private EntryFixture(long memoryBytes) throws Exception {
+  private EntryFixture(long memoryBytes, Duration lingerTimeout) throws Exception {
+    connections = CallerConnections.create(lingerTimeout);
     memory =
         MemoryBudget.of(
             memoryBytes,
@@ -120,7 +121,15 @@
 
   /** Starts a server that may hold so many bytes. */
   static EntryFixture start(long memoryBytes) throws Exception {
-    return new EntryFixture(memoryBytes);
+    return new EntryFixture(memoryBytes, CallerConnections.LINGER_TIMEOUT);
+  }
+
+  /**
+   * Starts a server that may hold so many bytes, and whose connections linger until their callers
+   * close, so that a caller may send more at any time.
+   */
+  static EntryFixture startLingering(long memoryBytes) throws Exception {
+    return new EntryFixture(memoryBytes, Duration.ofHours(1));
   }
 
   private static EntryLimits limits(Duration idle) {
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -183,15 +183,16 @@
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
   void lastResponseIsNotCut(boolean memoryIsShort) throws Exception {
-    server = EntryFixture.start(LARGE_MEMORY_BYTES);
+    server = EntryFixture.startLingering(LARGE_MEMORY_BYTES);
     server.setMaxBodyBytes(LARGE_MEMORY_BYTES);
     server.closeAfterResponses();
     try (Socket caller = server.connect();
         Socket other = server.connect()) {
       send(caller, REQUEST);
       respondInParts(server.next(), LAST_PARTS);
+      long giveUpAt = System.nanoTime() + MAX_WAIT_NANOS;
       while (server.counters.value(Metric.CALLER_CLOSES, "last-answer") == 0) {
-        Thread.onSpinWait();
+        assertTrue(System.nanoTime() < giveUpAt, "the sockets do not hold the response");
       }
       if (memoryIsShort) {
         send(other, headOfBody(LARGE_MEMORY_BYTES));
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -47,7 +47,7 @@
  * <p>A socket that is closed with unread input, or that gets input afterwards, resets the
  * connection, and its peer loses what it has not received yet. Unless a response is aborted, a
  * connection therefore lingers (RFC 9112, section 9.6): its output is shut down, and input is
- * discarded until the caller closes its side or {@link #LINGER_TIMEOUT} has passed.
+ * discarded until the caller closes its side or {@link CallerConnections#lingerTimeout} has passed.
  *
  * <p>Confined to the channel's event loop.
  */
@@ -72,9 +72,6 @@
    */
   @VisibleForTesting static final Duration STALL_TIMEOUT = Duration.ofSeconds(30);
 
-  /** Maximum time between the shutdown of a connection's output and its close. */
-  private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
-
   /** The kernel sends what was written after the close. */
   private static final int SO_LINGER_OFF = -1;
 
@@ -529,7 +526,7 @@
   private void linger() {
     if (!lingering) {
       lingering = true;
-      schedule(LINGER_TIMEOUT, this::closeNow);
+      schedule(openConnections.lingerTimeout(), this::closeNow);
       context.channel().config().setAutoRead(true);
     }
   }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnections.java
@@ -1,18 +1,38 @@
 package org.vaneworks.transport.entry;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.annotations.VisibleForTesting;
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 
 /** The set of open caller connections. Confined to the node's event loop. */
 public final class CallerConnections {
+  @VisibleForTesting static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
+
   private final Set<CallerConnection> open = new HashSet<>();
+  private final Duration lingerTimeout;
 
-  private CallerConnections() {}
+  private CallerConnections(Duration lingerTimeout) {
+    this.lingerTimeout = checkNotNull(lingerTimeout);
+  }
 
   /** Returns an empty set of connections. */
   public static CallerConnections create() {
-    return new CallerConnections();
+    return create(LINGER_TIMEOUT);
+  }
+
+  /** Returns an empty set of connections with another {@link #lingerTimeout}. */
+  @VisibleForTesting
+  static CallerConnections create(Duration lingerTimeout) {
+    return new CallerConnections(lingerTimeout);
+  }
+
+  /** Returns the maximum time between the shutdown of a connection's output and its close. */
+  Duration lingerTimeout() {
+    return lingerTimeout;
   }
 
   void opened(CallerConnection connection) {
