NodeMemoryTest: a caller that is late is not idle

callerThatStopsSendingItsBodyReleasesIt sets an idle timeout of 100 ms before it connects. If more time passes before it sends the head, its connection is closed as idle, and no refusal arrives; if more than a second passes before it sends the part of the body, that meets a connection that no longer lingers ("Broken pipe").

Cause: the test; both are as designed.

The idle timeout is now set as the head is read, and the connection lingers until its caller closes. Assertions, sizes and the timeout are unchanged.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -380,8 +380,9 @@
   // Guards against memory that is held forever for a caller that sends nothing more of its body.
   @Test
   void callerThatStopsSendingItsBodyReleasesIt() throws Exception {
-    start(64 * MEGABYTE);
-    server.setIdleTimeout(Duration.ofMillis(100));
+    server = EntryFixture.startLingering(64 * MEGABYTE);
+    // Not before: the connection must not be idle if the test is late to send the head.
+    server.dialect.onRequest = () -> server.setIdleTimeout(Duration.ofMillis(100));
     Socket caller = sendHead(BODY_BYTES);
     caller.getOutputStream().write(new byte[BODY_BYTES / 2]);
     String answer = readRefusal(caller);
