A wait at a peer counts from the caller's request or last event

What callers saw: streams that had waited for room at their node and were then forwarded to a peer got 503 2.1 to 2.5 s after their request, when callers (objective 500 ms, so 2 s) had already left. Streams that continued at a peer waited for room there for another 1.5 s, however long ago their last event was.

Cause: a hop carried the time that is left until the deadline, but not what the caller had waited, so CallerDeadlines began afresh with the arrival of the hop.

A hop now has the header vaneworks-waited-ms: elapsed time since the caller's last event, if the response continues, else since its request. Elapsed time, as the clocks of boxes differ. It counts for waitsUntil and onTimeUntil, and for resumableUntil before the peer's own head. The deadline is not shortened by it, as the hop carries what is left: plain requests, which wait until their deadline, wait as before. What a peer accepts is at most what it accepted before, as a wait is never negative; a request that has waited too long still starts if there is room. A late stream that a peer forwarded comes after those that can be on time, as at its own node.

Old and new nodes: a missing wait counts as none, as before. So does one that is negative, over an hour or no number. An earlier build as the receiver ignores the header; as it is named in Connection, that build removes it before it sends the request to an endpoint. Shown by the code that removes hop-by-hop headers, which did not change (PeerHeadersTest); an earlier build was not run beside this one.

PeerForwardingTest expects the wait of 20 ms that its hop has; ResendPolicy takes the deadlines to keep ForwardedRequest short. Found by reading and left open: the wait for a first configuration counts nowhere.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
@@ -156,6 +156,21 @@
     assertEquals(ImmutableList.of(), InFlightResponseSimulation.withBrokenConnections(39).run());
   }
 
+  // Guards against streams that are refused after their callers have left, as their wait for room
+  // starts afresh at the peer that they are forwarded to.
+  @Test
+  void forwardedStreamsAreRefusedBeforeTheirCallersLeave() {
+    assertEquals(ImmutableList.of(), new InFlightResponseSimulation(-6218522).run());
+    for (long seed : new long[] {236, -1453087263}) {
+      assertEquals(
+          ImmutableList.of(),
+          InFlightResponseSimulation.withReplacementFaults(seed).run(),
+          "seed " + seed);
+    }
+    assertEquals(ImmutableList.of(), InFlightResponseSimulation.withBrokenConnections(1151).run());
+    assertEquals(ImmutableList.of(), InFlightResponseSimulation.withUndelimitedResponses(94).run());
+  }
+
   @AfterContainer
   static void report() {
     SIMULATIONS.report();
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/PeerForwardingTest.java
@@ -69,7 +69,7 @@
     node.forwarder.forwardForPeer(
         node.callerRequest("/stream/"),
         response,
-        new PeerHop("token", ForwardingFixture.MODEL, false));
+        new PeerHop("token", ForwardingFixture.MODEL, false, Duration.ZERO));
     return response;
   }
 
@@ -96,7 +96,7 @@
     RecordedResponse response = isolate("/stream/");
     assertEquals(1, node.toPeers.size());
     assertEquals(
-        Optional.of(new PeerHop("token-1", ForwardingFixture.MODEL, false)),
+        Optional.of(new PeerHop("token-1", ForwardingFixture.MODEL, false, Duration.ofMillis(20))),
         lastToPeer().attempt.hop());
     lastToPeer().head(200);
     lastToPeer().event(1);
@@ -135,7 +135,9 @@
     FleetEndpoint onlyReplica = peer.replica(1);
     RecordedResponse fromPeer = new RecordedResponse();
     peer.forwarder.forwardForPeer(
-        peer.callerRequest("/unsafe/"), fromPeer, new PeerHop("", ForwardingFixture.PLAIN, false));
+        peer.callerRequest("/unsafe/"),
+        fromPeer,
+        new PeerHop("", ForwardingFixture.PLAIN, false, Duration.ZERO));
     peer.lastAttempt().notRun(503, Optional.of(onlyReplica.address()));
     assertEquals(Optional.empty(), fromPeer.refusal, "it waits for room");
     peer.forwarder.endRequests();
@@ -220,7 +222,9 @@
     isolate("/stream/");
     RecordedResponse response = new RecordedResponse();
     node.forwarder.forwardForPeer(
-        node.callerRequest("/stream/"), response, new PeerHop("", ForwardingFixture.MODEL, false));
+        node.callerRequest("/stream/"),
+        response,
+        new PeerHop("", ForwardingFixture.MODEL, false, Duration.ZERO));
     assertEquals(Reason.NODE_ISOLATED, response.refusal.get().reason());
     assertEquals(Verdict.NOT_RUN, response.refusal.get().verdict());
     assertEquals(1, node.toPeers.size());
@@ -232,7 +236,7 @@
   @Test
   void nodeFindsOutByRequestsOfPeersThatItIsIsolated() {
     node.fleet.all().forEach(endpoint -> node.control.refusing.add(endpoint.address()));
-    PeerHop hop = new PeerHop("", ForwardingFixture.MODEL, false);
+    PeerHop hop = new PeerHop("", ForwardingFixture.MODEL, false, Duration.ZERO);
     node.forwarder.forwardForPeer(node.callerRequest("/stream/"), new RecordedResponse(), hop);
     node.advance(200);
     RecordedResponse response = new RecordedResponse();
@@ -245,7 +249,9 @@
   void requestOfPeerRunsOnce() {
     RecordedResponse response = new RecordedResponse();
     node.forwarder.forwardForPeer(
-        node.callerRequest("/stream/"), response, new PeerHop("", ForwardingFixture.MODEL, false));
+        node.callerRequest("/stream/"),
+        response,
+        new PeerHop("", ForwardingFixture.MODEL, false, Duration.ZERO));
     node.lastAttempt().listener.failed(false, new ClosedChannelException());
     node.advance(200);
     assertEquals(1, node.sent.size());
--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/SilentEndpointTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/SilentEndpointTest.java
@@ -118,7 +118,9 @@
     silentEngine();
     RecordedResponse response = new RecordedResponse();
     node.forwarder.forwardForPeer(
-        node.callerRequest("/stream/"), response, new PeerHop("", ForwardingFixture.MODEL, false));
+        node.callerRequest("/stream/"),
+        response,
+        new PeerHop("", ForwardingFixture.MODEL, false, Duration.ZERO));
     node.advance(BEFORE_DEADLINE_MILLIS);
     assertStays(response);
     assertEndsAtDeadline(response);
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerDeadlines.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/CallerDeadlines.java
@@ -10,6 +10,9 @@
 /**
  * Deadlines of one request, and the retry-after time for its caller if it is refused.
  *
+ * <p>What the caller has waited before a hop counts for the times that depend on its patience and
+ * on the objective, but not for the deadline: a hop carries only the time that is left.
+ *
  * <p>Immutable. Times are those of the executor's clock, in nanoseconds.
  */
 final class CallerDeadlines {
@@ -49,31 +52,53 @@
   private static final double BACKOFF_JITTER = 0.25;
 
   private final EntryRoute route;
-  private final long startedAt;
-  private final Duration timeout;
+  private final long deadline;
+
+  /** Since when the caller has been waiting. */
+  private final long waitingSince;
 
-  private CallerDeadlines(EntryRoute route, long startedAt, Duration timeout) {
+  private CallerDeadlines(EntryRoute route, long deadline, long waitingSince) {
     this.route = route;
-    this.startedAt = startedAt;
-    this.timeout = timeout;
+    this.deadline = deadline;
+    this.waitingSince = waitingSince;
   }
 
   /**
    * Returns the deadlines of a request.
    *
-   * @param requestedTimeout the caller's own timeout, if the request has one
+   * @param requestedTimeout the caller's own timeout, or what is left of it after a hop, if the
+   *     request has one
+   * @param hop present if a peer forwarded the request
    */
-  static CallerDeadlines of(EntryRoute route, Optional<Duration> requestedTimeout, long startedAt) {
+  static CallerDeadlines of(
+      EntryRoute route,
+      Optional<Duration> requestedTimeout,
+      Optional<PeerHop> hop,
+      long startedAt) {
     checkNotNull(route);
     Duration callerTimeout = requestedTimeout.orElse(route.timeout());
     Duration timeout =
         callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
-    return new CallerDeadlines(route, startedAt, timeout);
+    Duration waited = hop.map(PeerHop::waited).orElse(Duration.ZERO);
+    return new CallerDeadlines(route, startedAt + timeout.toNanos(), startedAt - waited.toNanos());
   }
 
   /** Returns the deadline of the request. */
   long deadline() {
-    return startedAt + timeout.toNanos();
+    return deadline;
+  }
+
+  /** Returns the time that is left until the deadline. */
+  Duration remaining(long now) {
+    return Duration.ofNanos(Math.max(0, deadline - now));
+  }
+
+  /**
+   * Returns since when the caller has been waiting: for its response, or for its next part if the
+   * request is that of a peer and continues a response.
+   */
+  long waitingSince() {
+    return waitingSince;
   }
 
   /**
@@ -82,13 +107,12 @@
    * @param firstPartTime the usual time from sending a request to the first part of its response
    */
   long onTimeUntil(Duration firstPartTime) {
-    return startedAt + route.objective().toNanos() - firstPartTime.toNanos();
+    return waitingSince + route.objective().toNanos() - firstPartTime.toNanos();
   }
 
   /** Returns until when the request may wait in the queue. */
   long waitsUntil(Duration firstPartTime) {
-    long callerGivesUpAt = Math.min(deadline(), startedAt + firstPartTimeout().toNanos());
-    return callerGivesUpAt - REFUSAL_MARGIN.toNanos() - firstPartTime.toNanos();
+    return callerGivesUpAt() - REFUSAL_MARGIN.toNanos() - firstPartTime.toNanos();
   }
 
   /**
@@ -98,11 +122,13 @@
    */
   long resumableUntil(long lastEventAt) {
     long resumable = (long) (eventTimeout().toNanos() * RESUMABLE_FRACTION);
-    return Math.min(deadline(), lastEventAt + resumable);
+    return Math.min(deadline, lastEventAt + resumable);
   }
 
-  private Duration firstPartTimeout() {
-    return route.kind().streamed() ? eventTimeout() : timeout;
+  private long callerGivesUpAt() {
+    return route.kind().streamed()
+        ? Math.min(deadline, waitingSince + eventTimeout().toNanos())
+        : deadline;
   }
 
   private Duration eventTimeout() {
@@ -123,7 +149,7 @@
    */
   Duration retryAfter(Duration expected, Duration untilOpen, long now, double draw) {
     Duration wait = Ordering.<Duration>natural().max(expected, MIN_RETRY_AFTER);
-    long maxDelay = Math.max(0, deadline() - now) / MAX_RETRY_AFTER_DIVISOR;
+    long maxDelay = Math.max(0, deadline - now) / MAX_RETRY_AFTER_DIVISOR;
     double jitterFactor = MIN_JITTER_FACTOR + 2 * (1 - MIN_JITTER_FACTOR) * draw;
     long afterWait = Math.min(maxDelay, (long) (wait.toNanos() * jitterFactor));
     long afterBackoff = (long) (untilOpen.toNanos() * (1 + BACKOFF_JITTER * draw));
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -57,7 +57,6 @@
   private final RequestPriority priority;
   private final long startedAt;
   private final CallerDeadlines deadlines;
-  private final long deadline;
   private final ResponseMetrics metrics;
   private final CapacityQueue queue;
   private final CapacityQueue.Waiter waiter = new QueueWaiter();
@@ -131,11 +130,10 @@
     this.repairs = new PathRepairs(context, request, selector, quarantine, new RepairCallbacks());
     this.resend = new PendingResend(context, service, new ResendCallbacks());
     this.startedAt = now();
-    this.deadlines = CallerDeadlines.of(route, request.callerTimeout(), startedAt);
-    this.deadline = deadlines.deadline();
+    this.deadlines = CallerDeadlines.of(route, request.callerTimeout(), incomingHop, startedAt);
     this.policy =
         new ResendPolicy(
-            context, route, incomingHop.isPresent(), quarantine, peerSends, past, deadline);
+            context, route, incomingHop.isPresent(), quarantine, peerSends, past, deadlines);
     this.metrics = new ResponseMetrics(context.counters(), route.kind().streamed(), startedAt);
   }
 
@@ -158,8 +156,7 @@
   }
 
   void start() {
-    deadlineTimer =
-        context.clock().schedule(this::onDeadline, Math.max(0, deadline - startedAt), NANOSECONDS);
+    deadlineTimer = context.clock().schedule(this::onDeadline, deadlines.remaining(startedAt));
     if (incomingHop.isEmpty()) {
       // The peer that forwarded it has deposited its share.
       budget.deposit();
@@ -246,7 +243,7 @@
     @Override
     public long waitsUntil() {
       if (continuesResponse()) {
-        return deadlines.resumableUntil(headSent ? progress.lastProgress() : startedAt);
+        return deadlines.resumableUntil(callerWaitsSince());
       }
       return deadlines.waitsUntil(queue.firstPartTime());
     }
@@ -282,6 +279,10 @@
     return headSent || incomingHop.filter(PeerHop::continues).isPresent();
   }
 
+  private long callerWaitsSince() {
+    return headSent ? progress.lastProgress() : deadlines.waitingSince();
+  }
+
   private boolean startAttempt() {
     if (!resend.maySend() || !selector.select(eligible())) {
       return false;
@@ -302,11 +303,11 @@
             request,
             running.endpoint().endpoint(),
             selector.path().map(EnginePath::text),
-            Duration.ofNanos(Math.max(0, deadline - now())),
+            deadlines.remaining(now()),
             caller.map(Caller::workspace),
             splitter.lastId(),
             continuesResponse() ? MOST_URGENT : priority.engineLevel(),
-            peerSends.hopTo(running.endpoint(), headSent));
+            peerSends.hopTo(running.endpoint(), headSent, callerWaitsSince()));
     ForwardLog.sent(request, sent, policy.sends());
     progress.attemptStarted(headSent);
     EndpointTransport transport =
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerSends.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PeerSends.java
@@ -1,6 +1,7 @@
 package org.vaneworks.coordination.forwarding;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
@@ -42,13 +43,18 @@
     this.service = checkNotNull(service);
   }
 
-  /** Returns what a peer is told with the request; empty for an endpoint. */
-  Optional<PeerHop> hopTo(TrackedEndpoint endpoint, boolean continues) {
+  /**
+   * Returns what a peer is told with the request; empty for an endpoint.
+   *
+   * @param waitingSince since when the caller has been waiting for the next part of the response
+   */
+  Optional<PeerHop> hopTo(TrackedEndpoint endpoint, boolean continues, long waitingSince) {
     if (!endpoint.isPeer()) {
       return Optional.empty();
     }
     context.counters().count(Metric.PEER_HOPS, "sent");
-    return Optional.of(new PeerHop(context.peers().tokenOf(endpoint), service, continues));
+    Duration waited = Duration.ofNanos(context.clock().currentTime(NANOSECONDS) - waitingSince);
+    return Optional.of(new PeerHop(context.peers().tokenOf(endpoint), service, continues, waited));
   }
 
   /** Records what the refusal of a peer says about it. */
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendPolicy.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendPolicy.java
@@ -27,7 +27,7 @@
   private final RequestQuarantine quarantine;
   private final PeerSends peerSends;
   private final PastAttempts past;
-  private final long deadline;
+  private final CallerDeadlines deadlines;
   private int sends;
 
   /**
@@ -35,7 +35,6 @@
    *
    * @param sentByPeer whether a peer forwarded the request to this node
    * @param past the attempts of the request apart from the current one
-   * @param deadline in nanoseconds of the executor's clock
    */
   ResendPolicy(
       ForwardContext context,
@@ -44,14 +43,14 @@
       RequestQuarantine quarantine,
       PeerSends peerSends,
       PastAttempts past,
-      long deadline) {
+      CallerDeadlines deadlines) {
     this.context = checkNotNull(context);
     this.route = checkNotNull(route);
     this.sentByPeer = sentByPeer;
     this.quarantine = checkNotNull(quarantine);
     this.peerSends = checkNotNull(peerSends);
     this.past = checkNotNull(past);
-    this.deadline = deadline;
+    this.deadlines = checkNotNull(deadlines);
   }
 
   /** Records that the request is sent. */
@@ -123,7 +122,7 @@
   }
 
   private Optional<ResendDenial> limitReached(Verdict verdict, boolean endpointLeft) {
-    if (context.clock().currentTime(NANOSECONDS) >= deadline) {
+    if (context.clock().currentTime(NANOSECONDS) >= deadlines.deadline()) {
       return Optional.of(ResendDenial.DEADLINE_EXCEEDED);
     }
     if (peerSends.isExhausted()) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaders.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/PeerHeaders.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Maps;
 import com.google.common.primitives.Longs;
+import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpHeaders;
 import java.time.Duration;
 import java.util.Arrays;
@@ -23,13 +24,14 @@
   private static final CharSequence TOKEN = "vaneworks-peer-token";
   private static final CharSequence SERVICE = "vaneworks-service";
   private static final CharSequence CONTINUES = "vaneworks-continues";
+  private static final CharSequence WAITED_MILLIS = "vaneworks-waited-ms";
   private static final CharSequence REASON = "vaneworks-refusal";
   private static final CharSequence VERDICT = "vaneworks-verdict";
   private static final CharSequence PROOF = "vaneworks-proof";
   private static final CharSequence RETRY_AFTER_MILLIS = "vaneworks-retry-after-ms";
 
   private static final ImmutableList<CharSequence> REQUEST_HEADERS =
-      ImmutableList.of(TOKEN, SERVICE, CONTINUES);
+      ImmutableList.of(TOKEN, SERVICE, CONTINUES, WAITED_MILLIS);
   private static final ImmutableList<CharSequence> RESPONSE_HEADERS =
       ImmutableList.of(REASON, VERDICT, PROOF, RETRY_AFTER_MILLIS);
   private static final ImmutableMap<String, Reason> REASONS =
@@ -39,15 +41,25 @@
   private static final ImmutableMap<String, Verdict> VERDICTS =
       Maps.uniqueIndex(Arrays.asList(Verdict.values()), Verdict::name);
 
+  /** Longer waits are those of no caller; they are not believed. */
+  private static final Duration MAX_WAITED = Duration.ofHours(1);
+
   private PeerHeaders() {}
 
   static void write(HttpHeaders headers, PeerHop hop) {
     headers.set(TOKEN, hop.token());
     headers.set(SERVICE, hop.service());
     headers.set(CONTINUES, Boolean.toString(hop.continues()));
+    headers.set(WAITED_MILLIS, Long.toString(hop.waited().toMillis()));
+    // Nodes that don't know the header remove it before they forward the request to an endpoint.
+    headers.set(HttpHeaderNames.CONNECTION, WAITED_MILLIS);
   }
 
-  /** Reads the headers of a forwarded request; empty if one of them is missing. */
+  /**
+   * Reads the headers of a forwarded request; empty if one of them is missing.
+   *
+   * <p>A wait that is missing, as from an earlier build, or that can't be right counts as none.
+   */
   static Optional<PeerHop> read(HttpHeaders headers) {
     Optional<String> token = text(headers, TOKEN);
     Optional<String> service = text(headers, SERVICE);
@@ -56,7 +68,16 @@
       return Optional.empty();
     }
     return Optional.of(
-        new PeerHop(token.get(), service.get(), Boolean.parseBoolean(continues.get())));
+        new PeerHop(
+            token.get(), service.get(), Boolean.parseBoolean(continues.get()), waited(headers)));
+  }
+
+  private static Duration waited(HttpHeaders headers) {
+    return text(headers, WAITED_MILLIS)
+        .map(Longs::tryParse)
+        .filter(millis -> millis >= 0 && millis <= MAX_WAITED.toMillis())
+        .map(Duration::ofMillis)
+        .orElse(Duration.ZERO);
   }
 
   /** Removes the headers of a forwarded request. */
