Simulation: a complete answer that a peer had not read as its process stopped is lost with it

No caller was served worse than is allowed.

Cause, traced in each of the four: the engine had completed its answer, the peer's event loop stood (a new configuration) and had passed on 5 to 18 of 20 events, then its process stopped. The node got the end of the connection and could not send the stream again (VW4003: attempts-used twice, budget-spent, not-resumable). An attempt that is running as its peer stops counts as ended by the peer; one that the engine had completed did not, though the node can't tell the two apart.

The check excuses only this: the engine's answer was complete, the node still read the hop, the peer had passed on no end, cut or refusal of the response, and its process stopped before the stream was aborted. A node that aborts a stream while its peer runs, that left the peer before, or that was passed the end is reported as before (AttemptRecordTest). The product is unchanged.

--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/AttemptRecord.java
@@ -34,6 +34,7 @@
   private boolean incarnationOver;
   private boolean endedBeforeNextAttempt;
   private boolean sentAfterCancel;
+  private OptionalLong lostWithPeerAtMillis = OptionalLong.empty();
   private OptionalLong ambiguousSinceMillis = OptionalLong.empty();
   private long closedAtMillis;
   private final Set<Long> eventTimes = new HashSet<>();
@@ -164,6 +165,23 @@
     return ambiguousSinceMillis.isPresent() && ambiguousSinceMillis.getAsLong() <= millis;
   }
 
+  /**
+   * Records that the process of the peer that sent the attempt stopped. A complete answer whose end
+   * it had not passed on was lost with it.
+   */
+  void recordPeerStopped(long atMillis, boolean endPassedOn) {
+    boolean unread = outcome == Outcome.COMPLETED && !closed && !endPassedOn;
+    if (unread && lostWithPeerAtMillis.isEmpty()) {
+      lostWithPeerAtMillis = OptionalLong.of(atMillis);
+    }
+    finish(Outcome.PEER_STOPPED);
+  }
+
+  /** Returns whether the complete answer was lost by then with a peer that had not read it. */
+  boolean wasLostWithPeerBy(long millis) {
+    return lostWithPeerAtMillis.isPresent() && lostWithPeerAtMillis.getAsLong() <= millis;
+  }
+
   /** Returns whether the engine, or a peer that stopped, ended the attempt without an answer. */
   boolean wasTerminatedByEngine() {
     return incarnationOver
--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
@@ -171,6 +171,19 @@
     assertEquals(ImmutableList.of(), InFlightResponseSimulation.withUndelimitedResponses(94).run());
   }
 
+  // Control case: a peer's process stops before the peer reads the rest of a complete answer, whose
+  // stream can't be sent again.
+  @Test
+  void completeAnswerIsLostWithPeerThatHasNotReadIt() {
+    assertEquals(ImmutableList.of(), new InFlightResponseSimulation(-1418102).run());
+    for (long seed : new long[] {27494, 1796179418}) {
+      assertEquals(
+          ImmutableList.of(),
+          InFlightResponseSimulation.withUndelimitedResponses(seed).run(),
+          "seed " + seed);
+    }
+  }
+
   @AfterContainer
   static void report() {
     SIMULATIONS.report();
