--- a/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/daemon/entry/InFlightResponseSimulationTest.java
@@ -156,6 +156,34 @@
     assertEquals(ImmutableList.of(), InFlightResponseSimulation.withBrokenConnections(39).run());
   }
 
+  // Guards against streams that are refused after their callers have left, as their wait for room
+  // starts afresh at the peer that they are forwarded to.
+  @Test
+  void forwardedStreamsAreRefusedBeforeTheirCallersLeave() {
+    assertEquals(ImmutableList.of(), new InFlightResponseSimulation(-6218522).run());
+    for (long seed : new long[] {236, -1453087263}) {
+      assertEquals(
+          ImmutableList.of(),
+          InFlightResponseSimulation.withReplacementFaults(seed).run(),
+          "seed " + seed);
+    }
+    assertEquals(ImmutableList.of(), InFlightResponseSimulation.withBrokenConnections(1151).run());
+    assertEquals(ImmutableList.of(), InFlightResponseSimulation.withUndelimitedResponses(94).run());
+  }
+
+  // Control case: a peer's process stops before the peer reads the rest of a complete answer, whose
+  // stream can't be sent again.
+  @Test
+  void completeAnswerIsLostWithPeerThatHasNotReadIt() {
+    assertEquals(ImmutableList.of(), new InFlightResponseSimulation(-1418102).run());
+    for (long seed : new long[] {27494, 1796179418}) {
+      assertEquals(
+          ImmutableList.of(),
+          InFlightResponseSimulation.withUndelimitedResponses(seed).run(),
+          "seed " + seed);
+    }
+  }
+
   @AfterContainer
   static void report() {
     SIMULATIONS.report();
