EntryNode: the formatter's blank line

spotless:check, part of every build with tests, failed on (EntryNode.java), so no test of a module above vaneworks-daemon ran: mvn -pl vaneworks-tests -am test ended with exit code 1 before the tests. No change of logic.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -133,6 +133,7 @@
 
   /** Whether no new connection of a caller is accepted any more. */
   private boolean listeningStopped;
+
   private boolean wasReady;
 
   private EntryNode(
