A send that throws ends its own request, and not the queue for retries

What callers saw: an interrupted stream whose retry was granted, and could not be sent for an exception of the node, had no end before its time limit; the streams and requests behind it waited for a retry that nobody granted any more, until another one joined the queue or their callers left. If a third request had joined the queue just then, the exception ended that one instead.

Each waiter now ends itself if a step of it throws, as in CapacityQueue, so the loop goes on and the next poll is scheduled.

Evidence: ThrowingCallbackTest#streamsThatWaitForARetryGoOnAfterASendThatThrows. After: the first stream is cut at once with one log line, the second one is sent again and served. All tests of tests.forwarding, ResendBudgetTest, CapacityQueue*Test and LayersTest pass.

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ThrowingCallbackTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/forwarding/ThrowingCallbackTest.java
@@ -17,6 +17,7 @@
 import org.slf4j.LoggerFactory;
 import org.vaneworks.coordination.fleet.FleetEndpoint;
 import org.vaneworks.coordination.forwarding.CallerRequest;
+import org.vaneworks.coordination.forwarding.ForwardingLimits;
 import org.vaneworks.coordination.relay.RequestSize;
 import org.vaneworks.state.Reason;
 import org.vaneworks.state.RequestContent;
@@ -199,6 +200,35 @@
     assertEquals(0, node.forwarder.inFlight());
   }
 
+  // Guards against interrupted streams that nobody sends again any more, and against one without an
+  // answer until its time limit, as the send of the first one that gets a retry has thrown.
+  @Test
+  void streamsThatWaitForARetryGoOnAfterASendThatThrows() {
+    for (int number = 1; number <= 3; number++) {
+      node.engine(number, 0, 80);
+    }
+    node.forwarder.updateLimits(
+        new ForwardingLimits(Duration.ofMillis(4750), 0.2, 100, Duration.ofSeconds(10)));
+    RecordedResponse first = node.request(STREAM);
+    RecordedResponse second = node.request(STREAM);
+    for (SentAttempt attempt : ImmutableList.copyOf(node.sent)) {
+      attempt.head(200);
+      attempt.event(1);
+      attempt.listener.failed(false, new IllegalStateException("reset"));
+    }
+    assertEquals(2, node.sent.size());
+    node.onSend = throwingOnce();
+    node.advance(1000);
+    assertTrue(first.cut);
+    assertLoggedOnce("q0");
+    assertEquals(3, node.sent.size());
+    node.lastAttempt().head(200);
+    node.lastAttempt().event(2);
+    node.lastAttempt().end();
+    assertTrue(second.whole);
+    assertEquals(0, node.forwarder.inFlight());
+  }
+
   /** A request whose size can't be read. */
   private record UnreadableRequest() implements CallerRequest {
     @Override
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ForwardedRequest.java
@@ -129,7 +129,7 @@
     this.progress = new ProgressMonitor(context, selector, route.pauseObjective(), this::onStall);
     this.failover = new Failover(context.clock(), new FailoverCallbacks());
     this.repairs = new PathRepairs(context, request, selector, quarantine, new RepairCallbacks());
-    this.resend = new PendingResend(context, service, new ResendCallbacks());
+    this.resend = new PendingResend(context, service, guard, new ResendCallbacks());
     this.startedAt = now();
     this.deadlines = CallerDeadlines.of(route, request.callerTimeout(), startedAt);
     this.deadline = deadlines.deadline();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/PendingResend.java
@@ -88,16 +88,18 @@
   private final ForwardContext context;
   private final ResendBudget budget;
   private final ResendQueue queue;
+  private final RequestGuard guard;
   private final Callbacks callbacks;
   private final ResendQueue.Waiter waiter = new BudgetWaiter();
   private Optional<EndedAttempt> ended = Optional.empty();
   private Cancellable timer = () -> {};
   private boolean reserved;
 
-  PendingResend(ForwardContext context, String service, Callbacks callbacks) {
+  PendingResend(ForwardContext context, String service, RequestGuard guard, Callbacks callbacks) {
     this.context = checkNotNull(context);
     this.budget = context.budgets().of(service);
     this.queue = context.budgets().queueOf(service);
+    this.guard = checkNotNull(guard);
     this.callbacks = checkNotNull(callbacks);
   }
 
@@ -195,6 +197,11 @@
       callbacks.denied(ended(), ResendDenial.BUDGET_EXHAUSTED);
     }
 
+    @Override
+    public void fail(RuntimeException cause) {
+      guard.fail(cause);
+    }
+
     @Override
     public long waitsUntil() {
       return callbacks.waitsUntil();
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendQueue.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/ResendQueue.java
@@ -32,6 +32,9 @@
     /** Called when no retry is available in time. */
     void refused();
 
+    /** Ends the stream, one of whose other methods has thrown an exception. */
+    void fail(RuntimeException cause);
+
     /** Returns until when the stream may wait, in nanoseconds of the executor's clock. */
     long waitsUntil();
 
@@ -74,17 +77,11 @@
   }
 
   private void serve() {
-    // A waiter that is granted a retry may fail immediately and join again.
     for (Waiter waiter : ordered()) {
-      if (!waiters.contains(waiter)) {
-        continue;
-      }
-      if (budget.tryReserveAwaited()) {
-        waiters.remove(waiter);
-        waiter.granted();
-      } else if (!budget.canRecover() || now() > waiter.waitsUntil()) {
-        leave(waiter);
-        waiter.refused();
+      try {
+        serve(waiter);
+      } catch (RuntimeException e) {
+        waiter.fail(e);
       }
     }
     if (!waiters.isEmpty() && !pollScheduled) {
@@ -93,6 +90,20 @@
     }
   }
 
+  private void serve(Waiter waiter) {
+    // A waiter that is granted a retry may fail immediately and join again.
+    if (!waiters.contains(waiter)) {
+      return;
+    }
+    if (budget.tryReserveAwaited()) {
+      waiters.remove(waiter);
+      waiter.granted();
+    } else if (!budget.canRecover() || now() > waiter.waitsUntil()) {
+      leave(waiter);
+      waiter.refused();
+    }
+  }
+
   private void poll() {
     pollScheduled = false;
     serve();
