Connections at rest are given up for memory only after what has arrived on them is read

What callers saw, without pipelining, while the node's memory is short: (1) a request on a kept connection that had rested for a second was closed in answer to its own head, if that had no room: the connection made the room itself; (2) a request that had arrived on such a connection was reset, if another one's request or body that needed the room was read just before it. Neither was answered or passed on; vaneworks.caller.closes said input-given-up.

What waits for a head was judged by the time since the connection had come to rest, also once the head arrived, and its connection was closed at once, without a look at the socket.

A head's age counts from its first byte now, so a connection is not stalled as its request arrives. The memory of a connection at rest is returned at once, as before, but it is closed only after the sockets were read again; if a request arrives until then, the connection is counted again and goes on. Heads that have begun and bodies are given up as before. Both in one commit: (2) alone would return the memory of a connection twice in case (1).

Evidence: NodeMemoryTest#connectionIsNotGivenUpForItsOwnRequest and #requestThatArrivedBeforeConnectionsAtRestAreGivenUpIsAnswered.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -220,6 +221,95 @@
     assertEquals(1, server.counters.value(Metric.CALLER_CLOSES, "input-given-up"));
   }
 
+  private Socket connectAndExchange() throws Exception {
+    Socket caller = connect();
+    EntryFixture.sendRequest(caller);
+    answer(server.next());
+    assertAnswered(caller);
+    return caller;
+  }
+
+  private static void sendQuietly(Socket caller, String method, String headers) {
+    try {
+      EntryFixture.sendRequest(caller, method, headers);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns the size of a body that has room once one connection at rest is given up. */
+  private int bytesBeyondRoom(long budget) throws Exception {
+    long copyBytes = InputMemory.REQUEST_BYTES + BodyCollector.WRITE_COPY_BYTES;
+    long room = budget * 7 / 8 - counted() - copyBytes;
+    return (int) (room + InputMemory.CONNECTION_BYTES - HEAD_BYTES);
+  }
+
+  // Guards against a request that is lost because its connection, which has rested until then, is
+  // closed for memory before the event loop reads it.
+  @Test
+  void requestThatArrivedBeforeConnectionsAtRestAreGivenUpIsAnswered() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket resting = connectAndExchange();
+    Socket other = connectAndExchange();
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    int bodyBytes = bytesBeyondRoom(budget);
+    server.runOnEventLoop(
+        () -> {
+          sendQuietly(other, "POST", "content-length: " + bodyBytes + "\r\n");
+          sendQuietly(resting, "GET", "");
+        });
+
+    answer(server.next());
+    assertAnswered(resting);
+    other.getOutputStream().write(new byte[bodyBytes]);
+    answer(server.next());
+    assertAnswered(other);
+  }
+
+  // Guards against connections at rest that keep the memory that others need.
+  @Test
+  void connectionAtRestIsGivenUpForABody() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket resting = connectAndExchange();
+    Socket other = connectAndExchange();
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    int bodyBytes = bytesBeyondRoom(budget);
+    EntryFixture.sendRequest(other, "POST", "content-length: " + bodyBytes + "\r\n");
+
+    assertEquals("", readAll(resting));
+    other.getOutputStream().write(new byte[bodyBytes]);
+    answer(server.next());
+    assertAnswered(other);
+    assertEquals(1, server.counters.value(Metric.CALLER_CLOSES, "input-given-up"));
+    callers.forEach(NodeMemoryTest::closeQuietly);
+    awaitHeld(0);
+    server.closeConnections();
+    assertEquals(0, counted());
+  }
+
+  // Guards against a connection that is closed to make room for the request that arrives on it, as
+  // it has rested until then.
+  @Test
+  void connectionIsNotGivenUpForItsOwnRequest() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket caller = connectAndExchange();
+    Socket resting = connectAndExchange();
+    server.advanceTime(PendingInput.MAX_PAUSE.multipliedBy(3));
+    long otherBytes = budget * 9 / 8 - counted(); // Heads may exceed the limit by an eighth.
+    server.runOnEventLoop(() -> server.memory.addInput(otherBytes));
+    EntryFixture.sendRequest(caller);
+
+    answer(server.next());
+    assertAnswered(caller);
+    assertEquals("", readAll(resting));
+    callers.forEach(NodeMemoryTest::closeQuietly);
+    server.closeConnections();
+    assertEquals(otherBytes, counted());
+  }
+
   // Guards against a refused caller that is reset while it still sends its body, as the node has no
   // memory for the body of another one either.
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -237,6 +237,12 @@
       giveUpInput();
     }
 
+    @Override
+    public void givenUpAtRest() {
+      // Called while sockets are read. The second task runs after they were read again.
+      runAfterRead(() -> runAfterRead(CallerConnection.this::giveUpInput));
+    }
+
     @Override
     public void linesTooLong() {
       refuseInput(bodyRefusal.isPresent() ? Reason.HEADERS_TOO_LARGE : tooLargeReason());
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -307,6 +307,11 @@
             var unused = channel.close();
           }
 
+          @Override
+          public void givenUpAtRest() {
+            var unused = channel.close();
+          }
+
           @Override
           public void linesTooLong() {
             var unused = channel.close();
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -44,6 +44,9 @@
     /** The client has stopped within a head, and memory is short. */
     void stalled();
 
+    /** The connection rests, and memory is short; it may go on if input has arrived already. */
+    void givenUpAtRest();
+
     /** A head, chunk extensions or trailers are too long. */
     void linesTooLong();
   }
@@ -87,6 +90,9 @@
   /** The rest of a body of stated length, whose memory is counted with its request. */
   private long bodyBytes;
 
+  /** Whether the memory of the connection was returned, which is closed unless input follows. */
+  private boolean givenUpAtRest;
+
   private boolean afterHead;
   private boolean refused;
   private boolean closed;
@@ -176,8 +182,36 @@
   }
 
   private void stalled() {
-    owner.stalled();
-    giveUp();
+    if (isAtRest() && !owner.isEnding()) {
+      giveUpAtRest();
+    } else {
+      owner.stalled();
+      giveUp();
+    }
+  }
+
+  private boolean isAtRest() {
+    return undecodedMemory == 0 && waitingHeads.isEmpty();
+  }
+
+  /** Returns the memory of a connection at once; a request that has arrived is read first. */
+  private void giveUpAtRest() {
+    stopAwaiting();
+    givenUpAtRest = true;
+    budget.addInput(-CONNECTION_BYTES);
+    owner.givenUpAtRest();
+  }
+
+  /** Ends the rest of a connection whose next head begins; its age counts from now on. */
+  private void endRest() {
+    if (givenUpAtRest) {
+      givenUpAtRest = false;
+      budget.addInput(CONNECTION_BYTES);
+    }
+    if (owner.isWaiting() && !afterHead) {
+      stopAwaiting();
+      awaitRequest();
+    }
   }
 
   /**
@@ -262,7 +296,7 @@
     stopAwaiting();
     releaseUndecoded();
     endCurrent();
-    budget.addInput(-waitingHeadBytes - CONNECTION_BYTES);
+    budget.addInput(-waitingHeadBytes - (givenUpAtRest ? 0 : CONNECTION_BYTES));
     waitingHeads.clear();
     waitingHeadBytes = 0;
   }
@@ -276,6 +310,9 @@
         return;
       }
       try {
+        if (!refused && isAtRest()) {
+          endRest();
+        }
         while (input.isReadable() && !refused) {
           decodePart(context, input);
         }
