Input is not given up for memory while it is being read

What callers saw, without pipelining, while the node's memory is short: a caller that had paused for a second within a chunked body, or within a head, and then went on was closed without an answer, if its next part had no room. The part was read, and its own connection was closed to make room for it. A caller that had not paused got 503 node-memory.

The time of the last input is recorded after the input was handled, so that input that is just being handled still counts as stalled.

Input does not count as stalled while input of its connection is decoded. If nothing else makes room, it is refused with an answer. For others' input it is given up as before.

Evidence: NodeMemoryTest#bodyIsNotGivenUpForItsOwnNextPart and #headIsNotGivenUpForItsOwnRest.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -87,6 +87,14 @@
     }
   }
 
+  /** Waits until exactly a number of bytes is counted. */
+  private void awaitCounted(long bytes) throws Exception {
+    long giveUpAt = System.nanoTime() + MAX_WAIT_NANOS;
+    while (counted() != bytes) {
+      assertTrue(System.nanoTime() < giveUpAt, "counted: " + counted() + ", expected: " + bytes);
+    }
+  }
+
   private void awaitRefusals(int count) {
     long giveUpAt = System.nanoTime() + MAX_WAIT_NANOS;
     while (server.counters.value(Metric.REFUSALS, "node-memory") < count) {
@@ -286,7 +294,7 @@
     callers.forEach(NodeMemoryTest::closeQuietly);
     awaitHeld(0);
     server.closeConnections();
-    assertEquals(0, counted());
+    awaitCounted(0);
   }
 
   // Guards against a connection that is closed to make room for the request that arrives on it, as
@@ -307,7 +315,49 @@
     assertEquals("", readAll(resting));
     callers.forEach(NodeMemoryTest::closeQuietly);
     server.closeConnections();
-    assertEquals(otherBytes, counted());
+    awaitCounted(otherBytes);
+  }
+
+  // Guards against a connection that is closed without an answer to make room for a part of its own
+  // body, as that part has arrived after a pause.
+  @Test
+  void bodyIsNotGivenUpForItsOwnNextPart() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket caller = connect();
+    EntryFixture.sendRequest(caller, "POST", "transfer-encoding: chunked\r\n");
+    byte[] chunk = ("200\r\n" + "x".repeat(1 << 9) + "\r\n").getBytes(US_ASCII);
+    caller.getOutputStream().write(chunk);
+    awaitHeld(1);
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    long otherBytes = budget - counted();
+    server.runOnEventLoop(() -> server.memory.addInput(otherBytes));
+    caller.getOutputStream().write(chunk);
+
+    assertRefusedForMemory(caller);
+    server.runOnEventLoop(() -> server.memory.addInput(-otherBytes));
+    awaitHeld(0);
+  }
+
+  // Guards against the same close for the rest of a head.
+  @Test
+  void headIsNotGivenUpForItsOwnRest() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket caller = connectAndExchange();
+    long atRest = counted();
+    String line = "GET / HTTP/1.1\r\n";
+    caller.getOutputStream().write(line.getBytes(US_ASCII));
+    awaitCounted(atRest + line.length() + InputMemory.LINE_BYTES);
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    long otherBytes = budget * 9 / 8 - counted(); // Heads may exceed the limit by an eighth.
+    server.runOnEventLoop(() -> server.memory.addInput(otherBytes));
+    caller.getOutputStream().write("Host: a\r\n\r\n".getBytes(US_ASCII));
+
+    String answer = readAll(caller);
+    assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+    server.closeConnections();
+    awaitCounted(otherBytes);
   }
 
   // Guards against a refused caller that is reset while it still sends its body, as the node has no
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/EntryServer.java
@@ -406,7 +406,7 @@
         new PendingInput(
             memory.clock(),
             collector::receivedBytes,
-            () -> true,
+            () -> !input.isDecoding(),
             () -> false,
             lease::bodyBytes,
             () -> {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -93,6 +93,9 @@
   /** Whether the memory of the connection was returned, which is closed unless input follows. */
   private boolean givenUpAtRest;
 
+  /** Whether input is being decoded; its client has not stalled then. */
+  private boolean decoding;
+
   private boolean afterHead;
   private boolean refused;
   private boolean closed;
@@ -167,7 +170,7 @@
           new PendingInput(
               budget.clock(),
               () -> undecodedBytes,
-              owner::isWaiting,
+              () -> !decoding && owner.isWaiting(),
               owner::isEnding,
               () -> undecodedMemory + waitingHeadBytes + CONNECTION_BYTES,
               this::stalled);
@@ -231,6 +234,11 @@
     return !waitingHeads.isEmpty();
   }
 
+  /** Returns whether input is being decoded. */
+  boolean isDecoding() {
+    return decoding;
+  }
+
   /** Returns whether the input of the last request has not ended. */
   boolean isWithinBody() {
     return afterHead;
@@ -309,6 +317,7 @@
         super.channelRead(context, message);
         return;
       }
+      decoding = true;
       try {
         if (!refused && isAtRest()) {
           endRest();
@@ -317,6 +326,7 @@
           decodePart(context, input);
         }
       } finally {
+        decoding = false;
         ReferenceCountUtil.release(input);
       }
     }
