A body that has arrived is read before its pause ends its request

What callers saw: 408 body-too-slow, and the close of the connection, for a body whose rest had arrived in time, if the node read it late: a caller that pauses within its body for less than the idle timeout, and a node that stands still until that has passed.

A timer that became due while sockets are read runs before the rest of them are read. The idle timeout, the time for a head and a stop look at the socket first (LateReadTest); the pause of a body did not.

The pause is checked once more after the sockets were read.

Evidence: LateReadTest#bodyThatArrivedBeforeItsPauseEndedIsAnswered. A caller that stops is refused as before (NodeMemoryTest#callerThatStopsSendingItsBodyReleasesIt).

--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/BodyPauseTimer.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/BodyPauseTimer.java
@@ -40,11 +40,17 @@
     return true;
   }
 
+  /** A late timer runs before input is read that has arrived; one that is set now runs after it. */
   private void check(long previousBytes) {
-    if (cancelled) {
-      return;
+    if (!cancelled && collector.receivedBytes() == previousBytes) {
+      timer = executor.schedule(() -> checkAfterRead(previousBytes), Duration.ZERO);
+    } else {
+      start();
     }
-    if (collector.receivedBytes() == previousBytes) {
+  }
+
+  private void checkAfterRead(long previousBytes) {
+    if (!cancelled && collector.receivedBytes() == previousBytes) {
       onPause.run();
     } else {
       start();
