--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/InputMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/InputMemoryTest.java
@@ -82,6 +82,11 @@
       givenUp = true;
     }
 
+    @Override
+    public void givenUpAtRest() {
+      throw new IllegalStateException("at rest");
+    }
+
     @Override
     public void linesTooLong() {
       throw new IllegalStateException("too long");
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -86,6 +87,14 @@
     }
   }
 
+  /** Waits until exactly a number of bytes is counted. */
+  private void awaitCounted(long bytes) throws Exception {
+    long giveUpAt = System.nanoTime() + MAX_WAIT_NANOS;
+    while (counted() != bytes) {
+      assertTrue(System.nanoTime() < giveUpAt, "counted: " + counted() + ", expected: " + bytes);
+    }
+  }
+
   private void awaitRefusals(int count) {
     long giveUpAt = System.nanoTime() + MAX_WAIT_NANOS;
     while (server.counters.value(Metric.REFUSALS, "node-memory") < count) {
@@ -220,6 +229,137 @@
     assertEquals(1, server.counters.value(Metric.CALLER_CLOSES, "input-given-up"));
   }
 
+  private Socket connectAndExchange() throws Exception {
+    Socket caller = connect();
+    EntryFixture.sendRequest(caller);
+    answer(server.next());
+    assertAnswered(caller);
+    return caller;
+  }
+
+  private static void sendQuietly(Socket caller, String method, String headers) {
+    try {
+      EntryFixture.sendRequest(caller, method, headers);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns the size of a body that has room once one connection at rest is given up. */
+  private int bytesBeyondRoom(long budget) throws Exception {
+    long copyBytes = InputMemory.REQUEST_BYTES + BodyCollector.WRITE_COPY_BYTES;
+    long room = budget * 7 / 8 - counted() - copyBytes;
+    return (int) (room + InputMemory.CONNECTION_BYTES - HEAD_BYTES);
+  }
+
+  // Guards against a request that is lost because its connection, which has rested until then, is
+  // closed for memory before the event loop reads it.
+  @Test
+  void requestThatArrivedBeforeConnectionsAtRestAreGivenUpIsAnswered() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket resting = connectAndExchange();
+    Socket other = connectAndExchange();
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    int bodyBytes = bytesBeyondRoom(budget);
+    server.runOnEventLoop(
+        () -> {
+          sendQuietly(other, "POST", "content-length: " + bodyBytes + "\r\n");
+          sendQuietly(resting, "GET", "");
+        });
+
+    answer(server.next());
+    assertAnswered(resting);
+    other.getOutputStream().write(new byte[bodyBytes]);
+    answer(server.next());
+    assertAnswered(other);
+  }
+
+  // Guards against connections at rest that keep the memory that others need.
+  @Test
+  void connectionAtRestIsGivenUpForABody() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket resting = connectAndExchange();
+    Socket other = connectAndExchange();
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    int bodyBytes = bytesBeyondRoom(budget);
+    EntryFixture.sendRequest(other, "POST", "content-length: " + bodyBytes + "\r\n");
+
+    assertEquals("", readAll(resting));
+    other.getOutputStream().write(new byte[bodyBytes]);
+    answer(server.next());
+    assertAnswered(other);
+    assertEquals(1, server.counters.value(Metric.CALLER_CLOSES, "input-given-up"));
+    callers.forEach(NodeMemoryTest::closeQuietly);
+    awaitHeld(0);
+    server.closeConnections();
+    awaitCounted(0);
+  }
+
+  // Guards against a connection that is closed to make room for the request that arrives on it, as
+  // it has rested until then.
+  @Test
+  void connectionIsNotGivenUpForItsOwnRequest() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket caller = connectAndExchange();
+    Socket resting = connectAndExchange();
+    server.advanceTime(PendingInput.MAX_PAUSE.multipliedBy(3));
+    long otherBytes = budget * 9 / 8 - counted(); // Heads may exceed the limit by an eighth.
+    server.runOnEventLoop(() -> server.memory.addInput(otherBytes));
+    EntryFixture.sendRequest(caller);
+
+    answer(server.next());
+    assertAnswered(caller);
+    assertEquals("", readAll(resting));
+    callers.forEach(NodeMemoryTest::closeQuietly);
+    server.closeConnections();
+    awaitCounted(otherBytes);
+  }
+
+  // Guards against a connection that is closed without an answer to make room for a part of its own
+  // body, as that part has arrived after a pause.
+  @Test
+  void bodyIsNotGivenUpForItsOwnNextPart() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket caller = connect();
+    EntryFixture.sendRequest(caller, "POST", "transfer-encoding: chunked\r\n");
+    byte[] chunk = ("200\r\n" + "x".repeat(1 << 9) + "\r\n").getBytes(US_ASCII);
+    caller.getOutputStream().write(chunk);
+    awaitHeld(1);
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    long otherBytes = budget - counted();
+    server.runOnEventLoop(() -> server.memory.addInput(otherBytes));
+    caller.getOutputStream().write(chunk);
+
+    assertRefusedForMemory(caller);
+    server.runOnEventLoop(() -> server.memory.addInput(-otherBytes));
+    awaitHeld(0);
+  }
+
+  // Guards against the same close for the rest of a head.
+  @Test
+  void headIsNotGivenUpForItsOwnRest() throws Exception {
+    long budget = MEGABYTE * 3 / 2;
+    start(budget);
+    Socket caller = connectAndExchange();
+    long atRest = counted();
+    String line = "GET / HTTP/1.1\r\n";
+    caller.getOutputStream().write(line.getBytes(US_ASCII));
+    awaitCounted(atRest + line.length() + InputMemory.LINE_BYTES);
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    long otherBytes = budget * 9 / 8 - counted(); // Heads may exceed the limit by an eighth.
+    server.runOnEventLoop(() -> server.memory.addInput(otherBytes));
+    caller.getOutputStream().write("Host: a\r\n\r\n".getBytes(US_ASCII));
+
+    String answer = readAll(caller);
+    assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+    server.closeConnections();
+    awaitCounted(otherBytes);
+  }
+
   // Guards against a refused caller that is reset while it still sends its body, as the node has no
   // memory for the body of another one either.
   @Test
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -44,6 +44,9 @@
     /** The client has stopped within a head, and memory is short. */
     void stalled();
 
+    /** The connection rests, and memory is short; it may go on if input has arrived already. */
+    void givenUpAtRest();
+
     /** A head, chunk extensions or trailers are too long. */
     void linesTooLong();
   }
@@ -87,9 +90,15 @@
   /** The rest of a body of stated length, whose memory is counted with its request. */
   private long bodyBytes;
 
-  /** What the connection holds after it was closed to make room, until the channel is gone. */
+  /** What the connection holds after it was given up to make room, until the channel is gone. */
   private long closingBytes;
 
+  /** Whether the memory of the connection was returned, which is closed unless input follows. */
+  private boolean givenUpAtRest;
+
+  /** Whether input is being decoded; its client has not stalled then. */
+  private boolean decoding;
+
   private boolean afterHead;
   private boolean refused;
   private boolean closed;
@@ -164,7 +173,7 @@
           new PendingInput(
               budget.clock(),
               () -> undecodedBytes,
-              owner::isWaiting,
+              () -> !decoding && owner.isWaiting(),
               owner::isEnding,
               () -> undecodedMemory + waitingHeadBytes + CONNECTION_BYTES,
               this::stalled);
@@ -179,8 +188,38 @@
   }
 
   private void stalled() {
-    owner.stalled();
-    giveUp();
+    if (isAtRest() && !owner.isEnding()) {
+      giveUpAtRest();
+    } else {
+      owner.stalled();
+      giveUp();
+    }
+  }
+
+  private boolean isAtRest() {
+    return undecodedMemory == 0 && waitingHeads.isEmpty();
+  }
+
+  /** Returns the memory of a connection at once; a request that has arrived is read first. */
+  private void giveUpAtRest() {
+    stopAwaiting();
+    givenUpAtRest = true;
+    budget.addInput(-CONNECTION_BYTES);
+    addClosing(CONNECTION_BYTES);
+    owner.givenUpAtRest();
+  }
+
+  /** Ends the rest of a connection whose next head begins; its age counts from now on. */
+  private void endRest() {
+    if (givenUpAtRest) {
+      givenUpAtRest = false;
+      budget.addInput(CONNECTION_BYTES);
+      addClosing(-CONNECTION_BYTES);
+    }
+    if (owner.isWaiting() && !afterHead) {
+      stopAwaiting();
+      awaitRequest();
+    }
   }
 
   /**
@@ -191,16 +230,24 @@
     refused = true;
     if (!closed) {
       closed = true;
-      closingBytes = undecodedMemory + waitingHeadBytes + CONNECTION_BYTES;
-      budget.addClosing(closingBytes);
+      addClosing(undecodedMemory + waitingHeadBytes + connectionBytes());
       releaseAll();
     }
   }
 
   private void closed() {
     giveUp();
-    budget.addClosing(-closingBytes);
-    closingBytes = 0;
+    addClosing(-closingBytes);
+  }
+
+  private void addClosing(long bytes) {
+    closingBytes += bytes;
+    budget.addClosing(bytes);
+  }
+
+  /** Returns what the budget counts for the connection itself. */
+  private int connectionBytes() {
+    return givenUpAtRest ? 0 : CONNECTION_BYTES;
   }
 
   /** Returns whether the heads of requests were decoded that have not been started yet. */
@@ -208,6 +255,11 @@
     return !waitingHeads.isEmpty();
   }
 
+  /** Returns whether input is being decoded. */
+  boolean isDecoding() {
+    return decoding;
+  }
+
   /** Returns whether the input of the last request has not ended. */
   boolean isWithinBody() {
     return afterHead;
@@ -273,7 +325,7 @@
     stopAwaiting();
     releaseUndecoded();
     endCurrent();
-    budget.addInput(-waitingHeadBytes - CONNECTION_BYTES);
+    budget.addInput(-waitingHeadBytes - connectionBytes());
     waitingHeads.clear();
     waitingHeadBytes = 0;
   }
@@ -286,11 +338,16 @@
         super.channelRead(context, message);
         return;
       }
+      decoding = true;
       try {
+        if (!refused && isAtRest()) {
+          endRest();
+        }
         while (input.isReadable() && !refused) {
           decodePart(context, input);
         }
       } finally {
+        decoding = false;
         ReferenceCountUtil.release(input);
       }
     }
