An answer clears losses that are known to be crashes only later

Cause: a broken connection counts as a crash of the engine once its box refuses, a later run of it shows or its entry goes, up to seven seconds later. What was answered, or ran for a second elsewhere, in the meantime did not clear it: only crashes known by then were cleared (design/0016, point 3). Three connections that broke early, an answer, and then the removal of the three entries quarantined the content: its requests were refused, for ten minutes by reading, and a stream with it would be cut at the next loss (by reading).

Change: an answer discards the losses of its content that have not proved to be crashes yet. The content is computed only while there is a loss of the last seven seconds.

Not covered: a part of a prompt that ran since, in losses of requests with other contents (twelve crashes are needed then).

--- a/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/CrashDetectorTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/tests/quarantine/CrashDetectorTest.java
@@ -138,4 +138,15 @@
     fleet.recordConnectionRefused(endpoint);
     assertCrashAttributed();
   }
+
+  @Test
+  void answerDiscardsLossesOfItsContentOnly() {
+    RequestContent other =
+        RequestContent.of(Optional.empty(), "POST", "host.example", "/letters/", new byte[] {2});
+    detector.recordLoss(endpoint, RequestStart.of(other), SHORT_RUN_TIME);
+    detector.recordLoss(endpoint, RequestStart.of(CONTENT), SHORT_RUN_TIME);
+    detector.recordAnswer(other);
+    fleet.recordConnectionRefused(endpoint);
+    assertCrashAttributed();
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RequestQuarantine.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/forwarding/RequestQuarantine.java
@@ -107,6 +107,9 @@
 
   /** Records that an endpoint completed the request. */
   void recordAnswer() {
+    if (context.crashDetector().hasRecentLosses()) {
+      context.crashDetector().recordAnswer(content());
+    }
     if (!context.quarantine().isEmpty()) {
       context.quarantine().recordAnswer(content());
     }
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/CrashDetector.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/CrashDetector.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.vaneworks.coordination.fleet.Fleet;
 import org.vaneworks.coordination.fleet.TrackedEndpoint;
+import org.vaneworks.state.RequestContent;
 
 /**
  * Attributes the crash of an endpoint's process to the requests that it had just begun.
@@ -41,6 +42,9 @@
   private final Consumer<ImmutableList<EndpointCrash>> onCrashes;
   private final Map<TrackedEndpoint, List<LostRequest>> lostRequests = new HashMap<>();
 
+  /** When a loss was last recorded that may prove to be a crash. */
+  private long lastLossAt;
+
   private CrashDetector(
       Executor clock, Fleet fleet, Consumer<ImmutableList<EndpointCrash>> onCrashes) {
     this.clock = checkNotNull(clock);
@@ -73,12 +77,30 @@
     if (endpoint.processDown()) {
       reportCrash(endpoint, ImmutableList.of(start));
     } else if (!endpoint.delisted()) {
+      lastLossAt = clock.currentTime(NANOSECONDS);
       lostRequests
           .computeIfAbsent(endpoint, key -> new ArrayList<>())
-          .add(new LostRequest(start, clock.currentTime(NANOSECONDS)));
+          .add(new LostRequest(start, lastLossAt));
     }
   }
 
+  /**
+   * Returns whether a recent loss may prove to be a crash; if not, callers need not compute the
+   * content of a request that is answered.
+   */
+  public boolean hasRecentLosses() {
+    return !lostRequests.isEmpty() && lastLossAt >= oldestLoss();
+  }
+
+  /**
+   * Discards the losses of a content that an endpoint answered since, or continued after it had
+   * begun it: if those endpoints prove to have crashed, the crashes were before the answer.
+   */
+  public void recordAnswer(RequestContent content) {
+    lostRequests.values().forEach(lost -> lost.removeIf(request -> request.start().has(content)));
+    lostRequests.values().removeIf(List::isEmpty);
+  }
+
   /** Discards losses that have another cause, as this node is cut off from the endpoints. */
   public void discardLosses() {
     lostRequests.clear();
@@ -96,7 +118,7 @@
     if (lost == null) {
       return;
     }
-    long oldest = clock.currentTime(NANOSECONDS) - MAX_DETECTION_DELAY.toNanos();
+    long oldest = oldestLoss();
     reportCrash(
         endpoint,
         lost.stream()
@@ -105,6 +127,10 @@
             .collect(ImmutableList.toImmutableList()));
   }
 
+  private long oldestLoss() {
+    return clock.currentTime(NANOSECONDS) - MAX_DETECTION_DELAY.toNanos();
+  }
+
   private void reportCrash(TrackedEndpoint endpoint, ImmutableList<RequestStart> starts) {
     ImmutableList<EndpointCrash> attributed =
         starts.stream()
--- a/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/RequestStart.java
+++ b/vaneworks/src/main/java/org/vaneworks/coordination/quarantine/RequestStart.java
@@ -37,6 +37,11 @@
     return new RequestStart(content, parts);
   }
 
+  /** Returns whether the request has a content. */
+  boolean has(RequestContent other) {
+    return content.equals(other);
+  }
+
   /** Returns the crash of an endpoint that had just begun the request. */
   EndpointCrash crashOf(String incarnationId) {
     return new EndpointCrash(content, parts, incarnationId);
