NodeMemoryTest: a connection rests before the time is advanced

connectAndExchange returned as soon as the caller had the response. The time from which a connection rests is read in the event that writes the response, so the test could advance the time before; the connection then does not count as stalled. By reading, as with NextRequestTest today; no failure was seen. The test waits for the end of that event. Assertions are unchanged.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -234,6 +234,8 @@
     EntryFixture.sendRequest(caller);
     answer(server.next());
     assertAnswered(caller);
+    // The connection rests from the end of the event in which the response was written.
+    server.runOnEventLoop(() -> {});
     return caller;
   }
 
