A connection that lingers is not given up as stalled

Callers saw the end of a last response cut by a reset: memory was short, they were still reading a second after the node had passed the response on, and they sent another request.

Cause: a connection that lingers counted as waiting for a head. Its pause is measured from the end of its last response, or of an earlier one, so it was given up as soon as it lingered, and closed instead of discarding input. The test of last responses let no time pass, so it did not show this.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -48,6 +48,8 @@
 
   private static final int LAST_CHARACTERS = 100;
 
+  private static final int POLLS = 5;
+
   /** Less than is read at a time, so that it is read with the request before it. */
   private static final String LONG_TEXT = "x".repeat(1500);
 
@@ -219,6 +221,38 @@
     }
   }
 
+  /** Asks for memory that is free only if a connection is given up. */
+  private void askForMoreThanIsFree() {
+    long free = LARGE_MEMORY_BYTES - server.memory.countedBytes();
+    var unused = server.memory.hasRoom(free + 1, 1);
+  }
+
+  // Guards against a last response that is cut, though its caller still reads it, because that
+  // caller is slow to read it, memory is short, and the caller sends another request.
+  @Test
+  void lastResponseOfSlowReaderIsNotCut() throws Exception {
+    server = EntryFixture.startLingering(LARGE_MEMORY_BYTES);
+    server.closeAfterResponses();
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST);
+      respondInParts(server.next(), LAST_PARTS);
+      long giveUpAt = System.nanoTime() + MAX_WAIT_NANOS;
+      while (server.counters.value(Metric.CALLER_CLOSES, "last-answer") == 0) {
+        assertTrue(System.nanoTime() < giveUpAt, "the sockets do not hold the response");
+      }
+      server.advanceTime(PendingInput.MAX_PAUSE);
+      server.runOnEventLoop(this::askForMoreThanIsFree);
+      // Connections that are given up at rest are closed by the time that the last of these runs.
+      for (int i = 0; i < POLLS; i++) {
+        server.runOnEventLoop(() -> {});
+      }
+
+      send(caller, REQUEST);
+      String text = readToEnd(caller);
+      assertTrue(text.endsWith("x\r\n0\r\n\r\n"), () -> "the end: " + lastOf(text));
+    }
+  }
+
   // Guards against a response in progress that is cut because the next body is malformed.
   @Test
   void malformedNextBodyDoesNotCutResponse() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -220,7 +220,7 @@
 
     @Override
     public boolean isWaiting() {
-      return !isActive();
+      return !isActive() && !lingering;
     }
 
     @Override
