A refusal that is due is sent before memory is made of its connection

Callers whose next request was refused behind a response in progress got no answer to it, but a close, when memory was short as that response ended.

Cause: such a connection counted as waiting, and as at rest. Giving it up replaced the timer that was to send the refusal.

Evidence: refusalThatIsDueIsSentAlthoughMemoryIsShort, before: expected "HTTP/1.1 400", was ""; after: passes, with NextRequestTest, NodeMemoryTest, InputMemoryTest and HeadMemoryTest.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -253,6 +253,26 @@
     }
   }
 
+  // Guards against a refusal that is due and not sent, as its connection is given up to make room.
+  @Test
+  void refusalThatIsDueIsSentAlthoughMemoryIsShort() throws Exception {
+    server = EntryFixture.start(LARGE_MEMORY_BYTES);
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST + MALFORMED);
+      EntryFixture.ReceivedRequest request = server.next();
+      server.runOnEventLoop(
+          () -> {
+            request.response.head(EntryFixture.responseHead());
+            request.response.data("first".getBytes(US_ASCII));
+            request.response.end();
+            server.advanceTime(PendingInput.MAX_PAUSE);
+            askForMoreThanIsFree();
+          });
+      String rest = afterResponse("first", readToEnd(caller));
+      assertEquals("HTTP/1.1 400 \r\n" + CLOSE, rest);
+    }
+  }
+
   // Guards against a response in progress that is cut because the next body is malformed.
   @Test
   void malformedNextBodyDoesNotCutResponse() throws Exception {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -220,7 +220,8 @@
 
     @Override
     public boolean isWaiting() {
-      return !isActive() && !lingering;
+      // A refusal that is due is sent first.
+      return !isActive() && !lingering && laterRefusal.isEmpty();
     }
 
     @Override
