--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NodeMemoryTest.java
@@ -297,6 +297,96 @@
     awaitCounted(0);
   }
 
+  /** What follows once a connection was given up at rest. */
+  enum AfterRest {
+    NOTHING,
+    REQUEST,
+    PART_OF_HEAD,
+    EMPTY_LINE,
+    LEFT,
+    RESET,
+    IDLE_CLOSE,
+    CLOSE_BETWEEN_REQUESTS,
+    CLOSE_NOW
+  }
+
+  private void follow(AfterRest next, Socket resting) {
+    try {
+      switch (next) {
+        case NOTHING -> {}
+        case REQUEST -> EntryFixture.sendRequest(resting);
+        case PART_OF_HEAD -> resting.getOutputStream().write("GET / HT".getBytes(US_ASCII));
+        case EMPTY_LINE -> resting.getOutputStream().write("\r\n".getBytes(US_ASCII));
+        case LEFT -> resting.shutdownOutput();
+        case RESET -> {
+          resting.setSoLinger(true, 0);
+          resting.close();
+        }
+        case IDLE_CLOSE -> server.connections.closeIdle();
+        case CLOSE_BETWEEN_REQUESTS -> server.connections.closeBetweenRequests();
+        case CLOSE_NOW -> server.connections.closeNow();
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private boolean makesRoomByGivingUp() {
+    long free = server.memory.limitBytes() - server.memory.countedBytes();
+    return server.memory.hasRoom(free + 1, 1);
+  }
+
+  // Guards against memory of a connection given up at rest that is returned twice or never, or that
+  // keeps others from being given up.
+  @ParameterizedTest
+  @EnumSource
+  void connectionGivenUpAtRestIsCountedOnce(AfterRest next) throws Exception {
+    // A connection holds more than may be closing at a time.
+    start(InputMemory.CONNECTION_BYTES * 8 - 1);
+    Socket resting = connectAndExchange();
+    server.advanceTime(PendingInput.MAX_PAUSE);
+    server.runOnEventLoop(
+        () -> {
+          assertTrue(makesRoomByGivingUp());
+          assertEquals(0, server.memory.countedBytes());
+          follow(next, resting);
+        });
+    if (next == AfterRest.PART_OF_HEAD) {
+      awaitCounted(InputMemory.CONNECTION_BYTES + "GET / HT".length());
+      resting.getOutputStream().write("TP/1.1\r\nHost: a\r\n\r\n".getBytes(US_ASCII));
+    }
+    if (next == AfterRest.REQUEST || next == AfterRest.PART_OF_HEAD) {
+      answer(server.next());
+      assertAnswered(resting);
+    }
+
+    awaitCounted(resting.isClosed() || !expectsConnection(next) ? 0 : InputMemory.CONNECTION_BYTES);
+    if (expectsConnection(next)) {
+      server.advanceTime(PendingInput.MAX_PAUSE);
+      server.runOnEventLoop(() -> assertTrue(makesRoomByGivingUp()));
+    }
+    closeQuietly(resting);
+    server.closeConnections();
+    awaitCounted(0);
+    server.runOnEventLoop(
+        () -> {
+          MemoryBudget budget = server.memory;
+          budget.addInput(1);
+          budget.addPending(
+              new PendingInput(
+                  budget.clock(), () -> 0, () -> true, () -> true, () -> 1, this::returnOne));
+          assertTrue(makesRoomByGivingUp());
+        });
+  }
+
+  private void returnOne() {
+    server.memory.addInput(-1);
+  }
+
+  private static boolean expectsConnection(AfterRest next) {
+    return next == AfterRest.REQUEST || next == AfterRest.PART_OF_HEAD;
+  }
+
   // Guards against a connection that is closed to make room for the request that arrives on it, as
   // it has rested until then.
   @Test
