The body of an answered request is not taken for the next head

Callers whose request was refused without a close, as it has no id, and whose body arrived after that answer, got a 414 or 431 for the body, and no answer to their next request on the connection.

Cause: once a response is delivered, all input was tracked as a head, also the rest of a body of stated length. Chunked bodies are tracked as before.

--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -11,6 +11,7 @@
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.Socket;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -444,4 +445,26 @@
     assertEquals(0, rest.lastIndexOf("HTTP/1.1 "), rest);
     assertEquals(0, server.receivedRequests());
   }
+
+  // Guards against the body of a refused request that is taken for the head of the next one.
+  @Test
+  void bodyOfRefusedRequestIsNotTakenForHead() throws Exception {
+    server = EntryFixture.start();
+    server.dialect.id = Optional.empty();
+    try (Socket caller = server.connect()) {
+      send(caller, headOfBody(BODY_BYTES));
+      String refusal = "";
+      while (!refusal.endsWith("}")) {
+        int next = caller.getInputStream().read();
+        assertTrue(next >= 0, refusal);
+        refusal += (char) next;
+      }
+      server.dialect.id = Optional.of("q1");
+      send(caller, "x".repeat(BODY_BYTES));
+      send(caller, REQUEST);
+      respond(server.next(), "next");
+      byte[] start = caller.getInputStream().readNBytes(13);
+      assertEquals("HTTP/1.1 200 ", new String(start, ISO_8859_1), refusal);
+    }
+  }
 }
--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/StubHeaderDialect.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/StubHeaderDialect.java
@@ -11,6 +11,9 @@
 
 /** A dialect that reads and writes no headers; each request has the same ID. */
 final class StubHeaderDialect implements HeaderDialect {
+  /** The ID of each request. */
+  volatile Optional<String> id = Optional.of("q1");
+
   /** Called for the headers of each request. */
   Runnable onRequest = () -> {};
 
@@ -20,7 +23,7 @@
   @Override
   public Optional<String> requestId(HttpHeaders headers) {
     onRequest.run();
-    return Optional.of("q1");
+    return id;
   }
 
   @Override
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -558,7 +558,9 @@
 
   /** Returns whether input belongs to a next head, rather than to a request that was refused. */
   private boolean awaitsHead() {
-    return !isActive() && !lastResponse;
+    return !isActive()
+        && !lastResponse
+        && !input.map(InputMemory::isWithinStatedBody).orElse(false);
   }
 
   private void trackHead(ByteBuf bytes) {
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/InputMemory.java
@@ -265,6 +265,11 @@
     return afterHead;
   }
 
+  /** Returns whether a part of a body of stated length has not arrived. */
+  boolean isWithinStatedBody() {
+    return bodyBytes > 0;
+  }
+
   private void stopAwaiting() {
     pending.ifPresent(budget::removePending);
     pending = Optional.empty();
