--- a/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
+++ b/vaneworks-tests/src/test/java/org/vaneworks/transport/entry/NextRequestTest.java
@@ -11,6 +11,7 @@
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.Socket;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -48,6 +49,8 @@
 
   private static final int LAST_CHARACTERS = 100;
 
+  private static final int POLLS = 5;
+
   /** Less than is read at a time, so that it is read with the request before it. */
   private static final String LONG_TEXT = "x".repeat(1500);
 
@@ -219,6 +222,58 @@
     }
   }
 
+  /** Asks for memory that is free only if a connection is given up. */
+  private void askForMoreThanIsFree() {
+    long free = LARGE_MEMORY_BYTES - server.memory.countedBytes();
+    var unused = server.memory.hasRoom(free + 1, 1);
+  }
+
+  // Guards against a last response that is cut, though its caller still reads it, because that
+  // caller is slow to read it, memory is short, and the caller sends another request.
+  @Test
+  void lastResponseOfSlowReaderIsNotCut() throws Exception {
+    server = EntryFixture.startLingering(LARGE_MEMORY_BYTES);
+    server.closeAfterResponses();
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST);
+      respondInParts(server.next(), LAST_PARTS);
+      long giveUpAt = System.nanoTime() + MAX_WAIT_NANOS;
+      while (server.counters.value(Metric.CALLER_CLOSES, "last-answer") == 0) {
+        assertTrue(System.nanoTime() < giveUpAt, "the sockets do not hold the response");
+      }
+      server.advanceTime(PendingInput.MAX_PAUSE);
+      server.runOnEventLoop(this::askForMoreThanIsFree);
+      // Connections that are given up at rest are closed by the time that the last of these runs.
+      for (int i = 0; i < POLLS; i++) {
+        server.runOnEventLoop(() -> {});
+      }
+
+      send(caller, REQUEST);
+      String text = readToEnd(caller);
+      assertTrue(text.endsWith("x\r\n0\r\n\r\n"), () -> "the end: " + lastOf(text));
+    }
+  }
+
+  // Guards against a refusal that is due and not sent, as its connection is given up to make room.
+  @Test
+  void refusalThatIsDueIsSentAlthoughMemoryIsShort() throws Exception {
+    server = EntryFixture.start(LARGE_MEMORY_BYTES);
+    try (Socket caller = server.connect()) {
+      send(caller, REQUEST + MALFORMED);
+      EntryFixture.ReceivedRequest request = server.next();
+      server.runOnEventLoop(
+          () -> {
+            request.response.head(EntryFixture.responseHead());
+            request.response.data("first".getBytes(US_ASCII));
+            request.response.end();
+            server.advanceTime(PendingInput.MAX_PAUSE);
+            askForMoreThanIsFree();
+          });
+      String rest = afterResponse("first", readToEnd(caller));
+      assertEquals("HTTP/1.1 400 \r\n" + CLOSE, rest);
+    }
+  }
+
   // Guards against a response in progress that is cut because the next body is malformed.
   @Test
   void malformedNextBodyDoesNotCutResponse() throws Exception {
@@ -390,4 +445,26 @@
     assertEquals(0, rest.lastIndexOf("HTTP/1.1 "), rest);
     assertEquals(0, server.receivedRequests());
   }
+
+  // Guards against the body of a refused request that is taken for the head of the next one.
+  @Test
+  void bodyOfRefusedRequestIsNotTakenForHead() throws Exception {
+    server = EntryFixture.start();
+    server.dialect.id = Optional.empty();
+    try (Socket caller = server.connect()) {
+      send(caller, headOfBody(BODY_BYTES));
+      String refusal = "";
+      while (!refusal.endsWith("}")) {
+        int next = caller.getInputStream().read();
+        assertTrue(next >= 0, refusal);
+        refusal += (char) next;
+      }
+      server.dialect.id = Optional.of("q1");
+      send(caller, "x".repeat(BODY_BYTES));
+      send(caller, REQUEST);
+      respond(server.next(), "next");
+      byte[] start = caller.getInputStream().readNBytes(13);
+      assertEquals("HTTP/1.1 200 ", new String(start, ISO_8859_1), refusal);
+    }
+  }
 }
--- a/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
+++ b/vaneworks/src/main/java/org/vaneworks/transport/entry/CallerConnection.java
@@ -220,7 +220,8 @@
 
     @Override
     public boolean isWaiting() {
-      return !isActive();
+      // A refusal that is due is sent first.
+      return !isActive() && !lingering && laterRefusal.isEmpty();
     }
 
     @Override
@@ -557,7 +558,9 @@
 
   /** Returns whether input belongs to a next head, rather than to a request that was refused. */
   private boolean awaitsHead() {
-    return !isActive() && !lastResponse;
+    return !isActive()
+        && !lastResponse
+        && !input.map(InputMemory::isWithinStatedBody).orElse(false);
   }
 
   private void trackHead(ByteBuf bytes) {
