A planned stop goes on after an exception in one of its checks

Callers of a node that stopped kept their connections to it until the platform killed the process, and lost whatever was in progress then.

Cause: EntryNode.continueStop scheduled its next check last. An exception in between was logged (VW1014) and no further check came, so the process never ended by itself. Not the executor: it logs and goes on, as it should.

Change: the next check is scheduled first, and the end of the grace is looked at in any case, also if the check before it throws each time.

Not shown by a test: a check that throws at each attempt, up to the end of the grace; and an exception in closing the sockets, which is now tried again.

The exception stays logged by the executor.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.AsyncContext;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.http.api.HttpServerContext;
@@ -500,8 +501,25 @@
   }
 
   private void continueStop(long startNanos) {
+    // Scheduled first, as the stop goes on if this check throws an exception.
+    Cancellable next =
+        clock.schedule(
+            () -> continueStop(startNanos), StopPlan.CHECK_INTERVAL.toNanos(), NANOSECONDS);
     StopPlan plan = StopPlan.within(settings.stopGrace());
     Duration elapsed = Duration.ofNanos(clock.currentTime(NANOSECONDS) - startNanos);
+    boolean over = plan.isExpired(elapsed);
+    try {
+      over |= advanceStop(plan, elapsed);
+    } finally {
+      if (over) {
+        endStop();
+        next.cancel();
+      }
+    }
+  }
+
+  /** Returns whether all requests have ended and all callers have received their responses. */
+  private boolean advanceStop(StopPlan plan, Duration elapsed) {
     if (!plan.acceptsRequests(elapsed)) {
       forwarder.refuseNewRequests();
     }
@@ -518,14 +536,13 @@
       callerConnections.closeIdle();
     }
     // Callers may still be receiving the end of a response.
-    boolean delivered = idle && listeningStopped && callerConnections.isEmpty();
-    if (delivered || plan.isExpired(elapsed)) {
-      cutRequests += activeRequests();
-      EventLog.info(cutRequests == 0 ? Event.STOPPED : Event.STOP_CUT, "inFlight", cutRequests);
-      closeSockets();
-      return;
-    }
-    clock.schedule(() -> continueStop(startNanos), StopPlan.CHECK_INTERVAL.toNanos(), NANOSECONDS);
+    return idle && listeningStopped && callerConnections.isEmpty();
+  }
+
+  private void endStop() {
+    cutRequests += activeRequests();
+    EventLog.info(cutRequests == 0 ? Event.STOPPED : Event.STOP_CUT, "inFlight", cutRequests);
+    closeSockets();
   }
 
   /**
