A peer's request that has arrived is answered when a node stops listening

A peer that had sent a request behind another one on the same connection got no answer to it from a node that stopped: the connection ended after the response in progress. Connections that were not accepted yet were reset (by reading).

Cause: the port for peers was closed with ServiceTalk's graceful close, which ends each connection after its response without reading what has arrived.

Change: both ports stop listening by EntryServer.stopListening. Connections of peers are in the same CallerConnections, which closes idle ones and those between two requests; the stop ends once both ports are closed.

Evidence: PlannedStopTest#requestOfPeerThatHasArrivedIsAnsweredAfterListeningStops, over sockets of a whole node, with the next request sent while the response before it is in progress and the ports are closed. An idle connection that the peer keeps is ended while the other one is still busy, as before.

--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -132,7 +132,7 @@
   private boolean closingIdleConnections;
   private boolean closingServer;
 
-  /** Whether no new connection of a caller is accepted any more. */
+  /** Whether no new connection of a caller or peer is accepted any more. */
   private boolean listeningStopped;
 
   private boolean wasReady;
@@ -546,8 +546,9 @@
   }
 
   /**
-   * Closes idle connections at once, and busy ones after their response and those to the requests
-   * that have arrived by then. The load balancer opens no new connections by now.
+   * Closes idle connections of callers and peers at once, and busy ones after their response and
+   * those to the requests that have arrived by then. The load balancer opens no new connections by
+   * now.
    */
   private void closeCallerConnections() {
     if (!closingIdleConnections) {
@@ -560,11 +561,18 @@
       // Only at the next check, as this closes idle connections even if a request has arrived.
       closingServer = true;
       var unused =
-          EntryServer.stopListening(callerServer, io).thenRun(() -> listeningStopped = true);
-      peerServer.ifPresent(server -> server.closeAsyncGracefully().subscribe());
+          CompletableFuture.allOf(
+                  EntryServer.stopListening(callerServer, io), stopListeningForPeers())
+              .thenRun(() -> listeningStopped = true);
     }
   }
 
+  private CompletableFuture<Void> stopListeningForPeers() {
+    return peerServer
+        .map(server -> EntryServer.stopListening(server, io))
+        .orElseGet(() -> CompletableFuture.completedFuture(null));
+  }
+
   /** Returns the number of active requests, including responses buffered for slow callers. */
   private int activeRequests() {
     return Math.max(forwarder.inFlight(), callerConnections.activeCount());
