--- a/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
+++ b/vaneworks-daemon/src/main/java/org/vaneworks/daemon/entry/EntryNode.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.AsyncContext;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.http.api.HttpServerContext;
@@ -131,7 +132,7 @@
   private boolean closingIdleConnections;
   private boolean closingServer;
 
-  /** Whether no new connection of a caller is accepted any more. */
+  /** Whether no new connection of a caller or peer is accepted any more. */
   private boolean listeningStopped;
 
   private boolean wasReady;
@@ -500,8 +501,25 @@
   }
 
   private void continueStop(long startNanos) {
+    // Scheduled first, as the stop goes on if this check throws an exception.
+    Cancellable next =
+        clock.schedule(
+            () -> continueStop(startNanos), StopPlan.CHECK_INTERVAL.toNanos(), NANOSECONDS);
     StopPlan plan = StopPlan.within(settings.stopGrace());
     Duration elapsed = Duration.ofNanos(clock.currentTime(NANOSECONDS) - startNanos);
+    boolean over = plan.isExpired(elapsed);
+    try {
+      over |= advanceStop(plan, elapsed);
+    } finally {
+      if (over) {
+        endStop();
+        next.cancel();
+      }
+    }
+  }
+
+  /** Returns whether all requests have ended and all callers have received their responses. */
+  private boolean advanceStop(StopPlan plan, Duration elapsed) {
     if (!plan.acceptsRequests(elapsed)) {
       forwarder.refuseNewRequests();
     }
@@ -518,19 +536,19 @@
       callerConnections.closeIdle();
     }
     // Callers may still be receiving the end of a response.
-    boolean delivered = idle && listeningStopped && callerConnections.isEmpty();
-    if (delivered || plan.isExpired(elapsed)) {
-      cutRequests += activeRequests();
-      EventLog.info(cutRequests == 0 ? Event.STOPPED : Event.STOP_CUT, "inFlight", cutRequests);
-      closeSockets();
-      return;
-    }
-    clock.schedule(() -> continueStop(startNanos), StopPlan.CHECK_INTERVAL.toNanos(), NANOSECONDS);
+    return idle && listeningStopped && callerConnections.isEmpty();
+  }
+
+  private void endStop() {
+    cutRequests += activeRequests();
+    EventLog.info(cutRequests == 0 ? Event.STOPPED : Event.STOP_CUT, "inFlight", cutRequests);
+    closeSockets();
   }
 
   /**
-   * Closes idle connections at once, and busy ones after their response and those to the requests
-   * that have arrived by then. The load balancer opens no new connections by now.
+   * Closes idle connections of callers and peers at once, and busy ones after their response and
+   * those to the requests that have arrived by then. The load balancer opens no new connections by
+   * now.
    */
   private void closeCallerConnections() {
     if (!closingIdleConnections) {
@@ -543,11 +561,18 @@
       // Only at the next check, as this closes idle connections even if a request has arrived.
       closingServer = true;
       var unused =
-          EntryServer.stopListening(callerServer, io).thenRun(() -> listeningStopped = true);
-      peerServer.ifPresent(server -> server.closeAsyncGracefully().subscribe());
+          CompletableFuture.allOf(
+                  EntryServer.stopListening(callerServer, io), stopListeningForPeers())
+              .thenRun(() -> listeningStopped = true);
     }
   }
 
+  private CompletableFuture<Void> stopListeningForPeers() {
+    return peerServer
+        .map(server -> EntryServer.stopListening(server, io))
+        .orElseGet(() -> CompletableFuture.completedFuture(null));
+  }
+
   /** Returns the number of active requests, including responses buffered for slow callers. */
   private int activeRequests() {
     return Math.max(forwarder.inFlight(), callerConnections.activeCount());
