--- a/review/standins-2/Web.java
+++ b/review/standins-2/Web.java
@@ -104,6 +104,25 @@
     }
   }
 
+  /** Serves one connection, which is in a set while it is open. */
+  static void serveOne(Socket socket, Handler handler, java.util.Set<Exchange> open)
+      throws Exception {
+    Exchange exchange = new Exchange(socket);
+    open.add(exchange);
+    try {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      while (!socket.isClosed()) {
+        Request request = readRequest(in);
+        if (request == null) {
+          return;
+        }
+        handler.handle(request, exchange);
+      }
+    } finally {
+      open.remove(exchange);
+    }
+  }
+
   interface Task {
     void run() throws Exception;
   }
