--- a/review/standins-2/KeyStore2.java
+++ b/review/standins-2/KeyStore2.java
@@ -12,7 +12,6 @@
 /** The platform's metadata store, as PROTOCOL.md describes it; keeps 20 s of history. */
 final class KeyStore2 {
   private static final long HISTORY_NANOS = 20_000_000_000L;
-  private static final Map<String, String> JSON = Map.of("Content-Type", "application/json");
   private static final Pattern PUT =
       Pattern.compile(
           "\\{\"key\":\"([^\"]*)\",\"value\":\"([^\"]*)\",\"lease\":(\\d+)\\}");
@@ -36,6 +35,12 @@
   private long revision = 10;
   private long historyFrom = 10;
   private long nextLease = 70_000;
+  private volatile long silentBefore = Long.MIN_VALUE;
+  private volatile boolean away;
+  private long era = 1;
+  private TreeMap<String, Item> copiedItems = new TreeMap<>();
+  private Map<Long, Lease> copiedLeases = new HashMap<>();
+  private long copiedRevision;
   final ServerSocket socket;
 
   KeyStore2() throws Exception {
@@ -60,7 +65,7 @@
   }
 
   synchronized void remove(String key) {
-    if (items.remove(key) != null) {
+    if (!away && items.remove(key) != null) {
       revision++;
       record(key, "{\"key\":\"" + key + "\",\"rev\":" + revision + ",\"gone\":true}");
     }
@@ -107,9 +112,59 @@
     }
   }
 
+  private Map<String, String> headers() {
+    return Map.of("Content-Type", "application/json", "Store-Era", String.valueOf(era));
+  }
+
+  /** Takes the copy from which a drill brings the store back. */
+  synchronized void copy() {
+    copiedItems = new TreeMap<>(items);
+    copiedLeases = new HashMap<>(leases);
+    copiedRevision = revision;
+  }
+
+  /** The store is away: calls get 503, and waiting watches are cut. */
+  synchronized void goAway() {
+    away = true;
+    notifyAll();
+  }
+
+  /** The store is back from its copy; its leases run anew. */
+  synchronized void returnFromCopy() {
+    items.clear();
+    items.putAll(copiedItems);
+    leases.clear();
+    copiedLeases.forEach(
+        (id, lease) ->
+            leases.put(
+                id, new Lease(lease.ttlMs(), System.nanoTime() + lease.ttlMs() * 1_000_000)));
+    revision = copiedRevision;
+    historyFrom = revision;
+    changes.clear();
+    era++;
+    away = false;
+  }
+
+  /** Open channels go silent for good, without a reset, while new ones work. */
+  void silenceOpenChannels() {
+    silentBefore = System.nanoTime();
+  }
+
+  /** Returns whether a channel was open when those went silent. */
+  private boolean isSilent(Web.Exchange exchange) {
+    return exchange.openedAt < silentBefore;
+  }
+
   private void handle(Web.Request request, Web.Exchange exchange) throws Exception {
     Thread.sleep(4);
+    if (isSilent(exchange)) {
+      return;
+    }
     String path = request.path();
+    if (away) {
+      exchange.answer(503, headers(), "{}");
+      return;
+    }
     if (path.equals("/kv-watch")) {
       watch(request, exchange);
       return;
@@ -119,7 +174,7 @@
     synchronized (this) {
       status = answer(request, path, body);
     }
-    exchange.answer(status, JSON, body.toString());
+    exchange.answer(status, headers(), body.toString());
   }
 
   private int answer(Web.Request request, String path, StringBuilder body) {
@@ -217,7 +272,7 @@
     long at;
     synchronized (this) {
       while (true) {
-        if (since < historyFrom) {
+        if (since < historyFrom || since > revision) {
           at = -1;
           break;
         }
@@ -228,16 +283,23 @@
         }
         at = revision;
         long leftMs = (until - System.nanoTime()) / 1_000_000;
-        if (events.length() > 0 || leftMs <= 0) {
+        if (events.length() > 0 || leftMs <= 0 || away) {
           break;
         }
         wait(leftMs);
       }
     }
+    if (isSilent(exchange)) {
+      return;
+    }
+    if (away) {
+      exchange.reset();
+      return;
+    }
     if (at < 0) {
-      exchange.answer(410, JSON, "{}");
+      exchange.answer(410, headers(), "{}");
     } else {
-      exchange.answer(200, JSON, "{\"events\":[" + events + "],\"at\":" + at + "}");
+      exchange.answer(200, headers(), "{\"events\":[" + events + "],\"at\":" + at + "}");
     }
   }
 }
--- a/review/standins-2/LargeConfigurations.java
+++ b/review/standins-2/LargeConfigurations.java
@@ -6,7 +6,7 @@
 /** A large configuration changes in quick succession; the last change moves a route. */
 final class LargeConfigurations {
   private static final int ROUTES = Integer.getInteger("routes", 3096);
-  private static final int GAP_MS = 80;
+  private static final int GAP_MS = Integer.getInteger("gap", 80);
   private static final int STORM_MS = Integer.getInteger("storm", 800);
   private static final int APPLY_MS = 2000;
 
--- a/review/standins-2/Web.java
+++ b/review/standins-2/Web.java
@@ -46,6 +46,7 @@
   static final class Exchange {
     final Socket socket;
     final OutputStream out;
+    final long openedAt = System.nanoTime();
 
     Exchange(Socket socket) throws IOException {
       this.socket = socket;
