--- a/review/standins-2/Bench2.java
+++ b/review/standins-2/Bench2.java
@@ -15,6 +15,15 @@
 
 /** What the cases share: the record, the nodes as processes, and the ends of all of them. */
 final class Bench2 implements AutoCloseable {
+  static {
+    // A failure of the case itself is no result; the hook ends the processes.
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, failure) -> {
+          failure.printStackTrace();
+          System.exit(2);
+        });
+  }
+
   private static final Pattern GAP = Pattern.compile("\\{\\{([^}]+)\\}\\}");
 
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
