--- a/review/standins-2/Bench2.java
+++ b/review/standins-2/Bench2.java
@@ -24,6 +24,9 @@
         });
   }
 
+  /** A run takes 120 s at most. */
+  private static final int LIMIT_MS = 110_000;
+
   private static final Pattern GAP = Pattern.compile("\\{\\{([^}]+)\\}\\}");
 
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -38,6 +41,11 @@
     folder = Files.createTempDirectory("review-2-");
     store = new KeyStore2();
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+    Web.daemon(
+        () -> {
+          Thread.sleep(LIMIT_MS);
+          unable("over " + LIMIT_MS + " ms");
+        });
   }
 
   double seconds() {
@@ -99,6 +107,14 @@
                   ? folder.resolve(name + ".log").toFile()
                   : Path.of(System.getenv("KEEP_LOGS"), name + ".log").toFile()));
       process = builder.start();
+      String pids = System.getProperty("pids");
+      if (pids != null) {
+        Files.writeString(
+            Path.of(pids),
+            process.pid() + "\n",
+            java.nio.file.StandardOpenOption.CREATE,
+            java.nio.file.StandardOpenOption.APPEND);
+      }
       say("node " + name + " started, process " + process.pid());
       Process started = process;
       started.onExit().thenAccept(
--- a/review/standins-2/EndedMachine.java
+++ b/review/standins-2/EndedMachine.java
@@ -27,6 +27,7 @@
     for (int i = 0; i < STREAMS; i++) {
       String id = "s" + i;
       Bench2.Node node = bench.nodes.get(i % 2);
+      bench.say(id + " sent to " + node.name);
       clients.add(
           Web.daemon(
               () ->
--- a/review/standins-2/PartialBodies.java
+++ b/review/standins-2/PartialBodies.java
@@ -88,6 +88,7 @@
     for (int i = 0; i < REQUESTS; i++) {
       String id = "q" + i;
       Bench2.Node node = bench.nodes.get(i % 2);
+      bench.say(id + " sent to " + node.name);
       clients.add(
           Web.daemon(
               () ->
--- a/review/standins-2/RestoredKeys.java
+++ b/review/standins-2/RestoredKeys.java
@@ -80,10 +80,8 @@
                     + "Authorization: Token " + key + "\r\n", "", 2000);
         boolean late = ran.contains(id) && after > REVOKE_MS * 1_000_000L;
         broken += late ? 1 : 0;
-        if (answer.status() != 0) {
-          bench.say(String.format("%s sent to %s %.2f s after the ack: %d%s", id, node.name,
-              after / 1e9, answer.status(), late ? " RUN WITH THE REVOKED KEY" : ""));
-        }
+        bench.say(String.format("%s sent to %s %.2f s after the ack: %d%s", id, node.name,
+            after / 1e9, answer.status(), late ? " RUN WITH THE REVOKED KEY" : ""));
         Thread.sleep(20);
       }
       bench.store.put(
